Set up the workspace and its crate borders

The shared types come first: names, amounts, result codes, intents, plans, the configuration's log and state, and one call type and one answer type each for the store and for workers, so that the other packages can go on side by side.

One configuration log takes all confirmed plans. A shard's log could take jobs of one home without contention between entries, but then two operators could each have a job of one name accepted; with one log the number is the only point where they race.

--- /dev/null
+++ b/crates/marigoldpick-core/src/clock.rs
@@ -0,0 +1,128 @@
+//! One small clock type: milliseconds on a process's own monotonic clock.
+
+use std::fmt;
+use std::ops::{Add, AddAssign, Sub};
+use std::sync::Arc;
+use std::sync::atomic::{AtomicU64, Ordering};
+use std::time::{Duration, Instant};
+
+use serde::{Deserialize, Serialize};
+
+/// `Millis` is a point in time or a span, in milliseconds.
+///
+/// Points of different processes are not comparable. Sums and differences saturate.
+#[derive(
+    Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize,
+)]
+#[serde(transparent)]
+pub struct Millis(pub u64);
+
+impl Millis {
+    /// The zero point or the empty span.
+    pub const ZERO: Self = Self(0);
+    /// A point later than any other.
+    pub const MAX: Self = Self(u64::MAX);
+
+    /// Makes a span of whole seconds.
+    #[must_use]
+    pub const fn from_secs(seconds: u64) -> Self {
+        Self(seconds.saturating_mul(1_000))
+    }
+
+    /// Returns the span as a standard duration.
+    #[must_use]
+    pub const fn duration(self) -> Duration {
+        Duration::from_millis(self.0)
+    }
+
+    /// Returns the span from `earlier` to this point, zero when `earlier` is later.
+    #[must_use]
+    pub const fn since(self, earlier: Self) -> Self {
+        Self(self.0.saturating_sub(earlier.0))
+    }
+
+    /// Multiplies a span, saturating.
+    #[must_use]
+    pub const fn times(self, factor: u64) -> Self {
+        Self(self.0.saturating_mul(factor))
+    }
+}
+
+impl Add for Millis {
+    type Output = Self;
+    fn add(self, rhs: Self) -> Self {
+        Self(self.0.saturating_add(rhs.0))
+    }
+}
+
+impl AddAssign for Millis {
+    fn add_assign(&mut self, rhs: Self) {
+        *self = *self + rhs;
+    }
+}
+
+impl Sub for Millis {
+    type Output = Self;
+    fn sub(self, rhs: Self) -> Self {
+        Self(self.0.saturating_sub(rhs.0))
+    }
+}
+
+impl fmt::Display for Millis {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(f, "{} ms", self.0)
+    }
+}
+
+/// `Clock` tells the time of one process.
+pub trait Clock: Clone + Send + Sync + 'static {
+    /// Returns the time since an arbitrary start, never going back.
+    fn now(&self) -> Millis;
+}
+
+/// `System` is the machine's monotonic clock, counted from its creation.
+#[derive(Clone, Copy, Debug)]
+pub struct System {
+    start: Instant,
+}
+
+impl System {
+    /// Starts a clock at zero.
+    #[must_use]
+    pub fn new() -> Self {
+        Self {
+            start: Instant::now(),
+        }
+    }
+}
+
+impl Default for System {
+    fn default() -> Self {
+        Self::new()
+    }
+}
+
+impl Clock for System {
+    fn now(&self) -> Millis {
+        Millis(u64::try_from(self.start.elapsed().as_millis()).unwrap_or(u64::MAX))
+    }
+}
+
+/// `Manual` is a clock that tests move by hand.
+#[derive(Clone, Debug, Default)]
+pub struct Manual {
+    now: Arc<AtomicU64>,
+}
+
+impl Manual {
+    /// Moves the clock forward by `span`.
+    pub fn advance(&self, span: Millis) {
+        self.now.fetch_add(span.0, Ordering::SeqCst);
+    }
+}
+
+impl Clock for Manual {
+    fn now(&self) -> Millis {
+        Millis(self.now.load(Ordering::SeqCst))
+    }
+}
--- /dev/null
+++ b/crates/marigoldpick-core/src/config.rs
@@ -0,0 +1,379 @@
+//! The configuration: a log of numbered entries and the state they add up to.
+//!
+//! An entry is accepted exactly when it was created in the store under its number. Every process
+//! applies the entries in order, without a gap, and so comes to the same state.
+
+use serde::{Deserialize, Serialize};
+
+use crate::code::Code;
+use crate::id;
+use crate::intent::{Intent, Job, Objective, Service, Team};
+use crate::plan::{Home, Plan};
+use crate::resource::Amount;
+
+/// Jobs that ended and are still told by `status`.
+const ENDED_KEPT: usize = 1_000;
+/// Confirmed plans that are remembered, so that a repeated confirm finds its first answer.
+const CONFIRMED_KEPT: usize = 1_000;
+
+/// `Entry` is one numbered entry of the log.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct Entry {
+    /// The number: one more than the entry before.
+    pub sequence: u64,
+    /// Who wrote it: unique for each try, so that a lost answer can be settled by reading back.
+    pub writer: String,
+    /// The changes, in order. Several operators' changes may share an entry.
+    pub changes: Vec<Change>,
+}
+
+/// `Change` is one change of the configuration.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+#[serde(rename_all = "kebab-case", deny_unknown_fields)]
+pub enum Change {
+    /// A confirmed plan.
+    Confirm(Box<Plan>),
+    /// Jobs are cancelled.
+    Cancel {
+        /// The jobs.
+        jobs: Vec<id::Job>,
+    },
+    /// Something is being drained, or no longer.
+    Drain {
+        /// What.
+        target: Target,
+        /// Whether it is being drained.
+        on: bool,
+    },
+    /// All tasks of a job that a shard was responsible for have ended.
+    Ended {
+        /// The job.
+        job: id::Job,
+        /// The shard.
+        shard: id::Shard,
+        /// Tasks that were completed.
+        completed: u32,
+        /// Tasks that were given up.
+        failed: u32,
+    },
+}
+
+/// `Target` is what can be drained.
+#[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord, Serialize, Deserialize)]
+#[serde(rename_all = "kebab-case")]
+pub enum Target {
+    /// A worker: its tasks move away.
+    Worker(id::Worker),
+    /// An endpoint: it gets no new requests.
+    Endpoint(id::Endpoint),
+    /// An entry: it leaves the balancer and gives up its leads.
+    Entry(id::Entry),
+    /// A rack.
+    Rack(id::Rack),
+    /// A failure domain.
+    Domain(id::Domain),
+}
+
+/// `Accepted` is an accepted job that has not ended everywhere.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct Accepted {
+    /// The job.
+    pub job: Job,
+    /// The shards that still have tasks of it.
+    pub homes: Vec<Home>,
+    /// The entry that accepted it.
+    pub sequence: u64,
+    /// Whether it was cancelled and its tasks are being stopped.
+    pub cancelled: bool,
+    /// Tasks completed in shards that are through with it.
+    pub completed: u32,
+    /// Tasks given up in shards that are through with it.
+    pub failed: u32,
+}
+
+/// `Confirmed` is a plan that was confirmed.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct Confirmed {
+    /// The plan.
+    pub plan: id::Plan,
+    /// The entry that accepted it.
+    pub sequence: u64,
+}
+
+/// `State` is the configuration at one entry. All lists are sorted by name.
+#[derive(Clone, Debug, Default, PartialEq, Serialize, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct State {
+    /// The number of the last entry applied.
+    pub sequence: u64,
+    /// The site's objective.
+    pub objective: Objective,
+    /// Teams.
+    pub teams: Vec<Team>,
+    /// Services.
+    pub services: Vec<Service>,
+    /// Jobs that have not ended.
+    pub jobs: Vec<Accepted>,
+    /// Jobs that ended lately, oldest first.
+    pub ended: Vec<Accepted>,
+    /// Plans confirmed lately, oldest first.
+    pub confirmed: Vec<Confirmed>,
+    /// What is being drained.
+    pub drains: Vec<Target>,
+    /// The entry that last changed teams, services or the objective.
+    pub settings_sequence: u64,
+    /// The entry that last changed the drains.
+    pub drains_sequence: u64,
+}
+
+impl State {
+    /// Returns a team.
+    #[must_use]
+    pub fn team(&self, name: &id::Team) -> Option<&Team> {
+        self.teams
+            .binary_search_by(|t| t.name.cmp(name))
+            .ok()
+            .map(|at| &self.teams[at])
+    }
+
+    /// Returns a service.
+    #[must_use]
+    pub fn service(&self, name: &id::Service) -> Option<&Service> {
+        self.services
+            .binary_search_by(|s| s.name.cmp(name))
+            .ok()
+            .map(|at| &self.services[at])
+    }
+
+    /// Returns a job that has not ended.
+    #[must_use]
+    pub fn job(&self, name: &id::Job) -> Option<&Accepted> {
+        self.jobs
+            .binary_search_by(|j| j.job.name.cmp(name))
+            .ok()
+            .map(|at| &self.jobs[at])
+    }
+
+    /// Returns the entry that accepted `plan`, if it was confirmed lately.
+    #[must_use]
+    pub fn confirmed(&self, plan: &id::Plan) -> Option<u64> {
+        self.confirmed
+            .iter()
+            .rev()
+            .find(|c| c.plan == *plan)
+            .map(|c| c.sequence)
+    }
+
+    /// Tells whether `target` is being drained.
+    #[must_use]
+    pub fn drains(&self, target: &Target) -> bool {
+        self.drains.binary_search(target).is_ok()
+    }
+
+    /// Adds up what the accepted jobs of `team` hold.
+    #[must_use]
+    pub fn used(&self, team: &id::Team) -> Amount {
+        let mut sum = Amount::default();
+        for accepted in self
+            .jobs
+            .iter()
+            .filter(|a| a.job.team == *team && !a.cancelled)
+        {
+            let count = accepted.homes.iter().map(|home| home.to - home.from).sum();
+            sum.add(&accepted.job.needs.times(count));
+        }
+        sum
+    }
+
+    /// Tells whether `change` may be accepted on top of this state.
+    ///
+    /// # Errors
+    /// `Stale` when what a plan rests on has changed, `OverQuota`, `UnknownTask` for a cancel of
+    /// nothing, or the code that blocks the plan.
+    pub fn allows(&self, change: &Change) -> Result<(), Code> {
+        match change {
+            Change::Confirm(plan) => self.check_plan(plan),
+            Change::Cancel { jobs } => {
+                let known = jobs
+                    .iter()
+                    .any(|job| self.job(job).is_some_and(|a| !a.cancelled));
+                if known {
+                    Ok(())
+                } else {
+                    Err(Code::UnknownTask)
+                }
+            }
+            Change::Drain { target, on } => {
+                if self.drains(target) == *on {
+                    Err(Code::Stale)
+                } else {
+                    Ok(())
+                }
+            }
+            Change::Ended { job, shard, .. } => {
+                let open = self
+                    .job(job)
+                    .is_some_and(|a| a.homes.iter().any(|home| home.shard == *shard));
+                if open { Ok(()) } else { Err(Code::Stale) }
+            }
+        }
+    }
+
+    fn check_plan(&self, plan: &Plan) -> Result<(), Code> {
+        if let Some(code) = plan.blocked {
+            return Err(code);
+        }
+        let touched = self.settings_sequence.max(self.drains_sequence);
+        if touched > plan.base {
+            return Err(Code::Stale);
+        }
+        if plan
+            .intent
+            .job
+            .iter()
+            .any(|job| self.job(&job.name).is_some())
+        {
+            return Err(Code::Stale);
+        }
+        for displaced in &plan.displaced {
+            if self.job(&displaced.task.job).is_none_or(|a| a.cancelled) {
+                return Err(Code::Stale);
+            }
+        }
+        self.check_quotas(&plan.intent)
+    }
+
+    fn check_quotas(&self, intent: &Intent) -> Result<(), Code> {
+        let mut teams: Vec<&id::Team> = intent.job.iter().map(|job| &job.team).collect();
+        teams.sort_unstable();
+        teams.dedup();
+        for team in teams {
+            let declared = intent.team.iter().find(|t| t.name == *team);
+            let quota = declared
+                .or_else(|| self.team(team))
+                .ok_or(Code::UnknownName)?;
+            let mut after = self.used(team);
+            for job in intent.job.iter().filter(|job| job.team == *team) {
+                after.add(&job.needs.times(job.count));
+            }
+            if !quota.quota.holds(&after) {
+                return Err(Code::OverQuota);
+            }
+        }
+        Ok(())
+    }
+
+    /// Applies the next entry. A change that may not be accepted on top of those before it has no
+    /// effect; every process decides so alike.
+    ///
+    /// Returns whether the entry was the next one; others are left alone.
+    pub fn apply(&mut self, entry: &Entry) -> bool {
+        if entry.sequence != self.sequence + 1 {
+            return false;
+        }
+        self.sequence = entry.sequence;
+        for change in &entry.changes {
+            if self.allows(change).is_ok() {
+                self.apply_change(change);
+            }
+        }
+        true
+    }
+
+    fn apply_change(&mut self, change: &Change) {
+        match change {
+            Change::Confirm(plan) => self.apply_plan(plan),
+            Change::Cancel { jobs } => self.cancel(jobs),
+            Change::Drain { target, on } => self.drain(target, *on),
+            Change::Ended {
+                job,
+                shard,
+                completed,
+                failed,
+            } => {
+                self.end(job, shard, *completed, *failed);
+            }
+        }
+    }
+
+    fn apply_plan(&mut self, plan: &Plan) {
+        let confirmed = Confirmed {
+            plan: plan.id.clone(),
+            sequence: self.sequence,
+        };
+        push_bounded(&mut self.confirmed, confirmed, CONFIRMED_KEPT);
+        let intent = &plan.intent;
+        if let Some(objective) = intent.objective {
+            self.objective = objective;
+            self.settings_sequence = self.sequence;
+        }
+        for team in &intent.team {
+            put(&mut self.teams, team.clone(), |t| &t.name);
+            self.settings_sequence = self.sequence;
+        }
+        for service in &intent.service {
+            put(&mut self.services, service.clone(), |s| &s.name);
+            self.settings_sequence = self.sequence;
+        }
+        for job in &intent.job {
+            let part = plan.parts.iter().find(|part| part.job == job.name);
+            let accepted = Accepted {
+                job: job.clone(),
+                homes: part.map(|part| part.homes.clone()).unwrap_or_default(),
+                sequence: self.sequence,
+                cancelled: false,
+                completed: 0,
+                failed: 0,
+            };
+            put(&mut self.jobs, accepted, |a| &a.job.name);
+        }
+    }
+
+    fn cancel(&mut self, jobs: &[id::Job]) {
+        for job in jobs {
+            if let Ok(at) = self.jobs.binary_search_by(|a| a.job.name.cmp(job)) {
+                self.jobs[at].cancelled = true;
+            }
+        }
+    }
+
+    fn drain(&mut self, target: &Target, on: bool) {
+        match (self.drains.binary_search(target), on) {
+            (Err(at), true) => self.drains.insert(at, target.clone()),
+            (Ok(at), false) => drop(self.drains.remove(at)),
+            _ => {}
+        }
+        self.drains_sequence = self.sequence;
+    }
+
+    fn end(&mut self, job: &id::Job, shard: &id::Shard, completed: u32, failed: u32) {
+        let Ok(at) = self.jobs.binary_search_by(|a| a.job.name.cmp(job)) else {
+            return;
+        };
+        let accepted = &mut self.jobs[at];
+        accepted.homes.retain(|home| home.shard != *shard);
+        accepted.completed += completed;
+        accepted.failed += failed;
+        if accepted.homes.is_empty() {
+            let ended = self.jobs.remove(at);
+            push_bounded(&mut self.ended, ended, ENDED_KEPT);
+        }
+    }
+}
+
+fn put<T, K: Ord>(list: &mut Vec<T>, item: T, key: impl Fn(&T) -> &K) {
+    match list.binary_search_by(|have| key(have).cmp(key(&item))) {
+        Ok(at) => list[at] = item,
+        Err(at) => list.insert(at, item),
+    }
+}
+
+fn push_bounded<T>(list: &mut Vec<T>, item: T, most: usize) {
+    list.push(item);
+    if list.len() > most {
+        list.remove(0);
+    }
+}
--- /dev/null
+++ b/crates/marigoldpick-core/src/document.rs
@@ -0,0 +1,103 @@
+//! Reading TOML documents with errors that name file, line and field.
+
+use std::fmt;
+
+use serde::de::DeserializeOwned;
+
+use crate::code::Code;
+
+/// The largest document, in bytes.
+pub const MAX_LEN: usize = 4 << 20;
+
+/// `Error` tells what is wrong in a document, and where.
+#[derive(Clone, Debug, PartialEq, Eq, serde::Serialize, serde::Deserialize)]
+pub struct Error {
+    /// The kind of mistake.
+    pub code: Code,
+    /// The file's name as it was given.
+    pub file: String,
+    /// The line from one, or zero when only the field is known.
+    pub line: u32,
+    /// The field, as a path such as `job[2].count`, or empty.
+    pub field: String,
+    /// What is wrong, in words.
+    pub message: String,
+}
+
+impl Error {
+    /// Makes an error about a field.
+    #[must_use]
+    pub fn field(code: Code, field: impl Into<String>, message: impl Into<String>) -> Self {
+        Self {
+            code,
+            file: String::new(),
+            line: 0,
+            field: field.into(),
+            message: message.into(),
+        }
+    }
+
+    /// Names the file.
+    #[must_use]
+    pub fn in_file(mut self, file: &str) -> Self {
+        file.clone_into(&mut self.file);
+        self
+    }
+}
+
+impl fmt::Display for Error {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(f, "{} {}: ", self.code.number(), self.code.name())?;
+        if !self.file.is_empty() {
+            write!(f, "{}:", self.file)?;
+        }
+        if self.line > 0 {
+            write!(f, "{}:", self.line)?;
+        }
+        if !self.field.is_empty() {
+            write!(f, " {}:", self.field)?;
+        }
+        write!(f, " {}", self.message)
+    }
+}
+
+impl std::error::Error for Error {}
+
+/// Reads a document of type `T` from `text`.
+///
+/// # Errors
+/// Fails with `TooLarge`, `BadSyntax`, `UnknownField`, `Duplicate` or `BadValue`, naming the line.
+pub fn parse<T: DeserializeOwned>(file: &str, text: &str) -> Result<T, Error> {
+    if text.len() > MAX_LEN {
+        return Err(Error::field(Code::TooLarge, "", "the document is too large").in_file(file));
+    }
+    toml::from_str(text).map_err(|source| describe(file, text, &source))
+}
+
+fn describe(file: &str, text: &str, source: &toml::de::Error) -> Error {
+    let message = source.message().trim().to_owned();
+    let code = if message.contains("unknown field") || message.contains("unknown variant") {
+        Code::UnknownField
+    } else if message.contains("duplicate key") {
+        Code::Duplicate
+    } else if message.contains("missing field") || message.contains("invalid") {
+        Code::BadValue
+    } else {
+        Code::BadSyntax
+    };
+    let start = source.span().map_or(0, |span| span.start.min(text.len()));
+    let line = text.as_bytes()[..start]
+        .iter()
+        .filter(|&&b| b == b'\n')
+        .count()
+        + 1;
+    let field = message.split('`').nth(1).unwrap_or_default().to_owned();
+    let line = u32::try_from(line).unwrap_or(u32::MAX);
+    Error {
+        code,
+        file: file.to_owned(),
+        line,
+        field,
+        message,
+    }
+}
--- /dev/null
+++ b/crates/marigoldpick-core/src/id.rs
@@ -0,0 +1,148 @@
+//! Typed identities of what the brief names: workers, endpoints, failure domains and the rest.
+
+use std::fmt;
+use std::str::FromStr;
+
+use displaydoc::Display;
+use serde::{Deserialize, Serialize};
+
+use crate::name::{self, Name};
+
+macro_rules! named {
+    ($($(#[$doc:meta])* $id:ident;)+) => {$(
+        $(#[$doc])*
+        #[derive(Clone, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
+        #[serde(transparent)]
+        pub struct $id(pub Name);
+
+        impl $id {
+            /// Makes the identity from a text.
+            ///
+            /// # Errors
+            /// Fails when the text is no name.
+            pub fn new(text: &str) -> Result<Self, name::Error> {
+                Name::new(text).map(Self)
+            }
+
+            /// Returns the text.
+            #[must_use]
+            pub fn as_str(&self) -> &str {
+                self.0.as_str()
+            }
+        }
+
+        impl FromStr for $id {
+            type Err = name::Error;
+            fn from_str(text: &str) -> Result<Self, name::Error> {
+                Self::new(text)
+            }
+        }
+
+        impl fmt::Display for $id {
+            fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+                fmt::Display::fmt(&self.0, f)
+            }
+        }
+
+        impl fmt::Debug for $id {
+            fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+                fmt::Debug::fmt(&self.0, f)
+            }
+        }
+    )+};
+}
+
+named! {
+    /// `Worker` names a VM that runs tasks.
+    Worker;
+    /// `Entry` names a process of the system on an entry VM.
+    Entry;
+    /// `Domain` names a failure domain.
+    Domain;
+    /// `Region` names a region, a set of failure domains.
+    Region;
+    /// `Rack` names a rack of workers.
+    Rack;
+    /// `Shard` names a set of racks of one failure domain, the unit of ownership.
+    Shard;
+    /// `Team` names a team with a quota.
+    Team;
+    /// `Job` names what an operator wants to run.
+    Job;
+    /// `Service` names what callers call; its instances are endpoints.
+    Service;
+    /// `Endpoint` names one running instance of a service.
+    Endpoint;
+    /// `Plan` names a plan by its digest.
+    Plan;
+    /// `Request` names a caller's request.
+    Request;
+}
+
+/// `Task` names one task of a job: the job and an index from zero. It is written `job:index`.
+#[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
+#[serde(try_from = "String", into = "String")]
+pub struct Task {
+    /// The job that the task belongs to.
+    pub job: Job,
+    /// The task's number in the job, from zero.
+    pub index: u32,
+}
+
+/// `Run` names one start of a task: a task that is started again gets a higher attempt.
+#[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
+pub struct Run {
+    /// The task that is run.
+    pub task: Task,
+    /// The number of the start, from one.
+    pub attempt: u32,
+}
+
+/// a task is written job:index
+#[derive(Clone, Copy, Debug, Display, PartialEq, Eq)]
+pub struct TaskError;
+
+impl std::error::Error for TaskError {}
+
+impl Task {
+    /// Names the task of `job` with `index`.
+    #[must_use]
+    pub const fn new(job: Job, index: u32) -> Self {
+        Self { job, index }
+    }
+}
+
+impl fmt::Display for Task {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(f, "{}:{}", self.job, self.index)
+    }
+}
+
+impl fmt::Display for Run {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(f, "{}#{}", self.task, self.attempt)
+    }
+}
+
+impl FromStr for Task {
+    type Err = TaskError;
+    fn from_str(text: &str) -> Result<Self, TaskError> {
+        let (job, index) = text.rsplit_once(':').ok_or(TaskError)?;
+        let job = Job::new(job).map_err(|_source| TaskError)?;
+        let index = index.parse().map_err(|_source| TaskError)?;
+        Ok(Self { job, index })
+    }
+}
+
+impl TryFrom<String> for Task {
+    type Error = TaskError;
+    fn try_from(text: String) -> Result<Self, TaskError> {
+        text.parse()
+    }
+}
+
+impl From<Task> for String {
+    fn from(task: Task) -> Self {
+        task.to_string()
+    }
+}
--- /dev/null
+++ b/crates/marigoldpick-core/src/resource.rs
@@ -0,0 +1,134 @@
+//! Amounts of processors, memory and accelerators.
+
+use std::fmt;
+
+use serde::{Deserialize, Serialize};
+
+use crate::name::Name;
+
+/// `Accelerators` is a count of accelerators of one kind.
+#[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord, Serialize, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct Accelerators {
+    /// The kind, as the platform names it.
+    pub kind: Name,
+    /// How many.
+    pub count: u32,
+}
+
+/// `Amount` is what a task needs or what a worker has.
+///
+/// `accelerators` is sorted by kind and holds no kind twice and no zero count.
+#[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct Amount {
+    /// Processor time in thousandths of a core.
+    #[serde(default)]
+    pub millicores: u64,
+    /// Memory in MiB.
+    #[serde(default)]
+    pub memory_mib: u64,
+    /// Accelerators by kind.
+    #[serde(default)]
+    pub accelerators: Vec<Accelerators>,
+}
+
+impl Amount {
+    /// Makes an amount without accelerators.
+    #[must_use]
+    pub const fn new(millicores: u64, memory_mib: u64) -> Self {
+        Self {
+            millicores,
+            memory_mib,
+            accelerators: Vec::new(),
+        }
+    }
+
+    /// Adds `count` accelerators of `kind`.
+    #[must_use]
+    pub fn with(mut self, kind: Name, count: u32) -> Self {
+        if count == 0 {
+            return self;
+        }
+        match self.accelerators.binary_search_by(|a| a.kind.cmp(&kind)) {
+            Ok(at) => self.accelerators[at].count += count,
+            Err(at) => self.accelerators.insert(at, Accelerators { kind, count }),
+        }
+        self
+    }
+
+    /// Returns the count of accelerators of `kind`.
+    #[must_use]
+    pub fn accelerators_of(&self, kind: &Name) -> u32 {
+        self.accelerators
+            .binary_search_by(|a| a.kind.cmp(kind))
+            .map_or(0, |at| self.accelerators[at].count)
+    }
+
+    /// Tells whether `other` fits into this amount.
+    #[must_use]
+    pub fn holds(&self, other: &Self) -> bool {
+        other.millicores <= self.millicores
+            && other.memory_mib <= self.memory_mib
+            && other
+                .accelerators
+                .iter()
+                .all(|a| a.count <= self.accelerators_of(&a.kind))
+    }
+
+    /// Adds `other`.
+    pub fn add(&mut self, other: &Self) {
+        self.millicores += other.millicores;
+        self.memory_mib += other.memory_mib;
+        for a in &other.accelerators {
+            match self.accelerators.binary_search_by(|b| b.kind.cmp(&a.kind)) {
+                Ok(at) => self.accelerators[at].count += a.count,
+                Err(at) => self.accelerators.insert(at, a.clone()),
+            }
+        }
+    }
+
+    /// Takes `other` away; what is missing counts as zero.
+    pub fn subtract(&mut self, other: &Self) {
+        self.millicores = self.millicores.saturating_sub(other.millicores);
+        self.memory_mib = self.memory_mib.saturating_sub(other.memory_mib);
+        for a in &other.accelerators {
+            if let Ok(at) = self.accelerators.binary_search_by(|b| b.kind.cmp(&a.kind)) {
+                self.accelerators[at].count = self.accelerators[at].count.saturating_sub(a.count);
+            }
+        }
+        self.accelerators.retain(|a| a.count > 0);
+    }
+
+    /// Returns this amount `factor` times.
+    #[must_use]
+    pub fn times(&self, factor: u32) -> Self {
+        Self {
+            millicores: self.millicores * u64::from(factor),
+            memory_mib: self.memory_mib * u64::from(factor),
+            accelerators: self
+                .accelerators
+                .iter()
+                .map(|a| Accelerators {
+                    kind: a.kind.clone(),
+                    count: a.count * factor,
+                })
+                .collect(),
+        }
+    }
+
+    /// Tells whether nothing is in it.
+    #[must_use]
+    pub fn is_zero(&self) -> bool {
+        self.millicores == 0 && self.memory_mib == 0 && self.accelerators.is_empty()
+    }
+}
+
+impl fmt::Display for Amount {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(f, "{} millicores, {} MiB", self.millicores, self.memory_mib)?;
+        self.accelerators
+            .iter()
+            .try_for_each(|a| write!(f, ", {} {}", a.count, a.kind))
+    }
+}
--- /dev/null
+++ b/crates/marigoldpick-core/src/worker.rs
@@ -0,0 +1,245 @@
+//! A worker's interface as marigoldpick sees it: epochs, leases by the worker's own stamps, tasks.
+//!
+//! A worker obeys the highest epoch that has claimed it and refuses all lower ones. All its tasks
+//! hang on one lease: when the worker's clock passes the lease's end, it stops them. A lease is
+//! extended to `stamp + span`, where `stamp` is one the worker itself gave out earlier, and never
+//! shortened but by a claim that asks for it.
+
+use displaydoc::Display;
+use serde::{Deserialize, Serialize};
+
+use crate::clock::Millis;
+use crate::id;
+use crate::resource::Amount;
+
+/// `Epoch` is a shard lead's term: the shard log's tenure, then a count of claims without the store.
+#[derive(
+    Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize,
+)]
+#[serde(deny_unknown_fields)]
+pub struct Epoch {
+    /// The number of the tenure in the shard's log.
+    pub tenure: u64,
+    /// The count of take-overs without the store since that tenure.
+    pub interim: u64,
+    /// A hash of the lead's identity and incarnation, so that no two leads share an epoch.
+    pub lead: u64,
+}
+
+/// `Spec` is what a worker is told of a task.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct Spec {
+    /// The run.
+    pub run: id::Run,
+    /// The team, for accounts.
+    pub team: id::Team,
+    /// What is set aside for it.
+    pub needs: Amount,
+    /// The service whose endpoint it becomes, if any.
+    pub service: Option<id::Service>,
+    /// What the stand-in's task really does; a real platform would have an image and arguments.
+    pub command: String,
+    /// Whether it may be run again.
+    pub idempotent: bool,
+    /// How long a stop waits for it to end by itself.
+    pub grace: Millis,
+    /// A checkpoint to go on from, if any.
+    pub checkpoint: Option<String>,
+}
+
+/// `Call` is one call to a worker.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(rename_all = "kebab-case", deny_unknown_fields)]
+pub enum Call {
+    /// Claims the worker for an epoch; refused unless higher than the worker's.
+    Claim {
+        /// The epoch.
+        epoch: Epoch,
+        /// The lease that the worker gets from now, by its own clock.
+        span: Millis,
+    },
+    /// Renews the lease and acknowledges finished runs, which the worker then forgets.
+    Renew {
+        /// The epoch.
+        epoch: Epoch,
+        /// The last stamp received from the worker.
+        stamp: Millis,
+        /// The lease is extended to `stamp + span`.
+        span: Millis,
+        /// Finished runs whose end is recorded.
+        acknowledged: Vec<id::Run>,
+    },
+    /// Starts a run; refused when the lease has lapsed, the size is passed or the task runs.
+    Start {
+        /// The epoch.
+        epoch: Epoch,
+        /// The last stamp received from the worker; refused when older than `span`.
+        stamp: Millis,
+        /// How long after the stamp the start is still valid.
+        span: Millis,
+        /// The task.
+        spec: Spec,
+    },
+    /// Stops a run: no new requests at once, then the end after its grace.
+    Stop {
+        /// The epoch.
+        epoch: Epoch,
+        /// The run.
+        run: id::Run,
+        /// How long the task may take to end.
+        grace: Millis,
+    },
+    /// Writes a checkpoint of a run, then stops it.
+    Checkpoint {
+        /// The epoch.
+        epoch: Epoch,
+        /// The run.
+        run: id::Run,
+    },
+    /// Limits a run's processors.
+    Throttle {
+        /// The epoch.
+        epoch: Epoch,
+        /// The run.
+        run: id::Run,
+        /// The limit in thousandths of a core.
+        millicores: u64,
+    },
+    /// Asks for the report alone; needs no epoch.
+    List,
+}
+
+impl Call {
+    /// Returns the call's kind, for counters.
+    #[must_use]
+    pub const fn kind(&self) -> &'static str {
+        match self {
+            Self::Claim { .. } => "claim",
+            Self::Renew { .. } => "renew",
+            Self::Start { .. } => "start",
+            Self::Stop { .. } => "stop",
+            Self::Checkpoint { .. } => "checkpoint",
+            Self::Throttle { .. } => "throttle",
+            Self::List => "list",
+        }
+    }
+}
+
+/// `Outcome` is how a run ended.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(rename_all = "kebab-case")]
+pub enum Outcome {
+    /// It did what it should.
+    Done,
+    /// It ended with an error.
+    Failed,
+    /// It was stopped as asked.
+    Stopped,
+    /// It was stopped after writing this checkpoint.
+    Checkpointed(String),
+    /// It was stopped since the worker's lease lapsed.
+    Lapsed,
+}
+
+/// `Running` is a run that goes on.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct Running {
+    /// The task as it was started.
+    pub spec: Spec,
+    /// How long it has run.
+    pub age: Millis,
+    /// The endpoint's address when the run is an endpoint, by IP number and port.
+    pub endpoint: Option<String>,
+    /// Whether it is being stopped.
+    pub stopping: bool,
+    /// What it used, as measured a while ago, if there is a measurement.
+    pub usage: Option<Amount>,
+}
+
+/// `Finished` is a run that ended and is not yet acknowledged.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct Finished {
+    /// The run.
+    pub run: id::Run,
+    /// How it ended.
+    pub outcome: Outcome,
+    /// How long it ran.
+    pub age: Millis,
+    /// The most it used.
+    pub usage: Option<Amount>,
+}
+
+/// `Report` is a worker's state with each answer.
+///
+/// `running` is whole in answers to `Claim` and `List`; in others it has only the runs that changed
+/// since the last answer to the same epoch.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct Report {
+    /// The highest epoch that claimed the worker.
+    pub epoch: Epoch,
+    /// The worker's clock at the answer.
+    pub stamp: Millis,
+    /// The lease's end by the worker's clock.
+    pub lease_end: Millis,
+    /// Whether `running` is the whole set.
+    pub whole: bool,
+    /// What runs.
+    pub running: Vec<Running>,
+    /// What ended and waits for acknowledgement.
+    pub finished: Vec<Finished>,
+}
+
+/// `Answer` is a worker's answer: the report, and whether the call was carried out.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct Answer {
+    /// Why the call was refused, if it was.
+    pub refused: Option<Refusal>,
+    /// The worker's state.
+    pub report: Report,
+}
+
+/// `Refusal` is why a worker did not carry out a call.
+#[derive(Clone, Copy, Debug, Display, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(rename_all = "kebab-case")]
+pub enum Refusal {
+    /// another lead's epoch has claimed the worker
+    Fenced,
+    /// the lease has lapsed or the stamp is too old
+    Lapsed,
+    /// the worker's size would be passed
+    Full,
+    /// the task runs here already, under this or another attempt
+    Runs,
+    /// the run was started here before
+    Again,
+    /// no such run is known here
+    UnknownRun,
+}
+
+/// `Fault` is why a call got no answer.
+#[derive(Clone, Copy, Debug, Display, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(rename_all = "kebab-case")]
+pub enum Fault {
+    /// the worker was not reached; the call had no effect
+    Away,
+    /// the answer was lost; the call may or may not have been carried out
+    Unknown,
+    /// the call is malformed; it had no effect
+    Invalid,
+}
+
+impl std::error::Error for Fault {}
+
+/// `Port` is the way to the workers.
+pub trait Port: Clone + 'static {
+    /// Makes one call to the worker at `address`.
+    ///
+    /// # Errors
+    /// A [`Fault`] tells whether the call may have been carried out.
+    fn call(&self, address: &str, call: Call) -> impl Future<Output = Result<Answer, Fault>>;
+}
--- /dev/null
+++ b/crates/marigoldpick-core/tests/config.rs
@@ -0,0 +1,158 @@
+//! The configuration state: what is accepted, what is stale, and that nothing is applied twice.
+
+use googletest::prelude::*;
+use marigoldpick_core::config::{Change, Entry, State, Target};
+use marigoldpick_core::intent::Intent;
+use marigoldpick_core::plan::{Home, Part, Plan};
+use marigoldpick_core::prelude::*;
+
+const TEAM: &str = r#"
+[[team]]
+name = "maps"
+quota = { millicores = 8000, memory_mib = 8192 }
+"#;
+
+fn job(name: &str, count: u32) -> String {
+    format!(
+        "[[job]]\nname = \"{name}\"\nclass = \"batch\"\nteam = \"maps\"\ncount = {count}\n\
+         needs = {{ millicores = 1000, memory_mib = 512 }}\n"
+    )
+}
+
+fn plan(state: &State, text: &str) -> Plan {
+    let intent = Intent::parse("test.toml", text).expect("the intent is well formed");
+    let parts = intent
+        .job
+        .iter()
+        .map(|job| Part {
+            job: job.name.clone(),
+            homes: vec![Home {
+                shard: id::Shard::new("north/0").expect("a name"),
+                from: 0,
+                to: job.count,
+            }],
+            starts: job.count,
+            waits: 0,
+            wait: Millis::ZERO,
+            never: None,
+        })
+        .collect();
+    Plan::new(state.sequence, intent, parts, Vec::new(), Vec::new())
+}
+
+fn entry(state: &State, change: Change) -> Entry {
+    Entry {
+        sequence: state.sequence + 1,
+        writer: "test".to_owned(),
+        changes: vec![change],
+    }
+}
+
+fn with_team() -> State {
+    let mut state = State::default();
+    let plan = plan(&state, TEAM);
+    assert!(state.apply(&entry(&state, Change::Confirm(Box::new(plan)))));
+    state
+}
+
+#[googletest::test]
+fn apply_gap_is_left_alone() {
+    let mut state = with_team();
+    let before = state.clone();
+    let mut next = entry(&state, Change::Cancel { jobs: Vec::new() });
+    next.sequence += 1;
+    expect_that!(state.apply(&next), eq(false));
+    expect_that!(state, eq(&before));
+}
+
+#[googletest::test]
+fn apply_old_never_reverts() {
+    let mut state = with_team();
+    let first = entry(
+        &state,
+        Change::Confirm(Box::new(plan(&state, &job("a", 2)))),
+    );
+    assert!(state.apply(&first));
+    let before = state.clone();
+    expect_that!(state.apply(&first), eq(false));
+    expect_that!(state, eq(&before));
+}
+
+#[googletest::test]
+fn allows_same_job_twice_is_stale() {
+    let mut state = with_team();
+    let one = plan(&state, &job("a", 2));
+    let two = plan(&state, &job("a", 3));
+    assert!(state.apply(&entry(&state, Change::Confirm(Box::new(one.clone())))));
+    expect_that!(
+        state.allows(&Change::Confirm(Box::new(two))),
+        err(eq(Code::Stale))
+    );
+    expect_that!(state.confirmed(&one.id), some(eq(2)));
+}
+
+#[googletest::test]
+fn allows_unrelated_job_is_not_stale() {
+    let mut state = with_team();
+    let one = plan(&state, &job("a", 2));
+    let two = plan(&state, &job("b", 2));
+    assert!(state.apply(&entry(&state, Change::Confirm(Box::new(one)))));
+    expect_that!(
+        state.allows(&Change::Confirm(Box::new(two))),
+        ok(anything())
+    );
+}
+
+#[googletest::test]
+fn allows_two_plans_share_a_quota() {
+    let mut state = with_team();
+    let one = plan(&state, &job("a", 5));
+    let two = plan(&state, &job("b", 5));
+    assert!(state.apply(&entry(&state, Change::Confirm(Box::new(one)))));
+    let late = Change::Confirm(Box::new(two));
+    expect_that!(state.allows(&late), err(eq(Code::OverQuota)));
+    let next = entry(&state, late);
+    assert!(state.apply(&next));
+    expect_that!(state.job(&id::Job::new("b").expect("a name")), none());
+}
+
+#[googletest::test]
+fn allows_drain_in_between_is_stale() {
+    let mut state = with_team();
+    let one = plan(&state, &job("a", 1));
+    let target = Target::Worker(id::Worker::new("w1").expect("a name"));
+    assert!(state.apply(&entry(
+        &state,
+        Change::Drain {
+            target: target.clone(),
+            on: true
+        }
+    )));
+    expect_that!(
+        state.allows(&Change::Confirm(Box::new(one))),
+        err(eq(Code::Stale))
+    );
+    let again = Change::Drain { target, on: true };
+    expect_that!(state.allows(&again), err(eq(Code::Stale)));
+}
+
+#[googletest::test]
+fn ended_job_frees_its_quota() {
+    let mut state = with_team();
+    let one = plan(&state, &job("a", 8));
+    assert!(state.apply(&entry(&state, Change::Confirm(Box::new(one)))));
+    let ended = Change::Ended {
+        job: id::Job::new("a").expect("a name"),
+        shard: id::Shard::new("north/0").expect("a name"),
+        completed: 8,
+        failed: 0,
+    };
+    assert!(state.apply(&entry(&state, ended)));
+    expect_that!(
+        state
+            .used(&id::Team::new("maps").expect("a name"))
+            .is_zero(),
+        eq(true)
+    );
+    expect_that!(state.ended.len(), eq(1));
+}
--- /dev/null
+++ b/crates/marigoldpick-place/src/lib.rs
@@ -0,0 +1,1 @@
+//! Placeholder.
--- /dev/null
+++ b/crates/marigoldpick-standin/src/main.rs
@@ -0,0 +1,2 @@
+//! Placeholder.
+fn main() {}
