--- /dev/null
+++ b/crates/marigoldpick-entry/src/settings.rs
@@ -0,0 +1,180 @@
+//! The settings of an entry, in TOML.
+
+use marigoldpick_core::document::{self, Error};
+use marigoldpick_core::prelude::*;
+use serde::{Deserialize, Serialize};
+
+/// `Settings` is all that an entry learns before it starts.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct Settings {
+    /// The entry's name.
+    pub entry: id::Entry,
+    /// Its failure domain.
+    pub domain: id::Domain,
+    /// Where callers reach it: IP number and port.
+    pub callers: String,
+    /// Where operators reach it.
+    pub operators: String,
+    /// Where other entries reach it.
+    pub inner: String,
+    /// The base URL of the platform's store and VM list.
+    pub platform: String,
+    /// Other entries that are asked first; the rest is learnt from them.
+    #[serde(default)]
+    pub peer: Vec<Peer>,
+    /// Shards in each failure domain; the same at all entries.
+    #[serde(default = "one")]
+    pub shards: u32,
+    /// Threads for traffic.
+    #[serde(default = "four")]
+    pub threads: u32,
+    /// The log level: `error`, `warn`, `info`, `debug` or `trace`.
+    #[serde(default = "info")]
+    pub log: String,
+    /// Events that the time line keeps.
+    #[serde(default = "events")]
+    pub events: u32,
+    /// Spans of the control thread.
+    #[serde(default)]
+    pub span: Span,
+}
+
+/// `Peer` is another entry as the settings name it.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct Peer {
+    /// The entry.
+    pub entry: id::Entry,
+    /// Its failure domain.
+    pub domain: id::Domain,
+    /// The address of its inner protocol.
+    pub address: String,
+}
+
+/// `Span` holds the spans of the control thread, in milliseconds.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(default, deny_unknown_fields)]
+pub struct Span {
+    /// Between two beats to an entry of the same failure domain.
+    pub beat_ms: Millis,
+    /// Between two beats to an entry of another failure domain.
+    pub far_beat_ms: Millis,
+    /// Between two reads of the VM list.
+    pub vms_ms: Millis,
+    /// Between two steps of the control thread when nothing happens.
+    pub tick_ms: Millis,
+    /// Without news of the store or the other failure domains, the configuration counts as old.
+    pub config_old_ms: Millis,
+    /// The longest drain.
+    pub drain_ms: Millis,
+}
+
+impl Default for Span {
+    fn default() -> Self {
+        Self {
+            beat_ms: Millis(300),
+            far_beat_ms: Millis(1_000),
+            vms_ms: Millis(2_000),
+            tick_ms: Millis(50),
+            config_old_ms: Millis(5_000),
+            drain_ms: Millis(30_000),
+        }
+    }
+}
+
+const fn one() -> u32 {
+    1
+}
+const fn four() -> u32 {
+    4
+}
+const fn events() -> u32 {
+    20_000
+}
+fn info() -> String {
+    "info".to_owned()
+}
+
+impl Settings {
+    /// Reads and checks settings.
+    ///
+    /// # Errors
+    /// Names the file, and the line or the field.
+    pub fn parse(file: &str, text: &str) -> Result<Self, Error> {
+        let settings: Self = document::parse(file, text)?;
+        settings.verify().map_err(|error| error.in_file(file))?;
+        Ok(settings)
+    }
+
+    /// Checks the values.
+    ///
+    /// # Errors
+    /// Names the first field that is out of its bounds.
+    pub fn verify(&self) -> Result<(), Error> {
+        address("callers", &self.callers)?;
+        address("operators", &self.operators)?;
+        address("inner", &self.inner)?;
+        if !self.platform.starts_with("http://") {
+            return Err(bad("platform", "must begin with http://"));
+        }
+        if self.shards == 0 || self.shards > 64 {
+            return Err(bad("shards", "must be from 1 to 64"));
+        }
+        if self.threads == 0 || self.threads > 64 {
+            return Err(bad("threads", "must be from 1 to 64"));
+        }
+        if self.log.parse::<log::LevelFilter>().is_err() {
+            return Err(bad("log", "must be error, warn, info, debug or trace"));
+        }
+        self.verify_peers()?;
+        self.span.verify()
+    }
+
+    fn verify_peers(&self) -> Result<(), Error> {
+        for (at, peer) in self.peer.iter().enumerate() {
+            address(&format!("peer[{at}].address"), &peer.address)?;
+            let before = &self.peer[..at];
+            if before.iter().any(|other| other.entry == peer.entry) {
+                let message = format!("'{}' stands twice", peer.entry);
+                return Err(Error::field(
+                    Code::Duplicate,
+                    format!("peer[{at}].entry"),
+                    message,
+                ));
+            }
+        }
+        Ok(())
+    }
+}
+
+impl Span {
+    fn verify(&self) -> Result<(), Error> {
+        let spans = [
+            ("span.beat_ms", self.beat_ms),
+            ("span.far_beat_ms", self.far_beat_ms),
+            ("span.vms_ms", self.vms_ms),
+            ("span.tick_ms", self.tick_ms),
+            ("span.config_old_ms", self.config_old_ms),
+            ("span.drain_ms", self.drain_ms),
+        ];
+        match spans.iter().find(|(_, span)| *span == Millis::ZERO) {
+            Some((field, _)) => Err(bad(field, "must be more than zero")),
+            None => Ok(()),
+        }
+    }
+}
+
+fn address(field: &str, text: &str) -> Result<(), Error> {
+    match text.parse::<std::net::SocketAddr>() {
+        Ok(_) => Ok(()),
+        Err(_) => Err(bad(
+            field,
+            "must be an IP number and a port, such as 127.0.0.1:7400",
+        )),
+    }
+}
+
+fn bad(field: &str, message: &str) -> Error {
+    Error::field(Code::BadValue, field, message)
+}
