--- a/crates/marigoldpick-core/src/lib.rs
+++ b/crates/marigoldpick-core/src/lib.rs
@@ -3,6 +3,7 @@
 pub mod clock;
 pub mod code;
 pub mod config;
+pub mod control;
 pub mod document;
 pub mod id;
 pub mod intent;
