Add the messages of request placement between entries

The inner protocol carries them; request placement needs nothing else of its peers: slot leases, records of non-idempotent requests and requests that overflow to another failure domain.

--- a/crates/marigoldpick-core/src/lib.rs
+++ b/crates/marigoldpick-core/src/lib.rs
@@ -9,6 +9,7 @@
 pub mod intent;
 pub mod name;
 pub mod operator;
+pub mod peer;
 pub mod plan;
 pub mod prelude;
 pub mod resource;
