platform: call store, workers and VM list over HTTP

The parts above need to know of each call that failed whether it may have taken effect. An adapter answers away only as long as no byte of the request has left; from then on a whole answer alone settles the call, and a body that is shorter than announced is no answer. Watches have connections of their own, so that a waiting one delays no other call. No adapter repeats a call.

--- /dev/null
+++ b/crates/marigoldpick-platform/src/exchange.rs
@@ -0,0 +1,165 @@
+//! One HTTP request and its whole answer.
+
+use std::sync::Arc;
+use std::sync::atomic::{AtomicBool, Ordering};
+
+use async_std::future::timeout;
+use async_std::net::TcpStream;
+use displaydoc::Display;
+use futures::AsyncReadExt;
+use http_types::headers::{CONNECTION, CONTENT_LENGTH, CONTENT_TYPE};
+use http_types::{Method, Request, Response, StatusCode, Url};
+use marigoldpick_core::prelude::*;
+
+use crate::link::Link;
+use crate::pool::Pool;
+use crate::{Caller, DOMAIN_HEADER, ENTRY_HEADER, REFUSED_HEADER, Settings};
+
+/// The largest answer, in bytes.
+const MAX_ANSWER: u64 = 64 << 20;
+
+/// `Failure` is why an exchange brought no answer.
+#[derive(Clone, Copy, Debug, Display, PartialEq, Eq)]
+pub(crate) enum Failure {
+    /// nothing was carried out
+    Away,
+    /// it may have been carried out
+    Unknown,
+    /// the rate is used up; nothing was carried out
+    Overloaded,
+    /// the request is malformed; nothing was carried out
+    Invalid,
+}
+
+/// `Client` makes exchanges for one caller.
+#[derive(Clone, Debug)]
+pub(crate) struct Client {
+    caller: Arc<Caller>,
+    settings: Settings,
+    pool: Pool,
+}
+
+impl Client {
+    /// Makes a client without connections.
+    pub(crate) fn new(caller: Caller, settings: Settings) -> Self {
+        Self {
+            caller: Arc::new(caller),
+            settings,
+            pool: Pool::new(settings.idle),
+        }
+    }
+
+    /// Sends `body` to `url` and returns the whole body of the answer.
+    ///
+    /// `extra` is the time that the other side may take on purpose.
+    pub(crate) async fn exchange(
+        &self,
+        method: Method,
+        url: &str,
+        body: Vec<u8>,
+        extra: Millis,
+    ) -> Result<Vec<u8>, Failure> {
+        let url = Url::parse(url).map_err(|_source| Failure::Invalid)?;
+        let address = address_of(&url).ok_or(Failure::Invalid)?;
+        let request = self.request(method, url, body);
+        let sent = Arc::new(AtomicBool::new(false));
+        let limit = self.settings.call + extra;
+        let answer = timeout(
+            limit.duration(),
+            self.converse(&address, request, Arc::clone(&sent)),
+        )
+        .await;
+        match answer {
+            Ok(Some((status, refused, body))) => settle(status, refused, body),
+            Ok(None) | Err(_) if sent.load(Ordering::SeqCst) => Err(Failure::Unknown),
+            Ok(None) | Err(_) => {
+                self.pool.forget(&address);
+                Err(Failure::Away)
+            }
+        }
+    }
+
+    fn request(&self, method: Method, url: Url, body: Vec<u8>) -> Request {
+        let mut request = Request::new(method, url);
+        request.insert_header(DOMAIN_HEADER, self.caller.domain.as_str());
+        request.insert_header(ENTRY_HEADER, self.caller.entry.as_str());
+        if !body.is_empty() {
+            request.set_body(body);
+            request.insert_header(CONTENT_TYPE, "application/json");
+        }
+        request
+    }
+
+    /// Returns the status, whether the request was refused unread, and the body; nothing when the
+    /// answer did not come whole.
+    async fn converse(
+        &self,
+        address: &str,
+        request: Request,
+        sent: Arc<AtomicBool>,
+    ) -> Option<(StatusCode, bool, Vec<u8>)> {
+        let stream = self.pool.take(address, self.settings.connect).await.ok()?;
+        let link = Link::new(stream.clone(), sent);
+        let mut response = async_h1::connect(link, request).await.ok()?;
+        let body = read_whole(&mut response).await?;
+        let refused = response
+            .header(REFUSED_HEADER)
+            .is_some_and(|value| value.as_str() == "1");
+        self.keep(address, stream, &response);
+        Some((response.status(), refused, body))
+    }
+
+    fn keep(&self, address: &str, stream: TcpStream, response: &Response) {
+        let closes = response
+            .header(CONNECTION)
+            .is_some_and(|value| value.as_str().eq_ignore_ascii_case("close"));
+        if !closes {
+            self.pool.put(address, stream);
+        }
+    }
+}
+
+/// Reads a body whose length was announced; a shorter one is no answer.
+async fn read_whole(response: &mut Response) -> Option<Vec<u8>> {
+    let announced: u64 = response
+        .header(CONTENT_LENGTH)?
+        .last()
+        .as_str()
+        .parse()
+        .ok()?;
+    if announced > MAX_ANSWER {
+        return None;
+    }
+    let mut body = Vec::new();
+    response.take_body().read_to_end(&mut body).await.ok()?;
+    (body.len() as u64 == announced).then_some(body)
+}
+
+fn settle(status: StatusCode, refused: bool, body: Vec<u8>) -> Result<Vec<u8>, Failure> {
+    match status {
+        StatusCode::Ok => Ok(body),
+        StatusCode::TooManyRequests => Err(Failure::Overloaded),
+        StatusCode::BadRequest | StatusCode::NotFound | StatusCode::PayloadTooLarge => {
+            Err(Failure::Invalid)
+        }
+        _ if refused => Err(Failure::Away),
+        _ => Err(Failure::Unknown),
+    }
+}
+
+fn address_of(url: &Url) -> Option<String> {
+    let host = url.host_str()?;
+    let port = url.port_or_known_default()?;
+    Some(format!("{host}:{port}"))
+}
+
+/// Adds one call to the counters.
+pub(crate) fn count(target: &'static str, kind: &'static str, result: &'static str) {
+    metrics::counter!(
+        "marigold_platform_calls_total",
+        "target" => target,
+        "kind" => kind,
+        "result" => result
+    )
+    .increment(1);
+}
--- /dev/null
+++ b/crates/marigoldpick-platform/src/store.rs
@@ -0,0 +1,75 @@
+//! The store over HTTP.
+
+use http_types::Method;
+use marigoldpick_core::prelude::*;
+use marigoldpick_core::store::{Answer, Call, Fault, MAX_VALUE, Store as Port};
+
+use crate::exchange::{Client, Failure, count};
+use crate::{Caller, Settings};
+
+/// `Store` calls the platform's key-value service at one address.
+#[derive(Clone, Debug)]
+pub struct Store {
+    url: String,
+    calls: Client,
+    /// Watches wait long; their connections are not shared with other calls.
+    watches: Client,
+}
+
+impl Store {
+    /// Makes an adapter to the store at `base`, a URL with an IP number.
+    #[must_use]
+    pub fn new(base: &str, caller: Caller, settings: Settings) -> Self {
+        Self {
+            url: format!("{}/v1/store", base.trim_end_matches('/')),
+            calls: Client::new(caller.clone(), settings),
+            watches: Client::new(caller, settings),
+        }
+    }
+
+    async fn exchange(&self, call: &Call) -> Result<Answer, Fault> {
+        if matches!(call, Call::Put { value, .. } if value.len() > MAX_VALUE) {
+            return Err(Fault::Invalid);
+        }
+        let body = serde_json::to_vec(call).map_err(|_source| Fault::Invalid)?;
+        let (client, extra) = match call {
+            Call::Watch { wait, .. } => (&self.watches, *wait),
+            _ => (&self.calls, Millis::ZERO),
+        };
+        let answer = client
+            .exchange(Method::Post, &self.url, body, extra)
+            .await
+            .map_err(fault)?;
+        serde_json::from_slice(&answer).map_err(|_source| Fault::Unknown)
+    }
+}
+
+impl Port for Store {
+    async fn call(&self, call: Call) -> Result<Answer, Fault> {
+        let answer = self.exchange(&call).await;
+        count("store", call.kind(), result(answer.as_ref().err()));
+        if let Err(fault) = &answer {
+            log::debug!(target: "store", "{} failed: {fault}", call.kind());
+        }
+        answer
+    }
+}
+
+const fn fault(failure: Failure) -> Fault {
+    match failure {
+        Failure::Away => Fault::Away,
+        Failure::Unknown => Fault::Unknown,
+        Failure::Overloaded => Fault::Overloaded,
+        Failure::Invalid => Fault::Invalid,
+    }
+}
+
+const fn result(fault: Option<&Fault>) -> &'static str {
+    match fault {
+        None => "answered",
+        Some(Fault::Away) => "away",
+        Some(Fault::Unknown) => "unknown",
+        Some(Fault::Overloaded) => "overloaded",
+        Some(Fault::Invalid) => "invalid",
+    }
+}
--- /dev/null
+++ b/crates/marigoldpick-platform/src/worker.rs
@@ -0,0 +1,64 @@
+//! Workers over HTTP.
+
+use http_types::Method;
+use marigoldpick_core::prelude::*;
+use marigoldpick_core::worker::{Answer, Call, Fault, Port};
+
+use crate::exchange::{Client, Failure, count};
+use crate::{Caller, Settings};
+
+/// `Workers` calls workers at the addresses that the VM list gives.
+#[derive(Clone, Debug)]
+pub struct Workers {
+    client: Client,
+}
+
+impl Workers {
+    /// Makes an adapter without connections.
+    #[must_use]
+    pub fn new(caller: Caller, settings: Settings) -> Self {
+        Self {
+            client: Client::new(caller, settings),
+        }
+    }
+
+    async fn exchange(&self, address: &str, call: &Call) -> Result<Answer, Fault> {
+        let url = format!("{}/v1/worker", address.trim_end_matches('/'));
+        let body = serde_json::to_vec(call).map_err(|_source| Fault::Invalid)?;
+        let answer = self
+            .client
+            .exchange(Method::Post, &url, body, Millis::ZERO)
+            .await
+            .map_err(fault)?;
+        serde_json::from_slice(&answer).map_err(|_source| Fault::Unknown)
+    }
+}
+
+impl Port for Workers {
+    async fn call(&self, address: &str, call: Call) -> Result<Answer, Fault> {
+        let answer = self.exchange(address, &call).await;
+        count("worker", call.kind(), result(answer.as_ref().err()));
+        if let Err(fault) = &answer {
+            log::debug!(target: "worker", "{} at {address} failed: {fault}", call.kind());
+        }
+        answer
+    }
+}
+
+/// A worker knows no rate; one that refuses for load has carried nothing out.
+const fn fault(failure: Failure) -> Fault {
+    match failure {
+        Failure::Away | Failure::Overloaded => Fault::Away,
+        Failure::Unknown => Fault::Unknown,
+        Failure::Invalid => Fault::Invalid,
+    }
+}
+
+const fn result(fault: Option<&Fault>) -> &'static str {
+    match fault {
+        None => "answered",
+        Some(Fault::Away) => "away",
+        Some(Fault::Unknown) => "unknown",
+        Some(Fault::Invalid) => "invalid",
+    }
+}
