--- a/crates/marigoldpick-core/src/id.rs
+++ b/crates/marigoldpick-core/src/id.rs
@@ -112,6 +112,18 @@
     }
 }
 
+impl Run {
+    /// Names the endpoint that this run is: `job.index.attempt`.
+    ///
+    /// # Panics
+    /// Panics when the job's name is longer than an intent allows.
+    #[must_use]
+    pub fn endpoint(&self) -> Endpoint {
+        let text = format!("{}.{}.{}", self.task.job, self.task.index, self.attempt);
+        Endpoint::new(&text).expect("an accepted job's name is short enough")
+    }
+}
+
 impl fmt::Display for Task {
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
         write!(f, "{}:{}", self.job, self.index)
--- a/crates/marigoldpick-core/src/intent.rs
+++ b/crates/marigoldpick-core/src/intent.rs
@@ -11,6 +11,8 @@
 
 /// The most tasks of one job.
 pub const MAX_COUNT: u32 = 100_000;
+/// The longest name of a job, in bytes; its tasks' names are longer.
+pub const MAX_JOB_NAME: usize = 96;
 /// The longest span an intent may name: thirty days.
 pub const MAX_SPAN: Millis = Millis::from_secs(30 * 24 * 3_600);
 
@@ -363,6 +365,9 @@
 }
 
 fn check_job(path: &str, job: &Job) -> Result<(), Error> {
+    if job.name.as_str().len() > MAX_JOB_NAME {
+        return Err(bad(&format!("{path}.name"), "must have at most 96 bytes"));
+    }
     positive(&format!("{path}.count"), u64::from(job.count))?;
     if job.count > MAX_COUNT {
         return Err(bad(&format!("{path}.count"), "must be at most 100000"));
--- a/crates/marigoldpick-core/src/operator.rs
+++ b/crates/marigoldpick-core/src/operator.rs
@@ -20,6 +20,9 @@
     pub message: String,
     /// When to ask again, if that would help.
     pub retry_after_ms: Option<Millis>,
+    /// A fresh plan in place of a stale one.
+    #[serde(default)]
+    pub plan: Option<id::Plan>,
 }
 
 impl Problem {
@@ -36,6 +39,7 @@
             code,
             message,
             retry_after_ms: None,
+            plan: None,
         }
     }
 }
