Let a slot demand name only what changed

At 875 endpoints in a failure domain a whole demand every lease would pass an entry's 5 KB/s of control traffic; leases that did not change are renewed by one short message.

--- a/crates/marigoldpick-core/src/peer.rs
+++ b/crates/marigoldpick-core/src/peer.rs
@@ -59,6 +59,8 @@
     pub incarnation: u64,
     /// Grows with each demand of the incarnation; an older one that arrives late is ignored.
     pub sequence: u64,
+    /// Whether `wants` names all that the entry holds; if not, the leases left out are renewed.
+    pub whole: bool,
     /// One want for each endpoint, sorted by endpoint.
     pub wants: Vec<Want>,
 }
@@ -78,10 +80,14 @@
     pub cover: Millis,
 }
 
-/// `Grant` answers a demand.
+/// `Grant` answers a demand. All leases last for `span`, counted from when the demand was sent.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Grant {
-    /// The leases, sorted by endpoint; endpoints that the entry is no arbiter of are left out.
+    /// Whether the next demand must be whole; then only the leases named here are renewed.
+    pub resend: bool,
+    /// How long the leases last.
+    pub span: Millis,
+    /// To a whole demand all leases, else those that changed; sorted by endpoint.
     pub leases: Vec<Lease>,
 }
 
@@ -90,10 +96,8 @@
 pub struct Lease {
     /// The endpoint.
     pub endpoint: id::Endpoint,
-    /// How many slots.
+    /// How many slots; none when the asked entry is not the arbiter of the endpoint.
     pub slots: u32,
-    /// How long, counted from when the demand was sent.
-    pub span: Millis,
 }
 
 /// `Once` is one step of the once-only protocol for a request id.
