Let a claim leave a worker's lease as it is

A claim that set the lease could be sent by a lead without any right to the shard, and so keep a silent worker's tasks alive past the wait after which the rightful lead starts them elsewhere. Renewals alone extend a lease now; they also take up one that has lapsed, whose tasks have ended by then.

--- a/crates/marigoldpick-core/src/worker.rs
+++ b/crates/marigoldpick-core/src/worker.rs
@@ -1,9 +1,10 @@
 //! A worker's interface as marigoldpick sees it: epochs, leases by the worker's own stamps, tasks.
 //!
 //! A worker obeys the highest epoch that has claimed it and refuses all lower ones. All its tasks
-//! hang on one lease: when the worker's clock passes the lease's end, it stops them. A lease is
-//! extended to `stamp + span`, where `stamp` is one the worker itself gave out earlier, and never
-//! shortened but by a claim that asks for it.
+//! hang on one lease: when the worker's clock passes the lease's end, it stops them. Renewals alone
+//! extend a lease, to `stamp + span`, where `stamp` is one the worker itself gave out earlier; nothing
+//! shortens it. A claim leaves the lease as it is, so that a lead which has not yet shown its right to
+//! the shard keeps no task alive that another lead takes for ended.
 
 use displaydoc::Display;
 use serde::{Deserialize, Serialize};
@@ -52,14 +53,14 @@
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 #[serde(rename_all = "kebab-case", deny_unknown_fields)]
 pub enum Call {
-    /// Claims the worker for an epoch; refused unless higher than the worker's.
+    /// Claims the worker for an epoch; refused unless higher than the worker's, and carried out
+    /// again without effect at the same epoch. The lease stays as it is.
     Claim {
         /// The epoch.
         epoch: Epoch,
-        /// The lease that the worker gets from now, by its own clock.
-        span: Millis,
     },
-    /// Renews the lease and acknowledges finished runs, which the worker then forgets.
+    /// Renews the lease, also one that has lapsed, and acknowledges finished runs, which the worker
+    /// then forgets. Refused as lapsed when `stamp + span` has passed.
     Renew {
         /// The epoch.
         epoch: Epoch,
