--- a/crates/marigoldpick-core/src/config.rs
+++ b/crates/marigoldpick-core/src/config.rs
@@ -174,14 +174,13 @@
     }
 
     /// Adds up what the accepted jobs of `team` hold.
+    ///
+    /// A cancelled job holds its part until each shard has recorded that its tasks ended, since they
+    /// may still run in a shard that does not know of the cancel.
     #[must_use]
     pub fn used(&self, team: &id::Team) -> Amount {
         let mut sum = Amount::default();
-        for accepted in self
-            .jobs
-            .iter()
-            .filter(|a| a.job.team == *team && !a.cancelled)
-        {
+        for accepted in self.jobs.iter().filter(|a| a.job.team == *team) {
             let count = accepted.homes.iter().map(|home| home.to - home.from).sum();
             sum.add(&accepted.job.needs.times(count));
         }
