--- a/crates/marigoldpick-core/src/code.rs
+++ b/crates/marigoldpick-core/src/code.rs
@@ -51,6 +51,7 @@
     207 ConfigOld "the failure domain is cut off and its configuration may be old";
     208 NotLead "this entry does not lead the shard; another one does";
     209 NoLead "the shard has no lead now; try again later";
+    210 NeedsConfirm "the plan displaces running tasks, so it has to be confirmed by itself";
     300 NotRunQueueFull "not run: the team's queue is full";
     301 NotRunTooLate "not run: the wait would pass the deadline";
     302 NotRunNoEndpoint "not run: no endpoint of the service can take work";
