--- /dev/null
+++ b/crates/marigoldpick/src/arguments.rs
@@ -0,0 +1,205 @@
+//! The arguments of the `marigold` program.
+
+use gumdrop::Options;
+
+/// `Arguments` is the whole command line.
+#[derive(Debug, Options)]
+#[options(help = "Operates a marigoldpick cluster.")]
+pub struct Arguments {
+    /// print help
+    pub help: bool,
+    /// what to do
+    #[options(command)]
+    pub command: Option<Command>,
+}
+
+/// `Command` is what to do.
+#[derive(Debug, Options)]
+pub enum Command {
+    /// ask for the plan of an intent: plan FILE [--yes]
+    Plan(Plan),
+    /// confirm a plan: confirm PLAN
+    Confirm(Confirm),
+    /// cancel jobs: cancel JOB...
+    Cancel(Cancel),
+    /// tell what an entry knows: status
+    Status(Status),
+    /// tell why a task is as it is: explain JOB:INDEX
+    Explain(Explain),
+    /// stop new work for a part: drain worker|endpoint|entry|rack|domain NAME [--off]
+    Drain(Drain),
+    /// merge the events of several entries: timeline [--task T | --request R]
+    Timeline(Timeline),
+    /// check settings or an intent offline: check FILE
+    Check(Check),
+    /// run entries, stand-ins and the samples in this process: dev [--once]
+    Dev(Dev),
+}
+
+/// `Plan` holds the arguments of `plan`.
+#[derive(Debug, Default, Options)]
+#[options(help = "Asks for the plan of an intent; nothing changes before it is confirmed.")]
+pub struct Plan {
+    /// print help
+    pub help: bool,
+    /// an entry's operator address; may be repeated
+    #[options(no_short, meta = "ADDR")]
+    pub entry: Vec<String>,
+    /// confirm at once if nothing is displaced
+    pub yes: bool,
+    /// print JSON
+    pub json: bool,
+    /// the intent's file
+    #[options(free)]
+    pub words: Vec<String>,
+}
+
+/// `Confirm` holds the arguments of `confirm`.
+#[derive(Debug, Default, Options)]
+#[options(help = "Confirms a plan.")]
+pub struct Confirm {
+    /// print help
+    pub help: bool,
+    /// an entry's operator address; may be repeated
+    #[options(no_short, meta = "ADDR")]
+    pub entry: Vec<String>,
+    /// print JSON
+    pub json: bool,
+    /// the plan's name
+    #[options(free)]
+    pub words: Vec<String>,
+}
+
+/// `Cancel` holds the arguments of `cancel`.
+#[derive(Debug, Default, Options)]
+#[options(help = "Cancels jobs.")]
+pub struct Cancel {
+    /// print help
+    pub help: bool,
+    /// an entry's operator address; may be repeated
+    #[options(no_short, meta = "ADDR")]
+    pub entry: Vec<String>,
+    /// print JSON
+    pub json: bool,
+    /// the jobs' names
+    #[options(free)]
+    pub words: Vec<String>,
+}
+
+/// `Status` holds the arguments of `status`.
+#[derive(Debug, Default, Options)]
+#[options(help = "Tells what an entry knows.")]
+pub struct Status {
+    /// print help
+    pub help: bool,
+    /// an entry's operator address; may be repeated
+    #[options(no_short, meta = "ADDR")]
+    pub entry: Vec<String>,
+    /// print JSON
+    pub json: bool,
+    /// nothing more
+    #[options(free)]
+    pub words: Vec<String>,
+}
+
+/// `Explain` holds the arguments of `explain`.
+#[derive(Debug, Default, Options)]
+#[options(help = "Tells why a task runs, waits or can never run.")]
+pub struct Explain {
+    /// print help
+    pub help: bool,
+    /// an entry's operator address; may be repeated
+    #[options(no_short, meta = "ADDR")]
+    pub entry: Vec<String>,
+    /// print JSON
+    pub json: bool,
+    /// the task, as JOB:INDEX
+    #[options(free)]
+    pub words: Vec<String>,
+}
+
+/// `Drain` holds the arguments of `drain`.
+#[derive(Debug, Default, Options)]
+#[options(help = "Starts or ends the drain of a worker, endpoint, entry, rack or domain.")]
+pub struct Drain {
+    /// print help
+    pub help: bool,
+    /// an entry's operator address; may be repeated
+    #[options(no_short, meta = "ADDR")]
+    pub entry: Vec<String>,
+    /// end the drain
+    pub off: bool,
+    /// print JSON
+    pub json: bool,
+    /// the kind and the name
+    #[options(free)]
+    pub words: Vec<String>,
+}
+
+/// `Timeline` holds the arguments of `timeline`.
+#[derive(Debug, Default, Options)]
+#[options(help = "Merges the events of several entries in causal order.")]
+pub struct Timeline {
+    /// print help
+    pub help: bool,
+    /// an entry's operator address; may be repeated
+    #[options(no_short, meta = "ADDR")]
+    pub entry: Vec<String>,
+    /// follow one task, as JOB:INDEX
+    #[options(meta = "T")]
+    pub task: Option<String>,
+    /// follow one request by its id
+    #[options(meta = "R")]
+    pub request: Option<String>,
+    /// print JSON, one event a line
+    pub json: bool,
+    /// nothing more
+    #[options(free)]
+    pub words: Vec<String>,
+}
+
+/// `Check` holds the arguments of `check`.
+#[derive(Debug, Default, Options)]
+#[options(help = "Checks files offline.")]
+pub struct Check {
+    /// print help
+    pub help: bool,
+    /// what the file is: entry, standin, intent or faults; otherwise told from its fields
+    #[options(no_short, meta = "KIND")]
+    pub kind: Option<String>,
+    /// print JSON
+    pub json: bool,
+    /// the files
+    #[options(free)]
+    pub words: Vec<String>,
+}
+
+/// `Dev` holds the arguments of `dev`.
+#[derive(Debug, Default, Options)]
+#[options(help = "Runs entries, stand-ins and sample sites in this process.")]
+pub struct Dev {
+    /// print help
+    pub help: bool,
+    /// run all work to its end, print the counts, and exit
+    pub once: bool,
+    /// print JSON: the last line is one object
+    pub json: bool,
+    /// a site's directory in place of both samples
+    #[options(meta = "DIR")]
+    pub intents: Option<String>,
+    /// callers' requests for each site
+    #[options(meta = "N", default = "200")]
+    pub requests: u32,
+    /// the seed of the callers' mix
+    #[options(meta = "S", default = "1")]
+    pub seed: u64,
+    /// a file of faults to play
+    #[options(meta = "FILE")]
+    pub faults: Option<String>,
+    /// the bound on one site's run, in seconds
+    #[options(no_short, meta = "SECONDS", default = "180")]
+    pub limit: u64,
+    /// nothing more
+    #[options(free)]
+    pub words: Vec<String>,
+}
--- /dev/null
+++ b/crates/marigoldpick/src/command/check.rs
@@ -0,0 +1,84 @@
+//! `check`: settings, intents and faults files are checked offline.
+
+use std::fmt;
+use std::str::FromStr;
+
+use marigoldpick_core::code::Code;
+use marigoldpick_core::document::Error;
+use marigoldpick_core::intent::Intent;
+use marigoldpick_core::operator::Problem;
+
+use super::{Outcome, print_json, read_file, usage};
+use crate::arguments;
+
+/// `Kind` is what a file holds.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum Kind {
+    Intent,
+}
+
+pub(super) fn check(arguments: &arguments::Check) -> Outcome {
+    if arguments.words.is_empty() {
+        return Err(usage("the file is missing"));
+    }
+    let named = arguments.kind.as_deref().map(str::parse).transpose()?;
+    let mut worst = Code::Done;
+    for path in &arguments.words {
+        let text = read_file(path)?;
+        let kind = named.unwrap_or_else(|| guess(&text));
+        match verify(kind, path, &text) {
+            Ok(()) => tell_good(path, kind, arguments.json),
+            Err(error) => {
+                worst = error.code;
+                tell_bad(&error, arguments.json);
+            }
+        }
+    }
+    Ok(worst)
+}
+
+fn guess(_text: &str) -> Kind {
+    Kind::Intent
+}
+
+fn verify(kind: Kind, path: &str, text: &str) -> Result<(), Error> {
+    match kind {
+        Kind::Intent => Intent::parse(path, text).map(drop),
+    }
+}
+
+fn tell_good(path: &str, kind: Kind, json: bool) {
+    if json {
+        print_json(&serde_json::json!({ "file": path, "kind": kind.to_string(), "code": 0 }));
+    } else {
+        println!("{path}: good {kind}");
+    }
+}
+
+fn tell_bad(error: &Error, json: bool) {
+    if json {
+        print_json(error);
+    } else {
+        eprintln!("error {error}");
+    }
+}
+
+impl FromStr for Kind {
+    type Err = Problem;
+    fn from_str(text: &str) -> Result<Self, Problem> {
+        match text {
+            "intent" => Ok(Self::Intent),
+            _ => Err(usage(&format!(
+                "--kind {text}: must be entry, standin, intent or faults"
+            ))),
+        }
+    }
+}
+
+impl fmt::Display for Kind {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.write_str(match self {
+            Self::Intent => "intent",
+        })
+    }
+}
--- /dev/null
+++ b/crates/marigoldpick/src/render.rs
@@ -0,0 +1,203 @@
+//! What the command line prints for people: short lines, one fact each.
+
+use std::fmt::Write;
+
+use marigoldpick_core::operator::{Explain, Status};
+use marigoldpick_core::plan::{Part, Plan};
+use marigoldpick_core::timeline::Event;
+
+/// Describes a plan.
+#[must_use]
+pub fn plan(plan: &Plan) -> String {
+    let mut out = String::new();
+    line(
+        &mut out,
+        format_args!("plan {} on configuration {}", plan.id, plan.base),
+    );
+    for part in &plan.parts {
+        line(&mut out, format_args!("  {}", describe(part)));
+    }
+    for displaced in &plan.displaced {
+        let how = format!("{:?}", displaced.how).to_lowercase();
+        line(
+            &mut out,
+            format_args!(
+                "  displaces {} for {} by {how}",
+                displaced.task, displaced.by
+            ),
+        );
+    }
+    for quota in &plan.quotas {
+        line(
+            &mut out,
+            format_args!("  team {}: {} of {}", quota.team, quota.after, quota.quota),
+        );
+    }
+    if let Some(code) = plan.blocked {
+        line(
+            &mut out,
+            format_args!(
+                "  can't be confirmed: {} {}: {}",
+                code.number(),
+                code.name(),
+                plan.reason
+            ),
+        );
+    }
+    out
+}
+
+fn describe(part: &Part) -> String {
+    if let Some(never) = &part.never {
+        return format!("job {} can never run: {never}", part.job);
+    }
+    let homes: Vec<String> = part
+        .homes
+        .iter()
+        .map(|home| format!("{} {}", home.shard, home.to - home.from))
+        .collect();
+    let mut text = format!("job {}: {} start at once", part.job, part.starts);
+    if part.waits > 0 {
+        text += &format!(", {} wait about {}", part.waits, part.wait);
+    }
+    if !homes.is_empty() {
+        text += &format!(" ({})", homes.join(", "));
+    }
+    text
+}
+
+/// Describes an entry's state.
+#[must_use]
+pub fn status(status: &Status) -> String {
+    let mut out = String::new();
+    let draining = if status.draining { ", draining" } else { "" };
+    line(
+        &mut out,
+        format_args!("entry {} in {}{draining}", status.entry, status.domain),
+    );
+    let old = if status.config_old {
+        ", may be old"
+    } else {
+        ""
+    };
+    line(
+        &mut out,
+        format_args!(
+            "configuration {}{old}; the store answered {} ago",
+            status.sequence, status.store_age
+        ),
+    );
+    shards(&mut out, status);
+    jobs(&mut out, status);
+    services(&mut out, status);
+    peers(&mut out, status);
+    out
+}
+
+fn shards(out: &mut String, status: &Status) {
+    for shard in &status.shards {
+        let lead = shard.lead.as_ref().map_or("nobody", |lead| lead.as_str());
+        line(
+            out,
+            format_args!(
+                "shard {}: led by {lead}, workers {} (silent {}), running {}, waiting {}, unrecorded {}",
+                shard.shard,
+                shard.workers,
+                shard.silent,
+                shard.running,
+                shard.waiting,
+                shard.unrecorded
+            ),
+        );
+    }
+}
+
+fn jobs(out: &mut String, status: &Status) {
+    for job in &status.jobs {
+        let cancelled = if job.cancelled { ", cancelled" } else { "" };
+        line(
+            out,
+            format_args!(
+                "job {}: tasks {}, running {}, waiting {}, completed {}, failed {}{cancelled}",
+                job.job, job.count, job.running, job.waiting, job.completed, job.failed
+            ),
+        );
+    }
+}
+
+fn services(out: &mut String, status: &Status) {
+    for service in &status.services {
+        line(
+            out,
+            format_args!(
+                "service {}: endpoints {} (set aside {}), slots {}, in flight {}, queued {}",
+                service.service,
+                service.endpoints,
+                service.ejected,
+                service.slots,
+                service.in_flight,
+                service.queued
+            ),
+        );
+    }
+}
+
+fn peers(out: &mut String, status: &Status) {
+    for peer in &status.peers {
+        line(
+            out,
+            format_args!(
+                "peer {} in {}: heard {} ago, configuration {}",
+                peer.entry, peer.domain, peer.age, peer.sequence
+            ),
+        );
+    }
+}
+
+/// Describes why a task is as it is.
+#[must_use]
+pub fn explain(explain: &Explain) -> String {
+    let mut out = String::new();
+    let place = match &explain.worker {
+        Some(worker) => format!(" on {worker}"),
+        None => String::new(),
+    };
+    line(
+        &mut out,
+        format_args!("task {}: {}{place}", explain.task, explain.state),
+    );
+    for reason in &explain.reasons {
+        line(&mut out, format_args!("  {reason}"));
+    }
+    out
+}
+
+/// Describes an event in one line.
+#[must_use]
+pub fn event(event: &Event) -> String {
+    let mark = &event.mark;
+    let mut text = format!(
+        "{:>8} {} {}.{} {} {} {}",
+        event.at.0,
+        mark.process,
+        mark.incarnation,
+        mark.sequence,
+        event.part,
+        event.what,
+        event.about
+    );
+    if !event.note.is_empty() {
+        text += &format!(" ({})", event.note);
+    }
+    if let Some(cause) = &event.cause {
+        text += &format!(
+            " after {} {}.{}",
+            cause.process, cause.incarnation, cause.sequence
+        );
+    }
+    text
+}
+
+fn line(out: &mut String, text: std::fmt::Arguments<'_>) {
+    writeln!(out, "{text}").expect("a string takes all text");
+}
