--- /dev/null
+++ b/crates/marigoldpick-place/src/job.rs
@@ -0,0 +1,253 @@
+//! Jobs and the states of their tasks.
+
+use std::collections::VecDeque;
+
+use fxhash::FxHashMap;
+use marigoldpick_core::intent;
+use marigoldpick_core::prelude::*;
+
+use crate::event::Span;
+
+/// `State` is a task's state.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum State {
+    /// It waits for room.
+    Waiting,
+    /// It waits out a delay after a failure.
+    Delayed,
+    /// It has the run in this slot.
+    Placed(u32),
+    /// It completed.
+    Done,
+    /// It was given up.
+    Failed,
+    /// It ended by the job's cancellation.
+    Cancelled,
+}
+
+/// `Task` is what is known of one task.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Task {
+    /// Its state.
+    pub state: State,
+    /// The highest attempt that was seen.
+    pub attempt: u32,
+    /// How often it failed by itself.
+    pub failures: u16,
+    /// Whether it waits since its worker was lost.
+    pub lost: bool,
+    /// The worker on which it failed last.
+    pub failed_on: Option<u32>,
+}
+
+impl Task {
+    const NEW: Self = Self {
+        state: State::Waiting,
+        attempt: 0,
+        failures: 0,
+        lost: false,
+        failed_on: None,
+    };
+
+    /// Tells whether it has ended for good.
+    #[must_use]
+    pub const fn ended(&self) -> bool {
+        matches!(self.state, State::Done | State::Failed | State::Cancelled)
+    }
+}
+
+/// `Job` is a job's range of tasks in this shard.
+#[derive(Clone, Debug)]
+pub struct Job {
+    /// The job.
+    pub spec: intent::Job,
+    /// The range.
+    pub span: Span,
+    /// The slot of its kind.
+    pub kind: u32,
+    /// When it came.
+    pub arrived: Millis,
+    /// Its place in the order of arrivals.
+    pub order: u64,
+    /// Its tasks, by index from the range's start.
+    pub tasks: Vec<Task>,
+    /// Indices of tasks that may be waiting; each is checked again when it is taken.
+    pub pending: VecDeque<u32>,
+    /// Checkpoints to go on from.
+    pub checkpoints: FxHashMap<u32, String>,
+    /// Whether no worker could hold a task of it when it came.
+    pub fresh: bool,
+    /// Whether it was cancelled.
+    pub cancelled: bool,
+    /// Whether it stands in its kind's queue.
+    pub queued: bool,
+    /// Tasks with a run.
+    pub placed: u32,
+    /// Tasks that wait.
+    pub waiting: u32,
+    /// Tasks that were completed.
+    pub completed: u32,
+    /// Tasks that were given up.
+    pub failed: u32,
+    /// Tasks that ended by cancellation.
+    pub cancelled_tasks: u32,
+    /// Tasks that have not ended.
+    pub open: u32,
+}
+
+impl Job {
+    /// Makes a job whose tasks all wait.
+    #[must_use]
+    pub fn new(spec: intent::Job, span: Span, kind: u32, arrived: Millis, order: u64) -> Self {
+        let count = span.to.saturating_sub(span.from);
+        Self {
+            spec,
+            span,
+            kind,
+            arrived,
+            order,
+            tasks: vec![Task::NEW; count as usize],
+            pending: (span.from..span.to).collect(),
+            checkpoints: FxHashMap::default(),
+            fresh: true,
+            cancelled: false,
+            queued: false,
+            placed: 0,
+            waiting: count,
+            completed: 0,
+            failed: 0,
+            cancelled_tasks: 0,
+            open: count,
+        }
+    }
+
+    /// Returns a task, if the index is in the range.
+    #[must_use]
+    pub fn task(&self, index: u32) -> Option<&Task> {
+        self.tasks.get(self.at(index)?)
+    }
+
+    /// Returns a task to be changed, if the index is in the range.
+    pub fn task_mut(&mut self, index: u32) -> Option<&mut Task> {
+        let at = self.at(index)?;
+        self.tasks.get_mut(at)
+    }
+
+    /// Changes a task's state and keeps the counts.
+    pub fn set(&mut self, index: u32, state: State) {
+        let Some(task) = self.task_mut(index) else {
+            return;
+        };
+        let before = std::mem::replace(&mut task.state, state);
+        *self.count_of(before) -= 1;
+        *self.count_of(state) += 1;
+        self.open = self.waiting + self.placed;
+    }
+
+    /// Returns the next waiting task without taking it.
+    pub fn next_waiting(&mut self) -> Option<u32> {
+        while let Some(&index) = self.pending.front() {
+            if self.task(index).is_some_and(|t| t.state == State::Waiting) {
+                return Some(index);
+            }
+            self.pending.pop_front();
+        }
+        None
+    }
+
+    /// Makes a task wait in front of the others, since it keeps its age.
+    pub fn put_back(&mut self, index: u32) {
+        self.set(index, State::Waiting);
+        self.pending.push_front(index);
+    }
+
+    fn at(&self, index: u32) -> Option<usize> {
+        index.checked_sub(self.span.from).map(|at| at as usize)
+    }
+
+    fn count_of(&mut self, state: State) -> &mut u32 {
+        match state {
+            State::Waiting | State::Delayed => &mut self.waiting,
+            State::Placed(_) => &mut self.placed,
+            State::Done => &mut self.completed,
+            State::Failed => &mut self.failed,
+            State::Cancelled => &mut self.cancelled_tasks,
+        }
+    }
+}
+
+/// `Table` holds the jobs by slot.
+#[derive(Clone, Debug, Default)]
+pub struct Table {
+    jobs: Vec<Option<Job>>,
+    free: Vec<u32>,
+    by_name: FxHashMap<id::Job, u32>,
+}
+
+impl Table {
+    /// Adds a job and returns its slot.
+    ///
+    /// # Panics
+    /// Panics beyond 2^32 jobs.
+    pub fn add(&mut self, job: Job) -> u32 {
+        let name = job.spec.name.clone();
+        let slot = if let Some(slot) = self.free.pop() {
+            self.jobs[slot as usize] = Some(job);
+            slot
+        } else {
+            self.jobs.push(Some(job));
+            u32::try_from(self.jobs.len() - 1).expect("fewer than 2^32 jobs")
+        };
+        self.by_name.insert(name, slot);
+        slot
+    }
+
+    /// Removes a job.
+    pub fn remove(&mut self, slot: u32) -> Option<Job> {
+        let job = self.jobs[slot as usize].take()?;
+        self.by_name.remove(&job.spec.name);
+        self.free.push(slot);
+        Some(job)
+    }
+
+    /// Returns the slot of a job.
+    #[must_use]
+    pub fn slot(&self, name: &id::Job) -> Option<u32> {
+        self.by_name.get(name).copied()
+    }
+
+    /// Tells whether a slot still has the job that came with this order.
+    #[must_use]
+    pub fn slot_has(&self, slot: u32, order: u64) -> bool {
+        let job = self.jobs.get(slot as usize).and_then(Option::as_ref);
+        job.is_some_and(|job| job.order == order)
+    }
+
+    /// Returns a job.
+    ///
+    /// # Panics
+    /// Panics when the slot is free.
+    #[must_use]
+    pub fn get(&self, slot: u32) -> &Job {
+        self.jobs[slot as usize]
+            .as_ref()
+            .expect("the slot is taken")
+    }
+
+    /// Returns a job to be changed.
+    ///
+    /// # Panics
+    /// Panics when the slot is free.
+    pub fn get_mut(&mut self, slot: u32) -> &mut Job {
+        self.jobs[slot as usize]
+            .as_mut()
+            .expect("the slot is taken")
+    }
+
+    /// Iterates over the jobs with their slots.
+    pub fn iter(&self) -> impl Iterator<Item = (u32, &Job)> {
+        (0u32..)
+            .zip(&self.jobs)
+            .filter_map(|(slot, job)| job.as_ref().map(|job| (slot, job)))
+    }
+}
