--- a/crates/marigoldpick/src/lib.rs
+++ b/crates/marigoldpick/src/lib.rs
@@ -16,5 +16,6 @@
 pub mod arguments;
 pub mod client;
 pub mod command;
+pub mod faults;
 pub mod render;
 pub mod timeline;
