--- a/crates/marigoldpick/src/command.rs
+++ b/crates/marigoldpick/src/command.rs
@@ -65,7 +65,10 @@
         Command::Explain(arguments) => read::explain(&arguments).await,
         Command::Timeline(arguments) => timeline::timeline(&arguments).await,
         Command::Check(arguments) => check::check(&arguments),
-        Command::Dev(_arguments) => Err(Problem::new(Code::Internal, "not built yet")),
+        Command::Dev(arguments) => {
+            none(&arguments.words)?;
+            Err(Problem::new(Code::Internal, "not built yet"))
+        }
     }
 }
 
@@ -98,6 +101,9 @@
     if let Some(wait) = problem.retry_after_ms {
         eprintln!("ask again in {wait}");
     }
+    if let Some(plan) = &problem.plan {
+        eprintln!("a fresh plan is held: {plan}");
+    }
 }
 
 fn print_json<T: Serialize>(value: &T) {
--- a/crates/marigoldpick/src/command/check.rs
+++ b/crates/marigoldpick/src/command/check.rs
@@ -9,12 +9,14 @@
 use marigoldpick_core::operator::Problem;
 
 use super::{Outcome, print_json, read_file, usage};
-use crate::arguments;
+use crate::{arguments, entry, faults};
 
 /// `Kind` is what a file holds.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 enum Kind {
+    Entry,
     Intent,
+    Faults,
 }
 
 pub(super) fn check(arguments: &arguments::Check) -> Outcome {
@@ -37,13 +39,25 @@
     Ok(worst)
 }
 
-fn guess(_text: &str) -> Kind {
-    Kind::Intent
+/// Tells a file's kind by the fields that only one kind has.
+fn guess(text: &str) -> Kind {
+    let Ok(table) = text.parse::<toml::Table>() else {
+        return Kind::Intent;
+    };
+    if table.contains_key("fault") {
+        Kind::Faults
+    } else if table.contains_key("entry") || table.contains_key("inner") {
+        Kind::Entry
+    } else {
+        Kind::Intent
+    }
 }
 
 fn verify(kind: Kind, path: &str, text: &str) -> Result<(), Error> {
     match kind {
+        Kind::Entry => entry::settings::Settings::parse(path, text).map(drop),
         Kind::Intent => Intent::parse(path, text).map(drop),
+        Kind::Faults => faults::parse(path, text).map(drop),
     }
 }
 
@@ -67,7 +81,9 @@
     type Err = Problem;
     fn from_str(text: &str) -> Result<Self, Problem> {
         match text {
+            "entry" => Ok(Self::Entry),
             "intent" => Ok(Self::Intent),
+            "faults" => Ok(Self::Faults),
             _ => Err(usage(&format!(
                 "--kind {text}: must be entry, standin, intent or faults"
             ))),
@@ -78,7 +94,9 @@
 impl fmt::Display for Kind {
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
         f.write_str(match self {
+            Self::Entry => "entry",
             Self::Intent => "intent",
+            Self::Faults => "faults",
         })
     }
 }
--- a/crates/marigoldpick/src/faults.rs
+++ b/crates/marigoldpick/src/faults.rs
@@ -11,7 +11,7 @@
 
 /// The latest end of a fault: an hour after the start.
 pub const MAX_END: Millis = Millis::from_secs(3_600);
-/// The target of the faults of the store.
+/// The target of the faults of the store, which may be left out.
 pub const STORE: &str = "store";
 
 /// `Kind` is what a fault does.
@@ -42,6 +42,34 @@
     CancelWave,
 }
 
+impl Kind {
+    /// Tells whether a fault of this kind may last for good.
+    const fn may_last(self) -> bool {
+        matches!(
+            self,
+            Self::KillEntry | Self::KillWorker | Self::LeaveEndpoint | Self::CancelWave
+        )
+    }
+
+    /// Returns the kind as files name it.
+    #[must_use]
+    pub const fn name(self) -> &'static str {
+        match self {
+            Self::StoreDown => "store-down",
+            Self::StoreSlow => "store-slow",
+            Self::StoreLostAnswer => "store-lost-answer",
+            Self::KillEntry => "kill-entry",
+            Self::PauseEntry => "pause-entry",
+            Self::KillWorker => "kill-worker",
+            Self::FailWorker => "fail-worker",
+            Self::CutDomain => "cut-domain",
+            Self::SlowEndpoint => "slow-endpoint",
+            Self::LeaveEndpoint => "leave-endpoint",
+            Self::CancelWave => "cancel-wave",
+        }
+    }
+}
+
 /// `Fault` is one fault of a checked file.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct Fault {
@@ -51,7 +79,7 @@
     pub kind: Kind,
     /// What it hits.
     pub target: String,
-    /// How long it lasts.
+    /// How long it lasts; zero for good.
     pub span: Millis,
 }
 
@@ -89,7 +117,8 @@
 struct Raw {
     at_ms: Spanned<Millis>,
     kind: Kind,
-    target: Spanned<String>,
+    #[serde(default)]
+    target: Option<Spanned<String>>,
     #[serde(default)]
     for_ms: Option<Spanned<Millis>>,
 }
@@ -140,30 +169,27 @@
 
 fn verify(raw: &Raw, place: &Place<'_>, targets: Option<&Targets>) -> Result<Fault, Error> {
     let span = verify_span(raw, place)?;
-    let target = raw.target.get_ref();
+    let target = raw.target.as_ref().map_or("", |target| target.get_ref());
     if let Err((code, message)) = verify_target(raw.kind, target, targets) {
-        return Err(place.error(code, "target", raw.target.span(), message));
+        let at = raw.target.as_ref().map_or(raw.at_ms.span(), Spanned::span);
+        return Err(place.error(code, "target", at, message));
     }
     Ok(Fault {
         at: *raw.at_ms.get_ref(),
         kind: raw.kind,
-        target: target.clone(),
+        target: target.to_owned(),
         span,
     })
 }
 
 fn verify_span(raw: &Raw, place: &Place<'_>) -> Result<Millis, Error> {
-    let instant = matches!(raw.kind, Kind::LeaveEndpoint | Kind::CancelWave);
-    let span = raw.for_ms.as_ref().map_or(Millis::ZERO, |s| *s.get_ref());
+    let span = raw.for_ms.as_ref().map(|span| *span.get_ref());
     let at = raw.for_ms.as_ref().map_or(raw.at_ms.span(), Spanned::span);
-    if instant && span != Millis::ZERO {
-        let message = "this kind lasts for good and has no span".to_owned();
-        return Err(place.error(Code::BadValue, "for_ms", at, message));
-    }
-    if !instant && span == Millis::ZERO {
+    if span == Some(Millis::ZERO) || (span.is_none() && !raw.kind.may_last()) {
         let message = "this kind needs a span of more than zero".to_owned();
         return Err(place.error(Code::BadValue, "for_ms", at, message));
     }
+    let span = span.unwrap_or_default();
     if *raw.at_ms.get_ref() + span > MAX_END {
         let message = format!("the fault must end within {MAX_END}");
         return Err(place.error(Code::BadValue, "at_ms", raw.at_ms.span(), message));
@@ -176,10 +202,10 @@
 fn verify_target(kind: Kind, target: &str, targets: Option<&Targets>) -> Result<(), Refused> {
     match kind {
         Kind::StoreDown | Kind::StoreSlow | Kind::StoreLostAnswer => {
-            if target == STORE {
+            if target == STORE || target.is_empty() {
                 Ok(())
             } else {
-                Err((Code::BadValue, format!("'{target}' must be '{STORE}'")))
+                Err((Code::UnknownName, format!("'{target}' must be '{STORE}'")))
             }
         }
         Kind::KillEntry | Kind::PauseEntry => known("entry", target, targets, |t| &t.entries),
@@ -207,7 +233,7 @@
 }
 
 fn verify_endpoint(target: &str, targets: Option<&Targets>) -> Result<(), Refused> {
-    let task: id::Task = target.parse().map_err(|_source| {
+    let task = endpoint(target).ok_or_else(|| {
         let message = format!("'{target}' must be an endpoint's task, such as booking:0");
         (Code::BadValue, message)
     })?;
@@ -225,6 +251,15 @@
     Err((Code::UnknownName, message))
 }
 
+/// Returns the task whose endpoint a target names; a job alone stands for its first task.
+#[must_use]
+pub fn endpoint(target: &str) -> Option<id::Task> {
+    if target.contains(':') {
+        return target.parse().ok();
+    }
+    id::Job::new(target).ok().map(|job| id::Task::new(job, 0))
+}
+
 fn verify_wave(target: &str, targets: Option<&Targets>) -> Result<(), Refused> {
     let Some(targets) = targets else {
         return Ok(());
