--- a/crates/marigoldpick-core/src/peer.rs
+++ b/crates/marigoldpick-core/src/peer.rs
@@ -6,7 +6,7 @@
 use crate::code::Code;
 use crate::id;
 
-/// The largest request or answer body that is forwarded to another failure domain, in bytes.
+/// The largest request body that is forwarded to another failure domain, in bytes.
 pub const FORWARD_LIMIT: usize = 1 << 20;
 
 /// `Class` orders requests under overload; a lower one is shed first.
