--- a/crates/marigoldpick-core/src/config.rs
+++ b/crates/marigoldpick-core/src/config.rs
@@ -8,7 +8,7 @@
 use crate::code::Code;
 use crate::id;
 use crate::intent::{Intent, Job, Objective, Service, Team};
-use crate::plan::{Home, Plan};
+use crate::plan::{Displaced, Home, Plan};
 use crate::resource::Amount;
 
 /// Jobs that ended and are still told by `status`.
@@ -83,6 +83,8 @@
     pub job: Job,
     /// The shards that still have tasks of it.
     pub homes: Vec<Home>,
+    /// Running tasks that give way to it at once, as its plan says.
+    pub displaced: Vec<Displaced>,
     /// The entry that accepted it.
     pub sequence: u64,
     /// Whether it was cancelled and its tasks are being stopped.
@@ -322,6 +324,12 @@
             let accepted = Accepted {
                 job: job.clone(),
                 homes: part.map(|part| part.homes.clone()).unwrap_or_default(),
+                displaced: plan
+                    .displaced
+                    .iter()
+                    .filter(|d| d.by == job.name)
+                    .cloned()
+                    .collect(),
                 sequence: self.sequence,
                 cancelled: false,
                 completed: 0,
