standin: take the platform's place in one process or as a daemon

Nothing above the platform's interfaces can run or be proved without a store, workers, endpoints and a VM list. The stand-ins keep to the interfaces of the core types: the store fences by revision and caps its rates, a worker obeys the highest epoch and ends its tasks when its own clock passes the lease, an endpoint refuses unread when no slot is free or it is leaving. All draws come from one seed and a name, so that a run is the same each time but for timing.

--- a/crates/marigoldpick-standin/src/lib.rs
+++ b/crates/marigoldpick-standin/src/lib.rs
@@ -1,1 +1,25 @@
-//! Placeholder.
+//! Small stand-ins of the platform: store, workers, endpoints and VM list on loopback listeners.
+//!
+//! They take the platform's place in tests and in the `dev` command, cause its failures on demand,
+//! and alone count what truly ran.
+
+mod command;
+mod cut;
+pub mod endpoint;
+pub mod fault;
+mod fleet;
+mod http;
+mod listener;
+pub mod platform;
+mod seed;
+pub mod settings;
+mod slot;
+mod store;
+pub mod truth;
+mod vms;
+mod worker;
+
+pub use fault::Fault;
+pub use platform::Platform;
+pub use settings::Settings;
+pub use truth::Truth;
--- /dev/null
+++ b/crates/marigoldpick-standin/src/settings.rs
@@ -0,0 +1,286 @@
+//! What the stand-ins are: failure domains, racks, workers, rates and lags.
+
+use marigoldpick_core::document::{self, Error};
+use marigoldpick_core::prelude::*;
+use serde::{Deserialize, Serialize};
+
+/// The longest name of a rack, in bytes; those of its workers begin with it.
+const MAX_RACK: usize = 100;
+/// The most workers of one platform; each has a listener of its own.
+const MAX_WORKERS: u64 = 2_000;
+
+/// `Settings` describes a platform.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct Settings {
+    /// Where all draws come from.
+    #[serde(default)]
+    pub seed: u64,
+    /// The address of the store and the VM list, by IP number; port 0 takes a free one.
+    #[serde(default = "loopback")]
+    pub listen: String,
+    /// The store.
+    #[serde(default)]
+    pub store: Store,
+    /// How far behind reports are.
+    #[serde(default)]
+    pub lag: Lag,
+    /// Tasks.
+    #[serde(default)]
+    pub task: Task,
+    /// Endpoints.
+    #[serde(default)]
+    pub endpoint: Endpoint,
+    /// Failure domains.
+    pub domain: Vec<Domain>,
+}
+
+/// `Store` is the store's speed.
+#[derive(Clone, Copy, Debug, PartialEq, Serialize, Deserialize)]
+#[serde(default, deny_unknown_fields)]
+pub struct Store {
+    /// Writes in a second.
+    pub writes_per_second: u32,
+    /// Reads in a second; a watch counts as one.
+    pub reads_per_second: u32,
+    /// The time for a call, in milliseconds.
+    pub delay_ms: Range,
+}
+
+impl Default for Store {
+    fn default() -> Self {
+        Self {
+            writes_per_second: 500,
+            reads_per_second: 2_000,
+            delay_ms: Range::new(1.0, 4.0),
+        }
+    }
+}
+
+/// `Lag` is how far behind reports are.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(default, deny_unknown_fields)]
+pub struct Lag {
+    /// The VM list.
+    pub vms_ms: Millis,
+    /// Usage of tasks.
+    pub usage_ms: Millis,
+}
+
+impl Default for Lag {
+    fn default() -> Self {
+        Self {
+            vms_ms: Millis(3_000),
+            usage_ms: Millis(1_000),
+        }
+    }
+}
+
+/// `Task` is what tasks really do, unless their command says otherwise.
+#[derive(Clone, Copy, Debug, PartialEq, Serialize, Deserialize)]
+#[serde(default, deny_unknown_fields)]
+pub struct Task {
+    /// The true run time in milliseconds, drawn for each task.
+    pub run_ms: Range,
+    /// The true size as a share of the declared one, drawn for each job.
+    pub size: Range,
+    /// Whether workers refuse starts that would pass their size.
+    pub enforce_size: bool,
+    /// How long a task takes to end when it is stopped.
+    pub stop_ms: Millis,
+}
+
+impl Default for Task {
+    fn default() -> Self {
+        Self {
+            run_ms: Range::new(200.0, 2_000.0),
+            size: Range::new(0.3, 0.95),
+            enforce_size: true,
+            stop_ms: Millis(50),
+        }
+    }
+}
+
+/// `Endpoint` is what endpoints are like.
+#[derive(Clone, Copy, Debug, PartialEq, Serialize, Deserialize)]
+#[serde(default, deny_unknown_fields)]
+pub struct Endpoint {
+    /// Requests run at once.
+    pub slots: u32,
+    /// Connections accepted.
+    pub connections: u32,
+    /// The time for a request at the fastest endpoint, in milliseconds, drawn for each request.
+    pub work_ms: Range,
+    /// The factor by which an endpoint is slower than the fastest, drawn for each endpoint.
+    pub speed: Range,
+    /// How long a leaving endpoint still answers, to refuse.
+    pub linger_ms: Millis,
+}
+
+impl Default for Endpoint {
+    fn default() -> Self {
+        Self {
+            slots: 8,
+            connections: 60,
+            work_ms: Range::new(5.0, 20.0),
+            speed: Range::new(1.0, 8.0),
+            linger_ms: Millis(2_000),
+        }
+    }
+}
+
+/// `Range` is bounds of a draw, both included.
+#[derive(Clone, Copy, Debug, PartialEq, Serialize, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct Range {
+    /// The least.
+    pub from: f64,
+    /// The most.
+    pub to: f64,
+}
+
+impl Range {
+    /// Makes a range.
+    #[must_use]
+    pub const fn new(from: f64, to: f64) -> Self {
+        Self { from, to }
+    }
+}
+
+/// `Domain` is a failure domain.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct Domain {
+    /// The failure domain.
+    pub name: id::Domain,
+    /// Its racks.
+    pub rack: Vec<Rack>,
+}
+
+/// `Rack` is a rack of like workers.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct Rack {
+    /// The rack, unique over all failure domains.
+    pub name: id::Rack,
+    /// The number of workers; they are named `rack/w0`, `rack/w1` and so on.
+    pub workers: u32,
+    /// The kind of machine.
+    pub kind: Name,
+    /// What each worker has.
+    pub size: Amount,
+}
+
+fn loopback() -> String {
+    "127.0.0.1:0".to_owned()
+}
+
+impl Settings {
+    /// Reads and checks settings.
+    ///
+    /// # Errors
+    /// Names the file, and the line or the field.
+    pub fn parse(file: &str, text: &str) -> Result<Self, Error> {
+        let settings: Self = document::parse(file, text)?;
+        settings.check().map_err(|error| error.in_file(file))?;
+        Ok(settings)
+    }
+
+    /// Checks what the types don't.
+    ///
+    /// # Errors
+    /// Names the first field that is out of its bounds.
+    pub fn check(&self) -> Result<(), Error> {
+        if self.listen.parse::<std::net::SocketAddr>().is_err() {
+            return Err(bad("listen", "must be an IP number and a port"));
+        }
+        positive("store.writes_per_second", self.store.writes_per_second)?;
+        positive("store.reads_per_second", self.store.reads_per_second)?;
+        positive("endpoint.slots", self.endpoint.slots)?;
+        positive("endpoint.connections", self.endpoint.connections)?;
+        ordered("store.delay_ms", self.store.delay_ms)?;
+        ordered("task.run_ms", self.task.run_ms)?;
+        ordered("task.size", self.task.size)?;
+        ordered("endpoint.work_ms", self.endpoint.work_ms)?;
+        ordered("endpoint.speed", self.endpoint.speed)?;
+        self.check_domains()
+    }
+
+    fn check_domains(&self) -> Result<(), Error> {
+        if self.domain.is_empty() {
+            return Err(bad("domain", "must not be empty"));
+        }
+        unique("domain", self.domain.iter().map(|d| d.name.as_str()))?;
+        let racks = || self.domain.iter().flat_map(|domain| &domain.rack);
+        unique("domain.rack", racks().map(|rack| rack.name.as_str()))?;
+        for (d, domain) in self.domain.iter().enumerate() {
+            for (r, rack) in domain.rack.iter().enumerate() {
+                check_rack(&format!("domain[{d}].rack[{r}]"), rack)?;
+            }
+        }
+        let workers: u64 = racks().map(|rack| u64::from(rack.workers)).sum();
+        if workers > MAX_WORKERS {
+            return Err(bad("domain.rack.workers", "must be at most 2000 in all"));
+        }
+        Ok(())
+    }
+}
+
+fn check_rack(path: &str, rack: &Rack) -> Result<(), Error> {
+    if rack.name.as_str().len() > MAX_RACK {
+        return Err(bad(&format!("{path}.name"), "has at most 100 bytes"));
+    }
+    positive(&format!("{path}.workers"), rack.workers)?;
+    let size = &rack.size;
+    if size.millicores == 0 {
+        return Err(bad(
+            &format!("{path}.size.millicores"),
+            "must be more than zero",
+        ));
+    }
+    if size.memory_mib == 0 {
+        return Err(bad(
+            &format!("{path}.size.memory_mib"),
+            "must be more than zero",
+        ));
+    }
+    if !size.accelerators.is_sorted_by(|a, b| a.kind < b.kind) {
+        let field = format!("{path}.size.accelerators");
+        return Err(bad(&field, "must be sorted by kind, each kind once"));
+    }
+    Ok(())
+}
+
+fn unique<'a>(field: &str, names: impl Iterator<Item = &'a str>) -> Result<(), Error> {
+    let mut names: Vec<&str> = names.collect();
+    names.sort_unstable();
+    match names.windows(2).find(|pair| pair[0] == pair[1]) {
+        Some(pair) => {
+            let message = format!("'{}' stands twice", pair[0]);
+            Err(Error::field(Code::Duplicate, field, message))
+        }
+        None => Ok(()),
+    }
+}
+
+fn positive(field: &str, value: u32) -> Result<(), Error> {
+    if value == 0 {
+        return Err(bad(field, "must be more than zero"));
+    }
+    Ok(())
+}
+
+fn ordered(field: &str, range: Range) -> Result<(), Error> {
+    let valid = range.from.is_finite() && range.to.is_finite();
+    if valid && 0.0 <= range.from && range.from <= range.to {
+        return Ok(());
+    }
+    Err(bad(
+        field,
+        "must go from a number that is not negative to one not below it",
+    ))
+}
+
+fn bad(field: &str, message: &str) -> Error {
+    Error::field(Code::BadValue, field, message)
+}
--- /dev/null
+++ b/crates/marigoldpick-standin/src/store/serve.rs
@@ -0,0 +1,196 @@
+//! The store over HTTP: rates, delays, faults and counters round the state.
+
+use std::num::NonZeroU32;
+use std::sync::atomic::{AtomicBool, AtomicU32, AtomicU64, Ordering};
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
+
+use async_std::future::timeout;
+use async_std::task;
+use governor::{DefaultDirectRateLimiter, Quota, RateLimiter};
+use http_types::{Request, Response, StatusCode};
+use marigoldpick_core::clock::System;
+use marigoldpick_core::prelude::*;
+use marigoldpick_core::store::{Answer, Call, MAX_VALUE};
+use marigoldpick_platform::ENTRY_HEADER;
+use rand::Rng;
+use rand_chacha::ChaCha8Rng;
+
+use super::state::State;
+use crate::http::{drop_connection, header, json, parse, refused};
+use crate::seed::Seed;
+use crate::settings::Settings;
+use crate::truth::{Configs, Counters};
+
+/// The largest body: a value whose characters are all escaped, and the rest of a call.
+const MAX_BODY: usize = 7 * MAX_VALUE;
+/// The longest wait of a watch.
+const MAX_WAIT: Millis = Millis::from_secs(60);
+
+/// `Store` is the stand-in of the key-value service.
+#[derive(Clone, Debug)]
+pub(crate) struct Store {
+    inner: Arc<Inner>,
+}
+
+#[derive(Debug)]
+struct Inner {
+    state: Mutex<State>,
+    draws: Mutex<ChaCha8Rng>,
+    counters: Mutex<Counters>,
+    writes: DefaultDirectRateLimiter,
+    reads: DefaultDirectRateLimiter,
+    delay: crate::settings::Range,
+    clock: System,
+    slow_ms: AtomicU64,
+    lost_percent: AtomicU32,
+    down: AtomicBool,
+}
+
+impl Store {
+    /// Makes an empty store.
+    pub(crate) fn new(settings: &Settings, clock: System) -> Self {
+        Self {
+            inner: Arc::new(Inner {
+                state: Mutex::default(),
+                draws: Mutex::new(Seed(settings.seed).generator("store", "")),
+                counters: Mutex::default(),
+                writes: limiter(settings.store.writes_per_second),
+                reads: limiter(settings.store.reads_per_second),
+                delay: settings.store.delay_ms,
+                clock,
+                slow_ms: AtomicU64::new(0),
+                lost_percent: AtomicU32::new(0),
+                down: AtomicBool::new(false),
+            }),
+        }
+    }
+
+    /// Makes each call take effect and be answered this much later.
+    pub(crate) fn slow(&self, delay: Millis) {
+        self.inner.slow_ms.store(delay.0, Ordering::SeqCst);
+    }
+
+    /// Loses the answers of a share of the writes.
+    pub(crate) fn lose(&self, percent: u32) {
+        self.inner.lost_percent.store(percent, Ordering::SeqCst);
+    }
+
+    /// Refuses each call unread, and leaves those under way unanswered and without effect.
+    pub(crate) fn down(&self, on: bool) {
+        self.inner.down.store(on, Ordering::SeqCst);
+    }
+
+    /// Returns the calls counted, by caller and kind.
+    pub(crate) fn counters(&self) -> Counters {
+        lock(&self.inner.counters).clone()
+    }
+
+    /// Returns what became of the configuration log.
+    pub(crate) fn configs(&self) -> Configs {
+        lock(&self.inner.state).configs().clone()
+    }
+
+    /// Ends the leases whose time has passed.
+    pub(crate) fn tick(&self) {
+        lock(&self.inner.state).expire(self.inner.clock.now());
+    }
+
+    /// Answers one call.
+    pub(crate) async fn answer(&self, mut request: Request) -> http_types::Result<Response> {
+        if self.is_down() {
+            return Ok(refused());
+        }
+        let call: Call = match parse(&mut request, MAX_BODY).await {
+            Ok(call) => call,
+            Err(status) => return Ok(Response::new(status)),
+        };
+        let caller = header(&request, ENTRY_HEADER).unwrap_or_default();
+        lock(&self.inner.counters).add(caller, call.kind());
+        if let Some(status) = self.refusal(&call) {
+            return Ok(Response::new(status));
+        }
+        self.delay().await;
+        if let Call::Watch {
+            prefix,
+            revision,
+            wait,
+        } = &call
+        {
+            self.watch(prefix, *revision, *wait).await;
+        }
+        if self.is_down() {
+            return Err(drop_connection());
+        }
+        let is_lost = call.is_write() && self.is_lost();
+        let answer = self.apply(call);
+        if is_lost {
+            return Err(drop_connection());
+        }
+        Ok(json(&answer))
+    }
+
+    fn is_down(&self) -> bool {
+        self.inner.down.load(Ordering::SeqCst)
+    }
+
+    fn apply(&self, call: Call) -> Answer {
+        lock(&self.inner.state).call(call, self.inner.clock.now())
+    }
+
+    fn refusal(&self, call: &Call) -> Option<StatusCode> {
+        if matches!(call, Call::Put { value, .. } if value.len() > MAX_VALUE) {
+            return Some(StatusCode::PayloadTooLarge);
+        }
+        let limiter = if call.is_write() {
+            &self.inner.writes
+        } else {
+            &self.inner.reads
+        };
+        limiter
+            .check()
+            .is_err()
+            .then_some(StatusCode::TooManyRequests)
+    }
+
+    async fn delay(&self) {
+        let range = self.inner.delay;
+        let usual = lock(&self.inner.draws).random_range(range.from..=range.to);
+        let slow = Millis(self.inner.slow_ms.load(Ordering::SeqCst));
+        task::sleep(
+            slow.duration()
+                .saturating_add(std::time::Duration::from_secs_f64(usual / 1_000.0)),
+        )
+        .await;
+    }
+
+    fn is_lost(&self) -> bool {
+        let percent = self.inner.lost_percent.load(Ordering::SeqCst);
+        percent > 0 && lock(&self.inner.draws).random_range(0..100) < percent
+    }
+
+    async fn watch(&self, prefix: &str, revision: u64, wait: Millis) {
+        let end = self.inner.clock.now() + wait.min(MAX_WAIT);
+        loop {
+            let woken = {
+                let mut state = lock(&self.inner.state);
+                if state.has_changed(prefix, revision) {
+                    return;
+                }
+                state.wait(prefix)
+            };
+            let left = end.since(self.inner.clock.now());
+            if left == Millis::ZERO || timeout(left.duration(), woken.recv()).await.is_err() {
+                return;
+            }
+        }
+    }
+}
+
+fn limiter(rate: u32) -> DefaultDirectRateLimiter {
+    let rate = NonZeroU32::new(rate).unwrap_or(NonZeroU32::MIN);
+    RateLimiter::direct(Quota::per_second(rate))
+}
+
+fn lock<T>(mutex: &Mutex<T>) -> MutexGuard<'_, T> {
+    mutex.lock().unwrap_or_else(PoisonError::into_inner)
+}
--- /dev/null
+++ b/crates/marigoldpick-standin/src/store/state.rs
@@ -0,0 +1,245 @@
+//! Keys, revisions, leases and the waiters on them; pure but for the waiters.
+
+use std::collections::BTreeMap;
+
+use async_channel::Sender;
+use marigoldpick_core::prelude::*;
+use marigoldpick_core::store::{Answer, Call, Expect, Item};
+
+use crate::truth::Configs;
+
+/// Deletions that are remembered to wake watches.
+const DELETED_KEPT: usize = 10_000;
+/// The most items of one answer.
+const MAX_ITEMS: u32 = 10_000;
+
+/// `State` is what the store holds.
+#[derive(Debug, Default)]
+pub(super) struct State {
+    revision: u64,
+    items: BTreeMap<String, Stored>,
+    leases: BTreeMap<u64, Lease>,
+    next_lease: u64,
+    /// Keys deleted lately with the revision of that, oldest first.
+    deleted: Vec<(u64, String)>,
+    waiters: Vec<Waiter>,
+    configs: Configs,
+}
+
+#[derive(Debug)]
+struct Stored {
+    value: String,
+    revision: u64,
+    lease: Option<u64>,
+}
+
+#[derive(Debug)]
+struct Lease {
+    span: Millis,
+    end: Millis,
+}
+
+#[derive(Debug)]
+struct Waiter {
+    prefix: String,
+    wake: Sender<()>,
+}
+
+impl State {
+    /// Carries out one call; a watch is answered as if its wait had passed.
+    pub(super) fn call(&mut self, call: Call, now: Millis) -> Answer {
+        self.expire(now);
+        match call {
+            Call::Get { key } => Answer::Item(self.item(&key)),
+            Call::List {
+                prefix,
+                after,
+                limit,
+            } => self.list(&prefix, &after, limit),
+            Call::Put {
+                key,
+                value,
+                expect,
+                lease,
+            } => self.put(key, value, expect, lease),
+            Call::Delete { key, expect } => self.delete(&key, expect),
+            Call::Watch {
+                prefix, revision, ..
+            } => self.changed(&prefix, revision),
+            Call::Grant { span } => self.grant(span, now),
+            Call::Renew { lease } => self.renew(lease, now),
+            Call::Revoke { lease } => {
+                self.revoke(lease);
+                Answer::Gone
+            }
+        }
+    }
+
+    /// Ends the leases whose time has passed.
+    pub(super) fn expire(&mut self, now: Millis) {
+        let lapsed: Vec<u64> = self
+            .leases
+            .iter()
+            .filter(|(_, lease)| lease.end <= now)
+            .map(|(number, _)| *number)
+            .collect();
+        lapsed.into_iter().for_each(|lease| self.revoke(lease));
+    }
+
+    /// Tells whether a key with `prefix` has changed after `revision`.
+    pub(super) fn has_changed(&self, prefix: &str, revision: u64) -> bool {
+        let written = self
+            .range(prefix)
+            .any(|(_, stored)| stored.revision > revision);
+        written
+            || self
+                .deleted
+                .iter()
+                .rev()
+                .take_while(|(at, _)| *at > revision)
+                .any(|(_, key)| key.starts_with(prefix))
+    }
+
+    /// Waits for the next change of a key with `prefix`.
+    pub(super) fn wait(&mut self, prefix: &str) -> async_channel::Receiver<()> {
+        let (wake, woken) = async_channel::bounded(1);
+        let prefix = prefix.to_owned();
+        self.waiters.retain(|waiter| !waiter.wake.is_closed());
+        self.waiters.push(Waiter { prefix, wake });
+        woken
+    }
+
+    /// Returns what became of the configuration log.
+    pub(super) const fn configs(&self) -> &Configs {
+        &self.configs
+    }
+
+    fn range<'a>(&'a self, prefix: &'a str) -> impl Iterator<Item = (&'a String, &'a Stored)> {
+        self.items
+            .range(prefix.to_owned()..)
+            .take_while(move |(key, _)| key.starts_with(prefix))
+    }
+
+    fn item(&self, key: &str) -> Option<Item> {
+        self.items.get(key).map(|stored| item(key, stored))
+    }
+
+    fn list(&self, prefix: &str, after: &str, limit: u32) -> Answer {
+        let limit = limit.min(MAX_ITEMS) as usize;
+        let items = self
+            .range(prefix)
+            .filter(|(key, _)| key.as_str() > after)
+            .take(limit)
+            .map(|(key, stored)| item(key, stored))
+            .collect();
+        let revision = self.revision;
+        Answer::Items { items, revision }
+    }
+
+    fn changed(&self, prefix: &str, revision: u64) -> Answer {
+        let items = self
+            .range(prefix)
+            .filter(|(_, stored)| stored.revision > revision)
+            .map(|(key, stored)| item(key, stored))
+            .collect();
+        let revision = self.revision;
+        Answer::Items { items, revision }
+    }
+
+    fn put(&mut self, key: String, value: String, expect: Expect, lease: Option<u64>) -> Answer {
+        if !self.holds(&key, expect) {
+            return Answer::Conflict(self.item(&key));
+        }
+        if lease.is_some_and(|lease| !self.leases.contains_key(&lease)) {
+            return Answer::Gone;
+        }
+        self.revision += 1;
+        let revision = self.revision;
+        self.configs.written(&key, &value);
+        self.wake(&key);
+        let stored = Stored {
+            value,
+            revision,
+            lease,
+        };
+        self.items.insert(key, stored);
+        Answer::Written(revision)
+    }
+
+    fn delete(&mut self, key: &str, expect: Expect) -> Answer {
+        if !self.holds(key, expect) {
+            return Answer::Conflict(self.item(key));
+        }
+        self.remove(key);
+        Answer::Written(self.revision)
+    }
+
+    fn holds(&self, key: &str, expect: Expect) -> bool {
+        let revision = self.items.get(key).map(|stored| stored.revision);
+        match expect {
+            Expect::Any => true,
+            Expect::Absent => revision.is_none(),
+            Expect::Revision(wanted) => revision == Some(wanted),
+        }
+    }
+
+    fn remove(&mut self, key: &str) {
+        if self.items.remove(key).is_none() {
+            return;
+        }
+        self.revision += 1;
+        self.deleted.push((self.revision, key.to_owned()));
+        if self.deleted.len() > DELETED_KEPT {
+            self.deleted.drain(..DELETED_KEPT / 2);
+        }
+        self.wake(key);
+    }
+
+    fn grant(&mut self, span: Millis, now: Millis) -> Answer {
+        self.next_lease += 1;
+        let end = now + span;
+        self.leases.insert(self.next_lease, Lease { span, end });
+        Answer::Lease(self.next_lease)
+    }
+
+    fn renew(&mut self, number: u64, now: Millis) -> Answer {
+        match self.leases.get_mut(&number) {
+            Some(lease) => {
+                lease.end = now + lease.span;
+                Answer::Lease(number)
+            }
+            None => Answer::Gone,
+        }
+    }
+
+    fn revoke(&mut self, lease: u64) {
+        if self.leases.remove(&lease).is_none() {
+            return;
+        }
+        let keys: Vec<String> = self
+            .items
+            .iter()
+            .filter(|(_, stored)| stored.lease == Some(lease))
+            .map(|(key, _)| key.clone())
+            .collect();
+        keys.iter().for_each(|key| self.remove(key));
+    }
+
+    fn wake(&mut self, key: &str) {
+        self.waiters.retain(|waiter| {
+            let concerned = key.starts_with(&waiter.prefix);
+            if concerned {
+                let _is_awake = waiter.wake.try_send(());
+            }
+            !concerned
+        });
+    }
+}
+
+fn item(key: &str, stored: &Stored) -> Item {
+    Item {
+        key: key.to_owned(),
+        value: stored.value.clone(),
+        revision: stored.revision,
+    }
+}
