--- /dev/null
+++ b/crates/marigoldpick-shard/src/settings.rs
@@ -0,0 +1,114 @@
+//! The intervals and bounds of ownership.
+
+use marigoldpick_core::prelude::*;
+use serde::{Deserialize, Serialize};
+
+/// `Settings` are the intervals and bounds; all entries of a site use the same.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(default, deny_unknown_fields)]
+pub struct Settings {
+    /// The time between two renewals of a worker's lease.
+    pub renew_ms: Millis,
+    /// The span that a renewal gives a worker from its own stamp.
+    pub lease_ms: Millis,
+    /// How long a majority's answers, or the store's, let a lead act.
+    pub majority_ms: Millis,
+    /// The bound on the drift between two clocks, in parts per thousand.
+    pub drift_permille: u64,
+    /// How long a worker may go without a renewal before another lead may think its lead gone.
+    pub idle_ms: Millis,
+    /// How long a new lead waits for the workers' answers to its claims.
+    pub claim_ms: Millis,
+    /// How long a candidate waits for the store before it claims without it.
+    pub patience_ms: Millis,
+    /// How long a deposed lead waits before it is a candidate again.
+    pub rival_ms: Millis,
+    /// The least time between two changes of the electors, the workers whose majority counts.
+    pub join_ms: Millis,
+    /// How often an entry that doesn't lead reads the shard's log.
+    pub follow_ms: Millis,
+    /// The time between two records of completions.
+    pub record_ms: Millis,
+    /// How long tasks that move in a cut go on without the store.
+    pub cutoff_ms: Millis,
+    /// The time between two beats to entries of the same failure domain.
+    pub beat_ms: Millis,
+    /// The time between two beats to entries of other failure domains.
+    pub far_beat_ms: Millis,
+    /// How long an entry may stay unheard before it counts as dead.
+    pub dead_ms: Millis,
+    /// How long an unheard entry of another failure domain counts as live.
+    pub far_dead_ms: Millis,
+    /// How long an entry must have been heard before it may lead or watch.
+    pub settle_ms: Millis,
+    /// The longest wait of one watch of the store.
+    pub watch_ms: Millis,
+    /// The age at which a configuration counts as old.
+    pub old_ms: Millis,
+    /// How long a proposed change may wait for its answer.
+    pub propose_ms: Millis,
+    /// The first wait after a failed store call.
+    pub backoff_ms: Millis,
+    /// The longest wait after failed store calls.
+    pub backoff_most_ms: Millis,
+    /// The time in which one retry is earned.
+    pub retry_ms: Millis,
+    /// Retries that can be saved up.
+    pub retries: u32,
+    /// Log entries between two snapshots.
+    pub snapshot_every: u64,
+    /// Log entries that are kept in memory for peers.
+    pub recent: usize,
+    /// Shards of one failure domain.
+    pub shards: u32,
+}
+
+impl Default for Settings {
+    fn default() -> Self {
+        Self {
+            renew_ms: Millis(1_000),
+            lease_ms: Millis(8_000),
+            majority_ms: Millis(3_000),
+            drift_permille: 10,
+            idle_ms: Millis(2_200),
+            claim_ms: Millis(800),
+            patience_ms: Millis(1_000),
+            rival_ms: Millis(1_500),
+            join_ms: Millis::from_secs(600),
+            follow_ms: Millis::from_secs(30),
+            record_ms: Millis(500),
+            cutoff_ms: Millis::from_secs(30),
+            beat_ms: Millis(300),
+            far_beat_ms: Millis(1_000),
+            dead_ms: Millis(1_200),
+            far_dead_ms: Millis(5_000),
+            settle_ms: Millis(900),
+            watch_ms: Millis(5_000),
+            old_ms: Millis(15_000),
+            propose_ms: Millis(3_000),
+            backoff_ms: Millis(100),
+            backoff_most_ms: Millis(5_000),
+            retry_ms: Millis(1_000),
+            retries: 10,
+            snapshot_every: 1_000,
+            recent: 2_000,
+            shards: 1,
+        }
+    }
+}
+
+impl Settings {
+    /// Returns what two clocks may differ by over `span`, with one tick of rounding at each end.
+    #[must_use]
+    pub const fn margin(&self, span: Millis) -> Millis {
+        Millis(span.0 * 2 * self.drift_permille / 1_000 + 2)
+    }
+
+    /// Returns the time after the last renewal could have been sent by anybody, at which a silent
+    /// worker's tasks have ended.
+    #[must_use]
+    pub const fn wait_out(&self) -> Millis {
+        let span = Millis(self.majority_ms.0 + self.lease_ms.0);
+        Millis(span.0 + self.margin(span).0)
+    }
+}
