--- /dev/null
+++ b/crates/marigoldpick-shard/src/lead/report.rs
@@ -0,0 +1,259 @@
+//! Workers' answers: who obeys, what runs, what ended.
+
+use marigoldpick_core::intent::Class;
+use marigoldpick_core::prelude::*;
+use marigoldpick_core::worker::{self, Finished, Outcome, Report, Running};
+
+use super::ledger::Ending;
+use super::member::Probe;
+use super::takeover::Role;
+use super::work::{Kind, Sent};
+use super::{Lead, Notice, Output};
+
+/// `Place` is where a task may be.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub(super) struct Place {
+    pub(super) worker: id::Worker,
+    pub(super) attempt: u32,
+}
+
+impl Lead {
+    pub(super) fn find(&self, worker: &id::Worker) -> Option<usize> {
+        self.members.binary_search_by(|m| m.id.cmp(worker)).ok()
+    }
+
+    pub(super) fn answered(
+        &mut self,
+        call: u64,
+        result: Result<worker::Answer, worker::Fault>,
+        now: Millis,
+        out: &mut Vec<Output>,
+    ) {
+        let Some(sent) = self.calls.remove(&call) else {
+            return;
+        };
+        let Some(at) = self.find(&sent.worker) else {
+            return;
+        };
+        self.members[at].call = None;
+        match result {
+            Ok(answer) => self.heard(at, sent, answer, now, out),
+            Err(fault) => self.worker_fault(at, sent, fault, out),
+        }
+    }
+
+    fn heard(
+        &mut self,
+        at: usize,
+        sent: Sent,
+        answer: worker::Answer,
+        now: Millis,
+        out: &mut Vec<Output>,
+    ) {
+        let report = answer.report;
+        let member = &mut self.members[at];
+        member.failing = false;
+        member.probe = Some(Probe {
+            sent: sent.at,
+            epoch: report.epoch,
+            left: report.lease_end - report.stamp,
+        });
+        if !matches!(self.role, Role::Claim { .. } | Role::Lead) {
+            return;
+        }
+        if report.epoch > self.epoch {
+            let note = format!("by {} {}", report.epoch.tenure, report.epoch.interim);
+            self.event(out, "lead-fenced", note);
+            return self.depose(now, out);
+        }
+        if report.epoch < self.epoch {
+            // The worker has forgotten the claim: it was replaced or started anew.
+            member.claimed = false;
+            member.known = false;
+            member.due = now;
+            if let Kind::Start(run) = sent.kind {
+                self.doubt_start(&run, Millis::ZERO);
+            }
+            return;
+        }
+        member.claimed = true;
+        member.heard = member.heard.max(Some(sent.at));
+        member.stamp = report.stamp;
+        member.stamp_at = Some(now);
+        self.merge(at, report, out);
+        self.after_call(at, sent.kind, answer.refused, out);
+    }
+
+    fn after_call(
+        &mut self,
+        at: usize,
+        kind: Kind,
+        refused: Option<worker::Refusal>,
+        out: &mut Vec<Output>,
+    ) {
+        match (kind, refused) {
+            (Kind::Start(run), None) => self.started(&run, out),
+            (Kind::Start(run), Some(refusal)) => self.start_refused(&run, refusal, out),
+            (Kind::Renew(acks), None) => self.members[at].acks.retain(|run| !acks.contains(run)),
+            _ => {}
+        }
+    }
+
+    /// Takes a report at the own epoch into account.
+    fn merge(&mut self, at: usize, report: Report, out: &mut Vec<Output>) {
+        let whole = report.whole;
+        let stamp = report.stamp;
+        let worker = self.members[at].id.clone();
+        if whole {
+            self.drop_vanished(at, &report, out);
+        }
+        for running in &report.running {
+            self.note_running(at, &worker, running, out);
+        }
+        for finished in report.finished {
+            self.finished(at, &worker, finished, out);
+        }
+        if whole {
+            self.settle_doubts(&worker, stamp, out);
+        }
+        let doubt = self.has_doubt(&worker);
+        let member = &mut self.members[at];
+        if whole {
+            member.known = true;
+            member.want_whole = doubt;
+        }
+        if member.up {
+            if std::mem::take(&mut member.silent) {
+                Self::notice(out, Notice::WorkerHeard(worker.clone()));
+            }
+            if !report.running.is_empty() {
+                let changed = report.running;
+                Self::notice(out, Notice::WorkerReport { worker, changed });
+            }
+        } else {
+            member.lost = false;
+            member.arrive(report.running, whole);
+        }
+    }
+
+    fn note_running(
+        &mut self,
+        at: usize,
+        worker: &id::Worker,
+        running: &Running,
+        out: &mut Vec<Output>,
+    ) {
+        let run = &running.spec.run;
+        self.seen.insert(run.task.clone());
+        let place = Place {
+            worker: worker.clone(),
+            attempt: run.attempt,
+        };
+        match self.placed.get(&run.task) {
+            Some(have) if have.worker != *worker => {
+                self.event(
+                    out,
+                    "task-twice",
+                    format!("{run} on {worker} and {}", have.worker),
+                );
+                let act = super::member::Act::Stop(run.clone(), Millis::ZERO);
+                self.members[at].queue.push_back(act);
+                return;
+            }
+            _ => drop(self.placed.insert(run.task.clone(), place)),
+        }
+        self.members[at].add_run(run);
+        self.started(run, out);
+    }
+
+    /// Runs that a whole report no longer has ended with the worker's memory of them.
+    fn drop_vanished(&mut self, at: usize, report: &Report, out: &mut Vec<Output>) {
+        let there = |run: &id::Run| {
+            report.running.iter().any(|r| r.spec.run == *run)
+                || report.finished.iter().any(|f| f.run == *run)
+        };
+        let member = &self.members[at];
+        let worker = member.id.clone();
+        let gone: Vec<id::Run> = member
+            .runs
+            .iter()
+            .filter(|run| !there(run))
+            .cloned()
+            .collect();
+        for run in gone {
+            let finished = Finished {
+                run,
+                outcome: Outcome::Lapsed,
+                age: Millis::ZERO,
+                usage: None,
+            };
+            self.end(at, &worker, finished, false, out);
+        }
+    }
+
+    fn finished(
+        &mut self,
+        at: usize,
+        worker: &id::Worker,
+        finished: Finished,
+        out: &mut Vec<Output>,
+    ) {
+        let member = &self.members[at];
+        if member.acks.contains(&finished.run) || member.ending.contains(&finished.run) {
+            return;
+        }
+        self.seen.insert(finished.run.task.clone());
+        self.started(&finished.run, out);
+        if self.journal.state().is_over(&finished.run.task) {
+            let member = &mut self.members[at];
+            member.drop_run(&finished.run);
+            member.acks.push(finished.run.clone());
+            self.unplace(&finished.run, worker);
+            return;
+        }
+        if finished.outcome == Outcome::Done && self.is_recorded(&finished.run.task.job) {
+            let member = &mut self.members[at];
+            member.drop_run(&finished.run);
+            member.ending.push(finished.run.clone());
+            self.endings.push(Ending {
+                worker: worker.clone(),
+                finished,
+                written: false,
+            });
+            return;
+        }
+        self.end(at, worker, finished, true, out);
+    }
+
+    /// Tells whether completions of a job's tasks are kept: instances of services are started anew.
+    fn is_recorded(&self, job: &id::Job) -> bool {
+        self.jobs
+            .binary_search_by(|have| have.job.cmp(job))
+            .map_or(true, |at| self.jobs[at].class != Class::Service)
+    }
+
+    fn end(
+        &mut self,
+        at: usize,
+        worker: &id::Worker,
+        finished: Finished,
+        ack: bool,
+        out: &mut Vec<Output>,
+    ) {
+        let member = &mut self.members[at];
+        member.drop_run(&finished.run);
+        if ack {
+            member.acks.push(finished.run.clone());
+        }
+        self.unplace(&finished.run, worker);
+        let worker = worker.clone();
+        Self::notice(out, Notice::Finished { worker, finished });
+    }
+
+    pub(super) fn unplace(&mut self, run: &id::Run, worker: &id::Worker) {
+        let here = |place: &Place| place.worker == *worker && place.attempt == run.attempt;
+        if self.placed.get(&run.task).is_some_and(here) {
+            self.placed.remove(&run.task);
+        }
+    }
+}
--- a/crates/marigoldpick-shard/src/lib.rs
+++ b/crates/marigoldpick-shard/src/lib.rs
@@ -8,6 +8,7 @@
 pub mod event;
 pub mod gate;
 pub mod journal;
+pub mod lead;
 pub mod membership;
 pub mod quota;
 pub mod record;
