Let the stand-ins name completed and running tasks, and size answers by the body

A run that cancels jobs has to count completions by job, which the sums don't tell. Entries pass no headers of callers on to endpoints, so a caller that wants a large answer says so in the body's first line. The idempotent flag is read in the form that callers send it too.

--- a/crates/marigoldpick-standin/src/endpoint.rs
+++ b/crates/marigoldpick-standin/src/endpoint.rs
@@ -24,9 +24,10 @@
 pub const REQUEST_HEADER: &str = "x-marigold-request";
 /// The caller's attempt, from one.
 pub const ATTEMPT_HEADER: &str = "x-marigold-attempt";
-/// Whether the request may run again: `1` or `0`; without the header it may not.
+/// Whether the request may run again: `true` or `1`; without the header it may not.
 pub const IDEMPOTENT_HEADER: &str = "x-marigold-idempotent";
-/// How many bytes the answer should have at least.
+/// How many bytes the answer should have at least. Entries pass on no headers of callers, so the
+/// first line of the body may say it too, as `answer-bytes=N`.
 pub const BYTES_HEADER: &str = "x-marigold-answer-bytes";
 /// The SHA-256 of the answer's body in hexadecimal digits.
 pub const DIGEST_HEADER: &str = "x-marigold-digest";
@@ -156,10 +157,7 @@
         let id = header(&request, REQUEST_HEADER).unwrap_or_default();
         self.count(&request, id);
         task::sleep(self.work(id)).await;
-        let bytes = header(&request, BYTES_HEADER)
-            .and_then(|text| text.parse().ok())
-            .unwrap_or(0);
-        let answer = answer(id, &body, bytes);
+        let answer = answer(id, &body, bytes(&request, &body));
         let mut response = Response::new(StatusCode::Ok);
         response.insert_header(REQUEST_HEADER, id);
         response.insert_header(DIGEST_HEADER, digest(&answer));
@@ -173,7 +171,7 @@
         let attempt = header(request, ATTEMPT_HEADER)
             .and_then(|text| text.parse().ok())
             .unwrap_or(1);
-        let idempotent = header(request, IDEMPOTENT_HEADER) == Some("1");
+        let idempotent = matches!(header(request, IDEMPOTENT_HEADER), Some("1" | "true"));
         let task = self.run.task.clone();
         self.lock().ran(id, idempotent, Execution { attempt, task });
     }
@@ -189,6 +187,17 @@
     }
 }
 
+/// Returns how many bytes an answer should have at least.
+fn bytes(request: &Request, body: &[u8]) -> usize {
+    let named = header(request, BYTES_HEADER).or_else(|| {
+        let line = body.split(|&byte| byte == b'\n').next()?;
+        std::str::from_utf8(line)
+            .ok()?
+            .strip_prefix("answer-bytes=")
+    });
+    named.and_then(|text| text.parse().ok()).unwrap_or(0)
+}
+
 /// Returns the answer that an endpoint gives to a request: it depends on the id, the body and the
 /// size asked for, so that a caller can tell another request's answer from its own.
 #[must_use]
--- a/crates/marigoldpick-standin/src/fleet.rs
+++ b/crates/marigoldpick-standin/src/fleet.rs
@@ -224,6 +224,16 @@
         lock(&self.inner.requests).executed_of(request)
     }
 
+    /// Returns the tasks of which a run ended well.
+    pub(crate) fn completed(&self) -> Vec<id::Task> {
+        self.lock().tasks.completed()
+    }
+
+    /// Returns the tasks that run now.
+    pub(crate) fn running(&self) -> Vec<id::Task> {
+        self.lock().tasks.running()
+    }
+
     fn call(&self, at: usize, call: Call) -> std::io::Result<Answer> {
         let now = self.inner.clock.now();
         let mut state = self.lock();
--- a/crates/marigoldpick-standin/src/platform.rs
+++ b/crates/marigoldpick-standin/src/platform.rs
@@ -128,6 +128,18 @@
     pub fn executed_of(&self, request: &str) -> Option<Executed> {
         self.parts.fleet.executed_of(request)
     }
+
+    /// Returns the tasks of which a run ended well, sorted.
+    #[must_use]
+    pub fn completed(&self) -> Vec<id::Task> {
+        self.parts.fleet.completed()
+    }
+
+    /// Returns the tasks that run now, sorted.
+    #[must_use]
+    pub fn running(&self) -> Vec<id::Task> {
+        self.parts.fleet.running()
+    }
 }
 
 impl Drop for Platform {
--- a/crates/marigoldpick-standin/src/truth.rs
+++ b/crates/marigoldpick-standin/src/truth.rs
@@ -220,6 +220,23 @@
         self.refused += 1;
     }
 
+    /// Returns the tasks of which a run ended well, sorted.
+    pub(crate) fn completed(&self) -> Vec<id::Task> {
+        self.select(|life| life.done)
+    }
+
+    /// Returns the tasks that run now, sorted.
+    pub(crate) fn running(&self) -> Vec<id::Task> {
+        self.select(|life| !life.active.is_empty())
+    }
+
+    fn select(&self, wanted: impl Fn(&Life) -> bool) -> Vec<id::Task> {
+        let lives = self.tasks.iter().filter(|(_, life)| wanted(life));
+        let mut tasks: Vec<id::Task> = lives.map(|(task, _)| task.clone()).collect();
+        tasks.sort_unstable();
+        tasks
+    }
+
     /// Adds the sums to `truth`.
     pub(crate) fn sum(&self, truth: &mut Truth) {
         for life in self.tasks.values() {
