--- a/crates/marigoldpick-place/src/job.rs
+++ b/crates/marigoldpick-place/src/job.rs
@@ -7,6 +7,7 @@
 use marigoldpick_core::prelude::*;
 
 use crate::event::Span;
+use crate::slab::Slab;
 
 /// `State` is a task's state.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -176,37 +177,26 @@
     }
 }
 
-/// `Table` holds the jobs by slot.
-#[derive(Clone, Debug, Default)]
+/// `Table` holds the jobs by slot and finds them by name.
+#[derive(Debug, Default)]
 pub struct Table {
-    jobs: Vec<Option<Job>>,
-    free: Vec<u32>,
+    jobs: Slab<Job>,
     by_name: FxHashMap<id::Job, u32>,
 }
 
 impl Table {
     /// Adds a job and returns its slot.
-    ///
-    /// # Panics
-    /// Panics beyond 2^32 jobs.
     pub fn add(&mut self, job: Job) -> u32 {
         let name = job.spec.name.clone();
-        let slot = if let Some(slot) = self.free.pop() {
-            self.jobs[slot as usize] = Some(job);
-            slot
-        } else {
-            self.jobs.push(Some(job));
-            u32::try_from(self.jobs.len() - 1).expect("fewer than 2^32 jobs")
-        };
+        let slot = self.jobs.add(job);
         self.by_name.insert(name, slot);
         slot
     }
 
     /// Removes a job.
     pub fn remove(&mut self, slot: u32) -> Option<Job> {
-        let job = self.jobs[slot as usize].take()?;
+        let job = self.jobs.remove(slot)?;
         self.by_name.remove(&job.spec.name);
-        self.free.push(slot);
         Some(job)
     }
 
@@ -216,11 +206,10 @@
         self.by_name.get(name).copied()
     }
 
-    /// Tells whether a slot still has the job that came with this order.
+    /// Returns the job in a slot, if it still is the one that came with this order.
     #[must_use]
-    pub fn slot_has(&self, slot: u32, order: u64) -> bool {
-        let job = self.jobs.get(slot as usize).and_then(Option::as_ref);
-        job.is_some_and(|job| job.order == order)
+    pub fn find(&self, slot: u32, order: u64) -> Option<&Job> {
+        self.jobs.find(slot).filter(|job| job.order == order)
     }
 
     /// Returns a job.
@@ -229,9 +218,7 @@
     /// Panics when the slot is free.
     #[must_use]
     pub fn get(&self, slot: u32) -> &Job {
-        self.jobs[slot as usize]
-            .as_ref()
-            .expect("the slot is taken")
+        self.jobs.get(slot)
     }
 
     /// Returns a job to be changed.
@@ -239,15 +226,11 @@
     /// # Panics
     /// Panics when the slot is free.
     pub fn get_mut(&mut self, slot: u32) -> &mut Job {
-        self.jobs[slot as usize]
-            .as_mut()
-            .expect("the slot is taken")
+        self.jobs.get_mut(slot)
     }
 
     /// Iterates over the jobs with their slots.
     pub fn iter(&self) -> impl Iterator<Item = (u32, &Job)> {
-        (0u32..)
-            .zip(&self.jobs)
-            .filter_map(|(slot, job)| job.as_ref().map(|job| (slot, job)))
+        self.jobs.iter()
     }
 }
--- a/crates/marigoldpick-place/src/lib.rs
+++ b/crates/marigoldpick-place/src/lib.rs
@@ -17,11 +17,14 @@
 pub mod index;
 pub mod job;
 pub mod kind;
+pub mod mix;
 pub mod planner;
 pub mod run;
 pub mod scheduler;
+pub mod score;
 pub mod settings;
 pub mod size;
+pub mod slab;
 pub mod survey;
 
 pub use action::Action;
--- a/crates/marigoldpick-place/src/scheduler.rs
+++ b/crates/marigoldpick-place/src/scheduler.rs
@@ -10,36 +10,21 @@
 
 use fxhash::FxHashMap;
 use marigoldpick_core::intent::{self, Objective};
-use marigoldpick_core::operator::Explain;
+use marigoldpick_core::operator::{self, Explain};
 use marigoldpick_core::prelude::*;
+use rand::SeedableRng;
+use rand_chacha::ChaCha8Rng;
 
 use crate::action::Action;
 use crate::event::Event;
 use crate::fleet::Fleet;
+use crate::mix::Mix;
+use crate::score::{Blend, Policy};
 use crate::settings::Settings;
 use crate::size::Kinds;
 use crate::survey::Offer;
 use crate::{job, kind, run};
 
-/// `Count` is one job's progress in this shard.
-#[derive(Clone, Debug, PartialEq, Eq)]
-pub struct Count {
-    /// The job.
-    pub job: id::Job,
-    /// Tasks of its range.
-    pub count: u32,
-    /// Tasks with a run.
-    pub running: u32,
-    /// Tasks that wait.
-    pub waiting: u32,
-    /// Tasks that were completed.
-    pub completed: u32,
-    /// Tasks that were given up.
-    pub failed: u32,
-    /// Whether it was cancelled.
-    pub cancelled: bool,
-}
-
 /// `Counts` is the shard's progress.
 #[derive(Clone, Debug, Default, PartialEq, Eq)]
 pub struct Counts {
@@ -48,7 +33,7 @@
     /// Tasks that wait.
     pub waiting: u32,
     /// The jobs, sorted by name.
-    pub jobs: Vec<Count>,
+    pub jobs: Vec<operator::Job>,
 }
 
 /// `Delay` is a task that waits out a delay.
@@ -62,10 +47,13 @@
 
 /// `Scheduler` places the tasks of one shard.
 #[derive(Debug)]
-pub struct Scheduler {
+pub struct Scheduler<P = Blend> {
     shard: id::Shard,
     settings: Settings,
     objective: Objective,
+    policy: P,
+    mix: Mix,
+    rng: ChaCha8Rng,
     accelerators: Kinds,
     fleet: Fleet,
     kinds: kind::Table,
@@ -80,11 +68,22 @@
 impl Scheduler {
     /// Makes a scheduler without workers and jobs.
     #[must_use]
-    pub fn new(shard: id::Shard, settings: Settings, _seed: u64) -> Self {
+    pub fn new(shard: id::Shard, settings: Settings, seed: u64) -> Self {
+        Self::with_policy(shard, settings, seed)
+    }
+}
+
+impl<P: Policy> Scheduler<P> {
+    /// Makes a scheduler that chooses workers by another policy.
+    #[must_use]
+    pub fn with_policy(shard: id::Shard, settings: Settings, seed: u64) -> Self {
         Self {
             shard,
             settings,
             objective: Objective::default(),
+            policy: P::default(),
+            mix: Mix::default(),
+            rng: ChaCha8Rng::seed_from_u64(seed),
             accelerators: Kinds::default(),
             fleet: Fleet::default(),
             kinds: kind::Table::default(),
@@ -218,7 +217,7 @@
     /// Returns the progress of the shard and its jobs.
     #[must_use]
     pub fn counts(&self) -> Counts {
-        let mut jobs: Vec<Count> = self.jobs.iter().map(|(_, job)| count(job)).collect();
+        let mut jobs: Vec<operator::Job> = self.jobs.iter().map(|(_, job)| count(job)).collect();
         jobs.sort_unstable_by(|a, b| a.job.cmp(&b.job));
         Counts {
             running: u32::try_from(self.runs.len()).unwrap_or(u32::MAX),
@@ -243,8 +242,8 @@
     }
 }
 
-fn count(job: &job::Job) -> Count {
-    Count {
+fn count(job: &job::Job) -> operator::Job {
+    operator::Job {
         job: job.spec.name.clone(),
         count: job.span.to - job.span.from,
         running: job.placed,
--- a/crates/marigoldpick-place/src/scheduler/accept.rs
+++ b/crates/marigoldpick-place/src/scheduler/accept.rs
@@ -9,6 +9,7 @@
 use crate::job::{Job, State};
 use crate::kind::Waiter;
 use crate::run::Phase;
+use crate::score::Policy;
 
 /// `Past` is what earlier leads have recorded of a job.
 #[derive(Clone, Debug)]
@@ -23,7 +24,7 @@
     pub fresh: bool,
 }
 
-impl Scheduler {
+impl<P: Policy> Scheduler<P> {
     pub(super) fn accept(
         &mut self,
         spec: intent::Job,
@@ -37,6 +38,9 @@
         }
         let name = spec.name.clone();
         let kind = self.kinds.slot(&spec);
+        if let Ok(size) = self.accelerators.convert(&spec.needs) {
+            self.mix.note(&size, span.to.saturating_sub(span.from));
+        }
         self.order += 1;
         let mut job = Job::new(spec, span, kind, now, self.order);
         job.fresh = past.fresh;
--- a/crates/marigoldpick-place/src/scheduler/answer.rs
+++ b/crates/marigoldpick-place/src/scheduler/answer.rs
@@ -10,8 +10,9 @@
 use crate::fleet;
 use crate::job::State;
 use crate::run::{Phase, Run};
+use crate::score::Policy;
 
-impl Scheduler {
+impl<P: Policy> Scheduler<P> {
     pub(super) fn started(&mut self, id: &id::Run, worker: &id::Worker, now: Millis) {
         let Some(slot) = self.find(id, worker) else {
             return;
@@ -232,7 +233,7 @@
                 return;
             }
             self.delays.pop();
-            if !self.jobs.slot_has(delay.job, delay.order) {
+            if self.jobs.find(delay.job, delay.order).is_none() {
                 continue;
             }
             let state = self.jobs.get(delay.job).task(delay.index).map(|t| t.state);
--- a/crates/marigoldpick-place/src/scheduler/round.rs
+++ b/crates/marigoldpick-place/src/scheduler/round.rs
@@ -10,9 +10,10 @@
 use crate::action::Action;
 use crate::job::State;
 use crate::run::{Phase, Run};
+use crate::score::{Ask, Policy};
 use crate::size::Size;
 
-impl Scheduler {
+impl<P: Policy> Scheduler<P> {
     pub(super) fn fill(&mut self, now: Millis, out: &mut Vec<Action>) {
         while let Some(kind) = self.next_kind() {
             self.place_from(kind, now, out);
@@ -40,7 +41,7 @@
     fn head(&mut self, kind: u32) -> Option<u64> {
         loop {
             let waiter = *self.kinds.get(kind).queue.front()?;
-            let valid = self.jobs.slot_has(waiter.job, waiter.order);
+            let valid = self.jobs.find(waiter.job, waiter.order).is_some();
             if valid {
                 let job = self.jobs.get_mut(waiter.job);
                 if job.next_waiting().is_some() {
@@ -107,10 +108,13 @@
         true
     }
 
-    fn pick(&self, _job: u32, ask: &Size) -> Option<u32> {
-        let fits = |worker: &crate::fleet::Worker| worker.usable() && worker.free().holds(ask);
-        let at = self.fleet.workers().iter().position(fits)?;
-        u32::try_from(at).ok()
+    fn pick(&mut self, _job: u32, needs: &Size) -> Option<u32> {
+        let ask = Ask {
+            needs: *needs,
+            mix: &self.mix,
+            objective: self.objective,
+        };
+        self.policy.pick(&self.fleet, &ask, |_| true, &mut self.rng)
     }
 
     fn start(
--- a/crates/marigoldpick-place/src/scheduler/worker.rs
+++ b/crates/marigoldpick-place/src/scheduler/worker.rs
@@ -9,8 +9,9 @@
 use crate::fleet;
 use crate::job::State;
 use crate::run::{Phase, Run};
+use crate::score::Policy;
 
-impl Scheduler {
+impl<P: Policy> Scheduler<P> {
     pub(super) fn worker_up(
         &mut self,
         vm: &vm::Worker,
