--- a/crates/marigoldpick/src/client.rs
+++ b/crates/marigoldpick/src/client.rs
@@ -68,18 +68,16 @@
         Ok(Self { entries })
     }
 
-    /// Returns the entries' addresses.
+    /// Makes a client of these entries, each an IP number and a port.
     #[must_use]
-    pub fn entries(&self) -> &[String] {
-        &self.entries
+    pub const fn of(entries: Vec<String>) -> Self {
+        Self { entries }
     }
 
-    /// Returns a client of one entry of the list.
+    /// Returns the entries' addresses.
     #[must_use]
-    pub fn only(&self, entry: &str) -> Self {
-        Self {
-            entries: vec![entry.to_owned()],
-        }
+    pub fn entries(&self) -> &[String] {
+        &self.entries
     }
 
     /// Asks for a plan.
@@ -128,7 +126,7 @@
     /// # Errors
     /// The entry's problem, or `PeerAway` when no entry answers.
     pub async fn explain(&self, task: &id::Task) -> Result<Explain, Problem> {
-        let path = format!("/v1/explain/{task}");
+        let path = format!("/v1/explain/{}", task.to_string().replace('/', "%2F"));
         self.read(Method::Get, &path, &()).await
     }
 
--- a/crates/marigoldpick/src/command.rs
+++ b/crates/marigoldpick/src/command.rs
@@ -6,8 +6,6 @@
 mod read;
 mod timeline;
 
-use std::fs;
-
 use gumdrop::Options;
 use marigoldpick_core::code::Code;
 use marigoldpick_core::operator::Problem;
@@ -106,28 +104,13 @@
     }
 }
 
-fn print_json<T: Serialize>(value: &T) {
+pub(crate) fn print_json<T: Serialize>(value: &T) {
     match serde_json::to_string(value) {
         Ok(text) => println!("{text}"),
         Err(error) => eprintln!("error {}: {error}", Code::Internal.number()),
     }
 }
 
-/// Reads the text of a file that an operator named.
-fn read_file(path: &str) -> Result<String, Problem> {
-    let limit = marigoldpick_core::document::MAX_LEN as u64;
-    let metadata = fs::metadata(path).map_err(|error| unreadable(path, &error))?;
-    if metadata.len() > limit {
-        let details = format!("{path}: the file is larger than {limit} bytes");
-        return Err(Problem::new(Code::TooLarge, details));
-    }
-    fs::read_to_string(path).map_err(|error| unreadable(path, &error))
-}
-
-fn unreadable(path: &str, error: &std::io::Error) -> Problem {
-    Problem::new(Code::UnknownName, format!("{path}: {error}"))
-}
-
 /// Returns the only free word of a command line.
 fn only<'a>(words: &'a [String], what: &str) -> Result<&'a str, Problem> {
     match words {
--- a/crates/marigoldpick/src/command/check.rs
+++ b/crates/marigoldpick/src/command/check.rs
@@ -8,13 +8,14 @@
 use marigoldpick_core::intent::Intent;
 use marigoldpick_core::operator::Problem;
 
-use super::{Outcome, print_json, read_file, usage};
-use crate::{arguments, entry, faults};
+use super::{Outcome, print_json, usage};
+use crate::{arguments, entry, faults, files, standin};
 
 /// `Kind` is what a file holds.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 enum Kind {
     Entry,
+    Standin,
     Intent,
     Faults,
 }
@@ -26,7 +27,7 @@
     let named = arguments.kind.as_deref().map(str::parse).transpose()?;
     let mut worst = Code::Done;
     for path in &arguments.words {
-        let text = read_file(path)?;
+        let text = files::read(path)?;
         let kind = named.unwrap_or_else(|| guess(&text));
         match verify(kind, path, &text) {
             Ok(()) => tell_good(path, kind, arguments.json),
@@ -48,6 +49,8 @@
         Kind::Faults
     } else if table.contains_key("entry") || table.contains_key("inner") {
         Kind::Entry
+    } else if table.contains_key("domain") || table.contains_key("listen") {
+        Kind::Standin
     } else {
         Kind::Intent
     }
@@ -56,6 +59,7 @@
 fn verify(kind: Kind, path: &str, text: &str) -> Result<(), Error> {
     match kind {
         Kind::Entry => entry::settings::Settings::parse(path, text).map(drop),
+        Kind::Standin => standin::Settings::parse(path, text).map(drop),
         Kind::Intent => Intent::parse(path, text).map(drop),
         Kind::Faults => faults::parse(path, text).map(drop),
     }
@@ -82,6 +86,7 @@
     fn from_str(text: &str) -> Result<Self, Problem> {
         match text {
             "entry" => Ok(Self::Entry),
+            "standin" => Ok(Self::Standin),
             "intent" => Ok(Self::Intent),
             "faults" => Ok(Self::Faults),
             _ => Err(usage(&format!(
@@ -95,6 +100,7 @@
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
         f.write_str(match self {
             Self::Entry => "entry",
+            Self::Standin => "standin",
             Self::Intent => "intent",
             Self::Faults => "faults",
         })
--- a/crates/marigoldpick/src/command/plan.rs
+++ b/crates/marigoldpick/src/command/plan.rs
@@ -7,10 +7,10 @@
 use marigoldpick_core::plan::Plan;
 use serde::Serialize;
 
-use super::{Outcome, only, print_json, read_file, usage};
+use super::{Outcome, only, print_json, usage};
 use crate::arguments;
 use crate::client::Client;
-use crate::render;
+use crate::{files, render};
 
 /// How often `--yes` asks for a fresh plan when the configuration changes in between.
 const FRESH_PLANS: u32 = 5;
@@ -24,7 +24,7 @@
 
 pub(super) async fn plan(arguments: &arguments::Plan) -> Outcome {
     let path = only(&arguments.words, "the intent's file")?;
-    let text = read_file(path)?;
+    let text = files::read(path)?;
     Intent::parse(path, &text).map_err(|error| Problem::new(error.code, error.to_string()))?;
     let client = Client::new(&arguments.entry)?;
     let ask = Ask {
--- a/crates/marigoldpick/src/command/timeline.rs
+++ b/crates/marigoldpick/src/command/timeline.rs
@@ -18,7 +18,7 @@
     let mut answered = false;
     let mut last = None;
     for entry in client.entries() {
-        match read_all(&client.only(entry), &mut events).await {
+        match read_all(&Client::of(vec![entry.clone()]), &mut events).await {
             Ok(()) => answered = true,
             Err(problem) => {
                 eprintln!("{entry}: {}; its events are missing", problem.message);
--- /dev/null
+++ b/crates/marigoldpick/src/dev/report.rs
@@ -0,0 +1,88 @@
+//! What a run counted, and which promises it broke.
+
+use std::ops::AddAssign;
+
+use serde::{Deserialize, Serialize};
+
+/// `Report` is the last line of `dev --once --json`.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Report {
+    /// Batch and gang tasks of accepted jobs that were not cancelled.
+    pub tasks_accepted: u64,
+    /// Those of them that ended well.
+    pub tasks_completed: u64,
+    /// Tasks that ran in two places at one time.
+    pub tasks_in_two_places: u64,
+    /// Starts that made a VM carry more than its size.
+    pub vm_overloads: u64,
+    /// Callers' requests; retries don't count.
+    pub requests_sent: u64,
+    /// Requests that got their own whole answer.
+    pub requests_answered: u64,
+    /// Requests that were told "not run" at last, and no attempt of which may have run.
+    pub requests_not_run: u64,
+    /// Requests that may have run.
+    pub requests_unknown: u64,
+    /// Non-idempotent requests that ran more than once.
+    pub requests_run_twice: u64,
+    /// Answers that were another request's or not whole.
+    pub answers_wrong_or_cut: u64,
+    /// Attempts that were told "not run" but ran.
+    pub not_run_but_ran: u64,
+    /// Configurations that were accepted.
+    pub configs_accepted: u64,
+    /// Accepted configurations that were lost or changed later.
+    pub configs_reverted: u64,
+}
+
+impl Report {
+    /// Names each promise that the counts show to be broken.
+    #[must_use]
+    pub fn broken(&self) -> Vec<String> {
+        let zeros = [
+            ("tasks_in_two_places", self.tasks_in_two_places),
+            ("vm_overloads", self.vm_overloads),
+            ("requests_run_twice", self.requests_run_twice),
+            ("answers_wrong_or_cut", self.answers_wrong_or_cut),
+            ("not_run_but_ran", self.not_run_but_ran),
+            ("configs_reverted", self.configs_reverted),
+        ];
+        let mut broken: Vec<String> = zeros
+            .iter()
+            .filter(|(_, count)| *count > 0)
+            .map(|(name, count)| format!("{name} is {count}"))
+            .collect();
+        if self.tasks_completed != self.tasks_accepted {
+            broken.push(format!(
+                "{} of {} accepted tasks were completed",
+                self.tasks_completed, self.tasks_accepted
+            ));
+        }
+        let told = self.requests_answered + self.requests_not_run + self.requests_unknown;
+        if told != self.requests_sent {
+            broken.push(format!(
+                "{told} of {} requests were told how they ended",
+                self.requests_sent
+            ));
+        }
+        broken
+    }
+}
+
+impl AddAssign for Report {
+    fn add_assign(&mut self, rhs: Self) {
+        self.tasks_accepted += rhs.tasks_accepted;
+        self.tasks_completed += rhs.tasks_completed;
+        self.tasks_in_two_places += rhs.tasks_in_two_places;
+        self.vm_overloads += rhs.vm_overloads;
+        self.requests_sent += rhs.requests_sent;
+        self.requests_answered += rhs.requests_answered;
+        self.requests_not_run += rhs.requests_not_run;
+        self.requests_unknown += rhs.requests_unknown;
+        self.requests_run_twice += rhs.requests_run_twice;
+        self.answers_wrong_or_cut += rhs.answers_wrong_or_cut;
+        self.not_run_but_ran += rhs.not_run_but_ran;
+        self.configs_accepted += rhs.configs_accepted;
+        self.configs_reverted += rhs.configs_reverted;
+    }
+}
--- a/crates/marigoldpick/src/faults.rs
+++ b/crates/marigoldpick/src/faults.rs
@@ -96,6 +96,16 @@
     pub jobs: Vec<Job>,
 }
 
+impl Targets {
+    /// Adds what another site has.
+    pub fn extend(&mut self, other: Self) {
+        self.entries.extend(other.entries);
+        self.workers.extend(other.workers);
+        self.domains.extend(other.domains);
+        self.jobs.extend(other.jobs);
+    }
+}
+
 /// `Job` is a job that can be hit.
 #[derive(Clone, Debug)]
 pub struct Job {
@@ -197,6 +207,14 @@
     Ok(span)
 }
 
+impl Fault {
+    /// Tells whether the fault's target is one of `targets`.
+    #[must_use]
+    pub fn hits(&self, targets: &Targets) -> bool {
+        verify_target(self.kind, &self.target, Some(targets)).is_ok()
+    }
+}
+
 type Refused = (Code, String);
 
 fn verify_target(kind: Kind, target: &str, targets: Option<&Targets>) -> Result<(), Refused> {
--- a/crates/marigoldpick/src/lib.rs
+++ b/crates/marigoldpick/src/lib.rs
@@ -16,6 +16,8 @@
 pub mod arguments;
 pub mod client;
 pub mod command;
+pub mod dev;
 pub mod faults;
+pub mod files;
 pub mod render;
 pub mod timeline;
--- /dev/null
+++ b/crates/marigoldpick/tests/report.rs
@@ -0,0 +1,44 @@
+//! The verdict over a run's counts: each count that breaks a promise is named.
+
+use googletest::prelude::*;
+use marigoldpick::dev::Report;
+
+fn good() -> Report {
+    Report {
+        tasks_accepted: 5,
+        tasks_completed: 5,
+        requests_sent: 9,
+        requests_answered: 6,
+        requests_not_run: 2,
+        requests_unknown: 1,
+        configs_accepted: 3,
+        ..Report::default()
+    }
+}
+
+#[googletest::test]
+fn broken_whole_run_is_empty() {
+    expect_that!(good().broken(), is_empty());
+}
+
+/// `Break` spoils one count.
+type Break = fn(&mut Report);
+
+#[googletest::test]
+fn broken_each_count_is_named() {
+    let breaks: [(&str, Break); 8] = [
+        ("tasks_in_two_places", |r| r.tasks_in_two_places = 1),
+        ("vm_overloads", |r| r.vm_overloads = 1),
+        ("requests_run_twice", |r| r.requests_run_twice = 1),
+        ("answers_wrong_or_cut", |r| r.answers_wrong_or_cut = 1),
+        ("not_run_but_ran", |r| r.not_run_but_ran = 1),
+        ("configs_reverted", |r| r.configs_reverted = 1),
+        ("4 of 5 accepted tasks", |r| r.tasks_completed = 4),
+        ("8 of 9 requests", |r| r.requests_answered = 5),
+    ];
+    for (named, break_it) in breaks {
+        let mut report = good();
+        break_it(&mut report);
+        expect_that!(report.broken(), elements_are![contains_substring(named)]);
+    }
+}
