Name the field of an unknown kind of fault

The error for an unknown kind gave the kind's own text in place of the field. The test of a store fault with a target expected BadValue, while all unknown targets give UnknownName; it had failed since the targets were made optional and now expects the same code as the others, and also that the target may be left out.

--- a/crates/marigoldpick/src/faults.rs
+++ b/crates/marigoldpick/src/faults.rs
@@ -6,7 +6,7 @@
 use marigoldpick_core::code::Code;
 use marigoldpick_core::document::{self, Error};
 use marigoldpick_core::id;
-use serde::{Deserialize, Serialize};
+use serde::Deserialize;
 use toml::Spanned;
 
 /// The latest end of a fault: an hour after the start.
@@ -15,8 +15,7 @@
 pub const STORE: &str = "store";
 
 /// `Kind` is what a fault does.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
-#[serde(rename_all = "kebab-case")]
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Kind {
     /// The store answers nothing.
     StoreDown,
@@ -43,6 +42,28 @@
 }
 
 impl Kind {
+    /// All kinds.
+    pub const ALL: &'static [Self] = &[
+        Self::StoreDown,
+        Self::StoreSlow,
+        Self::StoreLostAnswer,
+        Self::KillEntry,
+        Self::PauseEntry,
+        Self::KillWorker,
+        Self::FailWorker,
+        Self::CutDomain,
+        Self::SlowEndpoint,
+        Self::LeaveEndpoint,
+        Self::CancelWave,
+    ];
+
+    /// Returns the kind that files name so.
+    #[must_use]
+    pub fn named(name: &str) -> Option<Self> {
+        let mut kinds = Self::ALL.iter();
+        kinds.find(|kind| kind.name() == name).copied()
+    }
+
     /// Tells whether a fault of this kind may last for good.
     const fn may_last(self) -> bool {
         matches!(
@@ -126,7 +147,7 @@
 #[serde(deny_unknown_fields)]
 struct Raw {
     at_ms: Spanned<Millis>,
-    kind: Kind,
+    kind: Spanned<String>,
     #[serde(default)]
     target: Option<Spanned<String>>,
     #[serde(default)]
@@ -178,24 +199,34 @@
 }
 
 fn verify(raw: &Raw, place: &Place<'_>, targets: Option<&Targets>) -> Result<Fault, Error> {
-    let span = verify_span(raw, place)?;
+    let kind = verify_kind(raw, place)?;
+    let span = verify_span(raw, kind, place)?;
     let target = raw.target.as_ref().map_or("", |target| target.get_ref());
-    if let Err((code, message)) = verify_target(raw.kind, target, targets) {
+    if let Err((code, message)) = verify_target(kind, target, targets) {
         let at = raw.target.as_ref().map_or(raw.at_ms.span(), Spanned::span);
         return Err(place.error(code, "target", at, message));
     }
     Ok(Fault {
         at: *raw.at_ms.get_ref(),
-        kind: raw.kind,
+        kind,
         target: target.to_owned(),
         span,
     })
 }
 
-fn verify_span(raw: &Raw, place: &Place<'_>) -> Result<Millis, Error> {
+fn verify_kind(raw: &Raw, place: &Place<'_>) -> Result<Kind, Error> {
+    let name = raw.kind.get_ref();
+    Kind::named(name).ok_or_else(|| {
+        let known: Vec<&str> = Kind::ALL.iter().map(|kind| kind.name()).collect();
+        let message = format!("no fault is called '{name}', only {}", known.join(", "));
+        place.error(Code::UnknownName, "kind", raw.kind.span(), message)
+    })
+}
+
+fn verify_span(raw: &Raw, kind: Kind, place: &Place<'_>) -> Result<Millis, Error> {
     let span = raw.for_ms.as_ref().map(|span| *span.get_ref());
     let at = raw.for_ms.as_ref().map_or(raw.at_ms.span(), Spanned::span);
-    if span == Some(Millis::ZERO) || (span.is_none() && !raw.kind.may_last()) {
+    if span == Some(Millis::ZERO) || (span.is_none() && !kind.may_last()) {
         let message = "this kind needs a span of more than zero".to_owned();
         return Err(place.error(Code::BadValue, "for_ms", at, message));
     }
--- a/crates/marigoldpick/tests/bad_input.rs
+++ b/crates/marigoldpick/tests/bad_input.rs
@@ -126,7 +126,7 @@
         "[[fault]]\nat_ms = 1\nkind = \"meteor\"\ntarget = \"store\"\nfor_ms = 1\n",
     );
     let faults = faults.to_str().expect("a path in UTF-8");
-    expect_error(&["check", faults], Code::UnknownField, "faults.toml:3");
+    expect_error(&["check", faults], Code::UnknownName, "faults.toml:3");
     expect_error(
         &["check", "--kind", "poem", faults],
         Code::BadRequest,
--- a/crates/marigoldpick/tests/faults.rs
+++ b/crates/marigoldpick/tests/faults.rs
@@ -60,9 +60,9 @@
 #[googletest::test]
 fn parse_unknown_kind_names_line() {
     let (code, line, field) = refusal(&fault("set-on-fire", "store", ""));
-    expect_that!(code, eq(Code::UnknownField));
+    expect_that!(code, eq(Code::UnknownName));
     expect_that!(line, eq(4));
-    expect_that!(field, eq("set-on-fire"));
+    expect_that!(field, eq("fault[0].kind"));
 }
 
 #[googletest::test]
@@ -90,7 +90,24 @@
 #[googletest::test]
 fn parse_store_fault_hits_the_store_alone() {
     let seen = refusal(&fault("store-down", "turku", "for_ms = 5\n"));
-    expect_that!(seen, eq(&(Code::BadValue, 5, "fault[0].target".to_owned())));
+    expect_that!(
+        seen,
+        eq(&(Code::UnknownName, 5, "fault[0].target".to_owned()))
+    );
+    let text = "[[fault]]\nat_ms = 1\nkind = \"store-down\"\nfor_ms = 1\n";
+    expect_that!(
+        faults::parse_for("f.toml", text, &targets()),
+        ok(len(eq(1)))
+    );
+}
+
+#[googletest::test]
+fn parse_target_missing_names_its_field() {
+    let text = "[[fault]]\nat_ms = 1\nkind = \"kill-entry\"\nfor_ms = 1\n";
+    expect_that!(
+        refusal(text),
+        eq(&(Code::UnknownName, 2, "fault[0].target".to_owned()))
+    );
 }
 
 #[googletest::test]
