wire: carry the calls of control and traffic threads over capnp-rpc

Entries have to talk to each other from many threads, while an RPC system of capnp-rpc lives on one. A call that failed says whether it may have had an effect, since a request that was forwarded may be called not run only if it never left. Versions are compared before the first call.

--- /dev/null
+++ b/crates/marigoldpick-wire/schema/peer.capnp
@@ -0,0 +1,215 @@
+# What entries say to each other. Bulky parts are the JSON text that the store holds too.
+@0x90661978b980353c;
+
+using Json = Data;
+using Code = UInt16;
+using Millis = UInt64;
+
+# What a new connection offers. A peer of another version gets no session.
+interface Peer {
+  open @0 (version :UInt32, entry :Text, domain :Text) -> (version :UInt32, session :Session);
+}
+
+# Calls of control threads and of traffic threads. With a code other than zero there is no answer.
+interface Session {
+  control @0 (call :ControlCall) -> (code :Code, answer :ControlAnswer);
+  traffic @1 (call :TrafficCall) -> (code :Code, answer :TrafficAnswer);
+}
+
+struct Epoch {
+  tenure @0 :UInt64;
+  interim @1 :UInt64;
+  lead @2 :UInt64;
+}
+
+struct Known {
+  entry @0 :Text;
+  domain @1 :Text;
+  address @2 :Text;
+}
+
+struct Led {
+  epoch @0 :Epoch;
+  shard @1 :Text;
+  lead @2 :Text;  # Empty when not known.
+  workers @3 :UInt32;
+  silent @4 :UInt32;
+  running @5 :UInt32;
+  waiting @6 :UInt32;
+  unrecorded @7 :UInt32;
+  endpoints @8 :UInt64;
+}
+
+struct Beat {
+  known @0 :Known;
+  incarnation @1 :UInt64;
+  age @2 :Millis;
+  draining @3 :Bool;
+  sequence @4 :UInt64;
+  storeAge @5 :Millis;
+  led @6 :List(Led);
+  others @7 :List(Known);
+}
+
+struct ControlCall {
+  union {
+    beat @0 :Beat;
+    entries @1 :UInt64;
+    push @2 :List(Json);
+    survey :group {
+      shard @3 :Text;
+      jobs @4 :Json;
+    }
+    plan @5 :Text;
+    explain @6 :Text;
+    progress @7 :Void;
+    endpoints @8 :Text;
+  }
+}
+
+struct ControlAnswer {
+  union {
+    beat @0 :Beat;
+    entries @1 :List(Json);
+    state @2 :Json;
+    sequence @3 :UInt64;
+    offers @4 :Text;
+    plan @5 :Json;  # Empty when it is not held.
+    explain @6 :Explain;
+    progress @7 :List(Progress);
+    endpoints :group {
+      epoch @8 :Epoch;
+      version @9 :UInt64;
+      endpoints @10 :List(Endpoint);
+    }
+  }
+}
+
+struct Explain {
+  task @0 :Text;
+  state @1 :Text;
+  worker @2 :Text;  # Empty when it runs nowhere.
+  reasons @3 :List(Text);
+}
+
+struct Progress {
+  job @0 :Text;
+  count @1 :UInt32;
+  running @2 :UInt32;
+  waiting @3 :UInt32;
+  completed @4 :UInt32;
+  failed @5 :UInt32;
+  cancelled @6 :Bool;
+}
+
+struct Endpoint {
+  id @0 :Text;
+  service @1 :Text;
+  worker @2 :Text;
+  address @3 :Text;
+  leaving @4 :Bool;
+}
+
+struct TrafficCall {
+  union {
+    demand @0 :Demand;
+    once @1 :Once;
+    forward @2 :Forward;
+  }
+}
+
+struct TrafficAnswer {
+  union {
+    grant @0 :Grant;
+    record @1 :Record;
+    forward @2 :Forwarded;
+    refused @3 :Code;
+  }
+}
+
+struct Demand {
+  entry @0 :Text;
+  incarnation @1 :UInt64;
+  sequence @2 :UInt64;
+  whole @3 :Bool;
+  wants @4 :List(Want);
+}
+
+struct Want {
+  endpoint @0 :Text;
+  held @1 :UInt32;
+  used @2 :UInt32;
+  want @3 :UInt32;
+  cover @4 :Millis;
+}
+
+struct Grant {
+  resend @0 :Bool;
+  span @1 :Millis;
+  leases @2 :List(Lease);
+}
+
+struct Lease {
+  endpoint @0 :Text;
+  slots @1 :UInt32;
+}
+
+struct Once {
+  request @0 :Text;
+  attempt @1 :UInt32;
+  entry @2 :Text;
+  token @3 :UInt64;
+  union {
+    register @4 :Millis;
+    close @5 :Void;
+    settle @6 :Outcome;
+  }
+}
+
+struct Outcome {
+  union {
+    notRun @0 :Void;
+    unknown @1 :Code;
+    done :group {
+      status @2 :UInt16;
+      body @3 :Data;
+      kept @4 :Bool;  # Whether the body was kept.
+    }
+  }
+}
+
+struct Record {
+  age @0 :Millis;
+  union {
+    never @1 :Void;
+    yours @2 :Void;
+    taken @3 :Void;
+    ended @4 :Outcome;
+    full @5 :Void;
+  }
+}
+
+enum Class {
+  urgent @0;
+  normal @1;
+  low @2;
+}
+
+struct Forward {
+  request @0 :Text;
+  attempt @1 :UInt32;
+  service @2 :Text;
+  team @3 :Text;
+  class @4 :Class;
+  idempotent @5 :Bool;
+  deadline @6 :Millis;
+  body @7 :Data;
+}
+
+struct Forwarded {
+  code @0 :Code;
+  status @1 :UInt16;
+  content @2 :Text;
+  body @3 :Data;
+  retry @4 :Millis;  # The largest number when no retry makes sense.
+}
--- /dev/null
+++ b/crates/marigoldpick-wire/src/convert.rs
@@ -0,0 +1,80 @@
+//! Conversion between the types of the core and the generated types of the schema.
+
+pub(crate) mod control;
+pub(crate) mod traffic;
+
+use marigoldpick_core::prelude::*;
+use serde::Serialize;
+use serde::de::DeserializeOwned;
+
+/// `Malformed` is a message whose content is not what the schema's notes ask for.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) struct Malformed;
+
+/// The result of reading a message.
+pub(crate) type Read<T> = Result<T, Malformed>;
+
+macro_rules! malformed_from {
+    ($($source:ty),+) => {$(
+        impl From<$source> for Malformed {
+            fn from(_source: $source) -> Self {
+                Self
+            }
+        }
+    )+};
+}
+
+malformed_from!(
+    capnp::Error,
+    capnp::NotInSchema,
+    std::str::Utf8Error,
+    marigoldpick_core::name::Error,
+    id::TaskError,
+    serde_json::Error
+);
+
+/// Reads a text.
+pub(crate) fn text(reader: capnp::Result<capnp::text::Reader<'_>>) -> Read<&str> {
+    Ok(reader?.to_str()?)
+}
+
+/// Reads a name of any kind.
+pub(crate) fn name<T>(reader: capnp::Result<capnp::text::Reader<'_>>) -> Read<T>
+where
+    T: std::str::FromStr,
+    Malformed: From<T::Err>,
+{
+    Ok(text(reader)?.parse()?)
+}
+
+/// Reads a name that is empty when there is none.
+pub(crate) fn name_or_none<T>(reader: capnp::Result<capnp::text::Reader<'_>>) -> Read<Option<T>>
+where
+    T: std::str::FromStr,
+    Malformed: From<T::Err>,
+{
+    match text(reader)? {
+        "" => Ok(None),
+        text => Ok(Some(text.parse()?)),
+    }
+}
+
+/// Reads a result code.
+pub(crate) fn code(number: u16) -> Read<Code> {
+    Code::from_number(number).ok_or(Malformed)
+}
+
+/// Reads JSON text.
+pub(crate) fn from_json<T: DeserializeOwned>(data: capnp::Result<&[u8]>) -> Read<T> {
+    Ok(serde_json::from_slice(data?)?)
+}
+
+/// Writes JSON text.
+pub(crate) fn to_json<T: Serialize>(value: &T) -> Read<Vec<u8>> {
+    Ok(serde_json::to_vec(value)?)
+}
+
+/// Returns the length of a list for the schema.
+pub(crate) fn count<T>(list: &[T]) -> Read<u32> {
+    u32::try_from(list.len()).map_err(|_source| Malformed)
+}
--- /dev/null
+++ b/crates/marigoldpick-wire/tests/wire/main.rs
@@ -0,0 +1,5 @@
+//! The inner protocol over loopback.
+
+mod common;
+mod content;
+mod faults;
