--- a/crates/marigoldpick-place/src/event.rs
+++ b/crates/marigoldpick-place/src/event.rs
@@ -46,6 +46,11 @@
         /// The worker.
         worker: id::Worker,
     },
+    /// A silent worker answers again; its tasks went on.
+    WorkerHeard {
+        /// The worker.
+        worker: id::Worker,
+    },
     /// All tasks of a worker have provably ended.
     WorkerGone {
         /// The worker.
--- a/crates/marigoldpick-place/src/scheduler.rs
+++ b/crates/marigoldpick-place/src/scheduler.rs
@@ -110,6 +110,7 @@
             Event::Team(_) | Event::Allotment { .. } => {}
             Event::WorkerUp { worker, running } => self.worker_up(&worker, running, now, out),
             Event::WorkerSilent { worker } => self.worker_silent(worker),
+            Event::WorkerHeard { worker } => self.worker_heard(&worker),
             Event::WorkerGone { worker } => self.worker_gone(&worker, now, out),
             Event::WorkerDrain { worker, on } => self.worker_drain(&worker, on, out),
             Event::Job {
--- a/crates/marigoldpick-place/src/scheduler/worker.rs
+++ b/crates/marigoldpick-place/src/scheduler/worker.rs
@@ -157,6 +157,18 @@
         slots.into_iter().for_each(|slot| self.lose(slot, out));
     }
 
+    pub(super) fn worker_heard(&mut self, id: &id::Worker) {
+        let Some(slot) = self.fleet.slot(id) else {
+            return;
+        };
+        self.fleet.change(slot, |worker| {
+            if worker.state == fleet::State::Silent {
+                worker.state = fleet::State::Up;
+            }
+        });
+        self.unblock(slot);
+    }
+
     pub(super) fn worker_silent(&mut self, id: id::Worker) {
         match self.fleet.slot(&id) {
             Some(slot) => self.fleet.change(slot, |worker| {
