--- /dev/null
+++ b/crates/marigoldpick-entry/src/control/beats.rs
@@ -0,0 +1,150 @@
+//! Beats and other calls between control threads.
+
+use marigoldpick_core::control::{Answer, Beat, Call, Led};
+use marigoldpick_core::prelude::*;
+use marigoldpick_shard::config;
+
+use crate::control::Control;
+
+/// An entry younger than this may lack others, and is told of all.
+const YOUNG: Millis = Millis(10_000);
+/// The most configuration entries in one answer.
+const ENTRIES: usize = 200;
+
+impl Control {
+    pub(super) fn send_beats(&mut self, now: Millis) {
+        let beat = self.beat(now);
+        self.peers.note_own(&beat);
+        for peer in self.peers.due(now) {
+            self.io.beat(peer, beat.clone());
+        }
+    }
+
+    fn beat(&self, now: Millis) -> Beat {
+        let led = self.shards.iter().filter_map(|local| {
+            let table = local.endpoints()?;
+            Some(Led {
+                epoch: table.epoch,
+                shard: local.status(),
+                endpoints: table.version,
+            })
+        });
+        Beat {
+            known: self.start.known.clone(),
+            incarnation: self.start.incarnation,
+            age: now,
+            draining: self.is_leaving(),
+            sequence: self.config.state().sequence,
+            store_age: self.config.age(now),
+            led: led.collect(),
+            others: Vec::new(),
+        }
+    }
+
+    /// Notes a beat, and asks for what its sender has and this entry lacks.
+    pub(super) fn heard(&mut self, beat: &Beat) {
+        let now = self.now();
+        if self.peers.heard(beat, now) {
+            self.dirty = true;
+            let about = beat.known.entry.clone();
+            self.note(
+                "entry",
+                "entry-heard",
+                about,
+                format!("incarnation={}", beat.incarnation),
+            );
+        }
+        let (sequence, age) = (beat.sequence, beat.store_age);
+        self.config_input(config::Input::Peer { sequence, age });
+        for led in &beat.led {
+            let Some(at) = self.shard_at(&led.shard.shard) else {
+                continue;
+            };
+            if self.tables[at].is_behind(led.epoch, led.endpoints) {
+                self.io
+                    .endpoints(beat.known.clone(), led.shard.shard.clone());
+            }
+        }
+    }
+
+    /// Answers another entry.
+    pub(super) fn peer(&mut self, call: Call) -> Result<Answer, Code> {
+        match call {
+            Call::Beat(beat) => {
+                self.heard(&beat);
+                let mut own = self.beat(self.now());
+                if beat.age < YOUNG {
+                    own.others = self.peers.known();
+                }
+                Ok(Answer::Beat(own))
+            }
+            Call::Entries { after } => Ok(self.entries_after(after)),
+            Call::Push(entries) => {
+                self.config_input(config::Input::Entries(entries));
+                Ok(Answer::Sequence(self.config.state().sequence))
+            }
+            Call::Survey { shard, jobs } => {
+                let at = self.shard_at(&shard).ok_or(Code::NotLead)?;
+                let offers = self.shards[at]
+                    .survey(&jobs, self.now())
+                    .ok_or(Code::NotLead)?;
+                let text = serde_json::to_string(&offers).map_err(|_source| Code::Internal)?;
+                Ok(Answer::Offers(text))
+            }
+            Call::Plan(id) => {
+                let plan = self.plans.get(&id, self.now()).cloned();
+                Ok(Answer::Plan(plan.map(Box::new)))
+            }
+            Call::Explain(task) => self
+                .explain_here(&task)
+                .map(Answer::Explain)
+                .ok_or(Code::UnknownTask),
+            Call::Progress => Ok(Answer::Progress(self.progress())),
+            Call::Endpoints(shard) => {
+                let at = self.shard_at(&shard).ok_or(Code::NotLead)?;
+                let table = self.shards[at].endpoints().ok_or(Code::NotLead)?;
+                Ok(Answer::Endpoints {
+                    epoch: table.epoch,
+                    version: table.version,
+                    endpoints: table.endpoints.clone(),
+                })
+            }
+        }
+    }
+
+    fn entries_after(&self, after: u64) -> Answer {
+        match self.config.entries_after(after) {
+            Some(mut entries) => {
+                entries.truncate(ENTRIES);
+                Answer::Entries(entries)
+            }
+            None => Answer::State(Box::new(self.config.state().clone())),
+        }
+    }
+
+    /// Entries or a state that a peer was asked for.
+    pub(super) fn caught_up(&mut self, answer: Result<Answer, Code>) {
+        match answer {
+            Ok(Answer::Entries(entries)) => self.config_input(config::Input::Entries(entries)),
+            Ok(Answer::State(state)) => self.config_input(config::Input::Snapshot(state)),
+            // The next beat asks again.
+            Ok(_) | Err(_) => {}
+        }
+    }
+
+    /// The endpoints of a shard that another entry leads.
+    pub(super) fn copied(&mut self, shard: &id::Shard, answer: Result<Answer, Code>) {
+        let Ok(Answer::Endpoints {
+            epoch,
+            version,
+            endpoints,
+        }) = answer
+        else {
+            return;
+        };
+        if let Some(at) = self.shard_at(shard) {
+            self.tables[at].replace(epoch, version, endpoints);
+            self.dirty = true;
+        }
+    }
+}
--- /dev/null
+++ b/crates/marigoldpick-entry/src/control/endpoints.rs
@@ -0,0 +1,171 @@
+//! The endpoints of a shard: the lead keeps the list from its workers, other entries copy it.
+
+use marigoldpick_core::config::{State, Target};
+use marigoldpick_core::control::Endpoint;
+use marigoldpick_core::prelude::*;
+use marigoldpick_core::vm;
+use marigoldpick_core::worker::{Epoch, Running};
+
+use crate::view;
+
+/// `Table` is a shard's list of endpoints, sorted by id, at a version.
+#[derive(Clone, Debug, Default)]
+pub struct Table {
+    /// The epoch of the lead that made the list.
+    pub epoch: Epoch,
+    /// The version, which grows within the epoch.
+    pub version: u64,
+    /// The endpoints.
+    pub endpoints: Vec<Endpoint>,
+}
+
+impl Table {
+    /// Makes the empty list of a new lead.
+    #[must_use]
+    pub const fn new(epoch: Epoch) -> Self {
+        Self {
+            epoch,
+            version: 1,
+            endpoints: Vec::new(),
+        }
+    }
+
+    /// Tells whether a lead's list at `epoch` and `version` is newer than this one.
+    #[must_use]
+    pub fn is_behind(&self, epoch: Epoch, version: u64) -> bool {
+        (self.epoch, self.version) < (epoch, version)
+    }
+
+    /// Takes over a lead's list, unless it is older than this one.
+    pub fn replace(&mut self, epoch: Epoch, version: u64, endpoints: Vec<Endpoint>) {
+        if self.is_behind(epoch, version) {
+            *self = Self {
+                epoch,
+                version,
+                endpoints,
+            };
+        }
+    }
+
+    /// Notes a run; runs without a service or an address are no endpoints.
+    pub fn put(&mut self, worker: &id::Worker, running: &Running) {
+        let (Some(service), Some(address)) = (&running.spec.service, &running.endpoint) else {
+            return;
+        };
+        let endpoint = Endpoint {
+            id: running.spec.run.endpoint(),
+            service: service.clone(),
+            worker: worker.clone(),
+            address: address.clone(),
+            leaving: running.stopping,
+        };
+        match self
+            .endpoints
+            .binary_search_by(|have| have.id.cmp(&endpoint.id))
+        {
+            Ok(at) if self.endpoints[at] == endpoint => {}
+            Ok(at) => {
+                // A run that is being stopped never takes requests again.
+                let leaving = self.endpoints[at].leaving || endpoint.leaving;
+                let next = Endpoint {
+                    leaving,
+                    ..endpoint
+                };
+                self.change(|endpoints| replace_if_new(&mut endpoints[at], next));
+            }
+            Err(at) => self.change(|endpoints| {
+                endpoints.insert(at, endpoint);
+                true
+            }),
+        }
+    }
+
+    /// Notes that a run is being stopped.
+    pub fn leave(&mut self, run: &id::Run) {
+        let id = run.endpoint();
+        if let Ok(at) = self.endpoints.binary_search_by(|have| have.id.cmp(&id)) {
+            self.change(|endpoints| !std::mem::replace(&mut endpoints[at].leaving, true));
+        }
+    }
+
+    /// Notes that a run has ended.
+    pub fn remove(&mut self, run: &id::Run) {
+        let id = run.endpoint();
+        if let Ok(at) = self.endpoints.binary_search_by(|have| have.id.cmp(&id)) {
+            self.change(|endpoints| {
+                endpoints.remove(at);
+                true
+            });
+        }
+    }
+
+    /// Keeps of one worker only the runs that it told of.
+    pub fn keep(&mut self, worker: &id::Worker, running: &[Running]) {
+        let mut told: Vec<id::Endpoint> = running
+            .iter()
+            .map(|running| running.spec.run.endpoint())
+            .collect();
+        told.sort_unstable();
+        self.change(|endpoints| {
+            let before = endpoints.len();
+            endpoints.retain(|e| e.worker != *worker || told.binary_search(&e.id).is_ok());
+            endpoints.len() != before
+        });
+        running.iter().for_each(|running| self.put(worker, running));
+    }
+
+    fn change(&mut self, change: impl FnOnce(&mut Vec<Endpoint>) -> bool) {
+        if change(&mut self.endpoints) {
+            self.version += 1;
+        }
+    }
+}
+
+fn replace_if_new(slot: &mut Endpoint, next: Endpoint) -> bool {
+    let new = *slot != next;
+    *slot = next;
+    new
+}
+
+/// `Leaving` tells which endpoints get no new requests, whichever way the news came.
+#[derive(Debug)]
+pub struct Leaving<'a> {
+    /// The configuration, with the drains.
+    pub state: &'a State,
+    /// The VM list, sorted by worker.
+    pub vms: &'a [vm::Worker],
+    /// The failure domain.
+    pub domain: &'a id::Domain,
+}
+
+impl Leaving<'_> {
+    /// Makes the view's endpoint.
+    #[must_use]
+    pub fn view(&self, endpoint: &Endpoint) -> view::Endpoint {
+        view::Endpoint {
+            id: endpoint.id.clone(),
+            service: endpoint.service.clone(),
+            domain: self.domain.clone(),
+            worker: endpoint.worker.clone(),
+            address: endpoint.address.clone(),
+            leaving: endpoint.leaving || self.is_leaving(endpoint),
+        }
+    }
+
+    fn is_leaving(&self, endpoint: &Endpoint) -> bool {
+        let state = self.state;
+        if state.drains.is_empty() && self.vms.is_empty() {
+            return false;
+        }
+        if state.drains(&Target::Domain(self.domain.clone()))
+            || state.drains(&Target::Endpoint(endpoint.id.clone()))
+            || state.drains(&Target::Worker(endpoint.worker.clone()))
+        {
+            return true;
+        }
+        let found = self.vms.binary_search_by(|vm| vm.id.cmp(&endpoint.worker));
+        let Ok(at) = found else { return false };
+        let vm = &self.vms[at];
+        vm.state != vm::State::Live || state.drains(&Target::Rack(vm.rack.clone()))
+    }
+}
--- /dev/null
+++ b/crates/marigoldpick-entry/src/control/follow.rs
@@ -0,0 +1,141 @@
+//! The configuration's log: its calls, its answers, and what follows from a new state.
+
+use marigoldpick_core::config::{Change, Target};
+use marigoldpick_core::control::Call;
+use marigoldpick_core::operator::Accepted;
+use marigoldpick_core::plan::Plan;
+use marigoldpick_core::prelude::*;
+use marigoldpick_core::store;
+use marigoldpick_shard::config::{Input, Output};
+
+use crate::control::Control;
+use crate::control::message::{Part, Reply};
+use crate::control::operate::Ticket;
+
+/// The time after which a job's end is proposed again.
+const REPEAT: Millis = Millis(2_000);
+
+impl Control {
+    /// Hands the configuration's log an input and does what it asks for.
+    pub(super) fn config_input(&mut self, input: Input) {
+        let by_peer = matches!(input, Input::Entries(_) | Input::Snapshot(_));
+        let before = self.config.state().sequence;
+        let mut out = Vec::new();
+        self.config.handle(input, self.now(), &mut out);
+        for output in out {
+            match output {
+                Output::Store { call, request } => self.io.store(Part::Config, call, request),
+                Output::Applied => self.applied(),
+                Output::Answer { ticket, result } => self.decided(ticket, result),
+                Output::NeedEntries { after } => self.ask_entries(after),
+                Output::Event(event) => self.record("shard", event),
+            }
+        }
+        if !by_peer && self.config.state().sequence > before {
+            self.push(before);
+        }
+    }
+
+    pub(super) fn stored(
+        &mut self,
+        part: &Part,
+        call: u64,
+        result: Result<store::Answer, store::Fault>,
+    ) {
+        match part {
+            Part::Config => self.config_input(Input::Store { call, result }),
+            Part::Shard(shard) => self.shard_stored(shard, call, result),
+        }
+    }
+
+    /// Proposes a change; its result comes to [`Control::decided`].
+    pub(super) fn propose(
+        &mut self,
+        change: Change,
+        plan: Option<Box<Plan>>,
+        reply: Option<Reply<Accepted>>,
+    ) {
+        let number = self.next_ticket;
+        self.next_ticket += 1;
+        self.tickets.push(Ticket {
+            number,
+            plan,
+            reply,
+        });
+        self.config_input(Input::Propose {
+            ticket: number,
+            change,
+        });
+    }
+
+    fn ask_entries(&mut self, after: u64) {
+        let now = self.now();
+        let ahead = self.peers.status(now);
+        let best = ahead
+            .iter()
+            .max_by_key(|peer| (peer.sequence, std::cmp::Reverse(peer.age)));
+        let Some(best) = best.filter(|peer| peer.sequence > after) else {
+            return;
+        };
+        let known = self
+            .peers
+            .alive()
+            .find(|known| known.entry == best.entry)
+            .cloned();
+        if let Some(known) = known {
+            self.io.entries(known, after);
+        }
+    }
+
+    /// Brings new entries to the other entries of the failure domain.
+    fn push(&mut self, after: u64) {
+        let Some(entries) = self.config.entries_after(after) else {
+            return;
+        };
+        for peer in self.peers.near() {
+            self.io.push(peer.clone(), Call::Push(entries.clone()));
+        }
+    }
+
+    fn applied(&mut self) {
+        self.dirty = true;
+        let sequence = self.config.state().sequence;
+        metrics::gauge!("marigold_config_sequence").set(sequence as f64);
+        self.note("shard", "config-applied", sequence, String::new());
+        self.feed_shards();
+    }
+
+    /// Proposes the end of jobs whose tasks in a shard led here have all ended.
+    pub(super) fn retry_ended(&mut self, now: Millis) {
+        let mut changes = Vec::new();
+        let state = self.config.state();
+        for local in &mut self.shards {
+            let shard = local.shard().clone();
+            local.ended.retain(|ended| {
+                let open = state.job(&ended.job);
+                open.is_some_and(|a| a.homes.iter().any(|home| home.shard == shard))
+            });
+            for ended in &mut local.ended {
+                if ended.proposed_at.is_some_and(|at| now.since(at) < REPEAT) {
+                    continue;
+                }
+                ended.proposed_at = Some(now);
+                changes.push(Change::Ended {
+                    job: ended.job.clone(),
+                    shard: shard.clone(),
+                    completed: ended.completed,
+                    failed: ended.failed,
+                });
+            }
+        }
+        changes
+            .into_iter()
+            .for_each(|change| self.propose(change, None, None));
+    }
+
+    /// Tells whether this entry gives up its leads: the process stops, or an operator drains it.
+    pub(super) fn is_leaving(&self) -> bool {
+        let target = Target::Entry(self.start.known.entry.clone());
+        self.draining || self.config.state().drains(&target)
+    }
+}
--- /dev/null
+++ b/crates/marigoldpick-entry/src/control/peers.rs
@@ -0,0 +1,243 @@
+//! The other entries: how to reach them, who is alive, who leads which shard.
+
+use marigoldpick_core::control::{Beat, Known, Led};
+use marigoldpick_core::operator;
+use marigoldpick_core::prelude::*;
+use marigoldpick_shard::Settings;
+use marigoldpick_shard::membership::{self, Membership};
+
+use crate::view;
+
+/// `Peer` is another entry.
+#[derive(Clone, Debug)]
+struct Peer {
+    known: Known,
+    incarnation: u64,
+    /// When this incarnation started, by the own clock, as far as its beats tell.
+    started: Millis,
+    led: Vec<Led>,
+    draining: bool,
+    alive: bool,
+    beat_at: Option<Millis>,
+}
+
+/// `Peers` is what is known of the other entries, sorted by entry.
+#[derive(Debug)]
+pub struct Peers {
+    me: Known,
+    settings: Settings,
+    membership: Membership,
+    peers: Vec<Peer>,
+}
+
+impl Peers {
+    /// Starts from the entries that the settings name.
+    #[must_use]
+    pub fn new(me: Known, incarnation: u64, settings: Settings, named: Vec<Known>) -> Self {
+        let membership = Membership::new(
+            me.entry.clone(),
+            me.domain.clone(),
+            incarnation,
+            settings.clone(),
+        );
+        let mut peers = Self {
+            me,
+            settings,
+            membership,
+            peers: Vec::new(),
+        };
+        named.into_iter().for_each(|known| peers.learn(known));
+        peers
+    }
+
+    /// Learns of an entry; a new address replaces the old one.
+    pub fn learn(&mut self, known: Known) {
+        if known.entry == self.me.entry {
+            return;
+        }
+        match self.find(&known.entry) {
+            Ok(at) if !self.peers[at].alive => self.peers[at].known = known,
+            Ok(_) => {}
+            Err(at) => self.peers.insert(at, Peer::new(known)),
+        }
+    }
+
+    /// Notes a beat of another entry. Returns whether it is a new incarnation.
+    pub fn heard(&mut self, beat: &Beat, now: Millis) -> bool {
+        if beat.known.entry == self.me.entry {
+            return false;
+        }
+        self.learn(beat.known.clone());
+        beat.others
+            .iter()
+            .for_each(|known| self.learn(known.clone()));
+        let Ok(at) = self.find(&beat.known.entry) else {
+            return false;
+        };
+        let peer = &mut self.peers[at];
+        let new = peer.incarnation != beat.incarnation;
+        peer.known = beat.known.clone();
+        peer.incarnation = beat.incarnation;
+        peer.draining = beat.draining;
+        peer.led.clone_from(&beat.led);
+        peer.alive = true;
+        peer.started = now.since(beat.age);
+        self.membership.heard(member(beat), now);
+        new
+    }
+
+    /// Notes the time; returns whether an entry came or went.
+    pub fn tick(&mut self, now: Millis) -> bool {
+        self.membership.tick(now);
+        let live: Vec<id::Entry> = self
+            .membership
+            .live(now)
+            .map(|beat| beat.entry.clone())
+            .collect();
+        let mut changed = false;
+        for peer in &mut self.peers {
+            let alive = live.binary_search(&peer.known.entry).is_ok();
+            changed |= alive != peer.alive;
+            peer.alive = alive;
+            if !alive {
+                peer.led.clear();
+            }
+        }
+        changed
+    }
+
+    /// Returns the membership, for what it decides.
+    #[must_use]
+    pub const fn membership(&self) -> &Membership {
+        &self.membership
+    }
+
+    /// Notes what the own entry tells in its beats.
+    pub fn note_own(&mut self, beat: &Beat) {
+        let leads = member(beat).leads;
+        self.membership
+            .beat(beat.sequence, beat.store_age, beat.draining, leads);
+    }
+
+    /// Returns the entries that are due for a beat, and notes that they get one.
+    ///
+    /// An entry that is not heard is tried as seldom as one of another failure domain.
+    pub fn due(&mut self, now: Millis) -> Vec<Known> {
+        let mut due = Vec::new();
+        for peer in &mut self.peers {
+            let near = peer.known.domain == self.me.domain && peer.alive;
+            let span = if near {
+                self.settings.beat_ms
+            } else {
+                self.settings.far_beat_ms
+            };
+            if peer.beat_at.is_none_or(|at| now.since(at) >= span) {
+                peer.beat_at = Some(now);
+                due.push(peer.known.clone());
+            }
+        }
+        due
+    }
+
+    /// Returns the live entries.
+    pub fn alive(&self) -> impl Iterator<Item = &Known> {
+        self.peers
+            .iter()
+            .filter(|peer| peer.alive)
+            .map(|peer| &peer.known)
+    }
+
+    /// Returns the live entries of the own failure domain.
+    pub fn near(&self) -> impl Iterator<Item = &Known> {
+        self.alive().filter(|known| known.domain == self.me.domain)
+    }
+
+    /// Returns all entries that are known, the own one included.
+    #[must_use]
+    pub fn known(&self) -> Vec<Known> {
+        let own = std::iter::once(self.me.clone());
+        own.chain(self.peers.iter().map(|peer| peer.known.clone()))
+            .collect()
+    }
+
+    /// Returns each shard that another live entry leads, with the lead of the highest epoch.
+    pub fn leads(&self) -> impl Iterator<Item = (&id::Shard, &Known)> {
+        self.led().map(|(led, known)| (&led.shard.shard, known))
+    }
+
+    /// Returns the newest word on each shard that another live entry leads.
+    pub fn led(&self) -> impl Iterator<Item = (&Led, &Known)> {
+        let all = self.peers.iter().filter(|peer| peer.alive);
+        let mut led: Vec<(&Led, &Known)> = all
+            .flat_map(|peer| peer.led.iter().map(move |led| (led, &peer.known)))
+            .collect();
+        led.sort_by(|a, b| {
+            a.0.shard
+                .shard
+                .cmp(&b.0.shard.shard)
+                .then(b.0.epoch.cmp(&a.0.epoch))
+        });
+        led.dedup_by(|later, first| later.0.shard.shard == first.0.shard.shard);
+        led.into_iter()
+    }
+
+    /// Returns the peers as traffic sees them.
+    #[must_use]
+    pub fn view(&self, now: Millis) -> Vec<view::Peer> {
+        let entry = |peer: &Peer| view::Peer {
+            entry: peer.known.entry.clone(),
+            domain: peer.known.domain.clone(),
+            address: peer.known.address.clone(),
+            alive: peer.alive,
+            draining: peer.draining,
+            incarnation: peer.incarnation,
+            age: now.since(peer.started),
+        };
+        self.peers.iter().map(entry).collect()
+    }
+
+    /// Returns the peers for `status`.
+    #[must_use]
+    pub fn status(&self, now: Millis) -> Vec<operator::Peer> {
+        self.membership.peers(now)
+    }
+
+    fn find(&self, entry: &id::Entry) -> Result<usize, usize> {
+        self.peers
+            .binary_search_by(|peer| peer.known.entry.cmp(entry))
+    }
+}
+
+impl Peer {
+    const fn new(known: Known) -> Self {
+        Self {
+            known,
+            incarnation: 0,
+            started: Millis::ZERO,
+            led: Vec::new(),
+            draining: false,
+            alive: false,
+            beat_at: None,
+        }
+    }
+}
+
+fn member(beat: &Beat) -> membership::Beat {
+    let leads = beat
+        .led
+        .iter()
+        .map(|led| membership::Led {
+            shard: led.shard.shard.clone(),
+            epoch: led.epoch,
+        })
+        .collect();
+    membership::Beat {
+        entry: beat.known.entry.clone(),
+        domain: beat.known.domain.clone(),
+        incarnation: beat.incarnation,
+        draining: beat.draining,
+        sequence: beat.sequence,
+        age: beat.store_age,
+        leads,
+    }
+}
--- /dev/null
+++ b/crates/marigoldpick-entry/src/control/planning.rs
@@ -0,0 +1,120 @@
+//! Plans: the surveys of all shards are gathered, then joined into an answer.
+
+use std::collections::VecDeque;
+
+use marigoldpick_core::control::{Answer, Call, Known};
+use marigoldpick_core::intent::Intent;
+use marigoldpick_core::operator::Problem;
+use marigoldpick_core::plan::Plan;
+use marigoldpick_core::prelude::*;
+use marigoldpick_place::survey::Offer;
+
+use crate::control::io::Io;
+use crate::control::message::{Message, Reply};
+
+/// The most plans that are held for a confirm.
+const HELD: usize = 256;
+/// How long a plan is held.
+const HOLD: Millis = Millis::from_secs(900);
+
+/// `Surveyed` is an intent with what the shards offer for it.
+#[derive(Debug)]
+pub struct Surveyed {
+    /// The intent.
+    pub intent: Intent,
+    /// What each shard offers.
+    pub surveys: Vec<(id::Shard, Vec<Offer>)>,
+    /// Where the plan goes.
+    pub reply: Answering,
+}
+
+/// `Answering` is who waits for the plan.
+#[derive(Debug)]
+pub enum Answering {
+    /// An operator who asked for it.
+    Plan(Reply<Plan>),
+    /// An operator whose confirm was stale; the problem gets the fresh plan's name.
+    Stale(Problem, Reply<marigoldpick_core::operator::Accepted>),
+}
+
+/// `Question` asks the lead of a shard elsewhere.
+#[derive(Clone, Debug)]
+pub struct Question {
+    /// The shard.
+    pub shard: id::Shard,
+    /// Its lead.
+    pub lead: Known,
+}
+
+/// Gathers the surveys: `own` are known, `questions` are asked at the same time.
+pub fn gather(
+    io: &Io,
+    intent: Intent,
+    own: Vec<(id::Shard, Vec<Offer>)>,
+    questions: Vec<Question>,
+    reply: Answering,
+) {
+    let asker = io.clone();
+    io.send(async move {
+        let jobs = intent.job.clone();
+        let asked = questions.into_iter().map(|question| {
+            let call = Call::Survey {
+                shard: question.shard.clone(),
+                jobs: jobs.clone(),
+            };
+            let asker = asker.clone();
+            async move { (question.shard, asker.survey(&question.lead, call).await) }
+        });
+        let answers = futures::future::join_all(asked).await;
+        let mut surveys = own;
+        for (shard, answer) in answers {
+            match offers(answer) {
+                Ok(offers) => surveys.push((shard, offers)),
+                Err(code) => {
+                    log::info!(target: "place", "No survey; shard={shard} code={}.", code.number());
+                }
+            }
+        }
+        surveys.sort_by(|a, b| a.0.cmp(&b.0));
+        Message::Surveyed(Box::new(Surveyed {
+            intent,
+            surveys,
+            reply,
+        }))
+    });
+}
+
+fn offers(answer: Result<Answer, Code>) -> Result<Vec<Offer>, Code> {
+    match answer? {
+        Answer::Offers(text) => serde_json::from_str(&text).map_err(|_source| Code::BadRequest),
+        _ => Err(Code::BadRequest),
+    }
+}
+
+/// `Plans` holds the plans that were made here and wait for a confirm.
+#[derive(Debug, Default)]
+pub struct Plans {
+    held: VecDeque<(Millis, Plan)>,
+}
+
+impl Plans {
+    /// Holds a plan; the oldest makes room.
+    pub fn hold(&mut self, plan: Plan, now: Millis) {
+        self.held
+            .retain(|(at, held)| now.since(*at) < HOLD && held.id != plan.id);
+        if self.held.len() >= HELD {
+            self.held.pop_front();
+        }
+        self.held.push_back((now, plan));
+    }
+
+    /// Returns a held plan.
+    #[must_use]
+    pub fn get(&self, id: &id::Plan, now: Millis) -> Option<&Plan> {
+        let held = self
+            .held
+            .iter()
+            .find(|(at, plan)| now.since(*at) < HOLD && plan.id == *id);
+        held.map(|(_, plan)| plan)
+    }
+}
--- /dev/null
+++ b/crates/marigoldpick-entry/src/control/shards.rs
@@ -0,0 +1,114 @@
+//! Hands inputs to the shards of the failure domain and carries out what follows.
+
+use marigoldpick_core::prelude::*;
+use marigoldpick_core::{store, vm, worker};
+use marigoldpick_shard::{lead, shards};
+
+use crate::control::Control;
+use crate::control::local::{Context, Effect, Local};
+use crate::control::message::Part;
+
+impl Control {
+    /// Hands the shard at `at` over with what it needs to see, and carries out what it wants.
+    fn with_shard(
+        &mut self,
+        at: usize,
+        handle: impl FnOnce(&mut Local, Context<'_>) -> (Vec<Effect>, bool),
+    ) {
+        let context = Context {
+            now: self.start.clock.now(),
+            state: self.config.state(),
+            vms: &self.vms,
+        };
+        let local = &mut self.shards[at];
+        let (effects, changed) = handle(local, context);
+        let shard = local.shard().clone();
+        self.dirty |= changed;
+        effects
+            .into_iter()
+            .for_each(|effect| self.carry_out(&shard, effect));
+    }
+
+    fn carry_out(&self, shard: &id::Shard, effect: Effect) {
+        match effect {
+            Effect::Store { call, request } => {
+                self.io.store(Part::Shard(shard.clone()), call, request);
+            }
+            Effect::Worker {
+                call,
+                worker,
+                address,
+                request,
+            } => {
+                self.io
+                    .worker(shard.clone(), worker, address, call, request);
+            }
+            Effect::Note(note) => drop(self.start.recorder.record(self.now(), note)),
+        }
+    }
+
+    pub(super) fn shard_stored(
+        &mut self,
+        shard: &id::Shard,
+        call: u64,
+        result: Result<store::Answer, store::Fault>,
+    ) {
+        let Some(at) = self.shard_at(shard) else {
+            return;
+        };
+        let input = lead::Input::Store { call, result };
+        self.with_shard(at, |local, cx| local.handle(input, cx));
+    }
+
+    pub(super) fn worked(
+        &mut self,
+        shard: &id::Shard,
+        worker: id::Worker,
+        call: u64,
+        result: Result<worker::Answer, worker::Fault>,
+    ) {
+        let Some(at) = self.shard_at(shard) else {
+            return;
+        };
+        let input = lead::Input::Worker {
+            call,
+            worker,
+            result,
+        };
+        self.with_shard(at, |local, cx| local.handle(input, cx));
+    }
+
+    pub(super) fn shard_ticks(&mut self, now: Millis) {
+        for at in 0..self.shards.len() {
+            let candidate = {
+                let shard = self.shards[at].shard();
+                self.peers.membership().is_candidate(shard, now) && !self.is_leaving()
+            };
+            let input = lead::Input::Candidate(candidate);
+            self.with_shard(at, |local, cx| local.handle(input, cx));
+            self.with_shard(at, Local::tick);
+        }
+    }
+
+    /// The VM list has changed.
+    pub(super) fn shard_workers(&mut self) {
+        for at in 0..self.shards.len() {
+            let input = lead::Input::Workers(self.workers_of(self.shards[at].shard()));
+            self.with_shard(at, |local, cx| local.handle(input, cx));
+        }
+        self.feed_shards();
+    }
+
+    fn workers_of(&self, shard: &id::Shard) -> Vec<vm::Worker> {
+        let ownership = &self.start.settings.ownership;
+        let here = |vm: &&vm::Worker| shards::of(ownership, &vm.domain, &vm.rack) == *shard;
+        self.vms.iter().filter(here).cloned().collect()
+    }
+
+    /// The configuration or the VM list has changed.
+    pub(super) fn feed_shards(&mut self) {
+        for at in 0..self.shards.len() {
+            self.with_shard(at, Local::follow);
+        }
+    }
+}
--- /dev/null
+++ b/crates/marigoldpick-entry/src/daemon.rs
@@ -0,0 +1,68 @@
+//! The life of the entry's process: settings, log, signals, drain.
+
+use async_std::stream::StreamExt;
+use log4rs::append::console::ConsoleAppender;
+use log4rs::config::{Appender, Config, Root};
+use log4rs::encode::pattern::PatternEncoder;
+use marigoldpick_core::prelude::*;
+use signal_hook::consts::{SIGINT, SIGTERM};
+use signal_hook_async_std::Signals;
+
+use crate::entry::Entry;
+use crate::error::Error;
+use crate::settings::Settings;
+
+/// The form of a log line: time, level, part, sentence.
+const LINE: &str = "{d(%Y-%m-%dT%H:%M:%S%.3f)(utc)} {l} {t}: {m}{n}";
+
+/// Runs an entry until it is told to stop, then drains it.
+///
+/// # Errors
+/// Fails when the settings are wrong or an address can't be listened at.
+pub fn run(file: &str) -> Result<(), Error> {
+    let text = std::fs::read_to_string(file).map_err(|source| Error::File {
+        file: file.to_owned(),
+        source,
+    })?;
+    let settings = Settings::parse(file, &text).map_err(Error::Settings)?;
+    start_log(&settings.log)?;
+    async_std::task::block_on(serve(settings))
+}
+
+/// Sends log lines to standard error.
+///
+/// # Errors
+/// Fails when a log is set up already.
+pub fn start_log(level: &str) -> Result<(), Error> {
+    let level = level
+        .parse()
+        .map_err(|_source| Error::Log(format!("no level '{level}'")))?;
+    let console = ConsoleAppender::builder()
+        .target(log4rs::append::console::Target::Stderr)
+        .encoder(Box::new(PatternEncoder::new(LINE)))
+        .build();
+    let config = Config::builder()
+        .appender(Appender::builder().build("console", Box::new(console)))
+        .build(Root::builder().appender("console").build(level))
+        .map_err(|error| Error::Log(error.to_string()))?;
+    log4rs::init_config(config).map_err(|error| Error::Log(error.to_string()))?;
+    Ok(())
+}
+
+async fn serve(settings: Settings) -> Result<(), Error> {
+    let mut signals = Signals::new([SIGTERM, SIGINT]).map_err(Error::Thread)?;
+    let longest = settings.span.drain_ms;
+    let entry = Entry::start(settings).await?;
+    println!("{}", entry.addresses());
+    signals.next().await;
+    drain(&entry, longest).await;
+    Ok(())
+}
+
+async fn drain(entry: &Entry, longest: Millis) {
+    log::info!(target: "entry", "Draining; longest={longest}.");
+    match async_std::future::timeout(longest.duration(), entry.drain()).await {
+        Ok(()) => log::info!(target: "entry", "Drained."),
+        Err(_) => log::warn!(target: "entry", "The drain took too long; requests are cut off."),
+    }
+}
--- /dev/null
+++ b/crates/marigoldpick-entry/src/entry.rs
@@ -0,0 +1,297 @@
+//! One entry: its listeners, its control thread and its faces.
+
+use std::sync::atomic::{AtomicBool, Ordering};
+use std::sync::{Arc, Mutex, PoisonError};
+use std::thread::JoinHandle;
+
+use async_channel::Sender;
+use async_std::net::TcpListener;
+use async_std::task;
+use marigoldpick_core::clock::System;
+use marigoldpick_core::control::Known;
+use marigoldpick_core::prelude::*;
+use marigoldpick_platform::{Caller, Store, Vms, Workers};
+use marigoldpick_wire as wire;
+use serde::Serialize;
+
+use crate::carrier::Carrier;
+use crate::control::{self, Control, Message, ask};
+use crate::error::Error;
+use crate::exposition::Exposition;
+use crate::handler::Handler;
+use crate::operators;
+use crate::recorder::{Note, Recorder};
+use crate::settings::Settings;
+use crate::traffic;
+use crate::view::{Cell, View};
+
+/// Events of the traffic face that wait for the recorder.
+const NOTES: usize = 10_000;
+/// How long the balancer may take to see that the entry leaves.
+const BALANCER: Millis = Millis(1_000);
+/// The time between two looks at what is in flight during a drain.
+const POLL: Millis = Millis(20);
+
+/// `Addresses` is where an entry listens.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize)]
+pub struct Addresses {
+    /// The entry.
+    pub entry: id::Entry,
+    /// For callers.
+    pub callers: String,
+    /// For operators.
+    pub operators: String,
+    /// For other entries.
+    pub inner: String,
+}
+
+impl std::fmt::Display for Addresses {
+    fn fmt(&self, f: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
+        f.write_str(&serde_json::to_string(self).unwrap_or_default())
+    }
+}
+
+/// `Face` is the face to callers, over the inner protocol.
+pub type Face = traffic::Face<Carrier>;
+
+/// `Entry` is a running entry; when it is dropped, the entry ends at once.
+#[derive(Debug)]
+pub struct Entry {
+    addresses: Addresses,
+    known: Known,
+    view: Cell,
+    recorder: Recorder,
+    control: Sender<Message>,
+    face: Face,
+    client: wire::Client,
+    server: Mutex<Option<wire::Server>>,
+    thread: Option<JoinHandle<()>>,
+    tasks: Vec<task::JoinHandle<()>>,
+    ended: Arc<AtomicBool>,
+}
+
+impl Entry {
+    /// Starts an entry.
+    ///
+    /// # Errors
+    /// Fails when the settings are wrong or an address can't be listened at.
+    pub async fn start(settings: Settings) -> Result<Self, Error> {
+        settings.verify().map_err(Error::Settings)?;
+        let exposition = Exposition::install();
+        let callers = listen(&settings.callers).await?;
+        let operators = listen(&settings.operators).await?;
+        let inner =
+            std::net::TcpListener::bind(&settings.inner).map_err(|source| Error::Listen {
+                address: settings.inner.clone(),
+                source,
+            })?;
+        let addresses = Addresses {
+            entry: settings.entry.clone(),
+            callers: address(&callers, &settings.callers),
+            operators: address(&operators, &settings.operators),
+            inner: inner
+                .local_addr()
+                .map_or_else(|_| settings.inner.clone(), |a| a.to_string()),
+        };
+        let known = Known {
+            entry: settings.entry.clone(),
+            domain: settings.domain.clone(),
+            address: addresses.inner.clone(),
+        };
+        let incarnation: u64 = rand::random();
+        let clock = System::new();
+        let view = View::new(known.entry.clone(), incarnation, known.domain.clone()).cell();
+        let events = usize::try_from(settings.events).unwrap_or(usize::MAX);
+        let recorder = Recorder::new(known.entry.0.clone(), incarnation, events);
+        let local = wire::Local {
+            entry: known.entry.clone(),
+            domain: known.domain.clone(),
+        };
+        let client = wire::Client::start(
+            local,
+            wire::Settings {
+                seed: incarnation,
+                ..wire::Settings::default()
+            },
+        )
+        .map_err(Error::Thread)?;
+        let (sender, receiver) = async_channel::unbounded();
+        let (notes, noted) = async_channel::bounded(NOTES);
+        let face = Face::new(
+            traffic::Settings {
+                seed: incarnation,
+                ..traffic::Settings::default()
+            },
+            Arc::clone(&view),
+            Carrier::new(client.clone(), Arc::clone(&view)),
+            clock,
+            notes,
+        );
+        let handler = Handler::new(sender.clone(), face.clone());
+        let server = wire::Server::start(inner, handler).map_err(Error::Thread)?;
+        let start = control::Start {
+            known: known.clone(),
+            incarnation,
+            settings: settings.clone(),
+            clock,
+            view: Arc::clone(&view),
+            recorder: recorder.clone(),
+            face: face.clone(),
+        };
+        let caller = Caller {
+            domain: known.domain.clone(),
+            entry: known.entry.clone(),
+        };
+        let platform = marigoldpick_platform::Settings::default();
+        let io = control::Io::new(
+            Store::new(&settings.platform, caller.clone(), platform),
+            Workers::new(caller.clone(), platform),
+            Vms::new(&settings.platform, caller, platform),
+            client.clone(),
+            sender.clone(),
+        );
+        let thread = std::thread::Builder::new()
+            .name(format!("control-{}", known.entry))
+            .spawn(move || task::block_on(Control::new(start, io).run(receiver)))
+            .map_err(Error::Thread)?;
+        let serve = {
+            let face = face.clone();
+            task::spawn(async move { face.serve(callers).await })
+        };
+        let record = {
+            let recorder = recorder.clone();
+            task::spawn(async move {
+                while let Ok(traffic::Note { what, about, note }) = noted.recv().await {
+                    recorder.record(clock.now(), Note::new("route", what, about, note));
+                }
+            })
+        };
+        let operate = {
+            let face = operators::Face::new(sender.clone(), recorder.clone(), exposition);
+            task::spawn(async move {
+                if let Err(error) = face.server().listen(operators).await {
+                    log::error!(target: "entry", "The operators' listener ended; error={error}.");
+                }
+            })
+        };
+        log::info!(target: "entry", "Started; entry={} domain={}.", known.entry, known.domain);
+        Ok(Self {
+            addresses,
+            known,
+            view,
+            recorder,
+            control: sender,
+            face,
+            client,
+            server: Mutex::new(Some(server)),
+            thread: Some(thread),
+            tasks: vec![serve, record, operate],
+            ended: Arc::new(AtomicBool::new(false)),
+        })
+    }
+
+    /// Returns where the entry listens.
+    #[must_use]
+    pub const fn addresses(&self) -> &Addresses {
+        &self.addresses
+    }
+
+    /// Returns the entry's name, failure domain and inner address.
+    #[must_use]
+    pub const fn known(&self) -> &Known {
+        &self.known
+    }
+
+    /// Returns the current view of the configuration, endpoints and entries.
+    #[must_use]
+    pub fn view(&self) -> Arc<View> {
+        self.view.load_full()
+    }
+
+    /// Returns the time line's recorder.
+    #[must_use]
+    pub const fn recorder(&self) -> &Recorder {
+        &self.recorder
+    }
+
+    /// Drains the entry: leaves the balancer's health check, ends what is in flight, gives up its
+    /// leads, then ends.
+    pub async fn drain(&self) {
+        drop(self.control.send(Message::Leave).await);
+        // The balancer asks for the health a while before it stops sending.
+        task::sleep(BALANCER.duration()).await;
+        self.face.drain();
+        while !self.face.idle() {
+            task::sleep(POLL.duration()).await;
+        }
+        ask(&self.control, Message::Left).await;
+        self.end();
+    }
+
+    /// Ends the entry at once, as a lost VM would.
+    pub fn kill(&self) {
+        self.end();
+    }
+
+    fn end(&self) {
+        if self.ended.swap(true, Ordering::SeqCst) {
+            return;
+        }
+        drop(self.control.try_send(Message::End));
+        self.face.kill();
+        drop(
+            self.server
+                .lock()
+                .unwrap_or_else(PoisonError::into_inner)
+                .take(),
+        );
+    }
+
+    /// Stands still for `span`, as a frozen VM would.
+    pub fn pause(&self, span: Millis) {
+        drop(self.control.try_send(Message::Pause(span)));
+        let face = self.face.clone();
+        face.gate().close();
+        task::spawn(async move {
+            task::sleep(span.duration()).await;
+            face.gate().open();
+        });
+    }
+
+    /// Cuts the entry off from other failure domains; an empty list heals all cuts.
+    pub fn cut(&self, domains: &[id::Domain]) {
+        self.client.cut(domains);
+        let server = self.server.lock().unwrap_or_else(PoisonError::into_inner);
+        if let Some(server) = server.as_ref() {
+            server.cut(domains);
+        }
+    }
+}
+
+impl Drop for Entry {
+    fn drop(&mut self) {
+        self.end();
+        for task in self.tasks.drain(..) {
+            // The task holds nothing that must be ended in order.
+            drop(task.cancel());
+        }
+        if let Some(thread) = self.thread.take() {
+            drop(thread);
+        }
+    }
+}
+
+async fn listen(address: &str) -> Result<TcpListener, Error> {
+    TcpListener::bind(address)
+        .await
+        .map_err(|source| Error::Listen {
+            address: address.to_owned(),
+            source,
+        })
+}
+
+fn address(listener: &TcpListener, settings: &str) -> String {
+    listener
+        .local_addr()
+        .map_or_else(|_| settings.to_owned(), |address| address.to_string())
+}
--- /dev/null
+++ b/crates/marigoldpick-entry/src/exposition.rs
@@ -0,0 +1,43 @@
+//! The page of metrics in Prometheus' text form.
+
+use std::sync::OnceLock;
+
+use metrics_exporter_prometheus::{PrometheusBuilder, PrometheusHandle};
+
+/// `Exposition` renders the metrics of this program.
+#[derive(Clone)]
+pub struct Exposition {
+    handle: PrometheusHandle,
+}
+
+impl std::fmt::Debug for Exposition {
+    fn fmt(&self, f: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
+        f.debug_struct("Exposition").finish_non_exhaustive()
+    }
+}
+
+impl Exposition {
+    /// Installs the program's recorder of metrics the first time; later calls share it.
+    #[must_use]
+    pub fn install() -> Self {
+        static HANDLE: OnceLock<PrometheusHandle> = OnceLock::new();
+        let handle = HANDLE.get_or_init(|| {
+            let recorder = PrometheusBuilder::new().build_recorder();
+            let handle = recorder.handle();
+            if metrics::set_global_recorder(recorder).is_err() {
+                log::warn!(target: "entry", "Another recorder of metrics is installed.");
+            }
+            handle
+        });
+        Self {
+            handle: handle.clone(),
+        }
+    }
+
+    /// Returns the page.
+    #[must_use]
+    pub fn render(&self) -> String {
+        self.handle.run_upkeep();
+        self.handle.render()
+    }
+}
--- /dev/null
+++ b/crates/marigoldpick-entry/src/handler.rs
@@ -0,0 +1,37 @@
+//! Calls of other entries: control calls go to the control thread, the rest to the traffic face.
+
+use async_channel::Sender;
+use marigoldpick_core::prelude::*;
+use marigoldpick_wire as wire;
+
+use crate::control::{Message, ask};
+use crate::entry::Face;
+
+/// `Handler` answers other entries.
+#[derive(Clone, Debug)]
+pub struct Handler {
+    control: Sender<Message>,
+    face: Face,
+}
+
+impl Handler {
+    /// Makes the handler.
+    #[must_use]
+    pub const fn new(control: Sender<Message>, face: Face) -> Self {
+        Self { control, face }
+    }
+}
+
+impl wire::Handler for Handler {
+    async fn handle(&self, call: wire::Call) -> Result<wire::Answer, Code> {
+        match call {
+            wire::Call::Control(call) => {
+                let answer = ask(&self.control, |reply| Message::Peer { call, reply }).await;
+                answer
+                    .unwrap_or(Err(Code::PeerAway))
+                    .map(wire::Answer::Control)
+            }
+            wire::Call::Traffic(call) => Ok(wire::Answer::Traffic(self.face.peer(call).await)),
+        }
+    }
+}
--- /dev/null
+++ b/crates/marigoldpick-entry/src/operators.rs
@@ -0,0 +1,213 @@
+//! The operators' face: JSON over HTTP, each call handed to the control thread.
+
+use async_channel::Sender;
+use marigoldpick_core::operator::{Ask, Cancel, Confirm, Drain, Problem};
+use marigoldpick_core::prelude::*;
+use serde::Serialize;
+use serde::de::DeserializeOwned;
+use tide::{Request, Response, StatusCode};
+
+use crate::control::message::{Message, Reply, ask};
+use crate::exposition::Exposition;
+use crate::recorder::Recorder;
+
+/// The largest body of a call, in bytes.
+const BODY_LIMIT: u64 = 4 << 20;
+
+/// `Face` is what the handlers share.
+#[derive(Clone, Debug)]
+pub struct Face {
+    control: Sender<Message>,
+    recorder: Recorder,
+    exposition: Exposition,
+}
+
+type Outcome<T> = Result<T, Problem>;
+
+impl Face {
+    /// Makes the face.
+    #[must_use]
+    pub const fn new(control: Sender<Message>, recorder: Recorder, exposition: Exposition) -> Self {
+        Self {
+            control,
+            recorder,
+            exposition,
+        }
+    }
+
+    /// Builds the routes.
+    #[must_use]
+    pub fn server(self) -> tide::Server<Self> {
+        let mut server = tide::with_state(self);
+        server.at("/v1/plan").post(plan);
+        server.at("/v1/confirm").post(confirm);
+        server.at("/v1/cancel").post(cancel);
+        server.at("/v1/drain").post(drain);
+        server.at("/v1/status").get(status);
+        server.at("/v1/explain/:task").get(explain);
+        server.at("/v1/timeline").get(timeline);
+        server.at("/metrics").get(metrics);
+        server
+    }
+
+    async fn ask<T: Send>(&self, make: impl FnOnce(Reply<T>) -> Message) -> Outcome<T> {
+        match ask(&self.control, make).await {
+            Some(outcome) => outcome,
+            None => Err(Problem::new(
+                Code::NoLead,
+                "the entry is stopping; ask another one",
+            )),
+        }
+    }
+}
+
+async fn plan(mut request: Request<Face>) -> tide::Result {
+    let outcome = match body::<Ask>(&mut request).await {
+        Ok(ask) => {
+            request
+                .state()
+                .ask(|reply| Message::Plan { ask, reply })
+                .await
+        }
+        Err(problem) => Err(problem),
+    };
+    respond(outcome)
+}
+
+async fn confirm(mut request: Request<Face>) -> tide::Result {
+    let outcome = match body::<Confirm>(&mut request).await {
+        Ok(confirm) => {
+            request
+                .state()
+                .ask(|reply| Message::Confirm {
+                    plan: confirm.plan,
+                    reply,
+                })
+                .await
+        }
+        Err(problem) => Err(problem),
+    };
+    respond(outcome)
+}
+
+async fn cancel(mut request: Request<Face>) -> tide::Result {
+    let outcome = match body::<Cancel>(&mut request).await {
+        Ok(cancel) => {
+            request
+                .state()
+                .ask(|reply| Message::Cancel {
+                    jobs: cancel.jobs,
+                    reply,
+                })
+                .await
+        }
+        Err(problem) => Err(problem),
+    };
+    respond(outcome)
+}
+
+async fn drain(mut request: Request<Face>) -> tide::Result {
+    let outcome = match body::<Drain>(&mut request).await {
+        Ok(drain) => {
+            let Drain { target, on } = drain;
+            request
+                .state()
+                .ask(|reply| Message::Drain { target, on, reply })
+                .await
+        }
+        Err(problem) => Err(problem),
+    };
+    respond(outcome)
+}
+
+async fn status(request: Request<Face>) -> tide::Result {
+    respond(request.state().ask(|reply| Message::Status { reply }).await)
+}
+
+async fn explain(request: Request<Face>) -> tide::Result {
+    let text = request
+        .param("task")
+        .unwrap_or_default()
+        .replace("%2F", "/")
+        .replace("%3A", ":");
+    let outcome = match text.parse::<id::Task>() {
+        Ok(task) => {
+            request
+                .state()
+                .ask(|reply| Message::Explain { task, reply })
+                .await
+        }
+        Err(error) => Err(Problem::new(Code::BadValue, format!("task: {error}"))),
+    };
+    respond(outcome)
+}
+
+async fn timeline(request: Request<Face>) -> tide::Result {
+    #[derive(serde::Deserialize)]
+    struct Query {
+        #[serde(default)]
+        after: u64,
+    }
+    let outcome = match request.query::<Query>() {
+        Ok(query) => Ok(request.state().recorder.page(query.after)),
+        Err(error) => Err(Problem::new(Code::BadRequest, error.to_string())),
+    };
+    respond(outcome)
+}
+
+async fn metrics(request: Request<Face>) -> tide::Result {
+    let text = request.state().exposition.render();
+    Ok(Response::builder(StatusCode::Ok)
+        .content_type("text/plain")
+        .body(text)
+        .build())
+}
+
+async fn body<T: DeserializeOwned>(request: &mut Request<Face>) -> Outcome<T> {
+    let length = request.len().unwrap_or(0);
+    if u64::try_from(length).unwrap_or(u64::MAX) > BODY_LIMIT {
+        return Err(Problem::new(Code::TooLarge, "the body has more than 4 MiB"));
+    }
+    let mut bytes = Vec::new();
+    let mut reader = futures::AsyncReadExt::take(request.take_body(), BODY_LIMIT + 1);
+    futures::AsyncReadExt::read_to_end(&mut reader, &mut bytes)
+        .await
+        .map_err(|error| Problem::new(Code::BadRequest, error.to_string()))?;
+    if bytes.len() as u64 > BODY_LIMIT {
+        return Err(Problem::new(Code::TooLarge, "the body has more than 4 MiB"));
+    }
+    serde_json::from_slice(&bytes).map_err(|error| {
+        let unknown = error.to_string().contains("unknown field");
+        let code = if unknown {
+            Code::UnknownField
+        } else {
+            Code::BadRequest
+        };
+        Problem::new(code, format!("body: {error}"))
+    })
+}
+
+fn respond<T: Serialize>(outcome: Outcome<T>) -> tide::Result {
+    let (status, text) = match outcome {
+        Ok(answer) => (StatusCode::Ok, serde_json::to_string(&answer)?),
+        Err(problem) => (status_of(problem.code), serde_json::to_string(&problem)?),
+    };
+    Ok(Response::builder(status)
+        .content_type("application/json")
+        .body(text)
+        .build())
+}
+
+const fn status_of(code: Code) -> StatusCode {
+    match code.number() / 100 {
+        1 => StatusCode::BadRequest,
+        2 => match code {
+            Code::UnknownPlan | Code::UnknownTask => StatusCode::NotFound,
+            Code::NotAccepted | Code::NoLead | Code::AcceptUnknown => {
+                StatusCode::ServiceUnavailable
+            }
+            _ => StatusCode::Conflict,
+        },
+        _ => StatusCode::ServiceUnavailable,
+    }
+}
--- a/crates/marigoldpick-entry/src/settings.rs
+++ b/crates/marigoldpick-entry/src/settings.rs
@@ -23,12 +23,6 @@
     /// Other entries that are asked first; the rest is learnt from them.
     #[serde(default)]
     pub peer: Vec<Peer>,
-    /// Shards in each failure domain; the same at all entries.
-    #[serde(default = "one")]
-    pub shards: u32,
-    /// Threads for traffic.
-    #[serde(default = "four")]
-    pub threads: u32,
     /// The log level: `error`, `warn`, `info`, `debug` or `trace`.
     #[serde(default = "info")]
     pub log: String,
@@ -38,6 +32,9 @@
     /// Spans of the control thread.
     #[serde(default)]
     pub span: Span,
+    /// Leases, beats and logs; the same at all entries of a site.
+    #[serde(default)]
+    pub ownership: marigoldpick_shard::Settings,
 }
 
 /// `Peer` is another entry as the settings name it.
@@ -56,16 +53,10 @@
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
 #[serde(default, deny_unknown_fields)]
 pub struct Span {
-    /// Between two beats to an entry of the same failure domain.
-    pub beat_ms: Millis,
-    /// Between two beats to an entry of another failure domain.
-    pub far_beat_ms: Millis,
     /// Between two reads of the VM list.
     pub vms_ms: Millis,
     /// Between two steps of the control thread when nothing happens.
     pub tick_ms: Millis,
-    /// Without news of the store or the other failure domains, the configuration counts as old.
-    pub config_old_ms: Millis,
     /// The longest drain.
     pub drain_ms: Millis,
 }
@@ -73,22 +64,13 @@
 impl Default for Span {
     fn default() -> Self {
         Self {
-            beat_ms: Millis(300),
-            far_beat_ms: Millis(1_000),
             vms_ms: Millis(2_000),
             tick_ms: Millis(50),
-            config_old_ms: Millis(5_000),
             drain_ms: Millis(30_000),
         }
     }
 }
 
-const fn one() -> u32 {
-    1
-}
-const fn four() -> u32 {
-    4
-}
 const fn events() -> u32 {
     20_000
 }
@@ -118,12 +100,6 @@
         if !self.platform.starts_with("http://") {
             return Err(bad("platform", "must begin with http://"));
         }
-        if self.shards == 0 || self.shards > 64 {
-            return Err(bad("shards", "must be from 1 to 64"));
-        }
-        if self.threads == 0 || self.threads > 64 {
-            return Err(bad("threads", "must be from 1 to 64"));
-        }
         if self.log.parse::<log::LevelFilter>().is_err() {
             return Err(bad("log", "must be error, warn, info, debug or trace"));
         }
@@ -151,11 +127,8 @@
 impl Span {
     fn verify(&self) -> Result<(), Error> {
         let spans = [
-            ("span.beat_ms", self.beat_ms),
-            ("span.far_beat_ms", self.far_beat_ms),
             ("span.vms_ms", self.vms_ms),
             ("span.tick_ms", self.tick_ms),
-            ("span.config_old_ms", self.config_old_ms),
             ("span.drain_ms", self.drain_ms),
         ];
         match spans.iter().find(|(_, span)| *span == Millis::ZERO) {
--- /dev/null
+++ b/crates/marigoldpick-entry/tests/path/site.rs
@@ -0,0 +1,157 @@
+//! A small site in this process: a platform of one failure domain and some entries.
+
+use std::time::{Duration, Instant};
+
+use marigoldpick_core::prelude::*;
+use marigoldpick_entry::settings::Peer;
+use marigoldpick_entry::{Entry, Settings};
+use marigoldpick_standin::Platform;
+
+/// The longest wait for something that has to come.
+const LONGEST: Duration = Duration::from_secs(60);
+const POLL: Duration = Duration::from_millis(20);
+
+const PLATFORM: &str = r#"
+seed = 7
+listen = "127.0.0.1:0"
+
+[task]
+run_ms = { from = 100.0, to = 400.0 }
+
+[[domain]]
+name = "north"
+
+[[domain.rack]]
+name = "north-a"
+workers = 2
+kind = "general"
+size = { millicores = 16000, memory_mib = 32768 }
+
+[[domain.rack]]
+name = "north-b"
+workers = 2
+kind = "general"
+size = { millicores = 16000, memory_mib = 32768 }
+"#;
+
+/// A service with four endpoints and a batch job of twenty tasks.
+pub(crate) const INTENT: &str = r#"
+[[team]]
+name = "sales"
+weight = 1
+quota = { millicores = 64000, memory_mib = 131072 }
+
+[[service]]
+name = "booking"
+
+[[job]]
+name = "booking"
+class = "service"
+team = "sales"
+service = "booking"
+count = 4
+needs = { millicores = 2000, memory_mib = 2048 }
+where = { spread = "rack" }
+
+[[job]]
+name = "night"
+class = "batch"
+team = "sales"
+count = 20
+needs = { millicores = 1000, memory_mib = 1024 }
+run_ms = 300
+"#;
+
+/// `Site` is the platform with its entries.
+pub(crate) struct Site {
+    pub(crate) platform: Platform,
+    pub(crate) entries: Vec<Entry>,
+}
+
+impl Site {
+    /// Starts a platform and `count` entries that know the first of them.
+    pub(crate) async fn start(count: usize) -> Self {
+        let settings = marigoldpick_standin::Settings::parse("platform.toml", PLATFORM)
+            .expect("the settings are well formed");
+        let platform = Platform::start(&settings).expect("the platform starts");
+        let mut entries: Vec<Entry> = Vec::new();
+        for number in 0..count {
+            let peers = entries.first().map(peer).into_iter().collect();
+            let settings = entry_settings(number, &platform.address(), peers);
+            entries.push(Entry::start(settings).await.expect("the entry starts"));
+        }
+        Self { platform, entries }
+    }
+
+    /// Returns where operators reach an entry.
+    pub(crate) fn operators(&self, at: usize) -> String {
+        self.entries[at].addresses().operators.clone()
+    }
+
+    /// Waits until each entry knows a lead of the shard that holds all workers.
+    pub(crate) async fn wait_for_leads(&self) {
+        let start = Instant::now();
+        loop {
+            let mut ready = true;
+            for at in 0..self.entries.len() {
+                let status = crate::status(&self.operators(at)).await;
+                let known = status.expect("status is answered");
+                let led = |shard: &marigoldpick_core::operator::Shard| shard.workers == 4;
+                ready &= !known.config_old && known.shards.iter().any(led);
+            }
+            if ready {
+                return;
+            }
+            assert!(start.elapsed() < LONGEST, "no lead");
+            async_std::task::sleep(POLL).await;
+        }
+    }
+
+    /// Returns which entry leads the shard.
+    pub(crate) async fn lead(&self) -> usize {
+        let status = crate::status(&self.operators(0))
+            .await
+            .expect("status is answered");
+        let lead = status.shards[0].lead.clone().expect("there is a lead");
+        let found = self
+            .entries
+            .iter()
+            .position(|entry| entry.addresses().entry == lead);
+        found.expect("the lead is one of the entries")
+    }
+}
+
+/// Waits until `holds`.
+pub(crate) async fn eventually(what: &str, holds: impl Fn() -> bool) {
+    let start = Instant::now();
+    while !holds() {
+        assert!(start.elapsed() < LONGEST, "not in time: {what}");
+        async_std::task::sleep(POLL).await;
+    }
+}
+
+fn peer(entry: &Entry) -> Peer {
+    let known = entry.known();
+    Peer {
+        entry: known.entry.clone(),
+        domain: known.domain.clone(),
+        address: known.address.clone(),
+    }
+}
+
+fn entry_settings(number: usize, platform: &str, peer: Vec<Peer>) -> Settings {
+    let any = "127.0.0.1:0".to_owned();
+    Settings {
+        entry: id::Entry::new(&format!("north-{number}")).expect("a name"),
+        domain: id::Domain::new("north").expect("a name"),
+        callers: any.clone(),
+        operators: any.clone(),
+        inner: any,
+        platform: platform.to_owned(),
+        peer,
+        log: "info".to_owned(),
+        events: 1_000,
+        span: marigoldpick_entry::settings::Span::default(),
+        ownership: marigoldpick_shard::Settings::default(),
+    }
+}
