--- a/crates/marigoldpick-entry/src/control/local.rs
+++ b/crates/marigoldpick-entry/src/control/local.rs
@@ -410,6 +410,18 @@
                 };
                 self.event(event, run);
             }
+            Notice::Throttled {
+                run: throttled,
+                millicores,
+            } => {
+                self.event(
+                    Event::Throttled {
+                        run: throttled,
+                        millicores,
+                    },
+                    run,
+                );
+            }
             Notice::MaybeStarted(started) => {
                 self.event(Event::MaybeStarted { run: started }, run);
             }
--- a/crates/marigoldpick-shard/src/lead.rs
+++ b/crates/marigoldpick-shard/src/lead.rs
@@ -183,6 +183,13 @@
         /// Why.
         code: Code,
     },
+    /// A limit on a run's processors is in force.
+    Throttled {
+        /// The run.
+        run: id::Run,
+        /// The limit in thousandths of a core.
+        millicores: u64,
+    },
     /// A run ended; a completion is in the log by now.
     Finished {
         /// The worker.
--- a/crates/marigoldpick-shard/src/lead/report.rs
+++ b/crates/marigoldpick-shard/src/lead/report.rs
@@ -5,7 +5,7 @@
 use marigoldpick_core::worker::{self, Finished, Outcome, Report, Running};
 
 use super::ledger::Ending;
-use super::member::Probe;
+use super::member::{Act, Probe};
 use super::takeover::Role;
 use super::work::{Kind, Sent};
 use super::{Lead, Notice, Output};
@@ -94,6 +94,9 @@
         match (kind, refused) {
             (Kind::Start(run), None) => self.started(&run, out),
             (Kind::Start(run), Some(refusal)) => self.start_refused(&run, refusal, out),
+            (Kind::Act(Act::Throttle(run, millicores)), None) => {
+                Self::notice(out, Notice::Throttled { run, millicores });
+            }
             (Kind::Renew(acks), None) => self.members[at].acks.retain(|run| !acks.contains(run)),
             _ => {}
         }
