--- a/crates/marigoldpick-place/src/fleet.rs
+++ b/crates/marigoldpick-place/src/fleet.rs
@@ -4,9 +4,13 @@
 use marigoldpick_core::prelude::*;
 use marigoldpick_core::vm;
 
+use crate::health;
 use crate::index::Index;
 use crate::size::Size;
 
+/// Slots of the watched size that are counted on one worker at most.
+pub const MOST_SLOTS: u32 = 1_000;
+
 /// `State` is whether a worker answers.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum State {
@@ -43,6 +47,8 @@
     pub draining: bool,
     /// Whether it is shut out by its health.
     pub quarantined: bool,
+    /// The record of its runs.
+    pub health: health::Worker,
 }
 
 impl Worker {
@@ -52,6 +58,12 @@
         self.size.minus(&self.held).minus(&self.claimed)
     }
 
+    /// Returns what is not held, whether claimed or not.
+    #[must_use]
+    pub fn unheld(&self) -> Size {
+        self.size.minus(&self.held)
+    }
+
     /// Tells whether tasks may be started on it.
     #[must_use]
     pub fn usable(&self) -> bool {
@@ -76,6 +88,9 @@
     by_id: FxHashMap<id::Worker, u32>,
     index: Index,
     total: Size,
+    watch: Size,
+    slots: u32,
+    slots_of: Vec<u32>,
 }
 
 impl Fleet {
@@ -110,6 +125,7 @@
             state: State::Up,
             draining: false,
             quarantined: false,
+            health: health::Worker::default(),
         });
         self.by_id.insert(vm.id.clone(), slot);
         self.enter_rack(slot);
@@ -168,6 +184,42 @@
             self.total = self.total.plus(&after.unwrap_or_default());
         }
         self.index.put(slot, worker);
+        self.count_slots(slot);
+    }
+
+    /// Counts from now on how many tasks of size `watch` would fit into the free room.
+    pub fn watch(&mut self, watch: Size) {
+        self.watch = watch;
+        let count = u32::try_from(self.workers.len()).unwrap_or(u32::MAX);
+        (0..count).for_each(|slot| self.count_slots(slot));
+    }
+
+    /// Returns the size that is watched.
+    #[must_use]
+    pub const fn watched(&self) -> &Size {
+        &self.watch
+    }
+
+    /// Returns how many tasks of the watched size fit into the free room.
+    #[must_use]
+    pub const fn slots(&self) -> u32 {
+        self.slots
+    }
+
+    fn count_slots(&mut self, slot: u32) {
+        let at = slot as usize;
+        if self.slots_of.len() <= at {
+            self.slots_of.resize(at + 1, 0);
+        }
+        let worker = &self.workers[at];
+        let watched = worker.usable() && self.watch.millicores > 0;
+        let after = if watched {
+            worker.free().fits(&self.watch, MOST_SLOTS)
+        } else {
+            0
+        };
+        let before = std::mem::replace(&mut self.slots_of[at], after);
+        self.slots = self.slots - before + after;
     }
 
     fn rack_slot(&mut self, id: &id::Rack) -> u32 {
--- a/crates/marigoldpick-place/src/job.rs
+++ b/crates/marigoldpick-place/src/job.rs
@@ -37,6 +37,8 @@
     pub failures: u16,
     /// Whether it waits since its worker was lost.
     pub lost: bool,
+    /// Whether it waits since it was displaced, and so displaces nothing itself.
+    pub displaced: bool,
     /// The worker on which it failed last.
     pub failed_on: Option<u32>,
 }
@@ -47,6 +49,7 @@
         attempt: 0,
         failures: 0,
         lost: false,
+        displaced: false,
         failed_on: None,
     };
 
@@ -57,6 +60,15 @@
     }
 }
 
+/// `RackCount` is the count of a job's runs in a rack.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct RackCount {
+    /// The rack's slot.
+    pub rack: u32,
+    /// The count.
+    pub count: u32,
+}
+
 /// `Job` is a job's range of tasks in this shard.
 #[derive(Clone, Debug)]
 pub struct Job {
@@ -66,6 +78,8 @@
     pub span: Span,
     /// The slot of its kind.
     pub kind: u32,
+    /// The team's slot.
+    pub team: u32,
     /// When it came.
     pub arrived: Millis,
     /// Its place in the order of arrivals.
@@ -76,6 +90,14 @@
     pub pending: VecDeque<u32>,
     /// Checkpoints to go on from.
     pub checkpoints: FxHashMap<u32, String>,
+    /// Memory for tasks that ran out of it, by index.
+    pub memory: FxHashMap<u32, u64>,
+    /// Counts of its runs by rack, sorted by rack, when it is kept apart.
+    pub racks: Vec<RackCount>,
+    /// Runs that are giving way to it.
+    pub displacing: u32,
+    /// Why the tasks that are left are given up, if they are.
+    pub doomed: Option<Code>,
     /// Whether no worker could hold a task of it when it came.
     pub fresh: bool,
     /// Whether it was cancelled.
@@ -84,8 +106,10 @@
     pub queued: bool,
     /// Tasks with a run.
     pub placed: u32,
-    /// Tasks that wait.
+    /// Tasks that wait, delayed ones among them.
     pub waiting: u32,
+    /// Tasks that wait out a delay.
+    pub delayed: u32,
     /// Tasks that were completed.
     pub completed: u32,
     /// Tasks that were given up.
@@ -105,16 +129,22 @@
             spec,
             span,
             kind,
+            team: 0,
             arrived,
             order,
             tasks: vec![Task::NEW; count as usize],
             pending: (span.from..span.to).collect(),
             checkpoints: FxHashMap::default(),
+            memory: FxHashMap::default(),
+            racks: Vec::new(),
+            displacing: 0,
+            doomed: None,
             fresh: true,
             cancelled: false,
             queued: false,
             placed: 0,
             waiting: count,
+            delayed: 0,
             completed: 0,
             failed: 0,
             cancelled_tasks: 0,
@@ -142,6 +172,8 @@
         let before = std::mem::replace(&mut task.state, state);
         *self.count_of(before) -= 1;
         *self.count_of(state) += 1;
+        self.delayed -= u32::from(before == State::Delayed);
+        self.delayed += u32::from(state == State::Delayed);
         self.open = self.waiting + self.placed;
     }
 
@@ -162,6 +194,34 @@
         self.pending.push_front(index);
     }
 
+    /// Returns the slots of its runs.
+    #[must_use]
+    pub fn placed_runs(&self) -> Vec<u32> {
+        let run = |task: &Task| match task.state {
+            State::Placed(run) => Some(run),
+            _ => None,
+        };
+        self.tasks.iter().filter_map(run).collect()
+    }
+
+    /// Notes a run more or less in a rack.
+    pub fn count_rack(&mut self, rack: u32, more: bool) {
+        match (self.racks.binary_search_by_key(&rack, |r| r.rack), more) {
+            (Ok(at), true) => self.racks[at].count += 1,
+            (Ok(at), false) => self.racks[at].count = self.racks[at].count.saturating_sub(1),
+            (Err(at), true) => self.racks.insert(at, RackCount { rack, count: 1 }),
+            (Err(_), false) => {}
+        }
+    }
+
+    /// Returns the count of its runs in a rack.
+    #[must_use]
+    pub fn in_rack(&self, rack: u32) -> u32 {
+        self.racks
+            .binary_search_by_key(&rack, |r| r.rack)
+            .map_or(0, |at| self.racks[at].count)
+    }
+
     fn at(&self, index: u32) -> Option<usize> {
         index.checked_sub(self.span.from).map(|at| at as usize)
     }
--- a/crates/marigoldpick-place/src/kind.rs
+++ b/crates/marigoldpick-place/src/kind.rs
@@ -6,6 +6,8 @@
 use marigoldpick_core::intent::{Class, Job, Priority, Spread, Where};
 use marigoldpick_core::prelude::*;
 
+use crate::estimate::Estimate;
+use crate::health;
 use crate::size::Size;
 
 /// `Key` is what jobs of one kind have in common.
@@ -23,6 +25,7 @@
     racks: Vec<id::Rack>,
     kinds: Vec<Name>,
     spread: u8,
+    idempotent: bool,
 }
 
 /// `Waiter` is a job in a kind's queue; it is void when the slot has another order by now.
@@ -34,11 +37,24 @@
     pub order: u64,
 }
 
+/// `Block` is why a kind's tasks can't be placed now.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Block {
+    /// No worker has room.
+    Room,
+    /// The team's quota is used up.
+    Quota,
+    /// Restarts of lost tasks are spread over time.
+    Paced,
+    /// No worker that is up has the accelerators.
+    Kind,
+}
+
 /// `Kind` is a set of like jobs with those that wait.
 #[derive(Clone, Debug)]
 pub struct Kind {
-    /// The team.
-    pub team: id::Team,
+    /// The team's slot.
+    pub team: u32,
     /// The class.
     pub class: Class,
     /// The priority.
@@ -49,10 +65,24 @@
     pub place: Where,
     /// Jobs with waiting tasks, by arrival.
     pub queue: VecDeque<Waiter>,
-    /// Whether a task did not fit when last tried, and no room has come since.
-    pub blocked: bool,
-    /// What is set aside for a task, once the needed accelerators are known.
-    pub ask: Option<Size>,
+    /// Whether it stands in the list of kinds with a queue.
+    pub active: bool,
+    /// Why its tasks can't be placed now, if so.
+    pub block: Option<Block>,
+    /// What a task was declared to need, once workers have the kinds of accelerators.
+    pub declared: Option<Size>,
+    /// What is set aside for a task.
+    pub ask: Size,
+    /// Whether no less than the declared size is set aside.
+    pub floor: bool,
+    /// Real sizes and run times.
+    pub estimate: Estimate,
+    /// The record of its ends.
+    pub health: health::Kind,
+    /// Until when nothing of it starts, since it fails by its own fault.
+    pub hold: Millis,
+    /// How often it was held.
+    pub holds: u32,
 }
 
 /// `Table` holds the kinds by slot.
@@ -67,21 +97,28 @@
     ///
     /// # Panics
     /// Panics beyond 2^32 kinds.
-    pub fn slot(&mut self, job: &Job) -> u32 {
+    pub fn slot(&mut self, job: &Job, team: u32) -> u32 {
         let key = key(job);
         if let Some(&slot) = self.by_key.get(&key) {
             return slot;
         }
         let slot = u32::try_from(self.kinds.len()).expect("fewer than 2^32 kinds");
         self.kinds.push(Kind {
-            team: job.team.clone(),
+            team,
             class: job.class,
             priority: job.priority,
             needs: job.needs.clone(),
             place: job.place.clone(),
             queue: VecDeque::new(),
-            blocked: false,
-            ask: None,
+            active: false,
+            block: None,
+            declared: None,
+            ask: Size::default(),
+            floor: job.class == Class::Service || !job.idempotent,
+            estimate: Estimate::default(),
+            health: health::Kind::default(),
+            hold: Millis::ZERO,
+            holds: 0,
         });
         self.by_key.insert(key, slot);
         slot
@@ -134,6 +171,7 @@
             Spread::Rack => 2,
             Spread::Domain => 3,
         },
+        idempotent: job.idempotent,
     }
 }
 
--- a/crates/marigoldpick-place/src/lib.rs
+++ b/crates/marigoldpick-place/src/lib.rs
@@ -12,13 +12,17 @@
 //! * A run is over for the scheduler only by `Finished`, `Refused` or `WorkerGone`.
 
 pub mod action;
+pub mod estimate;
 pub mod event;
 pub mod fleet;
+pub mod headroom;
+pub mod health;
 pub mod index;
 pub mod job;
 pub mod kind;
 pub mod mix;
 pub mod planner;
+pub mod quota;
 pub mod run;
 pub mod scheduler;
 pub mod score;
--- a/crates/marigoldpick-place/src/run.rs
+++ b/crates/marigoldpick-place/src/run.rs
@@ -2,6 +2,7 @@
 
 use marigoldpick_core::prelude::*;
 
+use crate::kind::Waiter;
 use crate::size::Size;
 use crate::slab::Slab;
 
@@ -31,6 +32,8 @@
     pub attempt: u32,
     /// The worker's slot.
     pub worker: u32,
+    /// The team's slot.
+    pub team: u32,
     /// What it holds on the worker.
     pub held: Size,
     /// How far it has come.
@@ -39,11 +42,21 @@
     pub since: Millis,
     /// A limit on its processors that is asked for or in force.
     pub limit: Option<u64>,
-    /// When the end of displacement was asked for, if it gives way.
-    pub displaced: bool,
+    /// The job that it gives way to, if it does.
+    pub displaced: Option<Waiter>,
+    /// A number that no other run has.
+    pub serial: u64,
+    /// Whether its worker counts it as young.
+    pub young: bool,
 }
 
 impl Run {
+    /// Tells whether this is the run with an identity.
+    #[must_use]
+    pub fn is(&self, id: &id::Run) -> bool {
+        self.index == id.task.index && self.attempt == id.attempt && self.name == id.task.job
+    }
+
     /// Returns the run's identity.
     #[must_use]
     pub fn id(&self) -> id::Run {
--- a/crates/marigoldpick-place/src/scheduler.rs
+++ b/crates/marigoldpick-place/src/scheduler.rs
@@ -2,15 +2,23 @@
 
 mod accept;
 mod answer;
+mod claim;
+mod displace;
+mod explain;
+mod health;
+mod hold;
+mod pick;
 mod round;
+mod survey;
+mod usage;
 mod worker;
 
 use std::cmp::Reverse;
-use std::collections::BinaryHeap;
+use std::collections::{BinaryHeap, VecDeque};
 
 use fxhash::FxHashMap;
-use marigoldpick_core::intent::{self, Objective};
-use marigoldpick_core::operator::{self, Explain};
+use marigoldpick_core::intent::{Objective, Priority};
+use marigoldpick_core::operator;
 use marigoldpick_core::prelude::*;
 use rand::SeedableRng;
 use rand_chacha::ChaCha8Rng;
@@ -18,12 +26,17 @@
 use crate::action::Action;
 use crate::event::Event;
 use crate::fleet::Fleet;
+use crate::headroom::Headroom;
 use crate::mix::Mix;
+use crate::quota::Teams;
 use crate::score::{Blend, Policy};
 use crate::settings::Settings;
 use crate::size::Kinds;
-use crate::survey::Offer;
 use crate::{job, kind, run};
+use claim::{Claim, Reservation};
+
+/// One second.
+const SECOND: Millis = Millis::from_secs(1);
 
 /// `Counts` is the shard's progress.
 #[derive(Clone, Debug, Default, PartialEq, Eq)]
@@ -45,6 +58,22 @@
     index: u32,
 }
 
+/// `Proof` is the time at which a run has grown old enough to show that its worker is sound.
+#[derive(Clone, Copy, Debug)]
+struct Proof {
+    at: Millis,
+    run: u32,
+    serial: u64,
+}
+
+/// `Limited` is a run whose processors are throttled below what it held.
+#[derive(Clone, Copy, Debug)]
+struct Limited {
+    run: u32,
+    serial: u64,
+    millicores: u64,
+}
+
 /// `Scheduler` places the tasks of one shard.
 #[derive(Debug)]
 pub struct Scheduler<P = Blend> {
@@ -63,6 +92,19 @@
     orphans: FxHashMap<id::Job, Vec<u32>>,
     delays: BinaryHeap<Reverse<Delay>>,
     order: u64,
+    serial: u64,
+    teams: Teams,
+    active: Vec<u32>,
+    headroom: Headroom,
+    proofs: VecDeque<Proof>,
+    claims: Vec<Claim>,
+    reservation: Option<Reservation>,
+    limited: Vec<Limited>,
+    shut_out: Vec<u32>,
+    tokens: u64,
+    cursor: u32,
+    ticked: Millis,
+    unblocked: Millis,
 }
 
 impl Scheduler {
@@ -93,6 +135,19 @@
             orphans: FxHashMap::default(),
             delays: BinaryHeap::new(),
             order: 0,
+            serial: 0,
+            teams: Teams::default(),
+            active: Vec::new(),
+            headroom: Headroom::default(),
+            proofs: VecDeque::new(),
+            claims: Vec::new(),
+            reservation: None,
+            limited: Vec::new(),
+            shut_out: Vec::new(),
+            tokens: 0,
+            cursor: 0,
+            ticked: Millis::ZERO,
+            unblocked: Millis::ZERO,
         }
     }
 
@@ -104,14 +159,24 @@
 
     /// Takes one event and appends what is to be done to `out`.
     pub fn handle(&mut self, event: Event, now: Millis, out: &mut Vec<Action>) {
+        let tick = event == Event::Tick;
         match event {
             Event::Leading { unheard } => self.lead(unheard),
             Event::Objective(objective) => self.objective = objective,
-            Event::Team(_) | Event::Allotment { .. } => {}
+            Event::Team(team) => {
+                let slot = self.teams.slot(&team.name);
+                self.teams.declare(team, &self.accelerators);
+                self.unblock_team(slot);
+            }
+            Event::Allotment { team, amount } => {
+                let slot = self.teams.slot(&team);
+                self.teams.allot(&team, amount, &self.accelerators);
+                self.unblock_team(slot);
+            }
             Event::WorkerUp { worker, running } => self.worker_up(&worker, running, now, out),
             Event::WorkerSilent { worker } => self.worker_silent(worker),
             Event::WorkerHeard { worker } => self.worker_heard(&worker),
-            Event::WorkerGone { worker } => self.worker_gone(&worker, now, out),
+            Event::WorkerGone { worker } => self.worker_gone(&worker, out),
             Event::WorkerDrain { worker, on } => self.worker_drain(&worker, on, out),
             Event::Job {
                 job,
@@ -138,81 +203,37 @@
                 refusal,
             } => self.refused(&run, &worker, refusal, now, out),
             Event::MaybeStarted { run } => self.maybe_started(&run, out),
-            Event::Throttled { .. } | Event::Usage { .. } => {}
+            Event::Throttled { run, millicores } => self.throttled(&run, millicores),
+            Event::Usage { run, amount } => self.used(&run, &amount, out),
             Event::Finished {
                 run,
                 worker,
                 outcome,
-                ..
-            } => self.finished(&run, &worker, outcome, now, out),
+                age,
+                usage,
+            } => {
+                let end = answer::End {
+                    outcome,
+                    age,
+                    usage,
+                };
+                self.finished(&run, &worker, end, now, out);
+            }
             Event::Tick => self.tick(now, out),
         }
-        self.fill(now, out);
+        if tick || !self.saves_rounds() || self.urgent_waits() {
+            self.fill(now, out);
+        }
     }
 
-    /// Tells what the shard could do for jobs that are being planned, in their order.
-    #[must_use]
-    pub fn survey(&self, jobs: &[intent::Job], _now: Millis) -> Vec<Offer> {
-        let mut free: Vec<_> = self.fleet.workers().iter().collect();
-        free.retain(|worker| worker.usable());
-        let mut room: Vec<_> = free.iter().map(|worker| worker.free()).collect();
-        let domain = free.first().map(|worker| worker.domain.clone());
-        let mut offers = Vec::with_capacity(jobs.len());
-        for job in jobs {
-            let mut offer = Offer {
-                job: job.name.clone(),
-                domain: domain.clone(),
-                now: 0,
-                displacing: 0,
-                ever: 0,
-                wait: Millis::ZERO,
-                displaced: Vec::new(),
-                never: None,
-            };
-            if let Ok(ask) = self.accelerators.convert(&job.needs) {
-                for (at, worker) in free.iter().enumerate() {
-                    let left = job.count - offer.now;
-                    let fits = room[at].fits(&ask, left);
-                    offer.now += fits;
-                    (0..fits).for_each(|_| room[at] = room[at].minus(&ask));
-                    offer.ever = (offer.ever + worker.size.fits(&ask, job.count)).min(job.count);
-                }
-            }
-            offer.displacing = offer.now;
-            if offer.ever == 0 {
-                offer.never = Some(format!("needs {} on one worker", job.needs));
-            }
-            offers.push(offer);
-        }
-        offers
+    /// Tells whether tasks are placed by the tick alone, since control cost outweighs waiting.
+    fn saves_rounds(&self) -> bool {
+        self.objective.control > self.objective.waiting
     }
 
-    /// Tells why a task is as it is.
-    #[must_use]
-    pub fn explain(&self, task: &id::Task, _now: Millis) -> Explain {
-        let known = self.jobs.slot(&task.job).map(|slot| self.jobs.get(slot));
-        let found = known.and_then(|job| job.task(task.index));
-        let mut explain = Explain {
-            task: task.clone(),
-            state: "never".to_owned(),
-            worker: None,
-            reasons: Vec::new(),
-        };
-        match found.map(|task| task.state) {
-            None => explain.reasons.push("not known in this shard".to_owned()),
-            Some(job::State::Waiting | job::State::Delayed) => {
-                "waiting".clone_into(&mut explain.state)
-            }
-            Some(job::State::Placed(slot)) => {
-                "running".clone_into(&mut explain.state);
-                let worker = self.runs.get(slot).worker;
-                explain.worker = Some(self.fleet.get(worker).id.clone());
-            }
-            Some(job::State::Done) => "completed".clone_into(&mut explain.state),
-            Some(job::State::Failed) => "failed".clone_into(&mut explain.state),
-            Some(job::State::Cancelled) => "cancelled".clone_into(&mut explain.state),
-        }
-        explain
+    fn urgent_waits(&self) -> bool {
+        let urgent = |slot: &u32| self.kinds.get(*slot).priority == Priority::Urgent;
+        self.active.iter().any(urgent)
     }
 
     /// Returns the progress of the shard and its jobs.
@@ -234,12 +255,21 @@
     }
 
     fn tick(&mut self, now: Millis, out: &mut Vec<Action>) {
-        self.end_delays(now);
+        let passed = now.since(self.ticked).0.min(SECOND.0);
+        self.ticked = now;
+        let most = u64::from(self.settings.restarts);
+        self.tokens = (self.tokens + (most * passed).div_ceil(SECOND.0)).min(most);
+        self.prove(now);
+        self.end_delays(now, out);
         self.settle_missing(now, out);
-        self.kinds
-            .kinds_mut()
-            .iter_mut()
-            .for_each(|kind| kind.blocked = false);
+        self.end_quarantines(now, out);
+        self.lift_limits(out);
+        self.refresh_headroom(now);
+        self.unblock_paced();
+        if now.since(self.unblocked) >= SECOND {
+            self.unblocked = now;
+            self.unblock_all();
+        }
     }
 }
 
--- a/crates/marigoldpick-place/src/scheduler/accept.rs
+++ b/crates/marigoldpick-place/src/scheduler/accept.rs
@@ -1,15 +1,17 @@
 //! Jobs: how they come, are cancelled and end.
 
-use marigoldpick_core::intent;
+use marigoldpick_core::intent::{self, Class, Objective, Priority};
 use marigoldpick_core::prelude::*;
 
 use super::Scheduler;
 use crate::action::Action;
 use crate::event::Span;
+use crate::fleet;
 use crate::job::{Job, State};
 use crate::kind::Waiter;
 use crate::run::Phase;
 use crate::score::Policy;
+use crate::size::Size;
 
 /// `Past` is what earlier leads have recorded of a job.
 #[derive(Clone, Debug)]
@@ -37,35 +39,37 @@
             return;
         }
         let name = spec.name.clone();
-        let kind = self.kinds.slot(&spec);
-        if let Ok(size) = self.accelerators.convert(&spec.needs) {
-            self.mix.note(&size, span.to.saturating_sub(span.from));
-        }
+        let team = self.teams.slot(&spec.team);
+        let kind = self.kinds.slot(&spec, team);
+        self.note_arrival(&spec, span, now);
         self.order += 1;
         let mut job = Job::new(spec, span, kind, now, self.order);
         job.fresh = past.fresh;
+        job.team = team;
         recall(&mut job, past);
         let slot = self.jobs.add(job);
-        self.adopt_orphans(slot, &name);
+        self.adopt_orphans(&name, out);
         self.give_up_held(slot, &past.held, out);
+        self.mend_gang(slot, out);
         self.enqueue(slot);
         self.end_if_over(slot, out);
     }
 
     /// Runs that were reported before their job was known become the job's.
-    fn adopt_orphans(&mut self, slot: u32, name: &id::Job) {
+    fn adopt_orphans(&mut self, name: &id::Job, out: &mut Vec<Action>) {
         for run in self.orphans.remove(name).unwrap_or_default() {
-            self.adopt_run(slot, run);
+            self.adopt(run, out);
         }
     }
 
     /// Makes a reported run the run of its task.
     pub(super) fn adopt_run(&mut self, slot: u32, run: u32) {
-        let (index, attempt) = {
+        let (index, attempt, worker) = {
             let run = self.runs.get_mut(run);
             run.job = Some(slot);
-            (run.index, run.attempt)
+            (run.index, run.attempt, run.worker)
         };
+        self.count_rack(slot, worker, true);
         let job = self.jobs.get_mut(slot);
         job.set(index, State::Placed(run));
         if let Some(task) = job.task_mut(index) {
@@ -99,17 +103,63 @@
         if !job.fresh && !self.unheard.is_empty() {
             return;
         }
+        if job.spec.class == Class::Gang && (job.placed > 0 || job.delayed > 0) {
+            return;
+        }
         job.queued = true;
         let order = job.order;
-        let queue = &mut self.kinds.get_mut(job.kind).queue;
-        let at = queue.partition_point(|waiter| waiter.order < order);
-        queue.insert(at, Waiter { job: slot, order });
+        let slot_of_kind = job.kind;
+        let kind = self.kinds.get_mut(slot_of_kind);
+        let at = kind.queue.partition_point(|waiter| waiter.order < order);
+        kind.queue.insert(at, Waiter { job: slot, order });
+        kind.block = kind.block.filter(|_| kind.class != Class::Gang);
+        if !kind.active {
+            kind.active = true;
+            self.active.push(slot_of_kind);
+        }
+    }
+
+    /// Notes what the shard is asked for: the mix of sizes, and urgent work.
+    fn note_arrival(&mut self, spec: &intent::Job, span: Span, now: Millis) {
+        let Ok(size) = self.accelerators.convert(&spec.needs) else {
+            return;
+        };
+        let count = span.to.saturating_sub(span.from);
+        self.mix.note(&size, count);
+        if spec.priority != Priority::Urgent {
+            return;
+        }
+        if self.headroom.note(&size, count, now) {
+            self.fleet.watch(*self.headroom.size());
+        }
+        self.refresh_headroom(now);
+    }
+
+    pub(super) fn refresh_headroom(&mut self, now: Millis) {
+        let span = self.settings.headroom;
+        let waiting = waiting_share(&self.objective);
+        let ceased = self
+            .headroom
+            .refresh(span, waiting, self.fleet.total(), now);
+        if ceased {
+            self.fleet.watch(Size::default());
+        }
     }
 
     /// Lets jobs of earlier leads start, now that every worker was heard.
-    pub(super) fn all_heard(&mut self) {
+    pub(super) fn all_heard(&mut self, out: &mut Vec<Action>) {
         let slots: Vec<u32> = self.jobs.iter().map(|(slot, _)| slot).collect();
-        slots.into_iter().for_each(|slot| self.enqueue(slot));
+        for slot in slots {
+            self.mend_gang(slot, out);
+            self.enqueue(slot);
+        }
+    }
+
+    /// Stops what is left of a gang that lost tasks while the shard had no lead.
+    fn mend_gang(&mut self, slot: u32, out: &mut Vec<Action>) {
+        if self.unheard.is_empty() && self.jobs.get(slot).waiting > 0 {
+            self.stop_gang(slot, out);
+        }
     }
 
     pub(super) fn cancel(&mut self, names: &[id::Job], out: &mut Vec<Action>) {
@@ -149,8 +199,12 @@
             return;
         }
         run.phase = Phase::Stopping;
+        let worker = self.fleet.get(run.worker);
+        if worker.state == fleet::State::Gone {
+            return;
+        }
         out.push(Action::Stop {
-            worker: self.fleet.get(run.worker).id.clone(),
+            worker: worker.id.clone(),
             run: run.id(),
             grace,
         });
@@ -180,3 +234,13 @@
         (span.from..span.to).for_each(|index| job.set(index, State::Failed));
     }
 }
+
+/// Returns how waiting weighs against packing: one when they weigh the same, two at most.
+fn waiting_share(objective: &Objective) -> f64 {
+    let sum = objective.waiting + objective.packing;
+    if sum > 0.0 {
+        2.0 * objective.waiting / sum
+    } else {
+        1.0
+    }
+}
--- a/crates/marigoldpick-place/src/scheduler/answer.rs
+++ b/crates/marigoldpick-place/src/scheduler/answer.rs
@@ -2,6 +2,7 @@
 
 use std::cmp::Reverse;
 
+use marigoldpick_core::intent::Class;
 use marigoldpick_core::prelude::*;
 use marigoldpick_core::worker::{Outcome, Refusal};
 
@@ -12,6 +13,17 @@
 use crate::run::{Phase, Run};
 use crate::score::Policy;
 
+/// `End` is what a worker told of a run's end.
+#[derive(Clone, Debug)]
+pub(super) struct End {
+    /// How it ended.
+    pub outcome: Outcome,
+    /// How long it ran.
+    pub age: Millis,
+    /// The most it used.
+    pub usage: Option<Amount>,
+}
+
 impl<P: Policy> Scheduler<P> {
     pub(super) fn started(&mut self, id: &id::Run, worker: &id::Worker, now: Millis) {
         let Some(slot) = self.find(id, worker) else {
@@ -44,22 +56,25 @@
             Some(Refusal::Fenced) => {
                 let at = self.runs.get(slot).worker;
                 self.fleet.change(at, |w| w.state = fleet::State::Silent);
-                self.retry(slot, now);
+                self.retry(slot, now, out);
             }
             Some(Refusal::Lapsed | Refusal::Full | Refusal::UnknownRun) | None => {
-                self.retry(slot, now);
+                self.retry(slot, now, out);
             }
         }
     }
 
     /// Puts the task of a run that had no effect back, after a short delay.
-    fn retry(&mut self, slot: u32, now: Millis) {
+    fn retry(&mut self, slot: u32, now: Millis, out: &mut Vec<Action>) {
         let Some(run) = self.remove_run(slot) else {
             return;
         };
-        if let Some(job) = run.job {
-            self.delay(job, run.index, now + self.settings.backoff);
-        }
+        let Some(job) = run.job else {
+            return;
+        };
+        self.delay(job, run.index, now + self.settings.backoff, out);
+        self.stop_gang(job, out);
+        self.end_if_over(job, out);
     }
 
     pub(super) fn maybe_started(&mut self, id: &id::Run, out: &mut Vec<Action>) {
@@ -77,6 +92,8 @@
             .is_some_and(|t| !t.ended())
         {
             self.give_up(job, id.task.index, Code::TaskMaybeStarted, out);
+            self.doom(job, out);
+            self.stop_gang(job, out);
             self.end_if_over(job, out);
         }
     }
@@ -85,12 +102,12 @@
         &mut self,
         id: &id::Run,
         worker: &id::Worker,
-        outcome: Outcome,
+        end: End,
         now: Millis,
         out: &mut Vec<Action>,
     ) {
         let Some(slot) = self.find(id, worker) else {
-            self.finished_before(id, &outcome, out);
+            self.finished_before(id, &end.outcome, out);
             return;
         };
         let Some(run) = self.remove_run(slot) else {
@@ -103,34 +120,40 @@
         if current != Some(State::Placed(slot)) {
             return;
         }
-        self.end_run(job, &run, outcome, now, out);
+        self.learn_end(job, &run, &end);
+        self.end_run(job, &run, end, now, out);
         self.end_if_over(job, out);
     }
 
-    fn end_run(
-        &mut self,
-        job: u32,
-        run: &Run,
-        outcome: Outcome,
-        now: Millis,
-        out: &mut Vec<Action>,
-    ) {
+    fn end_run(&mut self, job: u32, run: &Run, end: End, now: Millis, out: &mut Vec<Action>) {
         let index = run.index;
-        match outcome {
-            Outcome::Done => self.jobs.get_mut(job).set(index, State::Done),
-            Outcome::Failed => self.failed(job, run, now, out),
+        match end.outcome {
+            Outcome::Done => {
+                self.note_done(job, run.worker, now);
+                self.jobs.get_mut(job).set(index, State::Done);
+                self.enqueue(job);
+            }
+            Outcome::Failed if self.out_of_memory(job, run, end.usage.as_ref()) => {
+                self.put_back(job, index, out);
+                self.stop_gang(job, out);
+            }
+            Outcome::Failed => {
+                self.note_failure(job, run, now, out);
+                self.failed(job, run, now, out);
+                self.stop_gang(job, out);
+            }
             Outcome::Checkpointed(text) => {
                 self.jobs.get_mut(job).checkpoints.insert(index, text);
-                self.put_back(job, index);
+                self.put_back(job, index, out);
+                self.stop_gang(job, out);
             }
-            Outcome::Stopped | Outcome::Lapsed => self.put_back_lost(job, index, out),
+            Outcome::Stopped | Outcome::Lapsed => self.put_back_lost(job, run, out),
         }
     }
 
     fn failed(&mut self, slot: u32, run: &Run, now: Millis, out: &mut Vec<Action>) {
         let job = self.jobs.get_mut(slot);
-        let limit = job.spec.attempts;
-        let idempotent = job.spec.idempotent;
+        let (limit, idempotent) = (job.spec.attempts, job.spec.idempotent);
         let Some(task) = job.task_mut(run.index) else {
             return;
         };
@@ -139,11 +162,12 @@
         let failures = u32::from(task.failures);
         if failures >= limit || !idempotent {
             self.give_up(slot, run.index, Code::TaskFailed, out);
+            self.doom(slot, out);
             return;
         }
         let doubled = self.settings.backoff.times(1 << (failures - 1).min(20));
         let wait = doubled.min(self.settings.backoff_max);
-        self.delay(slot, run.index, now + wait);
+        self.delay(slot, run.index, now + wait, out);
     }
 
     /// The end of a run that an earlier lead started and this one never saw running.
@@ -162,7 +186,7 @@
         }
         job.set(id.task.index, State::Done);
         if let State::Placed(run) = state {
-            self.runs.get_mut(run).job = None;
+            self.disown(run);
             self.stop(run, Millis::ZERO, out);
         }
         self.end_if_over(slot, out);
@@ -178,43 +202,46 @@
         };
         let current = self.jobs.get(job).task(run.index).map(|task| task.state);
         if current == Some(State::Placed(slot)) {
-            self.put_back_lost(job, run.index, out);
+            self.put_back_lost(job, &run, out);
             self.end_if_over(job, out);
         }
     }
 
     /// Lets a task wait again, unless it may have run and must not run twice.
-    fn put_back_lost(&mut self, slot: u32, index: u32, out: &mut Vec<Action>) {
+    fn put_back_lost(&mut self, slot: u32, run: &Run, out: &mut Vec<Action>) {
         let job = self.jobs.get_mut(slot);
-        if job.cancelled {
-            job.set(index, State::Cancelled);
-            return;
-        }
-        if !job.spec.idempotent {
-            self.give_up(slot, index, Code::TaskMaybeStarted, out);
+        if !job.spec.idempotent && !job.cancelled {
+            self.give_up(slot, run.index, Code::TaskMaybeStarted, out);
+            self.doom(slot, out);
+            self.stop_gang(slot, out);
             return;
         }
-        if let Some(task) = job.task_mut(index) {
-            task.lost = true;
+        if let Some(task) = job.task_mut(run.index) {
+            task.lost = run.displaced.is_none();
         }
-        self.put_back(slot, index);
+        self.put_back(slot, run.index, out);
+        self.stop_gang(slot, out);
     }
 
     /// Lets a task wait again; it keeps its job's age.
-    pub(super) fn put_back(&mut self, slot: u32, index: u32) {
+    pub(super) fn put_back(&mut self, slot: u32, index: u32, out: &mut Vec<Action>) {
         let job = self.jobs.get_mut(slot);
         if job.cancelled {
             job.set(index, State::Cancelled);
             return;
         }
+        if let Some(code) = job.doomed {
+            self.give_up(slot, index, code, out);
+            return;
+        }
         job.put_back(index);
         self.enqueue(slot);
     }
 
-    fn delay(&mut self, slot: u32, index: u32, until: Millis) {
+    fn delay(&mut self, slot: u32, index: u32, until: Millis, out: &mut Vec<Action>) {
         let job = self.jobs.get_mut(slot);
-        if job.cancelled {
-            job.set(index, State::Cancelled);
+        if job.cancelled || job.doomed.is_some() {
+            self.put_back(slot, index, out);
             return;
         }
         job.set(index, State::Delayed);
@@ -227,7 +254,19 @@
         }));
     }
 
-    pub(super) fn end_delays(&mut self, now: Millis) {
+    /// Stops the rest of a gang one of whose tasks has no run, so that all start together again.
+    pub(super) fn stop_gang(&mut self, slot: u32, out: &mut Vec<Action>) {
+        let job = self.jobs.get(slot);
+        if job.spec.class != Class::Gang || job.placed == 0 {
+            return;
+        }
+        let grace = job.spec.stop_ms;
+        for run in job.placed_runs() {
+            self.stop(run, grace, out);
+        }
+    }
+
+    pub(super) fn end_delays(&mut self, now: Millis, out: &mut Vec<Action>) {
         while let Some(Reverse(delay)) = self.delays.peek().copied() {
             if delay.until > now {
                 return;
@@ -238,42 +277,27 @@
             }
             let state = self.jobs.get(delay.job).task(delay.index).map(|t| t.state);
             if state == Some(State::Delayed) {
-                self.put_back(delay.job, delay.index);
+                self.put_back(delay.job, delay.index, out);
             }
         }
     }
 
-    /// Returns the slot of a run on a worker.
-    fn find(&self, id: &id::Run, worker: &id::Worker) -> Option<u32> {
-        let at = self.fleet.slot(worker)?;
-        let job = self.jobs.slot(&id.task.job).map(|job| self.jobs.get(job));
-        if let Some(State::Placed(slot)) = job.and_then(|j| j.task(id.task.index)).map(|t| t.state)
-        {
-            let run = self.runs.get(slot);
-            if run.worker == at && run.attempt == id.attempt {
-                return Some(slot);
-            }
+    /// Returns the slot of a run that is the present one of its task.
+    pub(super) fn find_run(&self, id: &id::Run) -> Option<u32> {
+        let job = self.jobs.get(self.jobs.slot(&id.task.job)?);
+        match job.task(id.task.index)?.state {
+            State::Placed(slot) if self.runs.get(slot).attempt == id.attempt => Some(slot),
+            _ => None,
         }
-        let same = |slot: &&u32| {
-            let run = self.runs.get(**slot);
-            run.index == id.task.index && run.attempt == id.attempt && run.name == id.task.job
-        };
-        self.fleet.get(at).runs.iter().find(same).copied()
     }
 
-    /// Removes a run and gives its room back.
-    fn remove_run(&mut self, slot: u32) -> Option<Run> {
-        let run = self.runs.remove(slot)?;
-        self.fleet.change(run.worker, |worker| {
-            worker.held = worker.held.minus(&run.held);
-            worker.runs.retain(|&have| have != slot);
-        });
-        if run.job.is_none()
-            && let Some(orphans) = self.orphans.get_mut(&run.name)
-        {
-            orphans.retain(|&have| have != slot);
-        }
-        self.unblock(run.worker);
-        Some(run)
+    /// Returns the slot of a run on a worker.
+    fn find(&self, id: &id::Run, worker: &id::Worker) -> Option<u32> {
+        let at = self.fleet.slot(worker)?;
+        let present = self
+            .find_run(id)
+            .filter(|&slot| self.runs.get(slot).worker == at);
+        let same = |slot: &&u32| self.runs.get(**slot).is(id);
+        present.or_else(|| self.fleet.get(at).runs.iter().find(same).copied())
     }
 }
--- a/crates/marigoldpick-place/src/scheduler/round.rs
+++ b/crates/marigoldpick-place/src/scheduler/round.rs
@@ -1,51 +1,115 @@
 //! Rounds: waiting tasks are placed until none fits.
+//!
+//! The kind that goes next has the highest priority, aging counted in, then the team with the
+//! least share, then the oldest job. A kind whose task does not fit is left alone until room comes.
 
-use std::cmp::Reverse;
+use std::cmp::Ordering;
 
-use marigoldpick_core::intent::Class;
+use marigoldpick_core::intent::{Class, Priority};
 use marigoldpick_core::prelude::*;
 use marigoldpick_core::worker::Spec;
 
 use super::Scheduler;
 use crate::action::Action;
 use crate::job::State;
+use crate::kind::{Block, Kind, Waiter};
 use crate::run::{Phase, Run};
-use crate::score::{Ask, Policy};
+use crate::score::Policy;
 use crate::size::Size;
 
+/// Tasks of one kind that are placed before the order is looked at again.
+const QUANTUM: u32 = 16;
+/// The level of jobs that have waited for several agings: below urgent, above all others.
+const OVERDUE: u8 = 3;
+/// The level of urgent jobs.
+const URGENT: u8 = 4;
+/// Agings after which a job is overdue.
+const OVERDUE_AGINGS: u64 = 4;
+
+/// `Rank` is a kind's place in the order.
+#[derive(Clone, Copy, Debug)]
+struct Rank {
+    level: u8,
+    share: f64,
+    order: u64,
+}
+
+impl Rank {
+    fn before(&self, other: &Self) -> bool {
+        let level = other.level.cmp(&self.level);
+        let share = if self.level == OVERDUE {
+            Ordering::Equal
+        } else {
+            self.share.total_cmp(&other.share)
+        };
+        level.then(share).then(self.order.cmp(&other.order)) == Ordering::Less
+    }
+}
+
 impl<P: Policy> Scheduler<P> {
     pub(super) fn fill(&mut self, now: Millis, out: &mut Vec<Action>) {
-        while let Some(kind) = self.next_kind() {
+        self.fulfil(now, out);
+        while let Some(kind) = self.next_kind(now) {
             self.place_from(kind, now, out);
         }
     }
 
     /// Returns the kind whose first job goes next.
-    fn next_kind(&mut self) -> Option<u32> {
-        let count = u32::try_from(self.kinds.kinds().len()).unwrap_or(u32::MAX);
-        let mut best = None;
-        for kind in 0..count {
-            if self.kinds.get(kind).blocked {
-                continue;
-            }
-            let Some(order) = self.head(kind) else {
+    fn next_kind(&mut self, now: Millis) -> Option<u32> {
+        let mut best: Option<(Rank, u32)> = None;
+        let mut at = 0;
+        while let Some(&slot) = self.active.get(at) {
+            let Some(head) = self.head(slot) else {
+                self.kinds.get_mut(slot).active = false;
+                self.active.swap_remove(at);
                 continue;
             };
-            let rank = (self.kinds.get(kind).priority, Reverse(order), kind);
-            best = best.max(Some(rank));
+            at += 1;
+            let kind = self.kinds.get(slot);
+            if kind.block.is_some() || kind.hold > now {
+                continue;
+            }
+            let rank = self.rank(kind, head, now);
+            if best.is_none_or(|(first, _)| rank.before(&first)) {
+                best = Some((rank, slot));
+            }
         }
-        best.map(|(_, _, kind)| kind)
+        best.map(|(_, slot)| slot)
     }
 
-    /// Returns the order of a kind's first job with waiting tasks.
-    fn head(&mut self, kind: u32) -> Option<u64> {
+    fn rank(&self, kind: &Kind, head: Waiter, now: Millis) -> Rank {
+        let arrived = self.jobs.get(head.job).arrived;
+        Rank {
+            level: self.level(kind.priority, arrived, now),
+            share: self.teams.get(kind.team).share(self.fleet.total()),
+            order: head.order,
+        }
+    }
+
+    /// Returns the level of a job: its priority, raised with its wait, but never up to urgent.
+    pub(super) fn level(&self, priority: Priority, arrived: Millis, now: Millis) -> u8 {
+        let base = match priority {
+            Priority::Low => 0,
+            Priority::Normal => 1,
+            Priority::High => 2,
+            Priority::Urgent => return URGENT,
+        };
+        let agings = now.since(arrived).0 / self.settings.aging.0.max(1);
+        if agings >= OVERDUE_AGINGS {
+            return OVERDUE;
+        }
+        (base + agings as u8).min(OVERDUE - 1)
+    }
+
+    /// Returns a kind's first job with waiting tasks.
+    fn head(&mut self, kind: u32) -> Option<Waiter> {
         loop {
             let waiter = *self.kinds.get(kind).queue.front()?;
-            let valid = self.jobs.find(waiter.job, waiter.order).is_some();
-            if valid {
+            if self.jobs.find(waiter.job, waiter.order).is_some() {
                 let job = self.jobs.get_mut(waiter.job);
-                if job.next_waiting().is_some() {
-                    return Some(waiter.order);
+                let partial = job.spec.class == Class::Gang && (job.placed > 0 || job.delayed > 0);
+                if !partial && job.next_waiting().is_some() {
+                    return Some(waiter);
                 }
                 job.queued = false;
             }
@@ -53,71 +117,86 @@
         }
     }
 
-    fn place_from(&mut self, kind: u32, now: Millis, out: &mut Vec<Action>) {
-        let Some(waiter) = self.kinds.get(kind).queue.front().copied() else {
+    fn place_from(&mut self, slot: u32, now: Millis, out: &mut Vec<Action>) {
+        let Some(waiter) = self.head(slot) else {
             return;
         };
-        let Ok(ask) = self.accelerators.convert(&self.kinds.get(kind).needs) else {
-            self.kinds.get_mut(kind).blocked = true;
+        if !self.prepare(slot) {
+            self.kinds.get_mut(slot).block = Some(Block::Kind);
             return;
-        };
-        let placed = if self.kinds.get(kind).class == Class::Gang {
-            self.place_gang(waiter.job, &ask, now, out)
-        } else {
-            self.place_one(waiter.job, &ask, now, out)
-        };
-        if !placed {
-            self.kinds.get_mut(kind).blocked = true;
+        }
+        if self.kinds.get(slot).class == Class::Gang {
+            let block = self.place_gang(waiter, now, out);
+            self.kinds.get_mut(slot).block = block;
+            return;
+        }
+        for _ in 0..QUANTUM {
+            let Some(index) = self.jobs.get_mut(waiter.job).next_waiting() else {
+                return;
+            };
+            if let Some(block) = self.place_one(waiter, index, now, out) {
+                self.kinds.get_mut(slot).block = Some(block);
+                return;
+            }
+            if self.hold_kind(slot, now) {
+                return;
+            }
         }
     }
 
-    fn place_one(&mut self, job: u32, ask: &Size, now: Millis, out: &mut Vec<Action>) -> bool {
-        let Some(worker) = self.pick(job, ask) else {
-            return false;
-        };
-        let Some(index) = self.jobs.get_mut(job).next_waiting() else {
-            return false;
-        };
-        self.start(job, index, worker, ask, now, out);
-        true
+    /// Converts a kind's needs once the accelerators are known; tells whether they are.
+    fn prepare(&mut self, slot: u32) -> bool {
+        let kind = self.kinds.get_mut(slot);
+        if kind.declared.is_none() {
+            kind.declared = self.accelerators.convert(&kind.needs).ok();
+            kind.ask = kind.declared.unwrap_or_default();
+        }
+        kind.declared.is_some()
     }
 
-    /// Starts all tasks of a gang, or none.
-    fn place_gang(&mut self, job: u32, ask: &Size, now: Millis, out: &mut Vec<Action>) -> bool {
-        let mut workers = Vec::new();
-        for _ in 0..self.jobs.get(job).waiting {
-            let Some(worker) = self.pick(job, ask) else {
-                break;
-            };
-            self.fleet
-                .change(worker, |w| w.claimed = w.claimed.plus(ask));
-            workers.push(worker);
+    /// Returns what to set aside for a task.
+    pub(super) fn ask(&self, job: u32, index: u32) -> Size {
+        let job = self.jobs.get(job);
+        let mut ask = self.kinds.get(job.kind).ask;
+        if let Some(&memory) = job.memory.get(&index) {
+            ask.memory = ask.memory.max(memory);
+        }
+        ask
+    }
+
+    /// Places one task, or returns what is in the way.
+    fn place_one(
+        &mut self,
+        waiter: Waiter,
+        index: u32,
+        now: Millis,
+        out: &mut Vec<Action>,
+    ) -> Option<Block> {
+        let job = self.jobs.get(waiter.job);
+        let lost = job.task(index).is_some_and(|task| task.lost);
+        let urgent = job.spec.priority == Priority::Urgent;
+        if lost && !urgent && self.tokens == 0 {
+            return Some(Block::Paced);
         }
-        for &worker in &workers {
-            self.fleet
-                .change(worker, |w| w.claimed = w.claimed.minus(ask));
+        let ask = self.ask(waiter.job, index);
+        if !self.teams.get(job.team).allows(&ask) {
+            return Some(Block::Quota);
         }
-        if workers.len() < self.jobs.get(job).waiting as usize {
-            return false;
+        let found = self.pick(waiter.job, index, &ask);
+        let found = found.or_else(|| self.backfill(waiter.job, &ask, now));
+        if let Some(worker) = found {
+            self.tokens -= u64::from(lost && !urgent);
+            self.start(waiter.job, index, worker, &ask, now, out);
+            self.trim_claims(waiter);
+            return None;
         }
-        for worker in workers {
-            if let Some(index) = self.jobs.get_mut(job).next_waiting() {
-                self.start(job, index, worker, ask, now, out);
-            }
+        if !self.claimed_all(waiter) && !self.displace(waiter, index, &ask, now, out) {
+            self.reserve_overdue(waiter, &ask, now);
         }
-        true
+        Some(Block::Room)
     }
 
-    fn pick(&mut self, _job: u32, needs: &Size) -> Option<u32> {
-        let ask = Ask {
-            needs: *needs,
-            mix: &self.mix,
-            objective: self.objective,
-        };
-        self.policy.pick(&self.fleet, &ask, |_| true, &mut self.rng)
-    }
-
-    fn start(
+    pub(super) fn start(
         &mut self,
         job: u32,
         index: u32,
@@ -127,30 +206,30 @@
         out: &mut Vec<Action>,
     ) {
         let this = self.jobs.get_mut(job);
+        let (name, team) = (this.spec.name.clone(), this.team);
         let Some(task) = this.task_mut(index) else {
             return;
         };
         task.attempt += 1;
         task.lost = false;
+        task.displaced = false;
         let attempt = task.attempt;
-        let name = this.spec.name.clone();
-        let slot = self.runs.add(Run {
+        let slot = self.add_run(Run {
             name,
             job: Some(job),
             index,
             attempt,
             worker,
+            team,
             held: *ask,
             phase: Phase::Starting,
             since: now,
             limit: None,
-            displaced: false,
+            displaced: None,
+            serial: 0,
+            young: false,
         });
         self.jobs.get_mut(job).set(index, State::Placed(slot));
-        self.fleet.change(worker, |w| {
-            w.held = w.held.plus(ask);
-            w.runs.push(slot);
-        });
         out.push(Action::Start {
             worker: self.fleet.get(worker).id.clone(),
             spec: self.spec(job, slot, ask),
@@ -171,18 +250,4 @@
             checkpoint: job.checkpoints.get(&run.index).cloned(),
         }
     }
-
-    /// Lets kinds be tried again that may fit into what a worker has free now.
-    pub(super) fn unblock(&mut self, worker: u32) {
-        let worker = self.fleet.get(worker);
-        if !worker.usable() {
-            return;
-        }
-        let free = worker.free();
-        for kind in self.kinds.kinds_mut() {
-            if kind.blocked && kind.ask.is_none_or(|ask| free.holds(&ask)) {
-                kind.blocked = false;
-            }
-        }
-    }
 }
--- a/crates/marigoldpick-place/src/scheduler/worker.rs
+++ b/crates/marigoldpick-place/src/scheduler/worker.rs
@@ -20,6 +20,7 @@
         out: &mut Vec<Action>,
     ) {
         let size = self.accelerators.learn(&vm.size);
+        self.teams.refresh(&self.accelerators);
         let slot = self.fleet.put(vm, size);
         let draining = vm.state == vm::State::Leaving;
         self.fleet
@@ -29,17 +30,14 @@
             seen.push(self.see(slot, report, now, out));
         }
         self.miss(slot, &seen, now);
-        self.unblock(slot);
-        self.heard(&vm.id);
+        self.unblock_all();
+        self.heard(&vm.id, out);
     }
 
     /// Takes over one reported run and returns its slot.
     fn see(&mut self, worker: u32, report: Running, now: Millis, out: &mut Vec<Action>) -> u32 {
         let id = &report.spec.run;
-        let same = |slot: &u32| {
-            let run = self.runs.get(*slot);
-            run.name == id.task.job && run.index == id.task.index && run.attempt == id.attempt
-        };
+        let same = |slot: &u32| self.runs.get(*slot).is(id);
         let known = self.fleet.get(worker).runs.iter().copied().find(same);
         if let Some(slot) = known {
             self.see_again(slot, report.stopping);
@@ -64,12 +62,14 @@
     fn add_reported(&mut self, worker: u32, report: &Running, now: Millis) -> u32 {
         let held = self.accelerators.learn(&report.spec.needs);
         let id = &report.spec.run;
-        let slot = self.runs.add(Run {
+        let team = self.teams.slot(&report.spec.team);
+        self.add_run(Run {
             name: id.task.job.clone(),
             job: None,
             index: id.task.index,
             attempt: id.attempt,
             worker,
+            team,
             held,
             phase: if report.stopping {
                 Phase::Stopping
@@ -78,17 +78,14 @@
             },
             since: now - report.age,
             limit: None,
-            displaced: false,
-        });
-        self.fleet.change(worker, |w| {
-            w.held = w.held.plus(&held);
-            w.runs.push(slot);
-        });
-        slot
+            displaced: None,
+            serial: 0,
+            young: false,
+        })
     }
 
     /// Joins a reported run with its task, or keeps it until its job is known.
-    fn adopt(&mut self, slot: u32, out: &mut Vec<Action>) {
+    pub(super) fn adopt(&mut self, slot: u32, out: &mut Vec<Action>) {
         let run = self.runs.get(slot);
         let (name, index, attempt) = (run.name.clone(), run.index, run.attempt);
         let Some(job) = self.jobs.slot(&name) else {
@@ -125,7 +122,7 @@
             note: "a task was found running twice; the earlier run is stopped".to_owned(),
         });
         if attempt > self.runs.get(other).attempt {
-            self.runs.get_mut(other).job = None;
+            self.disown(other);
             self.adopt_run(job, slot);
             self.stop(other, Millis::ZERO, out);
         } else {
@@ -184,23 +181,23 @@
         }
     }
 
-    pub(super) fn worker_gone(&mut self, id: &id::Worker, _now: Millis, out: &mut Vec<Action>) {
+    pub(super) fn worker_gone(&mut self, id: &id::Worker, out: &mut Vec<Action>) {
         if let Some(slot) = self.fleet.slot(id) {
             self.fleet
                 .change(slot, |worker| worker.state = fleet::State::Gone);
             let runs = self.fleet.get(slot).runs.clone();
             runs.into_iter().for_each(|run| self.lose(run, out));
         }
-        self.heard(id);
+        self.heard(id, out);
     }
 
-    fn heard(&mut self, id: &id::Worker) {
+    fn heard(&mut self, id: &id::Worker, out: &mut Vec<Action>) {
         let Ok(at) = self.unheard.binary_search(id) else {
             return;
         };
         self.unheard.remove(at);
         if self.unheard.is_empty() {
-            self.all_heard();
+            self.all_heard(out);
         }
     }
 
--- a/crates/marigoldpick-place/src/settings.rs
+++ b/crates/marigoldpick-place/src/settings.rs
@@ -31,6 +31,8 @@
     pub headroom: Millis,
     /// How long a throttle may stay unanswered before a harder way is chosen.
     pub throttle_wait: Millis,
+    /// The run time that is assumed when neither the owner nor experience tells one.
+    pub run: Millis,
     /// Whether sizes are learnt from usage.
     pub learn: bool,
 }
@@ -51,6 +53,7 @@
             settle: Millis::from_secs(10),
             headroom: Millis(1_400),
             throttle_wait: Millis(500),
+            run: Millis::from_secs(3_600),
             learn: true,
         }
     }
--- a/crates/marigoldpick-place/src/size.rs
+++ b/crates/marigoldpick-place/src/size.rs
@@ -1,7 +1,6 @@
 //! Amounts in the fixed form that decisions compute with.
 
 use marigoldpick_core::prelude::*;
-use marigoldpick_core::resource::Accelerators;
 
 /// The most kinds of accelerators in one shard.
 pub const KINDS: usize = 6;
@@ -125,13 +124,14 @@
                 self.0.push(accelerators.kind.clone());
             }
         }
-        let known = |a: &&Accelerators| self.0.contains(&a.kind);
-        let mut size = Size {
-            millicores: amount.millicores,
-            memory: amount.memory_mib,
-            ..Size::default()
-        };
-        for a in amount.accelerators.iter().filter(known) {
+        self.known(amount)
+    }
+
+    /// Converts an amount without its accelerators of unknown kinds.
+    #[must_use]
+    pub fn known(&self, amount: &Amount) -> Size {
+        let mut size = plain(amount);
+        for a in &amount.accelerators {
             if let Some(k) = self.position(&a.kind) {
                 size.accelerators[k] = a.count;
             }
@@ -144,11 +144,7 @@
     /// # Errors
     /// Returns the kind of accelerator that no worker has.
     pub fn convert(&self, amount: &Amount) -> Result<Size, Name> {
-        let mut size = Size {
-            millicores: amount.millicores,
-            memory: amount.memory_mib,
-            ..Size::default()
-        };
+        let mut size = plain(amount);
         for a in &amount.accelerators {
             let k = self.position(&a.kind).ok_or_else(|| a.kind.clone())?;
             size.accelerators[k] = a.count;
@@ -175,3 +171,11 @@
         self.0.iter().position(|have| have == kind)
     }
 }
+
+fn plain(amount: &Amount) -> Size {
+    Size {
+        millicores: amount.millicores,
+        memory: amount.memory_mib,
+        ..Size::default()
+    }
+}
