--- a/crates/marigoldpick-platform/src/exchange.rs
+++ b/crates/marigoldpick-platform/src/exchange.rs
@@ -11,7 +11,7 @@
 use http_types::{Method, Request, Response, StatusCode, Url};
 use marigoldpick_core::prelude::*;
 
-use crate::link::Link;
+use crate::link::{Link, Meter};
 use crate::pool::Pool;
 use crate::{Caller, DOMAIN_HEADER, ENTRY_HEADER, REFUSED_HEADER, Settings};
 
@@ -37,15 +37,17 @@
     caller: Arc<Caller>,
     settings: Settings,
     pool: Pool,
+    meter: Meter,
 }
 
 impl Client {
-    /// Makes a client without connections.
-    pub(crate) fn new(caller: Caller, settings: Settings) -> Self {
+    /// Makes a client without connections; its bytes count for `target`.
+    pub(crate) fn new(target: &'static str, caller: Caller, settings: Settings) -> Self {
         Self {
             caller: Arc::new(caller),
             settings,
             pool: Pool::new(settings.idle),
+            meter: Meter::new(target),
         }
     }
 
@@ -99,7 +101,7 @@
         sent: Arc<AtomicBool>,
     ) -> Option<(StatusCode, bool, Vec<u8>)> {
         let stream = self.pool.take(address, self.settings.connect).await.ok()?;
-        let link = Link::new(stream.clone(), sent);
+        let link = Link::new(stream.clone(), sent, self.meter.clone());
         let mut response = async_h1::connect(link, request).await.ok()?;
         let body = read_whole(&mut response).await?;
         let refused = response
--- a/crates/marigoldpick-platform/src/link.rs
+++ b/crates/marigoldpick-platform/src/link.rs
@@ -1,5 +1,6 @@
-//! A connection that knows whether a byte has left on it.
+//! A connection that knows whether a byte has left on it, and counts its bytes.
 
+use std::fmt;
 use std::io;
 use std::pin::Pin;
 use std::sync::Arc;
@@ -8,18 +9,48 @@
 
 use async_std::net::TcpStream;
 use futures::io::{AsyncRead, AsyncWrite};
+use metrics::Counter;
+
+/// `Meter` counts the bytes of one target's connections.
+#[derive(Clone)]
+pub(crate) struct Meter {
+    sent: Counter,
+    received: Counter,
+}
+
+impl Meter {
+    /// Makes the counters of a target.
+    pub(crate) fn new(target: &'static str) -> Self {
+        let counter = |direction: &'static str| metrics::counter!("marigold_bytes_total", "target" => target, "direction" => direction);
+        Self {
+            sent: counter("sent"),
+            received: counter("received"),
+        }
+    }
+}
+
+impl fmt::Debug for Meter {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.debug_struct("Meter").finish_non_exhaustive()
+    }
+}
 
 /// `Link` wraps a connection for one exchange.
 #[derive(Clone, Debug)]
 pub(crate) struct Link {
     stream: TcpStream,
     sent: Arc<AtomicBool>,
+    meter: Meter,
 }
 
 impl Link {
     /// Wraps `stream`; `sent` is set as soon as a byte has left.
-    pub(crate) fn new(stream: TcpStream, sent: Arc<AtomicBool>) -> Self {
-        Self { stream, sent }
+    pub(crate) fn new(stream: TcpStream, sent: Arc<AtomicBool>, meter: Meter) -> Self {
+        Self {
+            stream,
+            sent,
+            meter,
+        }
     }
 }
 
@@ -29,7 +60,11 @@
         cx: &mut Context<'_>,
         buf: &mut [u8],
     ) -> Poll<io::Result<usize>> {
-        Pin::new(&mut self.stream).poll_read(cx, buf)
+        let read = Pin::new(&mut self.stream).poll_read(cx, buf);
+        if let Poll::Ready(Ok(count)) = read {
+            self.meter.received.increment(count as u64);
+        }
+        read
     }
 }
 
@@ -40,8 +75,9 @@
         buf: &[u8],
     ) -> Poll<io::Result<usize>> {
         let written = Pin::new(&mut self.stream).poll_write(cx, buf);
-        if matches!(written, Poll::Ready(Ok(count)) if count > 0) {
+        if let Poll::Ready(Ok(count @ 1..)) = written {
             self.sent.store(true, Ordering::SeqCst);
+            self.meter.sent.increment(count as u64);
         }
         written
     }
--- a/crates/marigoldpick-platform/src/store.rs
+++ b/crates/marigoldpick-platform/src/store.rs
@@ -22,8 +22,8 @@
     pub fn new(base: &str, caller: Caller, settings: Settings) -> Self {
         Self {
             url: format!("{}/v1/store", base.trim_end_matches('/')),
-            calls: Client::new(caller.clone(), settings),
-            watches: Client::new(caller, settings),
+            calls: Client::new("store", caller.clone(), settings),
+            watches: Client::new("store", caller, settings),
         }
     }
 
--- a/crates/marigoldpick-platform/src/vm.rs
+++ b/crates/marigoldpick-platform/src/vm.rs
@@ -20,7 +20,7 @@
     pub fn new(base: &str, caller: Caller, settings: Settings) -> Self {
         Self {
             base: base.trim_end_matches('/').to_owned(),
-            client: Client::new(caller, settings),
+            client: Client::new("vms", caller, settings),
         }
     }
 
--- a/crates/marigoldpick-platform/src/worker.rs
+++ b/crates/marigoldpick-platform/src/worker.rs
@@ -18,7 +18,7 @@
     #[must_use]
     pub fn new(caller: Caller, settings: Settings) -> Self {
         Self {
-            client: Client::new(caller, settings),
+            client: Client::new("worker", caller, settings),
         }
     }
 
