entry: tell a shard's own state by its name

The status of an entry panicked as soon as it had heard of another failure domain's shard: the place in the list of all shards was taken for the place among its own.

--- a/crates/marigoldpick-entry/src/control.rs
+++ b/crates/marigoldpick-entry/src/control.rs
@@ -315,7 +315,7 @@
         for (led, _) in self.peers.led() {
             let told = &led.shard;
             match shards.binary_search_by(|have| have.shard.cmp(&told.shard)) {
-                Ok(at) if self.shards[at].is_leading() => {}
+                Ok(_) if self.leads(&told.shard) => {}
                 Ok(at) => shards[at] = told.clone(),
                 Err(at) => shards.insert(at, told.clone()),
             }
@@ -323,6 +323,11 @@
         shards
     }
 
+    fn leads(&self, shard: &id::Shard) -> bool {
+        let mut own = self.shards.iter();
+        own.any(|local| local.shard() == shard && local.is_leading())
+    }
+
     /// Publishes a new view if something in it has changed.
     fn publish(&mut self) {
         if !std::mem::take(&mut self.dirty) {
