--- /dev/null
+++ b/crates/marigoldpick-bench/src/cost/plot.rs
@@ -0,0 +1,46 @@
+//! The slopes as a plot: one small chart each.
+
+use plotters::prelude::{
+    BLUE, ChartBuilder, Circle, EmptyElement, IntoDrawingArea, IntoFont, LineSeries, RED,
+    SVGBackend, WHITE,
+};
+use plotters::series::PointSeries;
+
+use super::fit::Slope;
+
+/// The size of one chart, in pixels.
+const CHART: (u32, u32) = (420, 300);
+/// Charts side by side.
+const COLUMNS: usize = 3;
+
+/// Writes the charts as SVG.
+pub(crate) fn write(file: &str, slopes: &[Slope]) -> Result<(), Box<dyn std::error::Error>> {
+    let rows = slopes.len().div_ceil(COLUMNS).max(1);
+    let width = CHART.0 * u32::try_from(COLUMNS)?;
+    let height = CHART.1 * u32::try_from(rows)?;
+    let root = SVGBackend::new(file, (width, height)).into_drawing_area();
+    root.fill(&WHITE)?;
+    for (area, slope) in root.split_evenly((rows, COLUMNS)).iter().zip(slopes) {
+        let most_x = slope.points.iter().map(|p| p.x).fold(1.0, f64::max);
+        let most_y = slope.points.iter().map(|p| p.y).fold(1.0, f64::max) * 1.1;
+        let title = format!("{} [{}]", slope.name, slope.unit);
+        let mut chart = ChartBuilder::on(area)
+            .caption(title, ("sans-serif", 15).into_font())
+            .margin(8)
+            .x_label_area_size(28)
+            .y_label_area_size(56)
+            .build_cartesian_2d(0.0..most_x, 0.0..most_y)?;
+        chart.configure_mesh().x_desc(slope.per).draw()?;
+        let line = [0.0, most_x].map(|x| (x, slope.each.mul_add(x, slope.base)));
+        chart.draw_series(LineSeries::new(line, BLUE))?;
+        let points = slope.points.iter().map(|p| (p.x, p.y));
+        chart.draw_series(PointSeries::of_element(
+            points,
+            3,
+            RED,
+            &|at, size, style| EmptyElement::at(at) + Circle::new((0, 0), size, style),
+        ))?;
+    }
+    root.present()?;
+    Ok(())
+}
--- /dev/null
+++ b/crates/marigoldpick-bench/src/cost/rig.rs
@@ -0,0 +1,304 @@
+//! A site of real processes: a platform stand-in and entries, with readings of what they use.
+
+use std::path::PathBuf;
+use std::time::{Duration, Instant};
+
+use async_std::task;
+use http_types::{Method, Request, Url};
+use marigoldpick::client::Client;
+use marigoldpick_core::operator::{Ask, Status};
+use marigoldpick_core::prelude::*;
+use marigoldpick_entry::settings::{Peer, Settings as EntrySettings, Span};
+use marigoldpick_standin::Settings as StandinSettings;
+
+use super::process::{Error, Process};
+
+/// The longest wait for something that has to come.
+const LONGEST: Duration = Duration::from_secs(60);
+const POLL: Duration = Duration::from_millis(50);
+/// How long a new state is left alone before it is measured.
+const SETTLE: Duration = Duration::from_secs(3);
+
+/// `Shape` is a site to be measured.
+#[derive(Clone, Debug)]
+pub(crate) struct Shape {
+    /// Failure domains.
+    pub(crate) domains: u32,
+    /// Entries in each.
+    pub(crate) entries: u32,
+    /// Workers in each.
+    pub(crate) workers: u32,
+    /// Leases, beats and logs.
+    pub(crate) ownership: marigoldpick_shard::Settings,
+    /// The seed of the stand-ins.
+    pub(crate) seed: u64,
+}
+
+impl Shape {
+    /// Makes a site of one failure domain.
+    pub(crate) fn new(entries: u32, workers: u32, seed: u64) -> Self {
+        Self {
+            domains: 1,
+            entries,
+            workers,
+            ownership: marigoldpick_shard::Settings::default(),
+            seed,
+        }
+    }
+}
+
+/// `Reading` is what one entry has used up to a moment.
+#[derive(Clone, Debug, Default)]
+pub(crate) struct Reading {
+    at: f64,
+    processor: f64,
+    /// Resident memory, in KiB.
+    pub(crate) memory: f64,
+    counters: Vec<(String, f64)>,
+}
+
+impl Reading {
+    /// Returns the seconds since `before`.
+    pub(crate) fn seconds(&self, before: &Self) -> f64 {
+        self.at - before.at
+    }
+
+    /// Returns the processor time in microseconds a second since `before`.
+    pub(crate) fn processor(&self, before: &Self) -> f64 {
+        (self.processor - before.processor) / self.seconds(before)
+    }
+
+    /// Returns what counters whose line has all `words` grew by, a second, since `before`.
+    pub(crate) fn rate(&self, before: &Self, words: &[&str]) -> f64 {
+        (self.sum(words) - before.sum(words)) / self.seconds(before)
+    }
+
+    fn sum(&self, words: &[&str]) -> f64 {
+        let has = |name: &str| words.iter().all(|word| name.contains(word));
+        self.counters
+            .iter()
+            .filter(|(name, _)| has(name))
+            .map(|(_, value)| value)
+            .sum()
+    }
+}
+
+/// `Rig` is the running site.
+#[derive(Debug)]
+pub(crate) struct Rig {
+    pub(crate) platform: Process,
+    pub(crate) entries: Vec<Process>,
+    names: Vec<id::Entry>,
+    shape: Shape,
+    directory: PathBuf,
+    start: Instant,
+}
+
+impl Rig {
+    /// Starts the processes and waits until each shard has a lead with all its workers.
+    pub(crate) async fn start(shape: Shape) -> Result<Self, Error> {
+        let directory =
+            std::env::temp_dir().join(format!("marigold-bench-{}-{}", std::process::id(), nonce()));
+        std::fs::create_dir_all(&directory).map_err(Error::File)?;
+        let file = directory.join("standin.toml");
+        std::fs::write(&file, platform(&shape)).map_err(Error::File)?;
+        let platform = Process::start("marigold-standin", &file.to_string_lossy())?;
+        let mut rig = Self {
+            platform,
+            entries: Vec::new(),
+            names: Vec::new(),
+            shape,
+            directory,
+            start: Instant::now(),
+        };
+        let mut peers = Vec::new();
+        for domain in 0..rig.shape.domains {
+            for number in 0..rig.shape.entries {
+                rig.start_entry(domain, number, &mut peers)?;
+            }
+        }
+        rig.wait_for_leads().await?;
+        task::sleep(SETTLE).await;
+        Ok(rig)
+    }
+
+    fn start_entry(
+        &mut self,
+        domain: u32,
+        number: u32,
+        peers: &mut Vec<Peer>,
+    ) -> Result<(), Error> {
+        let name = format!("d{domain}-{number}");
+        let any = "127.0.0.1:0".to_owned();
+        let entry = id::Entry::new(&name).expect("a name");
+        let domain = id::Domain::new(&format!("d{domain}")).expect("a name");
+        let settings = EntrySettings {
+            entry: entry.clone(),
+            domain: domain.clone(),
+            callers: any.clone(),
+            operators: any.clone(),
+            inner: any,
+            platform: self.platform.address("platform"),
+            peer: peers.clone(),
+            log: "warn".to_owned(),
+            events: 20_000,
+            span: Span::default(),
+            ownership: self.shape.ownership.clone(),
+        };
+        let text = toml::to_string(&settings).expect("settings are TOML");
+        let file = self.directory.join(format!("{name}.toml"));
+        std::fs::write(&file, text).map_err(Error::File)?;
+        let process = Process::start("marigold-entry", &file.to_string_lossy())?;
+        peers.push(Peer {
+            entry: entry.clone(),
+            domain,
+            address: process.address("inner"),
+        });
+        self.entries.push(process);
+        self.names.push(entry);
+        Ok(())
+    }
+
+    /// Returns a client of the operators' faces, the entry at `at` first.
+    pub(crate) fn client(&self, at: usize) -> Client {
+        let mut named: Vec<String> = vec![self.entries[at].address("operators")];
+        named.extend(self.entries.iter().map(|entry| entry.address("operators")));
+        Client::new(&named).expect("the addresses are well formed")
+    }
+
+    /// Returns the status at one entry.
+    pub(crate) async fn status(&self, at: usize) -> Result<Status, Error> {
+        self.client(at)
+            .status()
+            .await
+            .map_err(|problem| Error::Entry(problem.message))
+    }
+
+    /// Waits until `holds` of the status at one entry.
+    pub(crate) async fn until(
+        &self,
+        at: usize,
+        what: &'static str,
+        holds: impl Fn(&Status) -> bool,
+    ) -> Result<(), Error> {
+        let start = Instant::now();
+        while start.elapsed() < LONGEST {
+            if let Ok(status) = self.status(at).await
+                && holds(&status)
+            {
+                return Ok(());
+            }
+            task::sleep(POLL).await;
+        }
+        Err(Error::Late(what))
+    }
+
+    async fn wait_for_leads(&self) -> Result<(), Error> {
+        let (domains, workers) = (self.shape.domains as usize, self.shape.workers);
+        for at in 0..self.entries.len() {
+            self.until(at, "leads of all shards", |status| {
+                let led = status
+                    .shards
+                    .iter()
+                    .filter(|shard| shard.workers == workers);
+                !status.config_old && led.count() == domains
+            })
+            .await?;
+        }
+        Ok(())
+    }
+
+    /// Returns which entry leads the first shard.
+    pub(crate) async fn lead(&self) -> Result<usize, Error> {
+        let status = self.status(0).await?;
+        let lead = status.shards.first().and_then(|shard| shard.lead.clone());
+        let found = lead.and_then(|lead| self.names.iter().position(|name| *name == lead));
+        found.ok_or(Error::Late("a lead"))
+    }
+
+    /// Plans and confirms an intent at one entry; returns the configuration's number.
+    pub(crate) async fn confirm(&self, at: usize, text: &str) -> Result<u64, Error> {
+        let client = self.client(at);
+        let ask = Ask {
+            file: "bench.toml".to_owned(),
+            text: text.to_owned(),
+        };
+        let plan = client
+            .plan(&ask)
+            .await
+            .map_err(|problem| Error::Entry(problem.message))?;
+        let accepted = client.confirm(plan.id).await;
+        accepted
+            .map(|a| a.sequence)
+            .map_err(|problem| Error::Entry(problem.message))
+    }
+
+    /// Reads what an entry has used.
+    pub(crate) async fn read(&self, at: usize) -> Reading {
+        let entry = &self.entries[at];
+        let text = fetch(&entry.address("operators"), "/metrics")
+            .await
+            .unwrap_or_default();
+        let line = |line: &str| {
+            let (name, value) = line.rsplit_once(' ')?;
+            Some((name.to_owned(), value.parse().ok()?))
+        };
+        Reading {
+            at: self.start.elapsed().as_secs_f64(),
+            processor: entry.processor(),
+            memory: entry.memory(),
+            counters: text
+                .lines()
+                .filter(|l| !l.starts_with('#'))
+                .filter_map(line)
+                .collect(),
+        }
+    }
+
+    /// Reads an entry twice, `seconds` apart.
+    pub(crate) async fn watch(&self, at: usize, seconds: u64) -> (Reading, Reading) {
+        let before = self.read(at).await;
+        task::sleep(Duration::from_secs(seconds)).await;
+        (before, self.read(at).await)
+    }
+}
+
+impl Drop for Rig {
+    fn drop(&mut self) {
+        drop(std::fs::remove_dir_all(&self.directory));
+    }
+}
+
+/// Reads a page from an entry.
+pub(crate) async fn fetch(address: &str, path: &str) -> Option<String> {
+    let url = Url::parse(&format!("http://{address}{path}")).ok()?;
+    let stream = async_std::net::TcpStream::connect(address).await.ok()?;
+    let mut response = async_h1::connect(stream, Request::new(Method::Get, url))
+        .await
+        .ok()?;
+    response.body_string().await.ok()
+}
+
+fn nonce() -> u64 {
+    use std::sync::atomic::{AtomicU64, Ordering};
+    static NEXT: AtomicU64 = AtomicU64::new(0);
+    NEXT.fetch_add(1, Ordering::SeqCst)
+}
+
+fn platform(shape: &Shape) -> String {
+    let mut text = format!("seed = {}\nlisten = \"127.0.0.1:0\"\n", shape.seed);
+    for domain in 0..shape.domains {
+        text.push_str(&format!("[[domain]]\nname = \"d{domain}\"\n"));
+        let racks = shape.workers.div_ceil(8);
+        for rack in 0..racks {
+            let workers = (shape.workers - rack * 8).min(8);
+            text.push_str(&format!(
+                "[[domain.rack]]\nname = \"d{domain}-r{rack}\"\nworkers = {workers}\n\
+                 kind = \"general\"\nsize = {{ millicores = 64000, memory_mib = 131072 }}\n"
+            ));
+        }
+    }
+    let parsed = StandinSettings::parse("standin.toml", &text);
+    parsed.expect("the settings are well formed");
+    text
+}
--- a/crates/marigoldpick-bench/src/main.rs
+++ b/crates/marigoldpick-bench/src/main.rs
@@ -1,5 +1,6 @@
 //! `marigold-bench`: measures the decisions and the processes of marigoldpick.
 
+mod cost;
 mod place;
 
 use std::process::ExitCode;
@@ -18,6 +19,8 @@
 /// `Command` is what is measured.
 #[derive(Debug, Options)]
 enum Command {
+    #[options(help = "control cost: slopes over sizes")]
+    Cost(cost::Arguments),
     #[options(help = "task placement: packing, decision time, waiting")]
     Place(place::Arguments),
 }
@@ -25,6 +28,7 @@
 fn main() -> ExitCode {
     let arguments = Arguments::parse_args_default_or_exit();
     match arguments.command {
+        Some(Command::Cost(arguments)) => cost::run(&arguments),
         Some(Command::Place(arguments)) => place::run(&arguments),
         None => {
             println!("{}", Arguments::usage());
--- a/crates/marigoldpick-core/src/config.rs
+++ b/crates/marigoldpick-core/src/config.rs
@@ -105,6 +105,16 @@
     pub sequence: u64,
 }
 
+/// `Holding` is what the jobs of a team hold together.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct Holding {
+    /// The team.
+    pub team: id::Team,
+    /// What they hold.
+    pub amount: Amount,
+}
+
 /// `State` is the configuration at one entry. All lists are sorted by name.
 #[derive(Clone, Debug, Default, PartialEq, Serialize, Deserialize)]
 #[serde(deny_unknown_fields)]
@@ -123,6 +133,8 @@
     pub ended: Vec<Accepted>,
     /// Plans confirmed lately, oldest first.
     pub confirmed: Vec<Confirmed>,
+    /// What the jobs of each team hold that have not ended, summed up.
+    pub holdings: Vec<Holding>,
     /// What is being drained.
     pub drains: Vec<Target>,
     /// The entry that last changed teams, services or the objective.
@@ -175,18 +187,15 @@
         self.drains.binary_search(target).is_ok()
     }
 
-    /// Adds up what the accepted jobs of `team` hold.
+    /// Returns what the accepted jobs of `team` hold.
     ///
     /// A cancelled job holds its part until each shard has recorded that its tasks ended, since they
     /// may still run in a shard that does not know of the cancel.
     #[must_use]
     pub fn used(&self, team: &id::Team) -> Amount {
-        let mut sum = Amount::default();
-        for accepted in self.jobs.iter().filter(|a| a.job.team == *team) {
-            let count = accepted.homes.iter().map(|home| home.to - home.from).sum();
-            sum.add(&accepted.job.needs.times(count));
-        }
-        sum
+        let at = self.holdings.binary_search_by(|h| h.team.cmp(team)).ok();
+        at.map(|at| self.holdings[at].amount.clone())
+            .unwrap_or_default()
     }
 
     /// Tells whether `change` may be accepted on top of this state.
@@ -335,10 +344,33 @@
                 completed: 0,
                 failed: 0,
             };
+            self.hold(&job.team, &job.needs.times(tasks(&accepted.homes)));
             put(&mut self.jobs, accepted, |a| &a.job.name);
         }
     }
 
+    fn hold(&mut self, team: &id::Team, amount: &Amount) {
+        match self.holdings.binary_search_by(|h| h.team.cmp(team)) {
+            Ok(at) => self.holdings[at].amount.add(amount),
+            Err(at) => {
+                let holding = Holding {
+                    team: team.clone(),
+                    amount: amount.clone(),
+                };
+                self.holdings.insert(at, holding);
+            }
+        }
+    }
+
+    fn release(&mut self, team: &id::Team, amount: &Amount) {
+        if let Ok(at) = self.holdings.binary_search_by(|h| h.team.cmp(team)) {
+            self.holdings[at].amount.subtract(amount);
+            if self.holdings[at].amount.is_zero() {
+                self.holdings.remove(at);
+            }
+        }
+    }
+
     fn cancel(&mut self, jobs: &[id::Job]) {
         for job in jobs {
             if let Ok(at) = self.jobs.binary_search_by(|a| a.job.name.cmp(job)) {
@@ -361,10 +393,15 @@
             return;
         };
         let accepted = &mut self.jobs[at];
+        let before = tasks(&accepted.homes);
         accepted.homes.retain(|home| home.shard != *shard);
         accepted.completed += completed;
         accepted.failed += failed;
-        if accepted.homes.is_empty() {
+        let over = accepted.homes.is_empty();
+        let given_back = accepted.job.needs.times(before - tasks(&accepted.homes));
+        let team = accepted.job.team.clone();
+        self.release(&team, &given_back);
+        if over {
             let ended = self.jobs.remove(at);
             push_bounded(&mut self.ended, ended, ENDED_KEPT);
         }
@@ -378,6 +415,10 @@
     }
 }
 
+fn tasks(homes: &[Home]) -> u32 {
+    homes.iter().map(|home| home.to - home.from).sum()
+}
+
 fn push_bounded<T>(list: &mut Vec<T>, item: T, most: usize) {
     list.push(item);
     if list.len() > most {
