Share accepted jobs in the configuration's sorted list

Cause: a job is about 450 bytes, and each insert into the sorted vector moved half of all of them. Ruled out: a map, since the borders keep sorted vectors and a scan in order is what followers need.

--- a/crates/marigoldpick-core/src/config.rs
+++ b/crates/marigoldpick-core/src/config.rs
@@ -3,6 +3,8 @@
 //! An entry is accepted exactly when it was created in the store under its number. Every process
 //! applies the entries in order, without a gap, and so comes to the same state.
 
+use std::sync::Arc;
+
 use serde::{Deserialize, Serialize};
 
 use crate::code::Code;
@@ -128,9 +130,9 @@
     /// Services.
     pub services: Vec<Service>,
     /// Jobs that have not ended.
-    pub jobs: Vec<Accepted>,
+    pub jobs: Vec<Arc<Accepted>>,
     /// Jobs that ended lately, oldest first.
-    pub ended: Vec<Accepted>,
+    pub ended: Vec<Arc<Accepted>>,
     /// Plans confirmed lately, oldest first.
     pub confirmed: Vec<Confirmed>,
     /// What the jobs of each team hold that have not ended, summed up.
@@ -168,7 +170,7 @@
         self.jobs
             .binary_search_by(|j| j.job.name.cmp(name))
             .ok()
-            .map(|at| &self.jobs[at])
+            .map(|at| &*self.jobs[at])
     }
 
     /// Returns the entry that accepted `plan`, if it was confirmed lately.
@@ -345,7 +347,7 @@
                 failed: 0,
             };
             self.hold(&job.team, &job.needs.times(tasks(&accepted.homes)));
-            put(&mut self.jobs, accepted, |a| &a.job.name);
+            put(&mut self.jobs, Arc::new(accepted), |a| &a.job.name);
         }
     }
 
@@ -374,7 +376,7 @@
     fn cancel(&mut self, jobs: &[id::Job]) {
         for job in jobs {
             if let Ok(at) = self.jobs.binary_search_by(|a| a.job.name.cmp(job)) {
-                self.jobs[at].cancelled = true;
+                Arc::make_mut(&mut self.jobs[at]).cancelled = true;
             }
         }
     }
@@ -392,7 +394,7 @@
         let Ok(at) = self.jobs.binary_search_by(|a| a.job.name.cmp(job)) else {
             return;
         };
-        let accepted = &mut self.jobs[at];
+        let accepted = Arc::make_mut(&mut self.jobs[at]);
         let before = tasks(&accepted.homes);
         accepted.homes.retain(|home| home.shard != *shard);
         accepted.completed += completed;
--- a/crates/marigoldpick-entry/src/control.rs
+++ b/crates/marigoldpick-entry/src/control.rs
@@ -277,7 +277,10 @@
         let state = self.config.state();
         let open = state.jobs.iter();
         let ended = state.ended.iter();
-        let mut jobs: Vec<operator::Job> = open.chain(ended).map(status_of).collect();
+        let mut jobs: Vec<operator::Job> = open
+            .chain(ended)
+            .map(|accepted| status_of(accepted))
+            .collect();
         jobs.sort_by(|a, b| a.job.cmp(&b.job));
         // A name that was used again stands for the job that has not ended.
         jobs.dedup_by(|later, first| later.job == first.job);
