--- a/crates/marigoldpick-bench/src/place.rs
+++ b/crates/marigoldpick-bench/src/place.rs
@@ -1,6 +1,9 @@
 //! `marigold-bench place`: task placement by policy on the same seeded work.
 
 mod packing;
+mod replay;
+mod scale;
+mod scenario;
 mod work;
 
 use std::process::ExitCode;
@@ -19,16 +22,21 @@
     seed: u64,
     #[options(help = "print JSON")]
     json: bool,
-    #[options(help = "run only this part: packing")]
+    #[options(help = "run only this part: packing, scale, mixed, sizes, black-hole, objectives")]
     part: Option<String>,
 }
 
+/// Replays scenarios with so many workers and a seed.
+type Measure = fn(u32, u64) -> Vec<scenario::Row>;
+
 /// `Report` is what was measured.
 #[derive(Debug, Serialize)]
 struct Report {
     workers: u32,
     seed: u64,
     packing: Vec<packing::Row>,
+    scale: Vec<scale::Row>,
+    replays: Vec<scenario::Row>,
 }
 
 /// Measures and prints.
@@ -38,10 +46,27 @@
         workers: arguments.workers,
         seed: arguments.seed,
         packing: Vec::new(),
+        scale: Vec::new(),
+        replays: Vec::new(),
     };
     if wanted("packing") {
         report.packing = packing::measure(arguments.workers, arguments.seed);
     }
+    let (workers, seed) = (arguments.workers, arguments.seed);
+    if wanted("scale") {
+        report.scale.push(scale::measure(workers, seed));
+    }
+    let replays: [(&str, Measure); 4] = [
+        ("mixed", scenario::mixed),
+        ("sizes", scenario::sizes),
+        ("black-hole", scenario::black_hole),
+        ("objectives", scenario::objectives),
+    ];
+    for (part, measure) in replays {
+        if wanted(part) {
+            report.replays.extend(measure(workers, seed));
+        }
+    }
     if arguments.json {
         match serde_json::to_string_pretty(&report) {
             Ok(text) => println!("{text}"),
@@ -52,6 +77,8 @@
         }
     } else {
         packing::print(&report.packing);
+        report.scale.iter().for_each(scale::print);
+        scenario::print(&report.replays);
     }
     ExitCode::SUCCESS
 }
--- a/crates/marigoldpick-bench/src/place/packing.rs
+++ b/crates/marigoldpick-bench/src/place/packing.rs
@@ -155,7 +155,8 @@
     scheduler
 }
 
-fn event(job: &Job) -> Event {
+/// Makes the event of a job that is whole and new.
+pub fn event(job: &Job) -> Event {
     Event::Job {
         job: Box::new(job.clone()),
         span: Span {
--- a/crates/marigoldpick-place/src/estimate.rs
+++ b/crates/marigoldpick-place/src/estimate.rs
@@ -14,6 +14,8 @@
 const ENOUGH: u64 = 20;
 /// A ratio of one.
 const UNIT: u64 = 1_000;
+/// Ratios that differ by less count as the same.
+const RESOLUTION: u64 = 20;
 /// The largest ratio that is told apart.
 const MOST: u64 = 64 * UNIT;
 /// The longest run time that is told apart: thirty days.
@@ -28,8 +30,8 @@
 }
 
 impl Decayed {
-    fn new(most: u64) -> Self {
-        let empty = || Histogram::new_with_bounds(1, most, 1).expect("the bounds are sound");
+    fn new(most: u64, digits: u8) -> Self {
+        let empty = || Histogram::new_with_bounds(1, most, digits).expect("the bounds are sound");
         Self {
             new: empty(),
             old: empty(),
@@ -66,9 +68,9 @@
 impl Default for Estimate {
     fn default() -> Self {
         Self {
-            millicores: Decayed::new(MOST),
-            memory: Decayed::new(MOST),
-            run: Decayed::new(LONGEST),
+            millicores: Decayed::new(MOST, 2),
+            memory: Decayed::new(MOST, 2),
+            run: Decayed::new(LONGEST, 1),
         }
     }
 }
@@ -78,9 +80,11 @@
 /// The share of tasks whose memory the estimate covers; the others start again with more.
 const MEMORY_QUANTILE: f64 = 0.99;
 /// Room above the quantile, in hundredths.
-const MARGIN_PERCENT: u64 = 110;
+const MARGIN_PERCENT: u64 = 105;
+/// The share of tasks that have ended within the run time that is taken for sure.
+const LONG_QUANTILE: f64 = 0.9;
 /// The share of tasks that have ended within the expected run time.
-const RUN_QUANTILE: f64 = 0.9;
+const RUN_QUANTILE: f64 = 0.5;
 
 impl Estimate {
     /// Notes the most that a run used so far.
@@ -110,13 +114,23 @@
         if floor { ask.max(declared) } else { ask }
     }
 
-    /// Returns the expected run time, by experience or else by the owner's word.
+    /// Returns the run time that half of the tasks keep to, by experience or by the owner's word.
     #[must_use]
     pub fn run(&self, declared: Option<Millis>) -> Option<Millis> {
+        self.run_at(RUN_QUANTILE, declared)
+    }
+
+    /// Returns the run time that nearly all tasks keep to, by experience or by the owner's word.
+    #[must_use]
+    pub fn long_run(&self, declared: Option<Millis>) -> Option<Millis> {
+        self.run_at(LONG_QUANTILE, declared)
+    }
+
+    fn run_at(&self, quantile: f64, declared: Option<Millis>) -> Option<Millis> {
         if self.run.len() < ENOUGH {
             return declared;
         }
-        Some(Millis(self.run.quantile(RUN_QUANTILE)))
+        Some(Millis(self.run.quantile(quantile)))
     }
 }
 
@@ -124,6 +138,12 @@
     used.saturating_mul(UNIT) / declared.max(1)
 }
 
+/// Returns the declared amount unless experience tells another one.
 fn scale(declared: u64, permille: u64) -> u64 {
-    (declared.saturating_mul(permille) / UNIT * MARGIN_PERCENT / 100).max(1)
+    let learnt = (declared.saturating_mul(permille) / UNIT * MARGIN_PERCENT / 100).max(1);
+    if permille > UNIT + RESOLUTION {
+        learnt
+    } else {
+        learnt.min(declared)
+    }
 }
--- a/crates/marigoldpick-place/src/kind.rs
+++ b/crates/marigoldpick-place/src/kind.rs
@@ -10,6 +10,9 @@
 use crate::health;
 use crate::size::Size;
 
+/// Kinds from which on those without jobs are forgotten.
+const MOST: usize = 2_000;
+
 /// `Key` is what jobs of one kind have in common.
 #[derive(Clone, Debug, PartialEq, Eq, Hash)]
 struct Key {
@@ -63,6 +66,8 @@
     pub needs: Amount,
     /// Where its tasks may run.
     pub place: Where,
+    /// Jobs of this kind that have not ended.
+    pub jobs: u32,
     /// Jobs with waiting tasks, by arrival.
     pub queue: VecDeque<Waiter>,
     /// Whether it stands in the list of kinds with a queue.
@@ -85,11 +90,36 @@
     pub holds: u32,
 }
 
+impl Kind {
+    fn new(job: &Job, team: u32) -> Self {
+        Self {
+            team,
+            class: job.class,
+            priority: job.priority,
+            needs: job.needs.clone(),
+            place: job.place.clone(),
+            jobs: 0,
+            queue: VecDeque::new(),
+            active: false,
+            block: None,
+            declared: None,
+            ask: Size::default(),
+            floor: job.class == Class::Service || !job.idempotent,
+            estimate: Estimate::default(),
+            health: health::Kind::default(),
+            hold: Millis::ZERO,
+            holds: 0,
+        }
+    }
+}
+
 /// `Table` holds the kinds by slot.
 #[derive(Clone, Debug, Default)]
 pub struct Table {
     kinds: Vec<Kind>,
+    keys: Vec<Key>,
     by_key: FxHashMap<Key, u32>,
+    next: usize,
 }
 
 impl Table {
@@ -102,28 +132,34 @@
         if let Some(&slot) = self.by_key.get(&key) {
             return slot;
         }
+        let kind = Kind::new(job, team);
+        if let Some(at) = self.forgettable() {
+            let slot = u32::try_from(at).expect("fewer than 2^32 kinds");
+            self.by_key.remove(&self.keys[at]);
+            self.by_key.insert(key.clone(), slot);
+            self.keys[at] = key;
+            self.kinds[at] = kind;
+            return slot;
+        }
         let slot = u32::try_from(self.kinds.len()).expect("fewer than 2^32 kinds");
-        self.kinds.push(Kind {
-            team,
-            class: job.class,
-            priority: job.priority,
-            needs: job.needs.clone(),
-            place: job.place.clone(),
-            queue: VecDeque::new(),
-            active: false,
-            block: None,
-            declared: None,
-            ask: Size::default(),
-            floor: job.class == Class::Service || !job.idempotent,
-            estimate: Estimate::default(),
-            health: health::Kind::default(),
-            hold: Millis::ZERO,
-            holds: 0,
-        });
+        self.kinds.push(kind);
+        self.keys.push(key.clone());
         self.by_key.insert(key, slot);
         slot
     }
 
+    /// Returns a kind without jobs, once there are many kinds.
+    fn forgettable(&mut self) -> Option<usize> {
+        if self.kinds.len() < MOST {
+            return None;
+        }
+        let count = self.kinds.len();
+        let unused = |at: &usize| self.kinds[*at].jobs == 0 && !self.kinds[*at].active;
+        let at = (0..count).map(|n| (self.next + n) % count).find(unused)?;
+        self.next = at + 1;
+        Some(at)
+    }
+
     /// Returns a kind.
     #[must_use]
     pub fn get(&self, slot: u32) -> &Kind {
--- a/crates/marigoldpick-place/src/scheduler/accept.rs
+++ b/crates/marigoldpick-place/src/scheduler/accept.rs
@@ -48,6 +48,7 @@
         job.team = team;
         recall(&mut job, past);
         let slot = self.jobs.add(job);
+        self.kinds.get_mut(kind).jobs += 1;
         self.adopt_orphans(&name, out);
         self.give_up_held(slot, &past.held, out);
         self.mend_gang(slot, out);
@@ -218,6 +219,7 @@
         let Some(job) = self.jobs.remove(slot) else {
             return;
         };
+        self.kinds.get_mut(job.kind).jobs -= 1;
         out.push(Action::JobEnded {
             job: job.spec.name,
             completed: job.completed,
--- a/crates/marigoldpick-place/src/scheduler/answer.rs
+++ b/crates/marigoldpick-place/src/scheduler/answer.rs
@@ -6,6 +6,7 @@
 use marigoldpick_core::prelude::*;
 use marigoldpick_core::worker::{Outcome, Refusal};
 
+use super::usage::Shortage;
 use super::{Delay, Scheduler};
 use crate::action::Action;
 use crate::fleet;
@@ -133,13 +134,15 @@
                 self.jobs.get_mut(job).set(index, State::Done);
                 self.enqueue(job);
             }
-            Outcome::Failed if self.out_of_memory(job, run, end.usage.as_ref()) => {
-                self.put_back(job, index, out);
-                self.stop_gang(job, out);
-            }
             Outcome::Failed => {
-                self.note_failure(job, run, now, out);
-                self.failed(job, run, now, out);
+                match self.shortage(job, run, end.usage.as_ref()) {
+                    Shortage::None => {
+                        self.note_failure(job, run, now, out);
+                        self.failed(job, run, now, out);
+                    }
+                    Shortage::Ours => self.put_back(job, index, out),
+                    Shortage::Theirs => self.failed(job, run, now, out),
+                }
                 self.stop_gang(job, out);
             }
             Outcome::Checkpointed(text) => {
--- a/crates/marigoldpick-place/src/scheduler/claim.rs
+++ b/crates/marigoldpick-place/src/scheduler/claim.rs
@@ -19,6 +19,9 @@
 /// How much longer than expected a backfilled run is taken to be, in hundredths.
 const DOUBT_PERCENT: u64 = 150;
 
+/// Claims of one reservation that are counted on one worker at most.
+const MOST_CLAIMS: u32 = 10_000;
+
 /// `Slot` is room for one task on a worker, from a time on.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
 pub(super) struct Slot {
@@ -238,16 +241,19 @@
             return None;
         }
         let expected = self.kinds.get(job.kind).estimate.run(job.spec.run_ms);
-        let end = run.since + expected.unwrap_or(self.settings.run);
-        let age = now.since(run.since);
-        Some(end.max(now + Millis(age.0 / 4)))
+        let expected = expected.unwrap_or(self.settings.run);
+        Some((run.since + expected).max(now + Millis(expected.0 / 2)))
     }
 
     /// Finds claimed room that a task would leave before it is needed.
     pub(super) fn backfill(&self, job: u32, ask: &Size, now: Millis) -> Option<u32> {
         let reservation = self.reservation.as_ref()?;
         let this = self.jobs.get(job);
-        let run = self.kinds.get(this.kind).estimate.run(this.spec.run_ms)?;
+        let run = self
+            .kinds
+            .get(this.kind)
+            .estimate
+            .long_run(this.spec.run_ms)?;
         let end = now + Millis(run.0.saturating_mul(DOUBT_PERCENT) / 100);
         if end > reservation.at {
             return None;
@@ -317,6 +323,7 @@
             self.drop_reservation(&held);
             return;
         }
+        let held = self.move_claims(held);
         if !self.room_is_there(&held) {
             self.reservation = Some(held);
             return;
@@ -340,6 +347,28 @@
         same && job.waiting > job.delayed && held.workers.iter().all(usable)
     }
 
+    /// Moves claims on workers that are still full to workers that have room now.
+    fn move_claims(&mut self, mut held: Reservation) -> Reservation {
+        let index = self.jobs.get(held.waiter.job).span.from;
+        let mut order = held.workers.clone();
+        order.sort_unstable();
+        for same in order.chunk_by(|a, b| a == b) {
+            let worker = same[0];
+            let have = self.fleet.get(worker).unheld().fits(&held.ask, MOST_CLAIMS) as usize;
+            for _ in have..same.len() {
+                let Some(other) = self.pick(held.waiter.job, index, &held.ask) else {
+                    return held;
+                };
+                self.claim(worker, &held.ask, false);
+                self.claim(other, &held.ask, true);
+                if let Some(at) = held.workers.iter().position(|&have| have == worker) {
+                    held.workers[at] = other;
+                }
+            }
+        }
+        held
+    }
+
     fn room_is_there(&self, held: &Reservation) -> bool {
         let mut workers = held.workers.clone();
         workers.sort_unstable();
--- a/crates/marigoldpick-place/src/scheduler/usage.rs
+++ b/crates/marigoldpick-place/src/scheduler/usage.rs
@@ -16,6 +16,17 @@
 /// The use of processors above its share at which a run is throttled, in hundredths.
 const OVER_PERCENT: u64 = 120;
 
+/// `Shortage` is whose fault it was that a run had too little memory.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(super) enum Shortage {
+    /// It had enough, or more can't be set aside.
+    None,
+    /// Less was set aside than was declared; the job is not to blame.
+    Ours,
+    /// More was used than was declared; the worker is not to blame.
+    Theirs,
+}
+
 impl<P: Policy> Scheduler<P> {
     /// Learns from a run's end; only then is it known how much it used at most.
     pub(super) fn learn_end(&mut self, job: u32, run: &Run, end: &End) {
@@ -28,11 +39,15 @@
         let Some(used) = end.usage.as_ref().filter(|_| told) else {
             return;
         };
-        let used = self.accelerators.known(used);
-        self.learn_usage(slot, &used, run.held);
+        let mut used = self.accelerators.known(used);
+        // A run that failed with all of its memory in use would have used more.
+        if end.outcome == Outcome::Failed && used.memory >= full(run.held.memory) {
+            used.memory = run.held.memory.saturating_mul(2);
+        }
+        self.learn_usage(slot, &used);
     }
 
-    fn learn_usage(&mut self, slot: u32, used: &Size, _held: Size) {
+    fn learn_usage(&mut self, slot: u32, used: &Size) {
         if !self.settings.learn {
             return;
         }
@@ -57,21 +72,24 @@
         pools.fold(Size::default(), |most, pool| most.max(&pool.size))
     }
 
-    /// Tells whether a run failed since it ran out of memory, and sets aside more for its next try.
-    ///
-    /// Where less was set aside than declared, the failure does not count against the job.
-    pub(super) fn out_of_memory(&mut self, job: u32, run: &Run, usage: Option<&Amount>) -> bool {
-        let full = run.held.memory.saturating_mul(FULL_PERCENT) / 100;
-        if usage.is_none_or(|used| used.memory_mib < full) {
-            return false;
+    /// Tells whether a failed run ran out of memory, and sets aside more for its next try.
+    pub(super) fn shortage(&mut self, job: u32, run: &Run, usage: Option<&Amount>) -> Shortage {
+        if usage.is_none_or(|used| used.memory_mib < full(run.held.memory)) {
+            return Shortage::None;
         }
-        let declared = self.jobs.get(job).spec.needs.memory_mib;
-        let idempotent = self.jobs.get(job).spec.idempotent;
-        let more = declared.max(run.held.memory.saturating_mul(2));
-        let most = self.largest().memory.max(declared);
+        let most = self.largest().memory;
         let job = self.jobs.get_mut(job);
-        job.memory.insert(run.index, more.min(most));
-        run.held.memory < declared && idempotent
+        let declared = job.spec.needs.memory_mib;
+        if run.held.memory >= most.max(declared) || !job.spec.idempotent {
+            return Shortage::None;
+        }
+        let more = declared.max(run.held.memory.saturating_mul(2));
+        job.memory.insert(run.index, more.min(most.max(declared)));
+        if run.held.memory < declared {
+            Shortage::Ours
+        } else {
+            Shortage::Theirs
+        }
     }
 
     /// Takes a report of a run that goes on.
@@ -86,7 +104,7 @@
             let service = this.spec.class == Class::Service;
             let over = used.memory > run.held.memory || used.millicores > run.held.millicores;
             if service || over {
-                self.learn_usage(this.kind, &used, run.held);
+                self.learn_usage(this.kind, &used);
             }
         }
         self.keep_memory(slot, &used, out);
@@ -169,3 +187,8 @@
         }
     }
 }
+
+/// Returns the use from which on memory counts as all used up.
+const fn full(held: u64) -> u64 {
+    held.saturating_mul(FULL_PERCENT) / 100
+}
--- a/crates/marigoldpick-place/src/scheduler/worker.rs
+++ b/crates/marigoldpick-place/src/scheduler/worker.rs
@@ -137,6 +137,7 @@
             let listed = run.phase == Phase::Starting || seen.contains(&slot);
             if !listed && !matches!(run.phase, Phase::Missing(_)) {
                 run.phase = Phase::Missing(now);
+                self.missing.push(slot);
             }
         }
     }
@@ -144,14 +145,14 @@
     /// Ends runs whose end was not told in time after the worker had no longer listed them.
     pub(super) fn settle_missing(&mut self, now: Millis, out: &mut Vec<Action>) {
         let settle = self.settings.settle;
-        let over = |run: &Run| matches!(run.phase, Phase::Missing(at) if now.since(at) >= settle);
-        let slots: Vec<u32> = self
-            .runs
-            .iter()
-            .filter(|(_, run)| over(run))
-            .map(|(slot, _)| slot)
-            .collect();
-        slots.into_iter().for_each(|slot| self.lose(slot, out));
+        for slot in std::mem::take(&mut self.missing) {
+            let phase = self.runs.find(slot).map(|run| run.phase);
+            match phase {
+                Some(Phase::Missing(at)) if now.since(at) >= settle => self.lose(slot, out),
+                Some(Phase::Missing(_)) => self.missing.push(slot),
+                _ => {}
+            }
+        }
     }
 
     pub(super) fn worker_heard(&mut self, id: &id::Worker) {
