Take a draining owner that does not answer as ended

In a failure domain of two entries, each first attempt of a non-idempotent request was answered 404 (unknown: the record of earlier attempts was lost) from the moment the other entry had drained and ended until its beats were missed, though nothing had run. A draining entry answers other entries as long as it has requests in flight; when it does not answer it has ended, so it counts as dead and not as away. Its claims stand with the other owners. Ruled out: the age header, which first attempts don't need.

--- a/crates/marigoldpick-entry/src/traffic/once.rs
+++ b/crates/marigoldpick-entry/src/traffic/once.rs
@@ -203,6 +203,7 @@
         .call(&peer.entry, &peer.address, peer::Call::Once(once));
     match async_std::future::timeout(TIMEOUT.duration(), call).await {
         Ok(Ok(peer::Answer::Record(record))) => Reply::Record(record),
+        _ if peer.draining => Reply::Dead,
         _ => Reply::Away,
     }
 }
