--- a/crates/marigoldpick/src/command.rs
+++ b/crates/marigoldpick/src/command.rs
@@ -12,6 +12,7 @@
 use serde::Serialize;
 
 use crate::arguments::{Arguments, Command};
+use crate::dev;
 
 /// The result of a command: the code to end with, after what it printed.
 type Outcome = Result<Code, Problem>;
@@ -65,7 +66,7 @@
         Command::Check(arguments) => check::check(&arguments),
         Command::Dev(arguments) => {
             none(&arguments.words)?;
-            Err(Problem::new(Code::Internal, "not built yet"))
+            dev::run(&arguments).await
         }
     }
 }
--- /dev/null
+++ b/crates/marigoldpick/src/dev/once.rs
@@ -0,0 +1,315 @@
+//! `dev --once`: each site to the end of its work, then the counts and the verdict.
+
+use std::sync::Arc;
+use std::time::{Duration, Instant};
+
+use async_std::task;
+use indicatif::{ProgressBar, ProgressDrawTarget, ProgressStyle};
+use marigoldpick_core::code::Code;
+use marigoldpick_core::operator::Problem;
+
+use super::book::{Attempt, Book, Job, Pages};
+use super::cluster::{Cluster, Ports};
+use super::mix::Mix;
+use super::report::Report;
+use super::site::Site;
+use super::{caller, inject, operator, ready, watch};
+use crate::arguments;
+use crate::faults::Fault;
+
+/// The time between two looks at how far the work is.
+const EVERY: Duration = Duration::from_millis(100);
+/// In how much time an accepted configuration has to be in force everywhere.
+const IN_FORCE: Duration = Duration::from_secs(11);
+
+/// `Ended` is how one site's run ended.
+#[derive(Debug)]
+struct Ended {
+    report: Report,
+    broken: Vec<String>,
+}
+
+/// Runs the sites one after the other.
+///
+/// # Errors
+/// A problem of a site that could not start, or of an intent that is wrong.
+pub(super) async fn run(
+    arguments: &arguments::Dev,
+    sites: &[Site],
+    faults: &[Fault],
+) -> Result<Code, Problem> {
+    let mut sum = Report::default();
+    let mut broken = Vec::new();
+    for site in sites {
+        let targets = site.targets();
+        let own: Vec<Fault> = faults
+            .iter()
+            .filter(|fault| fault.hits(&targets))
+            .cloned()
+            .collect();
+        let ended = run_site(arguments, site, &own).await?;
+        sum += ended.report;
+        let named = ended
+            .broken
+            .iter()
+            .map(|what| format!("{}: {what}", site.name));
+        broken.extend(named);
+    }
+    for what in &broken {
+        eprintln!(
+            "error {} PromiseBroken: {what}",
+            Code::PromiseBroken.number()
+        );
+    }
+    show(&sum, arguments.json);
+    Ok(if broken.is_empty() {
+        Code::Done
+    } else {
+        Code::PromiseBroken
+    })
+}
+
+fn show(report: &Report, json: bool) {
+    if json {
+        crate::command::print_json(report);
+        return;
+    }
+    let value = serde_json::to_value(report).unwrap_or_default();
+    for (name, count) in value.as_object().into_iter().flatten() {
+        println!("{name:>22} {count}");
+    }
+}
+
+async fn run_site(
+    arguments: &arguments::Dev,
+    site: &Site,
+    faults: &[Fault],
+) -> Result<Ended, Problem> {
+    let until = Instant::now() + Duration::from_secs(arguments.limit);
+    let bar = progress(&site.name);
+    let cluster = Arc::new(Cluster::start(site, Ports::Free).await?);
+    let book = Arc::new(Book::default());
+    let watch = watch::start(&cluster, &book);
+    let injected = inject::play(&cluster, &book, site, faults);
+    let requests = arguments.requests;
+    let act = act(&cluster, &book, site, arguments.seed, requests, &bar);
+    let in_time = match async_std::future::timeout(left(until), act).await {
+        Ok(acted) => {
+            acted?;
+            heal(injected, until).await && settle(&cluster, &book, &bar, until).await
+        }
+        Err(_) => false,
+    };
+    watch.cancel().await;
+    let mut broken = if in_time {
+        Vec::new()
+    } else {
+        let limit = arguments.limit;
+        vec![format!("the work did not end within {limit} s")]
+    };
+    broken.extend(unfinished(&cluster, &book, site, requests).await);
+    bar.finish_and_clear();
+    let report = count(&cluster, &book);
+    broken.extend(report.broken());
+    broken.extend(book.read().notes);
+    cluster.drain().await;
+    Ok(Ended { report, broken })
+}
+
+fn progress(name: &str) -> ProgressBar {
+    let bar = ProgressBar::with_draw_target(None, ProgressDrawTarget::stderr());
+    let style = ProgressStyle::with_template("{spinner} {prefix}: {msg} [{elapsed}]");
+    bar.set_style(style.unwrap_or_else(|_source| ProgressStyle::default_spinner()));
+    bar.set_prefix(name.to_owned());
+    bar.enable_steady_tick(EVERY);
+    bar
+}
+
+fn left(until: Instant) -> Duration {
+    until.saturating_duration_since(Instant::now())
+}
+
+/// Confirms the intents, then sends the callers' requests.
+async fn act(
+    cluster: &Arc<Cluster>,
+    book: &Arc<Book>,
+    site: &Site,
+    seed: u64,
+    requests: u32,
+    bar: &ProgressBar,
+) -> Result<(), Problem> {
+    bar.set_message("waiting for the shards' leads");
+    ready::leads(cluster, site).await;
+    bar.set_message("confirming intents");
+    operator::submit(cluster, book, &site.intents).await?;
+    bar.set_message("waiting for endpoints");
+    let services = site.services();
+    ready::endpoints(cluster, &services).await;
+    bar.set_message("sending requests");
+    let mix = Mix {
+        site: site_name(site),
+        seed,
+        teams: site.teams(),
+        services,
+    };
+    caller::run(cluster, book, mix, requests).await;
+    Ok(())
+}
+
+/// Returns the part of the site's name that request ids begin with.
+fn site_name(site: &Site) -> String {
+    let last = site.name.trim_end_matches('/').rsplit('/').next();
+    let plain = |c: char| if c.is_ascii_alphanumeric() { c } else { '-' };
+    last.unwrap_or_default().chars().map(plain).collect()
+}
+
+/// Waits until all faults are healed; tells whether that was in time.
+async fn heal(injected: Vec<task::JoinHandle<()>>, until: Instant) -> bool {
+    for fault in injected {
+        if async_std::future::timeout(left(until), fault)
+            .await
+            .is_err()
+        {
+            return false;
+        }
+    }
+    true
+}
+
+/// Waits until all accepted work is done and recorded; tells whether that was in time.
+async fn settle(cluster: &Cluster, book: &Book, bar: &ProgressBar, until: Instant) -> bool {
+    bar.set_message("waiting for the accepted tasks");
+    while Instant::now() < until {
+        let pages = book.read();
+        let done = completed(cluster, &pages);
+        let due = accepted(&pages);
+        bar.set_message(format!("{done} of {due} tasks completed"));
+        if done == due
+            && open_jobs(cluster, &pages).await.is_empty()
+            && services_run(cluster, &pages)
+        {
+            return true;
+        }
+        task::sleep(EVERY).await;
+    }
+    false
+}
+
+fn accepted(pages: &Pages) -> u64 {
+    pages.due().map(|job| u64::from(job.count)).sum()
+}
+
+fn completed(cluster: &Cluster, pages: &Pages) -> u64 {
+    let completed = cluster.platform.completed();
+    pages
+        .due()
+        .map(|job| completed.iter().filter(|task| task.job == job.name).count() as u64)
+        .sum()
+}
+
+/// Tells whether all tasks of the accepted services run.
+fn services_run(cluster: &Cluster, pages: &Pages) -> bool {
+    let running = cluster.platform.running();
+    pages
+        .services
+        .iter()
+        .filter(|job| !job.cancelled)
+        .all(|job| {
+            let count = running.iter().filter(|task| task.job == job.name).count();
+            count >= job.count as usize
+        })
+}
+
+/// Names the accepted batch and gang jobs whose end is not recorded yet.
+async fn open_jobs(cluster: &Cluster, pages: &Pages) -> Vec<String> {
+    let Ok(status) = operator::client(cluster).status().await else {
+        return vec!["no entry answers".to_owned()];
+    };
+    let recorded = |due: &Job| {
+        let told = status.jobs.iter().find(|job| job.job == due.name);
+        told.is_none_or(|job| job.completed + job.failed >= due.count)
+    };
+    pages
+        .due()
+        .filter(|job| !recorded(job))
+        .map(|job| job.name.to_string())
+        .collect()
+}
+
+/// Names what is missing at the end of a run.
+async fn unfinished(cluster: &Cluster, book: &Book, site: &Site, requests: u32) -> Vec<String> {
+    let pages = book.read();
+    let mut missing = Vec::new();
+    if pages.intents < site.intents.len() {
+        missing.push(format!(
+            "{} of {} intents were accepted",
+            pages.intents,
+            site.intents.len()
+        ));
+    }
+    let open = open_jobs(cluster, &pages).await;
+    if !open.is_empty() {
+        missing.push(format!("the end is not recorded of: {}", open.join(", ")));
+    }
+    if !services_run(cluster, &pages) {
+        missing.push("some tasks of accepted services don't run".to_owned());
+    }
+    let expected = if site.services().is_empty() {
+        0
+    } else {
+        requests
+    };
+    if pages.requests.sent < u64::from(expected) {
+        missing.push(format!(
+            "{} of {expected} requests were sent",
+            pages.requests.sent
+        ));
+    }
+    missing.extend(not_in_force(cluster, pages.sequence).await);
+    missing
+}
+
+async fn not_in_force(cluster: &Cluster, sequence: u64) -> Option<String> {
+    let until = Instant::now() + IN_FORCE;
+    loop {
+        let behind = watch::behind(cluster, sequence).await;
+        if behind.is_empty() {
+            return None;
+        }
+        if Instant::now() > until {
+            let list = behind.join(", ");
+            return Some(format!("configuration {sequence} is not in force: {list}"));
+        }
+        task::sleep(EVERY).await;
+    }
+}
+
+fn count(cluster: &Cluster, book: &Book) -> Report {
+    let truth = cluster.platform.truth();
+    let pages = book.read();
+    let executed = cluster.platform.executed();
+    let runs = |request: &str| {
+        let found = executed.binary_search_by(|e| e.request.as_str().cmp(request));
+        found.map_or(&[][..], |at| &executed[at].runs)
+    };
+    let ran = |told: &&Attempt| {
+        let mut runs = runs(&told.request).iter();
+        runs.any(|run| run.attempt == told.attempt)
+    };
+    let twice = |request: &&String| runs(request).len() > 1;
+    Report {
+        tasks_accepted: accepted(&pages),
+        tasks_completed: completed(cluster, &pages),
+        tasks_in_two_places: truth.tasks_in_two_places,
+        vm_overloads: truth.vm_overloads,
+        requests_sent: pages.requests.sent,
+        requests_answered: pages.requests.answered,
+        requests_not_run: pages.requests.not_run,
+        requests_unknown: pages.requests.unknown,
+        requests_run_twice: pages.once_only.iter().filter(twice).count() as u64,
+        answers_wrong_or_cut: pages.requests.wrong + truth.requests_cut,
+        not_run_but_ran: pages.told_not_run.iter().filter(ran).count() as u64,
+        configs_accepted: truth.configs_accepted,
+        configs_reverted: truth.configs_reverted + pages.reverted,
+    }
+}
--- /dev/null
+++ b/crates/marigoldpick/tests/dev.rs
@@ -0,0 +1,97 @@
+//! `dev --once`: the samples run to their end with every promise held, and what is missing is told.
+
+use std::fs;
+use std::path::{Path, PathBuf};
+use std::process::{Command, Output};
+
+use googletest::prelude::*;
+use marigoldpick::core::prelude::*;
+use marigoldpick::dev::Report;
+
+fn sample(name: &str) -> String {
+    let root = Path::new(env!("CARGO_MANIFEST_DIR")).join("../../examples");
+    root.join(name).display().to_string()
+}
+
+fn dev(words: &[&str]) -> Output {
+    Command::new(env!("CARGO_BIN_EXE_marigold"))
+        .args(["dev", "--once", "--json"])
+        .args(words)
+        .output()
+        .expect("the program runs")
+}
+
+fn report(output: &Output) -> Report {
+    let text = String::from_utf8_lossy(&output.stdout);
+    let last = text.lines().last().expect("a last line");
+    serde_json::from_str(last).expect("one JSON object")
+}
+
+fn errors(output: &Output) -> String {
+    String::from_utf8_lossy(&output.stderr).into_owned()
+}
+
+fn faults(name: &str, text: &str) -> PathBuf {
+    let path = Path::new(env!("CARGO_TARGET_TMPDIR")).join(name);
+    fs::write(&path, text).expect("the file is written");
+    path
+}
+
+fn verify_whole(output: &Output, tasks: u64, requests: u64) {
+    let report = report(output);
+    expect_that!(output.status.code(), some(eq(0)), "{}", errors(output));
+    expect_that!(report.broken(), is_empty());
+    expect_that!(report.tasks_accepted, eq(tasks));
+    expect_that!(report.tasks_completed, eq(tasks));
+    expect_that!(report.requests_sent, eq(requests));
+    expect_that!(report.requests_answered, eq(requests));
+    expect_that!(report.configs_accepted, ge(5));
+}
+
+#[googletest::test]
+fn once_kirpputori_holds_every_promise() {
+    let directory = sample("kirpputori");
+    let words = ["--intents", &directory, "--requests", "400", "--seed", "7"];
+    verify_whole(&dev(&words), 448, 400);
+}
+
+#[googletest::test]
+fn once_cyd_robotau_holds_every_promise() {
+    let directory = sample("cyd-robotau");
+    let words = ["--intents", &directory, "--requests", "400", "--seed", "8"];
+    verify_whole(&dev(&words), 470, 400);
+}
+
+#[googletest::test]
+fn once_out_of_time_names_what_is_missing() {
+    let directory = sample("kirpputori");
+    let text = "[[fault]]\nat_ms = 0\nkind = \"store-down\"\ntarget = \"store\"\nfor_ms = 60000\n";
+    let file = faults("down.toml", text);
+    let file = file.to_str().expect("a path in UTF-8");
+    let words = ["--intents", &directory, "--faults", file, "--limit", "3"];
+    let output = dev(&words);
+    expect_that!(output.status.code(), some(eq(Code::PromiseBroken.exit())));
+    expect_that!(
+        errors(&output),
+        contains_substring("of 5 intents were accepted")
+    );
+    expect_that!(report(&output).requests_sent, eq(0));
+}
+
+#[googletest::test]
+fn once_unknown_fault_target_is_refused_before_anything_starts() {
+    let text = "[[fault]]\nat_ms = 0\nkind = \"kill-entry\"\ntarget = \"oulu-1\"\nfor_ms = 1\n";
+    let file = faults("target.toml", text);
+    let output = dev(&["--faults", file.to_str().expect("a path in UTF-8")]);
+    expect_that!(output.status.code(), some(eq(Code::UnknownName.exit())));
+    let text = String::from_utf8_lossy(&output.stdout).into_owned();
+    expect_that!(text, contains_substring("target.toml:4: fault[0].target"));
+}
+
+#[googletest::test]
+fn once_directory_without_intents_is_refused() {
+    let empty = Path::new(env!("CARGO_TARGET_TMPDIR")).join("no-intents");
+    fs::create_dir_all(&empty).expect("a directory");
+    let output = dev(&["--intents", empty.to_str().expect("a path in UTF-8")]);
+    expect_that!(output.status.code(), some(eq(Code::BadValue.exit())));
+}
