Test leads against fakes under each failure

Entries, workers with drifting clocks and a store in memory, driven by a schedule from a seed: killed and paused leads, lost and late answers, a store that is out while a lead dies, cut workers, a lost rack, rivals that don't hear each other.

--- /dev/null
+++ b/crates/marigoldpick-shard/tests/lead.rs
@@ -0,0 +1,209 @@
+//! Leads under each failure that they are meant for: no task in two places, nothing lost.
+
+mod support;
+
+use googletest::prelude::*;
+use marigoldpick_core::intent::Class;
+use support::Odds;
+use support::site::{Job, Site, job};
+
+/// Longer than any take-over with a silent worker.
+const SETTLE: u64 = 30_000;
+
+fn jobs() -> Vec<Job> {
+    vec![
+        job("web", 6, Class::Service, true, None),
+        job("maps", 20, Class::Batch, true, Some(1_500)),
+        job("bills", 10, Class::Batch, false, Some(800)),
+    ]
+}
+
+fn site(seed: u64) -> Site {
+    Site::new(seed, 3, 6, jobs())
+}
+
+/// A site whose services run.
+fn serving(seed: u64) -> (Site, usize) {
+    let mut site = site(seed);
+    assert!(
+        site.run_until(20_000, Site::is_serving),
+        "seed {seed}: no start"
+    );
+    let lead = site.leader().expect("somebody leads");
+    (site, lead)
+}
+
+fn check_end(site: &mut Site) {
+    let seed = site.seed;
+    site.store_odds = Odds::default();
+    site.worker_odds = Odds::default();
+    let done = site.run_until(90_000, |site| site.is_complete() && site.is_serving());
+    let state = site.leader().map(|at| {
+        (
+            site.entries[at].lead.status(),
+            site.entries[at].scheduler.at.len(),
+        )
+    });
+    assert!(
+        done,
+        "seed {seed}: not all done at {}: {state:?}, leads {:?}, missing {:?}",
+        site.now,
+        site.leads,
+        site.missing()
+    );
+    site.check_once();
+}
+
+#[googletest::test]
+fn lead_without_faults_completes_all() {
+    let mut site = site(1);
+    check_end(&mut site);
+    expect_that!(site.leads.len(), eq(1));
+    expect_that!(site.maybe.len(), eq(0));
+}
+
+#[googletest::test]
+fn lead_killed_with_store_up_is_followed() {
+    let (mut site, lead) = serving(2);
+    site.kill(lead);
+    let killed = site.now;
+    let taken = site.run_until(5_000, |site| site.leader().is_some());
+    expect_that!(taken, eq(true));
+    expect_that!(site.now - killed, lt(5_000));
+    check_end(&mut site);
+}
+
+#[googletest::test]
+fn lead_killed_in_commit_loses_no_completion() {
+    for seed in 10..16 {
+        let (mut site, lead) = serving(seed);
+        // The write takes effect, and the process dies before the answer.
+        site.store_odds.answer_lost = 1_000;
+        site.run(700);
+        site.kill(lead);
+        site.store_odds = Odds::default();
+        check_end(&mut site);
+    }
+}
+
+#[googletest::test]
+fn answer_lost_after_write_is_settled() {
+    for seed in 20..24 {
+        let mut site = site(seed);
+        site.store_odds.answer_lost = 500;
+        site.run(SETTLE);
+        check_end(&mut site);
+    }
+}
+
+#[googletest::test]
+fn paused_lead_that_wakes_up_starts_nothing() {
+    for seed in 30..36 {
+        let (mut site, lead) = serving(seed);
+        site.entries[lead].paused_until = site.now + 14_000;
+        site.run(20_000);
+        expect_that!(site.leads.len(), ge(2));
+        check_end(&mut site);
+    }
+}
+
+#[googletest::test]
+fn lease_that_lapses_in_a_pause_of_all_entries_ends_tasks_once() {
+    let (mut site, _) = serving(40);
+    let until = site.now + 15_000;
+    for entry in &mut site.entries {
+        entry.paused_until = until;
+    }
+    site.run(16_000);
+    check_end(&mut site);
+}
+
+#[googletest::test]
+fn store_down_ten_minutes_with_a_lead_dying_in_it() {
+    let (mut site, lead) = serving(50);
+    site.run(SETTLE);
+    site.store_odds = Odds::AWAY;
+    site.run(60_000);
+    site.kill(lead);
+    let killed = site.now;
+    let taken = site.run_until(8_000, |site| site.leader().is_some());
+    expect_that!(
+        taken,
+        eq(true),
+        "no lead {} ms after the death",
+        site.now - killed
+    );
+    site.run(540_000);
+    expect_that!(site.is_serving(), eq(true));
+    check_end(&mut site);
+}
+
+#[googletest::test]
+fn worker_that_answers_only_the_old_lead_keeps_its_tasks_until_they_lapse() {
+    for seed in 60..66 {
+        let (mut site, lead) = serving(seed);
+        let others: Vec<usize> = (0..3).filter(|at| *at != lead).collect();
+        for other in others {
+            site.cut_workers.insert((other, 0));
+            site.cut_entries.insert((lead, other));
+        }
+        for worker in 1..6 {
+            site.cut_workers.insert((lead, worker));
+        }
+        site.cut_store.insert(lead);
+        site.run(SETTLE + SETTLE);
+        site.cut_workers.clear();
+        site.cut_entries.clear();
+        site.cut_store.clear();
+        check_end(&mut site);
+    }
+}
+
+#[googletest::test]
+fn rack_lost_with_more_than_half_of_the_workers() {
+    let (mut site, _) = serving(70);
+    for worker in 0..4 {
+        site.dead_workers.insert(worker);
+    }
+    site.run(10_000);
+    for worker in 0..4 {
+        site.vms[worker].state = marigoldpick_core::vm::State::Gone;
+    }
+    check_end(&mut site);
+}
+
+#[googletest::test]
+fn dead_worker_is_lost_by_the_wait_out_alone() {
+    let (mut site, _) = serving(80);
+    site.dead_workers.insert(0);
+    check_end(&mut site);
+}
+
+#[googletest::test]
+fn two_rival_leads_never_share_a_task() {
+    for seed in 90..96 {
+        let (mut site, lead) = serving(seed);
+        // The entries don't hear each other, so that each thinks it should lead.
+        for a in 0..3 {
+            for b in 0..3 {
+                site.cut_entries.insert((a, b));
+            }
+        }
+        site.run(SETTLE);
+        site.store_odds = Odds::AWAY;
+        site.run(SETTLE);
+        let _ = lead;
+        site.cut_entries.clear();
+        check_end(&mut site);
+    }
+}
+
+#[googletest::test]
+fn drained_lead_hands_over_and_rejoins() {
+    let (mut site, lead) = serving(100);
+    site.kill(lead);
+    site.run(10_000);
+    site.restart(lead);
+    site.run(10_000);
+    check_end(&mut site);
+}
