--- a/crates/marigoldpick-bench/src/place/replay.rs
+++ b/crates/marigoldpick-bench/src/place/replay.rs
@@ -77,6 +77,7 @@
     since: Millis,
     serial: u64,
     used: Amount,
+    told: Option<Amount>,
     stretch: f64,
     needs: Amount,
 }
@@ -268,6 +269,7 @@
             self.tally.black_hole_starts += 1;
             (span, end) = (BLACK_HOLE, End::Failed);
         }
+        let told = (span != BLACK_HOLE).then(|| used.clone());
         self.serial += 1;
         let serial = self.serial;
         self.hold(&worker, &spec.needs, &used);
@@ -276,6 +278,7 @@
             since: self.now,
             serial,
             used,
+            told,
             stretch,
             needs: spec.needs.clone(),
         };
@@ -333,7 +336,7 @@
             worker: live.worker,
             outcome,
             age,
-            usage: Some(live.used),
+            usage: live.told,
         });
     }
 
--- a/crates/marigoldpick-bench/src/place/scenario.rs
+++ b/crates/marigoldpick-bench/src/place/scenario.rs
@@ -15,6 +15,10 @@
 
 /// The virtual time of a replay.
 const SPAN: Millis = Millis::from_secs(600);
+/// The virtual time of a replay on a large fleet.
+const SHORT_SPAN: Millis = Millis::from_secs(120);
+/// Workers from which on a fleet is large.
+const LARGE: usize = 2_000;
 /// The mean run time of a batch task.
 const RUN_SECONDS: f64 = 60.0;
 /// Work offered, as a multiple of what the fleet holds at once.
@@ -217,8 +221,9 @@
     let fleet = firm.fleet(workers, &mut rng);
     let mut arrivals = batch(firm, &fleet, LOAD, real, &mut rng);
     let per_minute = f64::from(workers) / 5.0;
-    urgent(firm, per_minute, &mut arrivals, &mut rng);
-    gangs(firm, per_minute / 10.0, &mut arrivals, &mut rng);
+    let span = span(&fleet);
+    urgent(firm, per_minute, span, &mut arrivals, &mut rng);
+    gangs(firm, per_minute / 10.0, span, &mut arrivals, &mut rng);
     scenario(fleet, arrivals)
 }
 
@@ -232,9 +237,9 @@
 fn scenario(fleet: Vec<vm::Worker>, mut arrivals: Vec<Arrival>) -> Scenario {
     arrivals.sort_by_key(|arrival| arrival.at);
     Scenario {
+        end: span(&fleet),
         fleet,
         arrivals,
-        end: SPAN,
         black_hole: None,
         settings: Settings::default(),
         objective: None,
@@ -248,8 +253,9 @@
     real: Real,
     rng: &mut ChaCha8Rng,
 ) -> Vec<Arrival> {
+    let span = span(fleet);
     let cores: u64 = fleet.iter().map(|worker| worker.size.millicores).sum();
-    let offered = cores as f64 * load * SPAN.0 as f64 / (RUN_SECONDS * 1e3);
+    let offered = cores as f64 * load * span.0 as f64 / (RUN_SECONDS * 1e3);
     let mut arrivals = Vec::new();
     let mut sum = 0.0;
     let mut services = 0.0;
@@ -265,7 +271,7 @@
         }
         if service {
             services += held;
-            sum += held * SPAN.0 as f64 / (RUN_SECONDS * 1e3);
+            sum += held * span.0 as f64 / (RUN_SECONDS * 1e3);
         } else {
             job.yields = Yield::Checkpoint;
             let wrong = 4f64.powf(rng.random_range(-1.0..1.0));
@@ -276,7 +282,7 @@
         let at = if service || rng.random_ratio(1, 8) {
             0
         } else {
-            rng.random_range(0..SPAN.0)
+            rng.random_range(0..span.0)
         };
         arrivals.push(Arrival {
             at: Millis(at),
@@ -300,14 +306,29 @@
     cores.min(memory)
 }
 
+/// Returns the virtual time of a replay with a fleet.
+const fn span(fleet: &[vm::Worker]) -> Millis {
+    if fleet.len() < LARGE {
+        SPAN
+    } else {
+        SHORT_SPAN
+    }
+}
+
 /// Draws an exponential run time.
 fn run_time(rng: &mut ChaCha8Rng) -> Millis {
     let uniform: f64 = rng.random_range(1e-3..1.0);
     Millis((-uniform.ln() * RUN_SECONDS * 1e3) as u64 + 100)
 }
 
-fn urgent(firm: &Firm, per_minute: f64, arrivals: &mut Vec<Arrival>, rng: &mut ChaCha8Rng) {
-    let count = (per_minute * SPAN.0 as f64 / 6e4) as u32;
+fn urgent(
+    firm: &Firm,
+    per_minute: f64,
+    span: Millis,
+    arrivals: &mut Vec<Arrival>,
+    rng: &mut ChaCha8Rng,
+) {
+    let count = (per_minute * span.0 as f64 / 6e4) as u32;
     for n in 0..count {
         let mut job = firm.job_of(&firm.recipes[1], n);
         job.name = id::Job(Name::new(&format!("urgent-{n}")).expect("a name"));
@@ -319,12 +340,18 @@
             how: Yield::Checkpoint,
             tasks: 8,
         };
-        arrivals.push(arrival(job, Millis::from_secs(10), rng));
+        arrivals.push(arrival(job, Millis::from_secs(10), span, rng));
     }
 }
 
-fn gangs(firm: &Firm, per_minute: f64, arrivals: &mut Vec<Arrival>, rng: &mut ChaCha8Rng) {
-    let count = (per_minute * SPAN.0 as f64 / 6e4).max(2.0) as u32;
+fn gangs(
+    firm: &Firm,
+    per_minute: f64,
+    span: Millis,
+    arrivals: &mut Vec<Arrival>,
+    rng: &mut ChaCha8Rng,
+) {
+    let count = (per_minute * span.0 as f64 / 6e4).max(2.0) as u32;
     for n in 0..count {
         let mut job = firm.job_of(&firm.recipes[1], n);
         job.name = id::Job(Name::new(&format!("gang-{n}")).expect("a name"));
@@ -332,13 +359,13 @@
         job.priority = Priority::High;
         job.needs = Amount::new(8_000, 16_384);
         job.count = rng.random_range(4..=24);
-        arrivals.push(arrival(job, Millis::from_secs(30), rng));
+        arrivals.push(arrival(job, Millis::from_secs(30), span, rng));
     }
 }
 
-fn arrival(job: Job, run: Millis, rng: &mut ChaCha8Rng) -> Arrival {
+fn arrival(job: Job, run: Millis, span: Millis, rng: &mut ChaCha8Rng) -> Arrival {
     Arrival {
-        at: Millis(rng.random_range(SPAN.0 / 6..SPAN.0 * 9 / 10)),
+        at: Millis(rng.random_range(span.0 / 6..span.0 * 9 / 10)),
         job,
         run,
         real_permille: 1_000,
