Let drains of workers and settings of others spoil no plan

Quotas and names are judged anew at the confirm anyhow, and a shard places tasks round a drained worker by itself. Drains of racks and domains, and settings that the plan sets itself, still make it stale.

--- a/crates/marigoldpick-core/src/config.rs
+++ b/crates/marigoldpick-core/src/config.rs
@@ -141,7 +141,7 @@
     pub drains: Vec<Target>,
     /// The entry that last changed teams, services or the objective.
     pub settings_sequence: u64,
-    /// The entry that last changed the drains.
+    /// The entry that last changed the drains of racks or failure domains.
     pub drains_sequence: u64,
 }
 
@@ -238,8 +238,7 @@
         if let Some(code) = plan.blocked {
             return Err(code);
         }
-        let touched = self.settings_sequence.max(self.drains_sequence);
-        if touched > plan.base {
+        if self.has_moved(plan) {
             return Err(Code::Stale);
         }
         if plan
@@ -258,6 +257,18 @@
         self.check_quotas(&plan.intent)
     }
 
+    /// Tells whether settings that a plan sets, or racks and domains it counts on, have changed.
+    ///
+    /// Quotas and names are judged anew at the confirm, and a shard places tasks round drained
+    /// workers by itself, so other changes of those spoil no plan.
+    fn has_moved(&self, plan: &Plan) -> bool {
+        let intent = &plan.intent;
+        let sets = intent.objective.is_some() || !intent.team.is_empty();
+        let sets = sets || !intent.service.is_empty();
+        let settings = sets && self.settings_sequence > plan.base;
+        settings || self.drains_sequence > plan.base
+    }
+
     fn check_quotas(&self, intent: &Intent) -> Result<(), Code> {
         let mut teams: Vec<&id::Team> = intent.job.iter().map(|job| &job.team).collect();
         teams.sort_unstable();
@@ -387,7 +398,9 @@
             (Ok(at), false) => drop(self.drains.remove(at)),
             _ => {}
         }
-        self.drains_sequence = self.sequence;
+        if matches!(target, Target::Rack(_) | Target::Domain(_)) {
+            self.drains_sequence = self.sequence;
+        }
     }
 
     fn end(&mut self, job: &id::Job, shard: &id::Shard, completed: u32, failed: u32) {
