Test plans, heed deadlines, and keep learnt memory inside quotas

A job counts as of high priority once two of its run times are left before its deadline. A run that grows beyond its declared memory stays within its team's quota or starts again. A worker that was leaving and is live again takes work again; before, it counted as drained for good.

--- a/crates/marigoldpick-place/src/fleet.rs
+++ b/crates/marigoldpick-place/src/fleet.rs
@@ -43,8 +43,10 @@
     pub runs: Vec<u32>,
     /// Whether it answers.
     pub state: State,
-    /// Whether it is being drained.
+    /// Whether an operator drains it.
     pub draining: bool,
+    /// Whether the platform is going to take it away.
+    pub leaving: bool,
     /// Whether it is shut out by its health.
     pub quarantined: bool,
     /// The record of its runs.
@@ -67,7 +69,8 @@
     /// Tells whether tasks may be started on it.
     #[must_use]
     pub fn usable(&self) -> bool {
-        self.state == State::Up && !self.draining && !self.quarantined
+        let leaving = self.draining || self.leaving;
+        self.state == State::Up && !leaving && !self.quarantined
     }
 }
 
@@ -108,6 +111,7 @@
             worker.rack = rack;
             worker.size = size;
             worker.state = State::Up;
+            worker.leaving = vm.state == vm::State::Leaving;
             self.enter_rack(slot);
             self.refresh(slot);
             return slot;
@@ -124,6 +128,7 @@
             runs: Vec::new(),
             state: State::Up,
             draining: false,
+            leaving: vm.state == vm::State::Leaving,
             quarantined: false,
             health: health::Worker::default(),
         });
--- a/crates/marigoldpick-place/src/scheduler/round.rs
+++ b/crates/marigoldpick-place/src/scheduler/round.rs
@@ -11,7 +11,7 @@
 
 use super::Scheduler;
 use crate::action::Action;
-use crate::job::State;
+use crate::job::{Job, State};
 use crate::kind::{Block, Kind, Waiter};
 use crate::run::{Phase, Run};
 use crate::score::Policy;
@@ -21,6 +21,10 @@
 const QUANTUM: u32 = 16;
 /// The level of jobs that have waited for several agings: below urgent, above all others.
 const OVERDUE: u8 = 3;
+/// The level of jobs of high priority, and of those whose deadline is near.
+const HIGH: u8 = 2;
+/// Run times before its deadline at which a job counts as of high priority.
+const DEADLINE_RUNS: u64 = 2;
 /// The level of urgent jobs.
 const URGENT: u8 = 4;
 /// Agings after which a job is overdue.
@@ -78,27 +82,39 @@
     }
 
     fn rank(&self, kind: &Kind, head: Waiter, now: Millis) -> Rank {
-        let arrived = self.jobs.get(head.job).arrived;
+        let job = self.jobs.get(head.job);
+        let level = self.level(kind.priority, job.arrived, now);
+        let pressed = level < HIGH && self.is_pressed(kind, job, now);
         Rank {
-            level: self.level(kind.priority, arrived, now),
+            level: if pressed { HIGH } else { level },
             share: self.teams.get(kind.team).share(self.fleet.total()),
             order: head.order,
         }
     }
 
+    /// Tells whether a job has to start soon to end by its deadline.
+    fn is_pressed(&self, kind: &Kind, job: &Job, now: Millis) -> bool {
+        let Some(deadline) = job.spec.deadline_ms else {
+            return false;
+        };
+        let run = kind.estimate.long_run(job.spec.run_ms);
+        let run = run.unwrap_or(self.settings.run);
+        now + run.times(DEADLINE_RUNS) >= job.arrived + deadline
+    }
+
     /// Returns the level of a job: its priority, raised with its wait, but never up to urgent.
     pub(super) fn level(&self, priority: Priority, arrived: Millis, now: Millis) -> u8 {
         let base = match priority {
             Priority::Low => 0,
             Priority::Normal => 1,
-            Priority::High => 2,
+            Priority::High => HIGH,
             Priority::Urgent => return URGENT,
         };
         let agings = now.since(arrived).0 / self.settings.aging.0.max(1);
         if agings >= OVERDUE_AGINGS {
             return OVERDUE;
         }
-        (base + agings as u8).min(OVERDUE - 1)
+        (base + agings as u8).min(HIGH)
     }
 
     /// Returns a kind's first job with waiting tasks.
--- a/crates/marigoldpick-place/src/scheduler/survey.rs
+++ b/crates/marigoldpick-place/src/scheduler/survey.rs
@@ -46,7 +46,8 @@
     /// Counts what fits now, taking it from `room`, and what fits an empty shard.
     fn count_room(&self, job: &intent::Job, ask: &Size, room: &mut [Size], offer: &mut Offer) {
         for (worker, room) in self.fleet.workers().iter().zip(room) {
-            let there = worker.state != crate::fleet::State::Gone && !worker.draining;
+            let there = worker.state != crate::fleet::State::Gone;
+            let there = there && !worker.draining && !worker.leaving;
             if !there || !admits(&job.place, &self.fleet, worker) {
                 continue;
             }
--- a/crates/marigoldpick-place/src/scheduler/usage.rs
+++ b/crates/marigoldpick-place/src/scheduler/usage.rs
@@ -122,7 +122,8 @@
             ..Size::default()
         };
         let (worker, job, index) = (run.worker, run.job, run.index);
-        if self.fleet.get(worker).free().holds(&more) {
+        let within = self.teams.get(run.team).allows(&more);
+        if within && self.fleet.get(worker).free().holds(&more) {
             let held = self.runs.get(slot).held.plus(&more);
             self.resize_run(slot, held);
             return;
@@ -172,7 +173,8 @@
                 millicores: slot.millicores.saturating_sub(run.held.millicores),
                 ..Size::default()
             };
-            if !self.fleet.get(run.worker).free().holds(&more) {
+            let within = self.teams.get(run.team).allows(&more);
+            if !within || !self.fleet.get(run.worker).free().holds(&more) {
                 self.limited.push(slot);
                 continue;
             }
--- a/crates/marigoldpick-place/tests/policy.rs
+++ b/crates/marigoldpick-place/tests/policy.rs
@@ -4,6 +4,7 @@
 
 use googletest::prelude::*;
 use marigoldpick_core::prelude::*;
+use marigoldpick_core::vm;
 use marigoldpick_core::worker::Outcome;
 use marigoldpick_place::{Action, Event};
 use support::{Site, Start, batch, job, name, worker, worker_id};
@@ -395,3 +396,34 @@
     }
     expect_that!(site.scheduler.counts().waiting, eq(0));
 }
+
+#[googletest::test]
+fn near_deadline_goes_before_older_work() {
+    let mut site = Site::new(1, 1);
+    site.accept(batch("first", 1, 1));
+    let first = site.run_starts().remove(0);
+    site.accept(batch("older", 1, 1));
+    let pressed = format!("run_ms = 60000\ndeadline_ms = 100000\n{NEEDS}");
+    site.accept(job("pressed", "batch", &pressed));
+    site.finish(&first, Outcome::Done);
+    expect_that!(
+        site.run_starts()[0].spec.run.task.job.as_str(),
+        eq("pressed")
+    );
+}
+
+#[googletest::test]
+fn leaving_worker_takes_no_new_tasks_until_it_is_live_again() {
+    let mut site = Site::new(0, 1);
+    for state in [vm::State::Leaving, vm::State::Live] {
+        let mut worker = worker(0, Amount::new(4_000, 16_000));
+        worker.state = state;
+        site.handle(Event::WorkerUp {
+            worker,
+            running: Vec::new(),
+        });
+        site.accept(batch(&format!("b-{state:?}"), 1, 1));
+        let started = if state == vm::State::Live { 2 } else { 0 };
+        expect_that!(site.run_starts().len(), eq(started));
+    }
+}
