--- a/crates/marigoldpick-entry/src/traffic/run.rs
+++ b/crates/marigoldpick-entry/src/traffic/run.rs
@@ -216,7 +216,9 @@
                 self.pause(tries).await;
             }
             let ticket = self.state.number();
-            let turn = self.place(ticket, tries > 0, avoid.take(), gone).await;
+            let turn = self
+                .place(ticket, unknown.is_some(), avoid.take(), gone)
+                .await;
             let (endpoint, address) = match turn {
                 Turn::Go { endpoint, address } => (endpoint, address),
                 Turn::Refused { code, retry_after } => {
--- a/crates/marigoldpick-entry/src/traffic/slots.rs
+++ b/crates/marigoldpick-entry/src/traffic/slots.rs
@@ -90,7 +90,7 @@
             })
         };
         let charges = charges.filter_map(charge).collect();
-        self.arbiter.set(charges, self.holders(view, now), now);
+        self.arbiter.set(charges, now);
     }
 
     fn note_silent(&mut self, view: &View, now: Millis) {
@@ -247,6 +247,8 @@
     let desks = state.desks.load_full();
     let demands = {
         let mut slots = lock(&state.slots);
+        let holders = slots.holders(view, now);
+        slots.arbiter.set_entries(holders);
         slots.arbiter.tick(now);
         slots.poll(&desks, view, draining, now)
     };
@@ -294,20 +296,18 @@
     grant: Option<&Grant>,
     draining: bool,
 ) {
+    // Both under one lock: a demand never tells of leases from before an answer that was taken.
     let mut slots = lock(&state.slots);
     let groups = slots.answer(arbiter, sequence, grant);
-    for (_, updates) in &groups {
-        for update in updates {
+    let now = state.now();
+    for (service, updates) in groups {
+        for update in &updates {
             let kept = update.slots.map(|slots| slots as usize);
             let place = find(&slots.places, &update.endpoint);
             if let (Some(kept), Some(place)) = (kept, place) {
                 state.pool.trim(&place.address, kept);
             }
         }
-    }
-    drop(slots);
-    let now = state.now();
-    for (service, updates) in groups {
         if let Some(desk) = state.desk(&service).filter(|_| !draining) {
             state.note_changes(desk.tell(Input::Leases(updates), now));
         }
--- /dev/null
+++ b/crates/marigoldpick-entry/tests/traffic/site.rs
@@ -0,0 +1,356 @@
+//! A few entries and endpoints of one or two failure domains in one process.
+
+use std::collections::HashMap;
+use std::sync::{Arc, Mutex};
+use std::time::{Duration, Instant};
+
+use async_std::io::{ReadExt, WriteExt};
+use async_std::net::{TcpListener, TcpStream};
+use marigoldpick_core::clock::System;
+use marigoldpick_core::intent::Intent;
+use marigoldpick_core::operator::Service;
+use marigoldpick_core::peer;
+use marigoldpick_core::prelude::*;
+use marigoldpick_entry::traffic::{Face, Settings, Wire};
+use marigoldpick_entry::view::{Cell, Endpoint, Peer, View};
+
+use super::endpoint::{self, Log};
+
+/// `Lines` carries calls between faces of one process.
+#[derive(Clone, Debug, Default)]
+pub struct Lines {
+    faces: Arc<Mutex<HashMap<id::Entry, Face<Line>>>>,
+    cut: Arc<Mutex<Vec<(id::Entry, id::Entry)>>>,
+}
+
+/// `Line` is one entry's end.
+#[derive(Clone, Debug)]
+pub struct Line {
+    me: id::Entry,
+    lines: Lines,
+}
+
+impl Wire for Line {
+    async fn call(
+        &self,
+        entry: &id::Entry,
+        _address: &str,
+        call: peer::Call,
+    ) -> Result<peer::Answer, Code> {
+        let pair = (self.me.clone(), entry.clone());
+        let back = (entry.clone(), self.me.clone());
+        let cut = self.lines.cut.lock().unwrap().clone();
+        if cut.contains(&pair) || cut.contains(&back) {
+            return Err(Code::PeerAway);
+        }
+        let face = self.lines.faces.lock().unwrap().get(entry).cloned();
+        Ok(face.ok_or(Code::PeerAway)?.peer(call).await)
+    }
+}
+
+/// `Node` is one entry.
+#[derive(Debug)]
+pub struct Node {
+    pub id: id::Entry,
+    pub face: Face<Line>,
+    pub view: Cell,
+    pub address: String,
+}
+
+/// `Site` is all of it.
+#[derive(Debug)]
+pub struct Site {
+    pub nodes: Vec<Node>,
+    pub endpoints: Vec<endpoint::Endpoint>,
+    pub lines: Lines,
+    pub log: Log,
+}
+
+/// `Answer` is what a caller got.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Answer {
+    pub status: u16,
+    pub result: String,
+    pub code: u16,
+    pub head: String,
+    pub body: String,
+    /// Whether the body is as long as the header said.
+    pub whole: bool,
+}
+
+impl Answer {
+    /// The result and the code.
+    pub fn said(&self) -> String {
+        format!("{} {}", self.result, self.code)
+    }
+}
+
+/// Starts `entries[d]` entries and `endpoints[d]` endpoints in each failure domain `d`.
+pub async fn start(entries: &[usize], endpoints: &[usize]) -> Site {
+    start_with(entries, endpoints, test_settings(), "").await
+}
+
+/// Settings under which entries count as old enough to know first attempts at once.
+pub fn test_settings() -> Settings {
+    Settings {
+        resend: Millis::ZERO,
+        ..Settings::default()
+    }
+}
+
+pub async fn start_with(
+    entries: &[usize],
+    endpoints: &[usize],
+    settings: Settings,
+    service: &str,
+) -> Site {
+    let mut site = Site {
+        nodes: Vec::new(),
+        endpoints: Vec::new(),
+        lines: Lines::default(),
+        log: Log::default(),
+    };
+    let text = format!("[[service]]\nname = \"booking\"\n{service}");
+    let services = Intent::parse("test.toml", &text).unwrap().service;
+    let mut places = Vec::new();
+    for (domain, count) in endpoints.iter().enumerate() {
+        for _ in 0..*count {
+            let fake = endpoint::Endpoint::start(Arc::clone(&site.log)).await;
+            places.push(Endpoint {
+                id: id::Endpoint::new(&format!("booking-{}", places.len())).unwrap(),
+                service: services[0].name.clone(),
+                domain: domain_id(domain),
+                worker: id::Worker::new("w").unwrap(),
+                address: fake.address.clone(),
+                leaving: false,
+            });
+            site.endpoints.push(fake);
+        }
+    }
+    let mut views = Vec::new();
+    for (domain, count) in entries.iter().enumerate() {
+        for _ in 0..*count {
+            let me = id::Entry::new(&format!("entry-{}", views.len())).unwrap();
+            let mut view = View::new(me, 7 + views.len() as u64, domain_id(domain));
+            view.services.clone_from(&services);
+            let own = places.iter().filter(|p| p.domain == view.domain);
+            view.endpoints = own.cloned().collect();
+            views.push(view);
+        }
+    }
+    let peers: Vec<Peer> = views.iter().map(peer).collect();
+    for mut view in views {
+        let others = peers.iter().filter(|peer| peer.entry != view.me);
+        view.entries = others.cloned().collect();
+        site.add(view, settings.clone()).await;
+    }
+    until("all entries know the service", || {
+        let known = |node: &Node| !node.face.status().is_empty();
+        site.nodes.iter().all(known)
+    })
+    .await;
+    site
+}
+
+fn domain_id(domain: usize) -> id::Domain {
+    id::Domain::new(&format!("domain-{domain}")).unwrap()
+}
+
+impl Site {
+    async fn add(&mut self, view: View, settings: Settings) {
+        let id = view.me.clone();
+        let cell = view.cell();
+        let line = Line {
+            me: id.clone(),
+            lines: self.lines.clone(),
+        };
+        let (events, _) = async_channel::bounded(1);
+        let face = Face::new(settings, Arc::clone(&cell), line, System::new(), events);
+        self.lines
+            .faces
+            .lock()
+            .unwrap()
+            .insert(id.clone(), face.clone());
+        let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
+        let address = listener.local_addr().unwrap().to_string();
+        let own = face.clone();
+        async_std::task::spawn(async move { own.serve(listener).await });
+        self.nodes.push(Node {
+            id,
+            face,
+            view: cell,
+            address,
+        });
+    }
+
+    /// Changes the view of all entries.
+    pub fn change(&self, change: impl Fn(&mut View)) {
+        for node in &self.nodes {
+            let mut view = View::clone(&node.view.load());
+            change(&mut view);
+            node.view.store(Arc::new(view));
+        }
+    }
+
+    /// Ends an entry as a crash would; the others learn it later by `bury`.
+    pub fn kill(&self, at: usize) {
+        self.nodes[at].face.kill();
+        self.lines.faces.lock().unwrap().remove(&self.nodes[at].id);
+    }
+
+    /// Lets the others know that an entry is silent.
+    pub fn bury(&self, at: usize) {
+        let id = self.nodes[at].id.clone();
+        self.change(|view| {
+            for peer in view.entries.iter_mut().filter(|p| p.entry == id) {
+                peer.alive = false;
+            }
+        });
+    }
+
+    /// Cuts or joins two entries.
+    pub fn cut(&self, a: usize, b: usize) {
+        let pair = (self.nodes[a].id.clone(), self.nodes[b].id.clone());
+        self.lines.cut.lock().unwrap().push(pair);
+    }
+
+    /// How often a request ran.
+    pub fn runs(&self, request: &str) -> usize {
+        let log = self.log.lock().unwrap();
+        log.iter().filter(|run| run.0 == request).count()
+    }
+
+    /// How often one attempt of a request ran.
+    pub fn runs_of(&self, request: &str, attempt: u32) -> usize {
+        let log = self.log.lock().unwrap();
+        let same = |run: &&(String, u32)| run.0 == request && run.1 == attempt;
+        log.iter().filter(same).count()
+    }
+
+    /// The slots held.
+    pub fn held(&self) -> usize {
+        let all: Vec<usize> = (0..self.nodes.len()).collect();
+        self.held_by(&all)
+    }
+
+    /// The slots held by some entries.
+    pub fn held_by(&self, nodes: &[usize]) -> usize {
+        self.sum(nodes, |s| s.slots)
+    }
+
+    /// Requests in flight.
+    pub fn in_flight(&self) -> usize {
+        let all: Vec<usize> = (0..self.nodes.len()).collect();
+        self.sum(&all, |s| s.in_flight)
+    }
+
+    /// Requests that wait.
+    pub fn queued(&self) -> usize {
+        let all: Vec<usize> = (0..self.nodes.len()).collect();
+        self.sum(&all, |s| s.queued)
+    }
+
+    fn sum(&self, nodes: &[usize], of: impl Fn(&Service) -> u32) -> usize {
+        let one = |at: &usize| self.nodes[*at].face.status().first().map_or(0, &of) as usize;
+        nodes.iter().map(one).sum()
+    }
+
+    /// Waits until all entries hold slots of all their endpoints together.
+    pub async fn ready(&self) {
+        let all = 8 * self.endpoints.len();
+        until("slots are held", || self.held() == all).await;
+    }
+
+    /// Calls an entry.
+    pub async fn call(&self, at: usize, headers: &[(&str, &str)], body: &str) -> Answer {
+        call(&self.nodes[at].address, headers, body).await
+    }
+}
+
+fn peer(view: &View) -> Peer {
+    Peer {
+        entry: view.me.clone(),
+        domain: view.domain.clone(),
+        address: "127.0.0.1:1".to_owned(),
+        alive: true,
+        draining: false,
+        incarnation: view.incarnation,
+        age: Millis::from_secs(3_600),
+    }
+}
+
+/// Waits for a condition.
+pub async fn until(what: &str, mut holds: impl FnMut() -> bool) {
+    let start = Instant::now();
+    while !holds() {
+        assert!(
+            start.elapsed() < Duration::from_secs(20),
+            "waited for: {what}"
+        );
+        async_std::task::sleep(Duration::from_millis(5)).await;
+    }
+}
+
+/// Calls the booking service at `address` on a connection of its own.
+pub async fn call(address: &str, headers: &[(&str, &str)], body: &str) -> Answer {
+    let mut head = format!(
+        "POST /v1/call/booking HTTP/1.1\r\nhost: {address}\r\ncontent-length: {}\r\n",
+        body.len()
+    );
+    if !headers.iter().any(|(name, _)| *name == "x-marigold-team") {
+        head.push_str("x-marigold-team: sellers\r\n");
+    }
+    for (name, value) in headers {
+        head.push_str(&format!("{name}: {value}\r\n"));
+    }
+    raw(address, &format!("{head}\r\n{body}")).await
+}
+
+/// Sends a text and reads one answer, an empty one when nobody listens.
+pub async fn raw(address: &str, text: &str) -> Answer {
+    let Ok(mut stream) = TcpStream::connect(address).await else {
+        return parse(&[]);
+    };
+    let _ = stream.write_all(text.as_bytes()).await;
+    receive(&mut stream).await
+}
+
+/// Reads one answer until its end or the connection's.
+pub async fn receive(stream: &mut TcpStream) -> Answer {
+    let mut bytes = Vec::new();
+    let mut part = vec![0; 64 << 10];
+    loop {
+        let read = async_std::future::timeout(Duration::from_secs(20), stream.read(&mut part));
+        match read.await.expect("an answer or a close") {
+            Ok(0) | Err(_) => return parse(&bytes),
+            Ok(count) => bytes.extend_from_slice(&part[..count]),
+        }
+        let answer = parse(&bytes);
+        if answer.whole {
+            return answer;
+        }
+    }
+}
+
+fn parse(bytes: &[u8]) -> Answer {
+    let text = String::from_utf8_lossy(bytes).into_owned();
+    let (head, body) = text.split_once("\r\n\r\n").unwrap_or((&text, ""));
+    let field = |name: &str| {
+        let line = head.lines().find(|line| line.starts_with(name));
+        line.map(|line| line[name.len()..].trim().to_owned())
+    };
+    let length = field("content-length:").and_then(|length| length.parse().ok());
+    Answer {
+        status: head
+            .get(9..12)
+            .and_then(|status| status.parse().ok())
+            .unwrap_or(0),
+        result: field("x-marigold-result:").unwrap_or_default(),
+        code: field("x-marigold-code:")
+            .and_then(|code| code.parse().ok())
+            .unwrap_or(0),
+        whole: length == Some(body.len()) && text.contains("\r\n\r\n"),
+        head: head.to_owned(),
+        body: body.to_owned(),
+    }
+}
--- a/crates/marigoldpick-route/src/arbiter.rs
+++ b/crates/marigoldpick-route/src/arbiter.rs
@@ -67,11 +67,11 @@
 }
 
 impl Arbiter {
-    /// Sets the endpoints in charge, sorted by id, and the entries that may hold slots.
+    /// Sets the endpoints in charge, sorted by id.
     ///
     /// When an endpoint is no longer in charge, all holders are asked to send all they hold, so that
     /// none goes on renewing its lease here.
-    pub fn set(&mut self, charges: Vec<Charge>, entries: Vec<id::Entry>, now: Millis) {
+    pub fn set(&mut self, charges: Vec<Charge>, now: Millis) {
         let mut old = std::mem::take(&mut self.plots);
         for charge in charges {
             let known = old.binary_search_by(|p| p.charge.endpoint.cmp(&charge.endpoint));
@@ -91,6 +91,10 @@
         if !old.is_empty() {
             self.heard.clear();
         }
+    }
+
+    /// Sets the failure domain's entries that may hold slots.
+    pub fn set_entries(&mut self, entries: Vec<id::Entry>) {
         self.entries = entries;
     }
 
@@ -212,7 +216,7 @@
         if !self.is_warm(entries, now) {
             return hold.granted.min(free);
         }
-        let target = self.target(at, now);
+        let target = self.target(at, entries, now);
         let most = free.max(hold.used.min(hold.granted));
         target.max(hold.used).min(most)
     }
@@ -226,27 +230,41 @@
         now >= self.since + SPAN + self.charge.cover || entries.iter().all(heard)
     }
 
-    /// Shares the slots by demand, one at a time to whoever has least; what nobody wants is spread.
-    fn target(&self, at: usize, now: Millis) -> u32 {
+    /// Shares the slots by demand, one at a time to whoever has least. What nobody wants is spread
+    /// over all entries, those not heard yet among them, so that no death takes everything along.
+    fn target(&self, at: usize, entries: &[id::Entry], now: Millis) -> u32 {
         let live = |h: &&Hold| now < h.until;
         let mut holds: Vec<&Hold> = self.holds.iter().filter(live).collect();
         let key = self.charge.endpoint.as_str();
         holds.sort_by_cached_key(|h| rank::score(key, h.entry.as_str()));
+        let own = &self.holds[at];
+        let same = |h: &&Hold| h.entry == own.entry && h.incarnation == own.incarnation;
+        let Some(own) = holds.iter().position(same) else {
+            return 0;
+        };
+        let unheard = |entry: &&id::Entry| !holds.iter().any(|h| h.entry == **entry);
+        let unheard = entries.iter().filter(unheard).count();
         let lapsed = self.holds.iter().filter(|h| now >= h.until);
         let lost: u32 = lapsed.map(|h| h.granted).sum();
-        let mut shares = vec![0; holds.len()];
-        for _ in 0..self.charge.slots.saturating_sub(lost) {
-            let wanting = (0..shares.len()).filter(|at| shares[*at] < holds[*at].want);
-            let next = wanting.min_by_key(|at| shares[*at]);
-            let next = next.or_else(|| (0..shares.len()).min_by_key(|at| shares[*at]));
-            if let Some(next) = next {
-                shares[next] += 1;
-            }
+        let mut wants: Vec<u32> = holds.iter().map(|h| h.want).collect();
+        wants.resize(holds.len() + unheard, 0);
+        share(self.charge.slots.saturating_sub(lost), &wants)[own]
+    }
+}
+
+/// Shares out `slots`: one at a time to whoever has least of those that want more, then to whoever
+/// has least.
+fn share(slots: u32, wants: &[u32]) -> Vec<u32> {
+    let mut shares = vec![0; wants.len()];
+    for _ in 0..slots {
+        let wanting = (0..wants.len()).filter(|at| shares[*at] < wants[*at]);
+        let next = wanting.min_by_key(|at| shares[*at]);
+        let next = next.or_else(|| (0..wants.len()).min_by_key(|at| shares[*at]));
+        if let Some(next) = next {
+            shares[next] += 1;
         }
-        let own = &self.holds[at];
-        let same = |h: &&Hold| h.entry == own.entry && h.incarnation == own.incarnation;
-        holds.iter().position(same).map_or(0, |at| shares[at])
     }
+    shares
 }
 
 impl Hold {
--- a/crates/marigoldpick-route/src/back.rs
+++ b/crates/marigoldpick-route/src/back.rs
@@ -19,6 +19,8 @@
 const SLOW_START: Millis = Millis::from_secs(3);
 /// Failures in a row after which an endpoint is set aside.
 const FAILURES: u32 = 3;
+/// How long an endpoint that failed gets nothing, before it is set aside.
+const FAILED: Millis = Millis(50);
 /// How long an endpoint is set aside the first time; it doubles.
 const EJECT: Millis = Millis::from_secs(1);
 /// The most doublings.
@@ -60,7 +62,7 @@
     pub used: u32,
     slots: u32,
     until: Millis,
-    since: Millis,
+    since: Option<Millis>,
     estimate: f64,
     measured: u32,
     started: Millis,
@@ -75,9 +77,9 @@
 }
 
 impl Back {
-    /// Makes an endpoint that was never used.
+    /// Makes an endpoint that was never used; one that joins others gets its slots step by step.
     #[must_use]
-    pub fn new(id: id::Endpoint, address: Arc<str>, now: Millis) -> Self {
+    pub fn new(id: id::Endpoint, address: Arc<str>, joins: bool, now: Millis) -> Self {
         Self {
             id,
             address,
@@ -85,7 +87,7 @@
             used: 0,
             slots: 0,
             until: Millis::ZERO,
-            since: now,
+            since: joins.then_some(now),
             estimate: 0.0,
             measured: 0,
             started: now,
@@ -142,7 +144,7 @@
         if self.probing {
             return held.min(1);
         }
-        let age = now.since(self.since).0;
+        let age = self.since.map_or(SLOW_START.0, |since| now.since(since).0);
         if age >= SLOW_START.0 {
             return held;
         }
@@ -211,7 +213,7 @@
         if self.probing {
             self.probing = false;
             self.rounds = 0;
-            self.since = now;
+            self.since = Some(now);
         }
     }
 
@@ -226,6 +228,7 @@
         self.failures += 1;
         let probe_failed = self.probing;
         if !probe_failed && (self.failures < FAILURES || !may_eject) {
+            self.away = self.away.max(now + FAILED);
             return;
         }
         self.away = now + EJECT.times(1 << self.rounds.min(EJECT_ROUNDS));
--- a/crates/marigoldpick-route/src/holder.rs
+++ b/crates/marigoldpick-route/src/holder.rs
@@ -7,7 +7,9 @@
 use marigoldpick_core::prelude::*;
 
 /// Leases are renewed this long after the last demand.
-pub const RENEW: Millis = Millis(600);
+pub const RENEW: Millis = Millis(300);
+/// An arbiter is asked this long after the last demand while more slots are wanted than held.
+const HUNGRY: Millis = Millis(80);
 /// The shortest span between two demands to an arbiter.
 const LEAST: Millis = Millis(40);
 /// A demand without an answer is given up after this time.
@@ -152,10 +154,13 @@
             link.told.clear();
         }
         let whole = link.told.is_empty();
-        let changed = link.changed(&wants);
         let age = link.sent.map_or(RENEW, |sent| now.since(sent));
-        let due = age >= RENEW || (age >= LEAST && !changed.is_empty());
-        if !due {
+        if age < LEAST {
+            return None;
+        }
+        let changed = link.changed(&wants, age >= RENEW);
+        let hungry = age >= HUNGRY && wants.iter().any(|want| want.want > want.held);
+        if age < RENEW && !hungry && changed.is_empty() {
             return None;
         }
         self.sequence += 1;
@@ -188,9 +193,10 @@
         }
     }
 
-    /// Returns the wants that the arbiter must be told anew. How much is in use is a reason only
-    /// when slots beyond the lease are returned.
-    fn changed(&self, wants: &[Want]) -> Vec<Want> {
+    /// Returns the wants that the arbiter must be told anew. With a renewal all that differ are
+    /// told; else those that can't wait: more slots are wanted, some are returned, or the arbiter
+    /// did not know the endpoint.
+    fn changed(&self, wants: &[Want], renewal: bool) -> Vec<Want> {
         let differs = |want: &&Want| {
             let find = |told: &Want| told.endpoint.cmp(&want.endpoint);
             let Ok(at) = self.told.binary_search_by(find) else {
@@ -198,7 +204,13 @@
             };
             let told = &self.told[at];
             let returned = told.used > told.held && want.used < told.used;
-            told.want != want.want || told.held != want.held || told.cover < want.cover || returned
+            let more = want.want > told.want && want.want > want.held;
+            let unknown = self.named.binary_search(&want.endpoint).is_err();
+            let urgent = told.held != want.held || told.cover < want.cover;
+            // Slots that were in use beyond the demand could not be taken away.
+            let idle = told.used > told.want && want.used < told.used;
+            let later = renewal && (told.want != want.want || idle);
+            returned || more || unknown || urgent || later
         };
         wants.iter().filter(differs).cloned().collect()
     }
--- a/crates/marigoldpick-route/src/router.rs
+++ b/crates/marigoldpick-route/src/router.rs
@@ -20,10 +20,15 @@
 use crate::budget::Budget;
 use crate::holder::Update;
 use crate::queue::{Item, Queue};
+use crate::rank;
 use choice::Speeds;
 
 /// How long computed sums over all endpoints are used.
 const REFRESH: Millis = Millis(5);
+/// Without any slot for this time, requests are refused rather than queued.
+const DRY: Millis = Millis(500);
+/// Services with no more endpoints than this keep a slot of each at every entry.
+const FEW: usize = 8;
 /// Teams that are told apart.
 const MAX_TEAMS: usize = 1_000;
 /// Requests of all teams that may wait, as a multiple of one team's bound.
@@ -51,7 +56,7 @@
     pub class: Class,
     /// When the answer must be there.
     pub deadline: Millis,
-    /// Whether it is a retry, which the budget must allow.
+    /// Whether it is a retry of what may have run, which the budget must allow.
     pub retry: bool,
     /// Whether it is refused rather than queued, since its own failure domain can queue it.
     pub spare: bool,
@@ -160,6 +165,8 @@
     flights: FxHashMap<u64, Flight>,
     budget: Budget,
     speeds: Speeds,
+    /// Since when no slot can be used.
+    dry: Option<Millis>,
     rng: ChaCha8Rng,
 }
 
@@ -174,6 +181,7 @@
             queue: Queue::default(),
             flights: FxHashMap::default(),
             speeds: Speeds::default(),
+            dry: None,
             rng: ChaCha8Rng::seed_from_u64(seed),
         }
     }
@@ -225,13 +233,15 @@
     /// Returns what could be used of each endpoint's slots, sorted by endpoint.
     ///
     /// A service that is idle here still asks for a slot of every fourth endpoint, another fourth
-    /// at each entry, so that its first requests need not wait for a lease.
+    /// at each entry, so that its first requests need not wait for a lease. With few endpoints it
+    /// asks for one of each.
     #[must_use]
     pub fn wants(&self, me: &id::Entry, now: Millis) -> Vec<Want> {
         let usable = self.backs.iter().filter(|b| b.usable(now)).count();
         let queued = self.queue.len().div_ceil(usable.max(1)) as u32;
         let want = |back: &Back| {
-            let standing = crate::rank::score(back.id.as_str(), me.as_str()).is_multiple_of(4);
+            let score = rank::score(back.id.as_str(), me.as_str());
+            let standing = usable <= FEW || score.is_multiple_of(4);
             let busy = back.peak() > 0 || queued > 0;
             let spare = u32::from(busy || standing);
             let most = self.service.slots;
@@ -257,12 +267,13 @@
 
     fn set_endpoints(&mut self, endpoints: Vec<Endpoint>, now: Millis) {
         let mut old = std::mem::take(&mut self.backs);
+        let joins = !old.is_empty();
         let mut backs = Vec::with_capacity(endpoints.len());
         for endpoint in endpoints {
             let known = old.binary_search_by(|b| b.id.cmp(&endpoint.id)).ok();
             let mut back = match known {
                 Some(at) if old[at].address == endpoint.address => old.remove(at),
-                _ => Back::new(endpoint.id, endpoint.address, now),
+                _ => Back::new(endpoint.id, endpoint.address, joins, now),
             };
             back.leaving = endpoint.leaving;
             backs.push(back);
@@ -350,6 +361,18 @@
         for item in late {
             refuse(item.ticket, Code::NotRunTooLate, None, out);
         }
+        self.refresh(now);
+        if self.is_dry(now) {
+            while let Some(item) = self.queue.pop(u32::MAX) {
+                let later = self.later(0.0);
+                refuse(item.ticket, Code::NotRunNoEndpoint, later, out);
+            }
+        }
+    }
+
+    /// Tells whether there was no slot to use for some time.
+    fn is_dry(&self, now: Millis) -> bool {
+        self.dry.is_some_and(|since| now.since(since) >= DRY)
     }
 
     fn find(&self, endpoint: &id::Endpoint) -> Option<usize> {
--- a/crates/marigoldpick-route/src/router/admission.rs
+++ b/crates/marigoldpick-route/src/router/admission.rs
@@ -37,6 +37,11 @@
             self.send(item(request), at, now, out);
             return;
         }
+        if self.is_dry(now) {
+            let later = self.later(0.0);
+            refuse(request.ticket, Code::NotRunNoEndpoint, later, out);
+            return;
+        }
         match self.refusal(&request, weight, now) {
             Some((code, wait)) => {
                 let later = self.later(wait);
@@ -95,7 +100,7 @@
 
     /// Returns when a later try makes sense: after the wait, spread so that callers don't return
     /// all at once.
-    fn later(&mut self, wait: f64) -> Option<Millis> {
+    pub(super) fn later(&mut self, wait: f64) -> Option<Millis> {
         let millis = (wait / 1_000.0) as u64;
         let spread = self.rng.random_range(0..=millis / 2 + RETRY_AFTER.0);
         Some(Millis(
--- a/crates/marigoldpick-route/src/router/choice.rs
+++ b/crates/marigoldpick-route/src/router/choice.rs
@@ -164,6 +164,11 @@
             step.slots = slots;
             step.rate = rate;
         }
+        if speeds.slots > 0 {
+            self.dry = None;
+        } else {
+            self.dry.get_or_insert(now);
+        }
         self.speeds = speeds;
     }
 
