--- a/crates/marigoldpick-place/src/scheduler/worker.rs
+++ b/crates/marigoldpick-place/src/scheduler/worker.rs
@@ -22,9 +22,6 @@
         let size = self.accelerators.learn(&vm.size);
         self.teams.refresh(&self.accelerators);
         let slot = self.fleet.put(vm, size);
-        let draining = vm.state == vm::State::Leaving;
-        self.fleet
-            .change(slot, |worker| worker.draining |= draining);
         let mut seen = Vec::with_capacity(running.len());
         for report in running {
             seen.push(self.see(slot, report, now, out));
