Tell a finished run once, not in each report

Cause: a worker's answer repeated every finished run until it was acknowledged, which takes a group commit and the next renewal; at 120 starts a second of 300 ms tasks an answer carried some dozen of them. Now the rule for running tasks holds for finished ones too: what ended since the last stamp that the lead has shown to have received. A lost answer does not advance that stamp, and claims and lists still get everything.

--- a/crates/marigoldpick-core/src/worker.rs
+++ b/crates/marigoldpick-core/src/worker.rs
@@ -175,8 +175,8 @@
 
 /// `Report` is a worker's state with each answer.
 ///
-/// `running` is whole in answers to `Claim` and `List`; in others it has only the runs that changed
-/// since the last answer to the same epoch.
+/// `running` and `finished` are whole in answers to `Claim` and `List`; in others they have only the
+/// runs that changed or ended since the last stamp that the lead has shown to have received.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 #[serde(deny_unknown_fields)]
 pub struct Report {
@@ -186,7 +186,7 @@
     pub stamp: Millis,
     /// The lease's end by the worker's clock.
     pub lease_end: Millis,
-    /// Whether `running` is the whole set.
+    /// Whether `running` and `finished` are the whole sets.
     pub whole: bool,
     /// What runs.
     pub running: Vec<Running>,
--- a/crates/marigoldpick-standin/src/worker/state.rs
+++ b/crates/marigoldpick-standin/src/worker/state.rs
@@ -22,7 +22,8 @@
     epoch: Epoch,
     lease_end: Millis,
     runs: Vec<Run>,
-    finished: Vec<Finished>,
+    /// What ended and is not yet acknowledged, with the time of its end.
+    finished: Vec<(Millis, Finished)>,
     /// The highest attempt of each task that was started here.
     attempts: HashMap<id::Task, u32>,
     /// The last stamp that the lead has shown to have received.
@@ -198,8 +199,8 @@
         }
     }
 
-    /// Returns the answer: all runs when `whole`, else those that changed since the last stamp that
-    /// the lead has shown to have received.
+    /// Returns the answer: all runs when `whole`, else those that changed or ended since the last
+    /// stamp that the lead has shown to have received.
     pub(crate) fn answer(&self, refused: Option<Refusal>, whole: bool, now: Millis) -> Answer {
         let now = self.local(now);
         let running = self
@@ -208,13 +209,19 @@
             .filter(|run| whole || self.is_news(run, now))
             .map(|run| run.report(now, self.usage_lag))
             .collect();
+        let finished = self
+            .finished
+            .iter()
+            .filter(|(at, _)| whole || self.heard <= *at)
+            .map(|(_, finished)| finished.clone())
+            .collect();
         let report = Report {
             epoch: self.epoch,
             stamp: now,
             lease_end: self.lease_end,
             whole,
             running,
-            finished: self.finished.clone(),
+            finished,
         };
         Answer { refused, report }
     }
@@ -246,7 +253,7 @@
 
     fn forget(&mut self, acknowledged: &[id::Run]) {
         self.finished
-            .retain(|finished| !acknowledged.contains(&finished.run));
+            .retain(|(_, finished)| !acknowledged.contains(&finished.run));
     }
 
     fn renew(&mut self, stamp: Millis, span: Millis, now: Millis) -> Result<(), Refusal> {
@@ -269,7 +276,7 @@
             change(found);
             return Ok(());
         }
-        if self.finished.iter().any(|finished| finished.run == *run) {
+        if self.finished.iter().any(|(_, finished)| finished.run == *run) {
             return Ok(());
         }
         Err(Refusal::UnknownRun)
@@ -284,12 +291,13 @@
             outcome,
             cut: if planned { run.in_flight() } else { 0 },
         };
-        self.finished.push(Finished {
+        let finished = Finished {
             run: ended.run.clone(),
             outcome: ended.outcome.clone(),
             age,
             usage: (age >= self.usage_lag).then(|| run.usage()),
-        });
+        };
+        self.finished.push((now, finished));
         ended
     }
 }
