--- a/crates/marigoldpick-bench/src/cost.rs
+++ b/crates/marigoldpick-bench/src/cost.rs
@@ -27,7 +27,7 @@
     #[options(help = "write the slopes as a plot", meta = "FILE")]
     svg: Option<String>,
     #[options(
-        help = "measure machines, sites or all",
+        help = "measure all, machines, sites, or one of workers, tasks, entries, starts, changes",
         meta = "PART",
         default = "all"
     )]
@@ -55,8 +55,10 @@
     if matches!(arguments.part.as_str(), "machines" | "all") {
         slopes.extend(machines::measure(arguments.seed));
     }
-    if matches!(arguments.part.as_str(), "sites" | "all") {
-        match async_std::task::block_on(sites::measure(arguments.seconds, arguments.seed)) {
+    let part = arguments.part.as_str();
+    if part != "machines" {
+        let sites = sites::measure(part, arguments.seconds, arguments.seed);
+        match async_std::task::block_on(sites) {
             Ok(more) => slopes.extend(more),
             Err(error) => {
                 eprintln!("marigold-bench: {error}");
--- a/crates/marigoldpick-bench/src/cost/rig.rs
+++ b/crates/marigoldpick-bench/src/cost/rig.rs
@@ -17,7 +17,7 @@
 const LONGEST: Duration = Duration::from_secs(60);
 const POLL: Duration = Duration::from_millis(50);
 /// How long a new state is left alone before it is measured.
-const SETTLE: Duration = Duration::from_secs(3);
+const SETTLE: Duration = Duration::from_secs(5);
 
 /// `Shape` is a site to be measured.
 #[derive(Clone, Debug)]
--- a/crates/marigoldpick-bench/src/cost/sites.rs
+++ b/crates/marigoldpick-bench/src/cost/sites.rs
@@ -55,13 +55,25 @@
     }
 }
 
-/// Measures all sites.
-pub(crate) async fn measure(seconds: u64, seed: u64) -> Result<Vec<Slope>, Error> {
-    let mut slopes = by_workers(seconds, seed).await?;
-    slopes.extend(by_tasks(seconds, seed).await?);
-    slopes.extend(by_entries(seconds, seed).await?);
-    slopes.extend(by_starts(seconds, seed).await?);
-    slopes.extend(by_changes(seconds, seed).await?);
+/// Measures the sites that `part` names.
+pub(crate) async fn measure(part: &str, seconds: u64, seed: u64) -> Result<Vec<Slope>, Error> {
+    let wants = |name: &str| matches!(part, "all" | "sites") || part == name;
+    let mut slopes = Vec::new();
+    if wants("workers") {
+        slopes.extend(by_workers(seconds, seed).await?);
+    }
+    if wants("tasks") {
+        slopes.extend(by_tasks(seconds, seed).await?);
+    }
+    if wants("entries") {
+        slopes.extend(by_entries(seconds, seed).await?);
+    }
+    if wants("starts") {
+        slopes.extend(by_starts(seconds, seed).await?);
+    }
+    if wants("changes") {
+        slopes.extend(by_changes(seconds, seed).await?);
+    }
     Ok(slopes)
 }
 
--- a/crates/marigoldpick-entry/src/control/beats.rs
+++ b/crates/marigoldpick-entry/src/control/beats.rs
@@ -6,8 +6,6 @@
 
 use crate::control::Control;
 
-/// An entry younger than this may lack others, and is told of all.
-const YOUNG: Millis = Millis(10_000);
 /// The most configuration entries in one answer.
 const ENTRIES: usize = 200;
 
@@ -73,7 +71,7 @@
             Call::Beat(beat) => {
                 self.heard(&beat);
                 let mut own = self.beat(self.now());
-                if beat.age < YOUNG {
+                if self.peers.is_new(&beat.known.entry, self.now()) {
                     own.others = self.peers.known();
                 }
                 Ok(Answer::Beat(own))
--- a/crates/marigoldpick-entry/src/control/peers.rs
+++ b/crates/marigoldpick-entry/src/control/peers.rs
@@ -8,6 +8,9 @@
 
 use crate::view;
 
+/// For this long after it was first heard an entry is told of all others.
+const YOUNG: Millis = Millis(3_000);
+
 /// `Peer` is another entry.
 #[derive(Clone, Debug)]
 struct Peer {
@@ -19,6 +22,9 @@
     draining: bool,
     alive: bool,
     beat_at: Option<Millis>,
+    heard_at: Option<Millis>,
+    /// Since when this incarnation has been heard without a break.
+    since: Millis,
 }
 
 /// `Peers` is what is known of the other entries, sorted by entry.
@@ -76,6 +82,10 @@
         };
         let peer = &mut self.peers[at];
         let new = peer.incarnation != beat.incarnation;
+        if new || !peer.alive {
+            peer.since = now;
+        }
+        peer.heard_at = Some(now);
         peer.known = beat.known.clone();
         peer.incarnation = beat.incarnation;
         peer.draining = beat.draining;
@@ -121,7 +131,9 @@
 
     /// Returns the entries that are due for a beat, and notes that they get one.
     ///
-    /// An entry that is not heard is tried as seldom as one of another failure domain.
+    /// An answer tells as much as a beat, so of two entries that hear each other only the one whose
+    /// name comes first sends beats. An entry that is not heard is tried as seldom as one of another
+    /// failure domain.
     pub fn due(&mut self, now: Millis) -> Vec<Known> {
         let mut due = Vec::new();
         for peer in &mut self.peers {
@@ -131,6 +143,13 @@
             } else {
                 self.settings.far_beat_ms
             };
+            let answers = self.me.entry > peer.known.entry;
+            let quiet = peer
+                .heard_at
+                .is_none_or(|at| now.since(at) > span + Millis(span.0 / 2));
+            if answers && !quiet {
+                continue;
+            }
             if peer.beat_at.is_none_or(|at| now.since(at) >= span) {
                 peer.beat_at = Some(now);
                 due.push(peer.known.clone());
@@ -139,6 +158,13 @@
         due
     }
 
+    /// Tells whether an entry was not heard until lately, so that it may lack others.
+    #[must_use]
+    pub fn is_new(&self, entry: &id::Entry, now: Millis) -> bool {
+        let at = self.find(entry).ok();
+        at.is_some_and(|at| now.since(self.peers[at].since) < YOUNG)
+    }
+
     /// Returns the live entries.
     pub fn alive(&self) -> impl Iterator<Item = &Known> {
         self.peers
@@ -218,6 +244,8 @@
             draining: false,
             alive: false,
             beat_at: None,
+            heard_at: None,
+            since: Millis::ZERO,
         }
     }
 }
--- a/crates/marigoldpick-standin/src/worker/state.rs
+++ b/crates/marigoldpick-standin/src/worker/state.rs
@@ -276,7 +276,11 @@
             change(found);
             return Ok(());
         }
-        if self.finished.iter().any(|(_, finished)| finished.run == *run) {
+        if self
+            .finished
+            .iter()
+            .any(|(_, finished)| finished.run == *run)
+        {
             return Ok(());
         }
         Err(Refusal::UnknownRun)
