Play faults in tests of the dev command, drain entries at once, survive closed pipes

Two tests run a sample through overlapping faults with 3,000 requests each and expect exit 0: every promise held, though requests may end unknown. dev drains its entries at once: one after the other took a second for each. A reader that goes away ends the program with 141 where printing panicked.

--- a/crates/marigoldpick/src/command.rs
+++ b/crates/marigoldpick/src/command.rs
@@ -21,7 +21,7 @@
 #[must_use]
 pub fn run(arguments: Arguments) -> Code {
     if arguments.help_requested() {
-        println!("{}", help(&arguments));
+        say!("{}", help(&arguments));
         return Code::Done;
     }
     let Some(command) = arguments.command else {
@@ -107,7 +107,7 @@
 
 pub(crate) fn print_json<T: Serialize>(value: &T) {
     match serde_json::to_string(value) {
-        Ok(text) => println!("{text}"),
+        Ok(text) => say!("{text}"),
         Err(error) => eprintln!("error {}: {error}", Code::Internal.number()),
     }
 }
--- a/crates/marigoldpick/src/command/change.rs
+++ b/crates/marigoldpick/src/command/change.rs
@@ -56,6 +56,6 @@
     if json {
         print_json(&accepted);
     } else {
-        println!("accepted as configuration {}", accepted.sequence);
+        say!("accepted as configuration {}", accepted.sequence);
     }
 }
--- a/crates/marigoldpick/src/command/check.rs
+++ b/crates/marigoldpick/src/command/check.rs
@@ -69,7 +69,7 @@
     if json {
         print_json(&serde_json::json!({ "file": path, "kind": kind.to_string(), "code": 0 }));
     } else {
-        println!("{path}: good {kind}");
+        say!("{path}: good {kind}");
     }
 }
 
--- a/crates/marigoldpick/src/command/plan.rs
+++ b/crates/marigoldpick/src/command/plan.rs
@@ -51,7 +51,7 @@
     if arguments.json {
         print_json(&accepted);
     } else {
-        println!("accepted as configuration {}", accepted.sequence);
+        say!("accepted as configuration {}", accepted.sequence);
     }
     Ok(Code::Done)
 }
@@ -81,11 +81,11 @@
         print_json(planned);
         return;
     }
-    print!("{}", render::plan(&planned.plan));
+    say!("{}", render::plan(&planned.plan).trim_end());
     match planned.accepted {
-        Some(accepted) => println!("accepted as configuration {}", accepted.sequence),
+        Some(accepted) => say!("accepted as configuration {}", accepted.sequence),
         None if planned.plan.blocked.is_none() => {
-            println!(
+            say!(
                 "nothing has changed; to accept: marigold confirm {}",
                 planned.plan.id
             );
--- a/crates/marigoldpick/src/command/read.rs
+++ b/crates/marigoldpick/src/command/read.rs
@@ -14,7 +14,7 @@
     if arguments.json {
         print_json(&status);
     } else {
-        print!("{}", render::status(&status));
+        say!("{}", render::status(&status).trim_end());
     }
     Ok(Code::Done)
 }
@@ -28,7 +28,7 @@
     if arguments.json {
         print_json(&explain);
     } else {
-        print!("{}", render::explain(&explain));
+        say!("{}", render::explain(&explain).trim_end());
     }
     Ok(Code::Done)
 }
--- a/crates/marigoldpick/src/command/timeline.rs
+++ b/crates/marigoldpick/src/command/timeline.rs
@@ -74,7 +74,7 @@
         if json {
             print_json(event);
         } else {
-            println!("{}", render::event(event));
+            say!("{}", render::event(event));
         }
     }
 }
--- a/crates/marigoldpick/src/dev/cluster.rs
+++ b/crates/marigoldpick/src/dev/cluster.rs
@@ -2,6 +2,7 @@
 
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 
+use futures::future::join_all;
 use marigoldpick_core::code::Code;
 use marigoldpick_core::id;
 use marigoldpick_core::operator::Problem;
@@ -142,19 +143,14 @@
         }
     }
 
-    /// Drains all entries, one after the other.
+    /// Drains all entries at once.
     pub(super) async fn drain(&self) {
-        loop {
-            let next = {
-                let mut state = self.lock();
-                let seat = state.seats.iter_mut().find(|seat| seat.entry.is_some());
-                seat.and_then(|seat| seat.entry.take())
-            };
-            match next {
-                Some(entry) => entry.drain().await,
-                None => return,
-            }
-        }
+        let entries: Vec<Arc<Entry>> = {
+            let mut state = self.lock();
+            let seats = state.seats.iter_mut();
+            seats.filter_map(|seat| seat.entry.take()).collect()
+        };
+        join_all(entries.iter().map(|entry| entry.drain())).await;
     }
 
     /// Returns a running entry.
--- a/crates/marigoldpick/src/dev/once.rs
+++ b/crates/marigoldpick/src/dev/once.rs
@@ -76,7 +76,7 @@
     }
     let value = serde_json::to_value(report).unwrap_or_default();
     for (name, count) in value.as_object().into_iter().flatten() {
-        println!("{name:>22} {count}");
+        say!("{name:>22} {count}");
     }
 }
 
--- a/crates/marigoldpick/src/dev/serve.rs
+++ b/crates/marigoldpick/src/dev/serve.rs
@@ -23,13 +23,21 @@
         .map_err(|error| Problem::new(Code::Internal, error.to_string()))?;
     let cluster = Arc::new(Cluster::start(site, Ports::Settled).await?);
     let book = Arc::new(Book::default());
-    println!("{} runs; interrupt to end it", site.name);
+    say!("{} runs; interrupt to end it", site.name);
     for door in cluster.doors() {
-        println!(
+        say!(
             "entry {}: operators {}, callers {}",
-            door.entry, door.operators, door.callers
+            door.entry,
+            door.operators,
+            door.callers
         );
     }
+    let operators: Vec<String> = cluster.doors().into_iter().map(|d| d.operators).collect();
+    let list = operators.join(",");
+    say!(
+        "to ask all of them: export {}={list}",
+        crate::client::ENTRY_VARIABLE
+    );
     drop(inject::play(&cluster, &book, site, faults));
     let submit = {
         let (cluster, book) = (Arc::clone(&cluster), Arc::clone(&book));
@@ -37,14 +45,14 @@
         async_std::task::spawn(async move {
             ready::leads(&cluster, &site).await;
             match operator::submit(&cluster, &book, &site.intents).await {
-                Ok(()) => println!("all intents are accepted; try `marigold status`"),
+                Ok(()) => say!("all intents are accepted; try `marigold status`"),
                 Err(problem) => eprintln!("error {}: {}", problem.code.number(), problem.message),
             }
         })
     };
     signals.next().await;
     submit.cancel().await;
-    println!("draining");
+    say!("draining");
     cluster.drain().await;
     Ok(Code::Done)
 }
--- a/crates/marigoldpick/src/lib.rs
+++ b/crates/marigoldpick/src/lib.rs
@@ -13,6 +13,9 @@
 pub use marigoldpick_standin as standin;
 pub use marigoldpick_wire as wire;
 
+#[macro_use]
+mod output;
+
 pub mod arguments;
 pub mod client;
 pub mod command;
--- a/crates/marigoldpick/tests/bad_input.rs
+++ b/crates/marigoldpick/tests/bad_input.rs
@@ -144,3 +144,16 @@
     expect_that!(error.code, eq(Code::BadSyntax));
     expect_that!(error.line, eq(2));
 }
+
+#[googletest::test]
+fn output_that_nobody_reads_ends_without_a_panic() {
+    let (reader, writer) = std::io::pipe().expect("a pipe");
+    drop(reader);
+    let output = Command::new(env!("CARGO_BIN_EXE_marigold"))
+        .arg("--help")
+        .stdout(writer)
+        .output()
+        .expect("the program runs");
+    expect_that!(output.status.code(), some(eq(141)));
+    expect_that!(errors(&output), eq(""));
+}
--- a/crates/marigoldpick/tests/dev.rs
+++ b/crates/marigoldpick/tests/dev.rs
@@ -62,6 +62,105 @@
     verify_whole(&dev(&words), 470, 400);
 }
 
+/// Plays faults that overlap; requests may end "unknown" or "not run", but no promise may break.
+fn verify_storm(site: &str, name: &str, text: &str, tasks: u64) {
+    let directory = sample(site);
+    let file = faults(name, text);
+    let file = file.to_str().expect("a path in UTF-8");
+    let words = [
+        "--intents",
+        &directory,
+        "--requests",
+        "3000",
+        "--faults",
+        file,
+    ];
+    let output = dev(&words);
+    expect_that!(output.status.code(), some(eq(0)), "{}", errors(&output));
+    let report = report(&output);
+    expect_that!(report.broken(), is_empty());
+    expect_that!(report.tasks_accepted, eq(tasks));
+    expect_that!(report.requests_sent, eq(3_000));
+    expect_that!(errors(&output), not(contains_substring("was not played")));
+}
+
+#[googletest::test]
+fn once_kirpputori_holds_every_promise_through_faults() {
+    let text = r#"
+        [[fault]]
+        at_ms = 4500
+        kind = "store-lost-answer"
+        target = "store"
+        for_ms = 2000
+        [[fault]]
+        at_ms = 5000
+        kind = "kill-entry"
+        target = "helsinki-1"
+        for_ms = 3000
+        [[fault]]
+        at_ms = 5500
+        kind = "kill-worker"
+        target = "turku-a/w0"
+        for_ms = 5000
+        [[fault]]
+        at_ms = 6000
+        kind = "pause-entry"
+        target = "turku-1"
+        for_ms = 3000
+        [[fault]]
+        at_ms = 7000
+        kind = "leave-endpoint"
+        target = "booking:7"
+        [[fault]]
+        at_ms = 7500
+        kind = "store-down"
+        target = "store"
+        for_ms = 4000
+    "#;
+    verify_storm("kirpputori", "storm-kirpputori.toml", text, 448);
+}
+
+#[googletest::test]
+fn once_cyd_robotau_holds_every_promise_through_faults() {
+    let text = r#"
+        [[fault]]
+        at_ms = 1000
+        kind = "fail-worker"
+        target = "swansea-a/w1"
+        for_ms = 9000
+        [[fault]]
+        at_ms = 4500
+        kind = "store-slow"
+        target = "store"
+        for_ms = 2000
+        [[fault]]
+        at_ms = 5500
+        kind = "cut-domain"
+        target = "bangor"
+        for_ms = 5000
+        [[fault]]
+        at_ms = 6000
+        kind = "slow-endpoint"
+        target = "dispatch:3"
+        for_ms = 4000
+        [[fault]]
+        at_ms = 6200
+        kind = "cancel-wave"
+        target = "lift*"
+        [[fault]]
+        at_ms = 6500
+        kind = "kill-entry"
+        target = "cardiff-1"
+        for_ms = 2000
+        [[fault]]
+        at_ms = 6500
+        kind = "kill-entry"
+        target = "cardiff-2"
+        for_ms = 3000
+    "#;
+    verify_storm("cyd-robotau", "storm-cyd.toml", text, 470);
+}
+
 #[googletest::test]
 fn once_out_of_time_names_what_is_missing() {
     let directory = sample("kirpputori");
