Hold leads to their promises under pairs of faults

Two faults of the lead came out and are mended: a start that was held while a worker was not yet heard went ahead after that worker had reported the task as running; and a lost worker whose late answer named changes only was never asked for all it has, so that it held back all starts of unseen tasks for good.

--- a/crates/marigoldpick-shard/src/lead/report.rs
+++ b/crates/marigoldpick-shard/src/lead/report.rs
@@ -125,6 +125,8 @@
             member.known = true;
             member.want_whole = doubt;
         }
+        // A report of changes does not do when all that it has was not yet seen.
+        member.want_whole |= !member.known;
         if member.up {
             if std::mem::take(&mut member.silent) {
                 Self::notice(out, Notice::WorkerHeard(worker.clone()));
@@ -134,7 +136,7 @@
                 Self::notice(out, Notice::WorkerReport { worker, changed });
             }
         } else {
-            member.lost = false;
+            member.lost &= !member.known;
             member.arrive(report.running, whole);
         }
     }
@@ -152,6 +154,7 @@
             worker: worker.clone(),
             attempt: run.attempt,
         };
+        self.yield_start(run, out);
         match self.placed.get(&run.task) {
             Some(have) if have.worker != *worker => {
                 self.event(
@@ -206,6 +209,7 @@
             return;
         }
         self.seen.insert(finished.run.task.clone());
+        self.yield_start(&finished.run, out);
         self.started(&finished.run, out);
         if self.journal.state().is_over(&finished.run.task) {
             let member = &mut self.members[at];
--- a/crates/marigoldpick-shard/src/lead/start.rs
+++ b/crates/marigoldpick-shard/src/lead/start.rs
@@ -33,6 +33,12 @@
     pub(super) since: Millis,
 }
 
+impl Pending {
+    const fn is_unsent(&self) -> bool {
+        matches!(self.stage, Stage::Held | Stage::Recording | Stage::Queued)
+    }
+}
+
 impl Lead {
     pub(super) fn start(
         &mut self,
@@ -135,8 +141,7 @@
             .map(|p| p.spec.run.clone())
             .collect();
         for run in runs {
-            self.outbox.retain(|r| *r != Record::Started(run.clone()));
-            self.refuse_start(&run, Code::StoreAway, out);
+            self.cancel_start(&run, Code::StoreAway, out);
         }
     }
 
@@ -163,6 +168,27 @@
         }
     }
 
+    /// Gives up a start that was not yet sent, since the task turns out to run already.
+    pub(super) fn yield_start(&mut self, running: &id::Run, out: &mut Vec<Output>) {
+        let other = |p: &&Pending| {
+            p.spec.run.task == running.task && p.spec.run != *running && p.is_unsent()
+        };
+        let Some(run) = self.starts.iter().find(other).map(|p| p.spec.run.clone()) else {
+            return;
+        };
+        self.cancel_start(&run, Code::Duplicate, out);
+    }
+
+    /// Takes back a start that was not yet sent.
+    fn cancel_start(&mut self, run: &id::Run, code: Code, out: &mut Vec<Output>) {
+        self.outbox.retain(|r| *r != Record::Started(run.clone()));
+        let start = Act::Start(run.clone());
+        for member in &mut self.members {
+            member.queue.retain(|act| *act != start);
+        }
+        self.refuse_start(run, code, out);
+    }
+
     pub(super) fn started(&mut self, run: &id::Run, out: &mut Vec<Output>) {
         let Some(at) = self.pending(run) else {
             return;
@@ -260,16 +286,9 @@
     }
 
     pub(super) fn stop(&mut self, run: &id::Run, grace: Millis, out: &mut Vec<Output>) {
-        let unsent =
-            |p: &Pending| matches!(p.stage, Stage::Held | Stage::Recording | Stage::Queued);
         match self.pending(run) {
-            Some(at) if unsent(&self.starts[at]) => {
-                self.outbox.retain(|r| *r != Record::Started(run.clone()));
-                let start = Act::Start(run.clone());
-                for member in &mut self.members {
-                    member.queue.retain(|act| *act != start);
-                }
-                self.refuse_start(run, Code::TaskCancelled, out);
+            Some(at) if self.starts[at].is_unsent() => {
+                self.cancel_start(run, Code::TaskCancelled, out);
             }
             _ => self.act(run, Act::Stop(run.clone(), grace)),
         }
