--- a/crates/marigoldpick-shard/src/settings.rs
+++ b/crates/marigoldpick-shard/src/settings.rs
@@ -29,8 +29,6 @@
     pub follow_ms: Millis,
     /// The time between two records of completions.
     pub record_ms: Millis,
-    /// How long tasks that move in a cut go on without the store.
-    pub cutoff_ms: Millis,
     /// The time between two beats to entries of the same failure domain.
     pub beat_ms: Millis,
     /// The time between two beats to entries of other failure domains.
@@ -77,7 +75,6 @@
             join_ms: Millis::from_secs(600),
             follow_ms: Millis::from_secs(30),
             record_ms: Millis(500),
-            cutoff_ms: Millis::from_secs(30),
             beat_ms: Millis(500),
             far_beat_ms: Millis(4_000),
             dead_ms: Millis(1_800),
@@ -98,6 +95,23 @@
 }
 
 impl Settings {
+    /// Returns settings whose leases are renewed each `renew`, with all spans that hang on it.
+    ///
+    /// A lead's bytes are its workers times a renewal's bytes over this span; in return a silent
+    /// worker's tasks are taken for ended that much later.
+    #[must_use]
+    pub fn paced(renew: Millis) -> Self {
+        let usual = Self::default();
+        let scaled = |span: Millis| Millis(span.0 * renew.0 / usual.renew_ms.0);
+        Self {
+            renew_ms: renew,
+            lease_ms: scaled(usual.lease_ms),
+            majority_ms: scaled(usual.majority_ms),
+            idle_ms: scaled(usual.idle_ms),
+            ..usual
+        }
+    }
+
     /// Returns what two clocks may differ by over `span`, with one tick of rounding at each end.
     #[must_use]
     pub const fn margin(&self, span: Millis) -> Millis {
