Measure request placement, and let a slow slot be taken earlier

`marigold-bench route` runs the router against plain balancers under a virtual clock, `load` runs real faces and endpoints over loopback with an open loop.

The router let a request wait for a faster endpoint whenever that was better for that request alone, which delays all behind it. A wait now counts four times.

Requests to endpoints now also carry whether they are idempotent and the entry's failure domain.

--- a/crates/marigoldpick-bench/src/main.rs
+++ b/crates/marigoldpick-bench/src/main.rs
@@ -1,7 +1,9 @@
 //! `marigold-bench`: measures the decisions and the processes of marigoldpick.
 
 mod cost;
+mod load;
 mod place;
+mod route;
 
 use std::process::ExitCode;
 
@@ -23,6 +25,10 @@
     Cost(cost::Arguments),
     #[options(help = "task placement: packing, decision time, waiting")]
     Place(place::Arguments),
+    #[options(help = "request placement: entries and endpoints over loopback")]
+    Load(load::Arguments),
+    #[options(help = "request placement: decisions against plain balancers")]
+    Route(route::Arguments),
 }
 
 fn main() -> ExitCode {
@@ -30,6 +36,8 @@
     match arguments.command {
         Some(Command::Cost(arguments)) => cost::run(&arguments),
         Some(Command::Place(arguments)) => place::run(&arguments),
+        Some(Command::Load(arguments)) => load::run(&arguments),
+        Some(Command::Route(arguments)) => route::run(&arguments),
         None => {
             println!("{}", Arguments::usage());
             ExitCode::FAILURE
--- a/crates/marigoldpick-entry/src/traffic/accept.rs
+++ b/crates/marigoldpick-entry/src/traffic/accept.rs
@@ -142,6 +142,7 @@
     let request = named.unwrap_or_else(|| unnamed(state, number));
     let ask = Ask {
         request: request.clone(),
+        domain: state.view.load().domain.clone(),
         attempt: head.attempt,
         service: head.service,
         team: head.team,
--- a/crates/marigoldpick-entry/src/traffic/exchange.rs
+++ b/crates/marigoldpick-entry/src/traffic/exchange.rs
@@ -158,6 +158,8 @@
     request.insert_header("x-marigold-service", ask.service.as_str());
     request.insert_header("x-marigold-team", ask.team.as_str());
     request.insert_header("x-marigold-deadline-ms", left.0.to_string());
+    request.insert_header("x-marigold-idempotent", ask.idempotent.to_string());
+    request.insert_header("x-marigold-domain", ask.domain.as_str());
     request.set_body(ask.body.as_slice());
     Some(request)
 }
--- a/crates/marigoldpick-entry/src/traffic/forward.rs
+++ b/crates/marigoldpick-entry/src/traffic/forward.rs
@@ -86,6 +86,7 @@
     };
     let ask = Ask {
         request: forward.request,
+        domain: state.view.load().domain.clone(),
         attempt: forward.attempt,
         service: forward.service,
         team: forward.team,
--- a/crates/marigoldpick-entry/src/traffic/run.rs
+++ b/crates/marigoldpick-entry/src/traffic/run.rs
@@ -27,6 +27,8 @@
 #[derive(Clone, Debug)]
 pub struct Ask {
     pub request: id::Request,
+    /// The failure domain of this entry.
+    pub domain: id::Domain,
     pub attempt: u32,
     pub service: id::Service,
     pub team: id::Team,
--- a/crates/marigoldpick-route/src/router/choice.rs
+++ b/crates/marigoldpick-route/src/router/choice.rs
@@ -10,6 +10,8 @@
 const LOOK: usize = 128;
 /// Waiting for a faster endpoint must promise at least this factor.
 const FASTER: f64 = 1.25;
+/// What a wait counts against run time: a request that waits also delays those behind it.
+const DELAYS: f64 = 4.0;
 /// Parts of the slots that one team may hold while others are active: all but one in this many.
 const RESERVE: u32 = 8;
 
@@ -64,7 +66,7 @@
         };
         let wait = (queued + 1) as f64 / step.rate;
         let run = step.slots / step.rate;
-        expected <= wait + run
+        expected <= DELAYS * wait + run
     }
 }
 
