standin: lose the store's answers that a cut meets under way

A cut stopped calls that came after it, but an answer whose call came before still got through. Such a call now takes effect and its answer is lost, which is the harder case for the caller. The faces for tests, truth and faults over HTTP, are tested with it.

--- a/crates/marigoldpick-standin/src/platform.rs
+++ b/crates/marigoldpick-standin/src/platform.rs
@@ -156,7 +156,10 @@
         match (request.method(), path.as_str()) {
             (Method::Post, "/v1/store") => {
                 self.pass(&request)?;
-                self.store.answer(request).await
+                let caller = header(&request, DOMAIN_HEADER).map(str::to_owned);
+                let answer = self.store.answer(request).await;
+                self.pass_caller(caller.as_deref())?;
+                answer
             }
             (Method::Get, "/v1/vms") => {
                 self.pass(&request)?;
@@ -175,7 +178,11 @@
 
 impl Parts {
     fn pass(&self, request: &Request) -> http_types::Result<()> {
-        if self.cut.passes(header(request, DOMAIN_HEADER), None) {
+        self.pass_caller(header(request, DOMAIN_HEADER))
+    }
+
+    fn pass_caller(&self, domain: Option<&str>) -> http_types::Result<()> {
+        if self.cut.passes(domain, None) {
             return Ok(());
         }
         Err(drop_connection())
--- a/crates/marigoldpick-standin/tests/standin/main.rs
+++ b/crates/marigoldpick-standin/tests/standin/main.rs
@@ -2,6 +2,7 @@
 
 mod common;
 mod endpoint;
+mod platform;
 mod settings;
 mod store;
 mod worker;
