--- /dev/null
+++ b/crates/marigoldpick-shard/tests/journal.rs
@@ -0,0 +1,103 @@
+//! A reader that is behind the floor, and numbers that were made again there.
+
+mod support;
+
+use googletest::prelude::*;
+use marigoldpick_core::prelude::*;
+use marigoldpick_core::store::{Call, Expect};
+use marigoldpick_shard::Settings;
+use marigoldpick_shard::gate::Gate;
+use marigoldpick_shard::journal::{Head, Journal, Step, head_key, key, part_key};
+use marigoldpick_shard::record::{Entry, Record, State};
+use support::store::Store;
+
+const PREFIX: &str = "shard/north/0";
+
+fn entry(sequence: u64, writer: &str) -> Entry {
+    Entry {
+        sequence,
+        writer: writer.to_owned(),
+        records: vec![Record::Worker(id::Worker::new(writer).expect("a name"))],
+    }
+}
+
+fn put(store: &mut Store, key: String, value: &impl serde::Serialize) {
+    let value = serde_json::to_string(value).expect("plain data");
+    store.call(&Call::Put {
+        key,
+        value,
+        expect: Expect::Any,
+        lease: None,
+    });
+}
+
+/// A store whose log was trimmed up to six, and has seven; two to six were made again since.
+fn trimmed() -> Store {
+    let mut store = Store::default();
+    let mut state = State::default();
+    for sequence in 1..=6 {
+        let name = format!("true{sequence}");
+        assert!(marigoldpick_shard::journal::State::apply(
+            &mut state,
+            &entry(sequence, &name)
+        ));
+    }
+    let head = Head {
+        sequence: 6,
+        floor: 6,
+        parts: format!("{PREFIX}/part/6/"),
+        count: 1,
+    };
+    put(&mut store, part_key(&head, 0), &state);
+    put(&mut store, head_key(PREFIX), &head);
+    for sequence in 2..=6 {
+        put(&mut store, key(PREFIX, sequence), &entry(sequence, "void"));
+    }
+    put(&mut store, key(PREFIX, 7), &entry(7, "true7"));
+    store
+}
+
+fn settle(journal: &mut Journal<State>, store: &mut Store) -> Vec<Step<Entry>> {
+    let mut gate = Gate::new(&Settings::default(), 1);
+    let mut steps = Vec::new();
+    while let Some(call) = journal.next(Millis(1), &gate) {
+        let answer = store.call(&call);
+        steps.extend(journal.answer(Ok(answer), Millis(1), &mut gate));
+    }
+    steps
+}
+
+#[googletest::test]
+fn read_behind_the_floor_takes_the_snapshot() {
+    let mut store = trimmed();
+    let mut journal: Journal<State> = Journal::new(PREFIX.to_owned(), &Settings::default());
+    assert!(journal.take_entries(&[entry(1, "true1")]));
+    journal.refresh();
+    expect_that!(
+        settle(&mut journal, &mut store),
+        elements_are![eq(&Step::Fresh)]
+    );
+    expect_that!(journal.state().sequence, eq(7));
+    let void = id::Worker::new("void").expect("a name");
+    expect_that!(journal.state().workers.contains(&void), eq(false));
+}
+
+#[googletest::test]
+fn append_behind_the_floor_is_lost() {
+    let mut store = trimmed();
+    store.items.remove(&key(PREFIX, 2));
+    let mut journal: Journal<State> = Journal::new(PREFIX.to_owned(), &Settings::default());
+    assert!(journal.take_entries(&[entry(1, "true1")]));
+    let tenure = Entry {
+        records: vec![Record::Tenure {
+            entry: id::Entry::new("e0").expect("a name"),
+            incarnation: 1,
+        }],
+        ..entry(2, "late")
+    };
+    journal.append(tenure.clone());
+    let steps = settle(&mut journal, &mut store);
+    expect_that!(steps, contains(eq(&Step::Lost(tenure))));
+    expect_that!(journal.state().sequence, eq(7));
+    expect_that!(journal.state().tenure, eq(0));
+}
--- a/crates/marigoldpick-shard/tests/lead.rs
+++ b/crates/marigoldpick-shard/tests/lead.rs
@@ -179,6 +179,22 @@
     check_end(&mut site);
 }
 
+#[googletest::test]
+fn silent_workers_tasks_are_held_back_while_the_store_is_out() {
+    let (mut site, _) = serving(85);
+    site.run(SETTLE);
+    let full = (0..6).find(|at| site.workers[*at].running().count() > 0);
+    site.store_odds = Odds::AWAY;
+    site.run(5_000);
+    site.dead_workers.insert(full.expect("something runs"));
+    let starts = site.starts.len();
+    site.run(60_000);
+    // A rival may have the store's word and renew that worker.
+    expect_that!(site.starts.len(), eq(starts));
+    check_end(&mut site);
+    expect_that!(site.starts.len(), gt(starts));
+}
+
 #[googletest::test]
 fn two_rival_leads_never_share_a_task() {
     for seed in 90..96 {
