Tell the other entries at once when an entry starts to drain

Since beats come less often and from one side of a pair, a draining entry could end before the others had heard that it drains. A draining flag that changed did not make the receiver publish its view either. Now a drain beats to all live entries at once, and the change marks the view.

--- a/crates/marigoldpick-entry/src/control.rs
+++ b/crates/marigoldpick-entry/src/control.rs
@@ -231,6 +231,7 @@
             &self.start.known.entry,
             String::new(),
         );
+        self.tell_all();
     }
 
     fn answer_left(&mut self) {
--- a/crates/marigoldpick-entry/src/control/beats.rs
+++ b/crates/marigoldpick-entry/src/control/beats.rs
@@ -18,6 +18,14 @@
         }
     }
 
+    /// Tells all live entries at once what this one is now, for news that can't wait for a beat.
+    pub(super) fn tell_all(&self) {
+        let beat = self.beat(self.now());
+        for peer in self.peers.alive() {
+            self.io.beat(peer.clone(), beat.clone());
+        }
+    }
+
     fn beat(&self, now: Millis) -> Beat {
         let led = self.shards.iter().filter_map(|local| {
             let table = local.endpoints()?;
@@ -49,7 +57,10 @@
                 "entry",
                 "entry-heard",
                 about,
-                format!("incarnation={}", beat.incarnation),
+                format!(
+                    "incarnation={} draining={}",
+                    beat.incarnation, beat.draining
+                ),
             );
         }
         let (sequence, age) = (beat.sequence, beat.store_age);
--- a/crates/marigoldpick-entry/src/control/peers.rs
+++ b/crates/marigoldpick-entry/src/control/peers.rs
@@ -68,7 +68,7 @@
         }
     }
 
-    /// Notes a beat of another entry. Returns whether it is a new incarnation.
+    /// Notes a beat of another entry. Returns whether it is new, or drains or no longer drains.
     pub fn heard(&mut self, beat: &Beat, now: Millis) -> bool {
         if beat.known.entry == self.me.entry {
             return false;
@@ -82,6 +82,7 @@
         };
         let peer = &mut self.peers[at];
         let new = peer.incarnation != beat.incarnation;
+        let changed = new || !peer.alive || peer.draining != beat.draining;
         if new || !peer.alive {
             peer.since = now;
         }
@@ -93,7 +94,7 @@
         peer.alive = true;
         peer.started = now.since(beat.age);
         self.membership.heard(member(beat), now);
-        new
+        changed
     }
 
     /// Notes the time; returns whether an entry came or went.
