Answer the balancer's health check

GET /v1/health on the callers' address tells 200, and 503 from the start of a drain. A drain was said to leave the balancer's health check, but there was none.

--- a/crates/marigoldpick-entry/src/traffic/accept.rs
+++ b/crates/marigoldpick-entry/src/traffic/accept.rs
@@ -116,6 +116,9 @@
     request: Request,
 ) -> http_types::Result<Response> {
     state.gate.pass().await;
+    if request.url().path() == caller::HEALTH {
+        return Ok(caller::health(state.draining()));
+    }
     let head = match caller::head(&request) {
         Ok(head) => head,
         Err(problem) => return Ok(close(caller::refusal(problem.code, &problem.message, None))),
--- a/crates/marigoldpick-entry/src/traffic/caller.rs
+++ b/crates/marigoldpick-entry/src/traffic/caller.rs
@@ -4,6 +4,8 @@
 use marigoldpick_core::peer::Class;
 use marigoldpick_core::prelude::*;
 
+/// Where the balancer asks whether the entry takes requests.
+pub const HEALTH: &str = "/v1/health";
 /// Where requests to a service go.
 const PATH: &str = "/v1/call/";
 
@@ -71,6 +73,19 @@
     })
 }
 
+/// Tells the balancer whether to send requests here: 200, or 503 from the start of a drain.
+#[must_use]
+pub fn health(draining: bool) -> Response {
+    let (status, text) = if draining {
+        (StatusCode::ServiceUnavailable, "draining\n")
+    } else {
+        (StatusCode::Ok, "ready\n")
+    };
+    let mut response = Response::new(status);
+    response.set_body(Body::from_string(text.to_owned()));
+    response
+}
+
 /// Makes an answer without an endpoint's body.
 #[must_use]
 pub fn refusal(code: Code, message: &str, retry_after: Option<Millis>) -> Response {
