Put a balancer between callers and entries in the SIGTERM test

The callers went on to connect to an entry until its process had ended, and about half of the runs showed connections that the kernel had accepted for a listener that was then closed. The test's balancer asks for health every 50 ms; a request that it lets through must now be reached too, so a refused connection counts as cut, which it did not before.

--- a/crates/marigoldpick/tests/common/mod.rs
+++ b/crates/marigoldpick/tests/common/mod.rs
@@ -272,6 +272,14 @@
     }
 }
 
+/// Asks an entry for its health, as the platform's balancer does.
+pub fn is_healthy(callers: &str) -> bool {
+    let url = Url::parse(&format!("http://{callers}/v1/health")).expect("a URL");
+    let mut request = Request::new(Method::Get, url);
+    request.insert_header("connection", "close");
+    exchange(callers, request).is_ok_and(|(response, _)| response.status().is_success())
+}
+
 /// Waits until `condition` holds.
 ///
 /// # Panics
--- a/crates/marigoldpick/tests/processes.rs
+++ b/crates/marigoldpick/tests/processes.rs
@@ -8,10 +8,12 @@
 use std::sync::{Arc, Mutex};
 use std::time::Duration;
 
-use common::{Call, Daemon, Site, call, marigold, wait_for};
+use common::{Call, Daemon, Site, call, is_healthy, marigold, wait_for};
 use googletest::prelude::*;
 use marigoldpick::core::operator::{Job, Status};
 
+/// The time between two looks of the balancer at the entries' health.
+const HEALTH: Duration = Duration::from_millis(50);
 /// Requests in flight at one time while an entry is told to stop.
 const CALLERS: usize = 12;
 /// Requests that each entry has answered before one is told to stop.
@@ -94,11 +96,13 @@
     wait_for_endpoints(&site);
     let stop = Arc::new(AtomicBool::new(false));
     let record = Arc::new(Mutex::new(Record::default()));
+    let doors: Vec<String> = site.entries.iter().map(|e| e.callers.clone()).collect();
+    let balancer = Balancer::start(doors, &stop);
     let callers: Vec<_> = (0..CALLERS)
         .map(|caller| {
             let (stop, record) = (Arc::clone(&stop), Arc::clone(&record));
-            let doors: Vec<String> = site.entries.iter().map(|e| e.callers.clone()).collect();
-            std::thread::spawn(move || load(caller, &doors, &stop, &record))
+            let balancer = balancer.clone();
+            std::thread::spawn(move || load(caller, &balancer, &stop, &record))
         })
         .collect();
     wait_for("both entries answer under load", || {
@@ -136,14 +140,50 @@
     twice: Vec<String>,
 }
 
-/// Calls one entry after the other; one that refuses connections has left and is passed over.
-fn load(caller: usize, doors: &[String], stop: &AtomicBool, record: &Mutex<Record>) {
+/// `Balancer` stands for the platform's: it sends callers to entries whose health is good.
+#[derive(Clone, Debug)]
+struct Balancer {
+    doors: Arc<Vec<(String, AtomicBool)>>,
+}
+
+impl Balancer {
+    /// Asks each entry for its health, again and again, until `stop`.
+    fn start(doors: Vec<String>, stop: &Arc<AtomicBool>) -> Self {
+        let doors = doors.into_iter().map(|door| (door, AtomicBool::new(false)));
+        let balancer = Self {
+            doors: Arc::new(doors.collect()),
+        };
+        let (asking, stop) = (balancer.clone(), Arc::clone(stop));
+        std::thread::spawn(move || {
+            while !stop.load(Ordering::SeqCst) {
+                for (door, good) in asking.doors.iter() {
+                    good.store(is_healthy(door), Ordering::SeqCst);
+                }
+                std::thread::sleep(HEALTH);
+            }
+        });
+        balancer
+    }
+
+    /// Picks the door for a caller's request, if its entry is in good health.
+    fn pick(&self, turn: usize) -> Option<(usize, &str)> {
+        let at = turn % self.doors.len();
+        let (door, good) = &self.doors[at];
+        good.load(Ordering::SeqCst).then_some((at, door.as_str()))
+    }
+}
+
+/// Sends request after request to the entries that the balancer picks.
+fn load(caller: usize, balancer: &Balancer, stop: &AtomicBool, record: &Mutex<Record>) {
     let mut number = 0;
     while !stop.load(Ordering::SeqCst) {
         number += 1;
-        let door = (caller + number) % doors.len();
+        let Some((door, address)) = balancer.pick(caller + number) else {
+            std::thread::sleep(Duration::from_millis(5));
+            continue;
+        };
         let request = format!("load-{caller}-{number}");
-        let outcome = call(&doors[door], &request, 1);
+        let outcome = call(address, &request, 1);
         let mut record = record.lock().expect("no caller has panicked");
         match outcome {
             Call::Answered => {
@@ -152,11 +192,9 @@
                     record.twice.push(request);
                 }
             }
+            Call::NotRun => {}
+            Call::NotReached => record.cut.push(format!("{request} at {door}: not reached")),
             Call::Cut(why) => record.cut.push(format!("{request} at {door}: {why}")),
-            Call::NotRun | Call::NotReached => {
-                drop(record);
-                std::thread::sleep(Duration::from_millis(5));
-            }
         }
     }
 }
