Let a team with few requests leave slow slots to one with many

Beside a flooding team the others were answered, but their p99 rose from 81 to 208 ms, since whatever slot came free was often a slow endpoint's.

--- a/crates/marigoldpick-route/src/queue.rs
+++ b/crates/marigoldpick-route/src/queue.rs
@@ -119,13 +119,16 @@
         self.len += 1;
     }
 
-    /// Takes the next request of the team that was served least, among teams below `cap` in flight.
-    pub fn pop(&mut self, cap: u32) -> Option<Item> {
-        let next = self
-            .lanes
-            .iter_mut()
-            .filter(|lane| !lane.items.is_empty() && lane.used < cap)
-            .min_by(|a, b| a.time.total_cmp(&b.time))?;
+    /// Takes the next request of the team that was served least, among teams below `cap` in flight
+    /// for whose last waiting request the offer is good enough: `takes` tells that from how many of
+    /// the team wait before it. When it is so for no team, the one served least gets the offer.
+    pub fn pop(&mut self, cap: u32, takes: impl Fn(usize) -> bool) -> Option<Item> {
+        let may = |lane: &&mut Lane| !lane.items.is_empty() && lane.used < cap;
+        let rank = |lane: &&mut Lane| (!takes(lane.items.len() - 1), lane.time);
+        let next = self.lanes.iter_mut().filter(may).min_by(|a, b| {
+            let (a, b) = (rank(a), rank(b));
+            a.0.cmp(&b.0).then(a.1.total_cmp(&b.1))
+        })?;
         let (_, item) = next.items.pop_first()?;
         self.time = self.time.max(next.time);
         self.len -= 1;
--- a/crates/marigoldpick-route/src/router.rs
+++ b/crates/marigoldpick-route/src/router.rs
@@ -363,7 +363,7 @@
         }
         self.refresh(now);
         if self.is_dry(now) {
-            while let Some(item) = self.queue.pop(u32::MAX) {
+            while let Some(item) = self.queue.pop(u32::MAX, |_| true) {
                 let later = self.later(0.0);
                 refuse(item.ticket, Code::NotRunNoEndpoint, later, out);
             }
--- a/crates/marigoldpick-route/src/router/choice.rs
+++ b/crates/marigoldpick-route/src/router/choice.rs
@@ -78,7 +78,10 @@
             let Some(at) = self.choose(None, self.queue.len() - 1, now) else {
                 return;
             };
-            let Some(item) = self.queue.pop(self.team_cap()) else {
+            let (cap, expected) = (self.team_cap(), self.backs[at].expected(now));
+            let speeds = &self.speeds;
+            let takes = |before| speeds.worth(expected, before);
+            let Some(item) = self.queue.pop(cap, takes) else {
                 return;
             };
             if self.hopeless(&item, now) {
