Tell runs of two leads apart that have the same name

A new lead's scheduler counts attempts anew. A worker that was heard late could report the earlier lead's run 1 of a task while a start of run 1 elsewhere was held: the report was taken for the start's success, or the start went ahead.

--- a/crates/marigoldpick-shard/src/lead/report.rs
+++ b/crates/marigoldpick-shard/src/lead/report.rs
@@ -92,7 +92,10 @@
         out: &mut Vec<Output>,
     ) {
         match (kind, refused) {
-            (Kind::Start(run), None) => self.started(&run, out),
+            (Kind::Start(run), None) => {
+                let worker = self.members[at].id.clone();
+                self.started(&run, &worker, out);
+            }
             (Kind::Start(run), Some(refusal)) => self.start_refused(&run, refusal, out),
             (Kind::Act(Act::Throttle(run, millicores)), None) => {
                 Self::notice(out, Notice::Throttled { run, millicores });
@@ -169,7 +172,7 @@
             _ => drop(self.placed.insert(run.task.clone(), place)),
         }
         self.members[at].add_run(run);
-        self.started(run, out);
+        self.started(run, worker, out);
     }
 
     /// Runs that a whole report no longer has ended with the worker's memory of them.
@@ -210,7 +213,7 @@
         }
         self.seen.insert(finished.run.task.clone());
         self.yield_start(&finished.run, out);
-        self.started(&finished.run, out);
+        self.started(&finished.run, worker, out);
         if self.journal.state().is_over(&finished.run.task) {
             let member = &mut self.members[at];
             member.drop_run(&finished.run);
@@ -222,6 +225,7 @@
             let member = &mut self.members[at];
             member.drop_run(&finished.run);
             member.ending.push(finished.run.clone());
+            self.unplace(&finished.run, worker);
             self.endings.push(Ending {
                 worker: worker.clone(),
                 finished,
@@ -229,9 +233,20 @@
             });
             return;
         }
+        if self.is_elsewhere(&finished.run.task, worker) {
+            // A run of an earlier lead, under a name that the task's present run may have too.
+            self.members[at].acks.push(finished.run);
+            return;
+        }
         self.end(at, worker, finished, true, out);
     }
 
+    fn is_elsewhere(&self, task: &id::Task, worker: &id::Worker) -> bool {
+        self.placed
+            .get(task)
+            .is_some_and(|place| place.worker != *worker)
+    }
+
     /// Tells whether completions of a job's tasks are kept: instances of services are started anew.
     fn is_recorded(&self, job: &id::Job) -> bool {
         self.jobs
--- a/crates/marigoldpick-shard/src/lead/start.rs
+++ b/crates/marigoldpick-shard/src/lead/start.rs
@@ -168,11 +168,11 @@
         }
     }
 
-    /// Gives up a start that was not yet sent, since the task turns out to run already.
-    pub(super) fn yield_start(&mut self, running: &id::Run, out: &mut Vec<Output>) {
-        let other = |p: &&Pending| {
-            p.spec.run.task == running.task && p.spec.run != *running && p.is_unsent()
-        };
+    /// Gives up a start that was not yet sent, since the task turns out to be elsewhere or over.
+    ///
+    /// Leads count attempts anew, so the run there may have the same name.
+    pub(super) fn yield_start(&mut self, there: &id::Run, out: &mut Vec<Output>) {
+        let other = |p: &&Pending| p.spec.run.task == there.task && p.is_unsent();
         let Some(run) = self.starts.iter().find(other).map(|p| p.spec.run.clone()) else {
             return;
         };
@@ -189,8 +189,10 @@
         self.refuse_start(run, code, out);
     }
 
-    pub(super) fn started(&mut self, run: &id::Run, out: &mut Vec<Output>) {
-        let Some(at) = self.pending(run) else {
+    /// The run was started on `worker`.
+    pub(super) fn started(&mut self, run: &id::Run, worker: &id::Worker, out: &mut Vec<Output>) {
+        let here = |p: &Pending| p.spec.run == *run && p.worker == *worker;
+        let Some(at) = self.starts.iter().position(here) else {
             return;
         };
         let pending = self.starts.swap_remove(at);
--- a/crates/marigoldpick-shard/tests/support/site.rs
+++ b/crates/marigoldpick-shard/tests/support/site.rs
@@ -542,8 +542,8 @@
                 }
                 let worker = up[self.rng.random_range(0..up.len())].clone();
                 let attempt = scheduler.attempts.entry(task.clone()).or_default();
-                // An attempt's number is unique to the lead that made it.
-                *attempt = (*attempt).max(u32::try_from(self.now).unwrap_or(0)) + 1;
+                // A lead counts anew, so two leads may give a run the same name.
+                *attempt += 1;
                 let run = id::Run {
                     task: task.clone(),
                     attempt: *attempt,
