Do not take a task's end on one worker for where it is now

A new lead that heard of a failed run counted the task as seen and started it while another worker was not yet heard. Only a run that was seen going on tells; the rest waits until every worker in the log was heard, and with the store out until it is back.

--- a/crates/marigoldpick-shard/examples/cost.rs
+++ b/crates/marigoldpick-shard/examples/cost.rs
@@ -59,7 +59,18 @@
     let lead = site.leader().expect("somebody leads");
     site.kill(lead);
     let killed = site.now;
-    site.end_instance();
+    // Without the store the next lead starts what it has seen running.
+    let led = site.leads.len();
+    if store != Odds::AWAY {
+        site.end_instance();
+    }
+    assert!(
+        site.run_until(60_000, |site| site.leads.len() > led),
+        "seed {seed}"
+    );
+    if store == Odds::AWAY {
+        site.end_instance();
+    }
     let starts = site.starts.len();
     assert!(
         site.run_until(60_000, |site| site.starts.len() > starts),
--- a/crates/marigoldpick-shard/src/lead/report.rs
+++ b/crates/marigoldpick-shard/src/lead/report.rs
@@ -211,7 +211,8 @@
         if member.acks.contains(&finished.run) || member.ending.contains(&finished.run) {
             return;
         }
-        self.seen.insert(finished.run.task.clone());
+        // That it ended here does not tell where the task is now: the earlier lead may have started it
+        // elsewhere already. Only a run that was seen going on does.
         self.yield_start(&finished.run, out);
         self.started(&finished.run, worker, out);
         if self.journal.state().is_over(&finished.run.task) {
--- a/crates/marigoldpick-shard/tests/lead.rs
+++ b/crates/marigoldpick-shard/tests/lead.rs
@@ -223,3 +223,28 @@
     site.run(10_000);
     check_end(&mut site);
 }
+
+#[googletest::test]
+fn task_that_failed_and_was_started_elsewhere_is_held_while_that_worker_is_unheard() {
+    for seed in 110..130 {
+        let (mut site, lead) = serving(seed);
+        site.run(3_000);
+        site.end_instance();
+        // The lead starts it anew, and dies before the first worker has forgotten the end.
+        let starts = site.starts.len();
+        assert!(
+            site.run_until(5_000, |site| site.starts.len() > starts),
+            "seed {seed}"
+        );
+        let task = site.starts[starts].1.task.clone();
+        let new = (0..6).find(|at| site.workers[*at].running().any(|run| run.task == task));
+        let new = new.expect("it runs");
+        site.kill(lead);
+        for other in (0..3).filter(|other| *other != lead) {
+            site.cut_workers.insert((other, new));
+        }
+        site.run(9_000);
+        site.cut_workers.clear();
+        check_end(&mut site);
+    }
+}
