Start an instance of a service again when it ends by itself

Cause: its end was taken for a completion, though tasks of class service run until they are cancelled, and the shard's lead keeps no completion of them. A service whose instances ended well was gone for good.

--- a/crates/marigoldpick-place/src/scheduler/answer.rs
+++ b/crates/marigoldpick-place/src/scheduler/answer.rs
@@ -131,8 +131,13 @@
         match end.outcome {
             Outcome::Done => {
                 self.note_done(job, run.worker, now);
-                self.jobs.get_mut(job).set(index, State::Done);
-                self.enqueue(job);
+                if self.runs_on(job) {
+                    let again = now + self.settings.backoff;
+                    self.delay(job, index, again, out);
+                } else {
+                    self.jobs.get_mut(job).set(index, State::Done);
+                    self.enqueue(job);
+                }
             }
             Outcome::Failed => {
                 match self.shortage(job, run, end.usage.as_ref()) {
@@ -184,9 +189,10 @@
         };
         task.attempt = task.attempt.max(id.attempt);
         let state = task.state;
-        if *outcome != Outcome::Done || task.ended() {
+        if *outcome != Outcome::Done || task.ended() || self.runs_on(slot) {
             return;
         }
+        let job = self.jobs.get_mut(slot);
         job.set(id.task.index, State::Done);
         if let State::Placed(run) = state {
             self.disown(run);
@@ -195,6 +201,13 @@
         self.end_if_over(slot, out);
     }
 
+    /// Tells whether a job's tasks run until they are cancelled, so that one that ends by itself is
+    /// started again.
+    fn runs_on(&self, slot: u32) -> bool {
+        let spec = &self.jobs.get(slot).spec;
+        spec.class == Class::Service && spec.idempotent
+    }
+
     /// Ends a run whose worker lost it.
     pub(super) fn lose(&mut self, slot: u32, out: &mut Vec<Action>) {
         let Some(run) = self.remove_run(slot) else {
--- a/crates/marigoldpick-place/tests/ownership.rs
+++ b/crates/marigoldpick-place/tests/ownership.rs
@@ -146,3 +146,18 @@
     );
     expect_that!(site.scheduler.counts().jobs.len(), eq(0));
 }
+
+#[googletest::test]
+fn finished_done_starts_a_service_again() {
+    let mut site = Site::new(1, 1);
+    site.accept(job(
+        "s",
+        "service",
+        "needs = { millicores = 1, memory_mib = 1 }",
+    ));
+    let start = site.run_starts().remove(0);
+    site.finish(&start, Outcome::Done);
+    site.pass(Millis::from_secs(10));
+    expect_that!(attempts(&site.run_starts()), elements_are![eq(&(0, 2))]);
+    expect_that!(site.scheduler.counts().jobs[0].completed, eq(0));
+}
