--- a/crates/marigoldpick-bench/src/cost.rs
+++ b/crates/marigoldpick-bench/src/cost.rs
@@ -9,6 +9,7 @@
 mod process;
 mod rig;
 mod sites;
+mod spans;
 
 use std::process::ExitCode;
 
@@ -16,6 +17,8 @@
 use serde::Serialize;
 
 use fit::Slope;
+use process::Error;
+use spans::Spread;
 
 /// `Arguments` is the command line of `cost`.
 #[derive(Debug, Options)]
@@ -27,7 +30,7 @@
     #[options(help = "write the slopes as a plot", meta = "FILE")]
     svg: Option<String>,
     #[options(
-        help = "measure all, machines, sites, or one of workers, tasks, entries, starts, changes",
+        help = "measure all, machines, sites, or one of workers, tasks, entries, starts, changes, config, take-over",
         meta = "PART",
         default = "all"
     )]
@@ -47,28 +50,17 @@
 struct Report {
     seed: u64,
     slopes: Vec<Slope>,
+    spreads: Vec<Spread>,
 }
 
 /// Runs the measurements.
 pub(crate) fn run(arguments: &Arguments) -> ExitCode {
-    let mut slopes = Vec::new();
-    if matches!(arguments.part.as_str(), "machines" | "all") {
-        slopes.extend(machines::measure(arguments.seed));
-    }
-    let part = arguments.part.as_str();
-    if part != "machines" {
-        let sites = sites::measure(part, arguments.seconds, arguments.seed);
-        match async_std::task::block_on(sites) {
-            Ok(more) => slopes.extend(more),
-            Err(error) => {
-                eprintln!("marigold-bench: {error}");
-                return ExitCode::FAILURE;
-            }
+    let report = match async_std::task::block_on(measure(arguments)) {
+        Ok(report) => report,
+        Err(error) => {
+            eprintln!("marigold-bench: {error}");
+            return ExitCode::FAILURE;
         }
-    }
-    let report = Report {
-        seed: arguments.seed,
-        slopes,
     };
     if let Some(file) = &arguments.svg
         && let Err(error) = plot::write(file, &report.slopes)
@@ -80,6 +72,30 @@
     ExitCode::SUCCESS
 }
 
+async fn measure(arguments: &Arguments) -> Result<Report, Error> {
+    let (part, seed) = (arguments.part.as_str(), arguments.seed);
+    let mut report = Report {
+        seed,
+        slopes: Vec::new(),
+        spreads: Vec::new(),
+    };
+    if matches!(part, "machines" | "all") {
+        report.slopes.extend(machines::measure(seed));
+    }
+    report
+        .slopes
+        .extend(sites::measure(part, arguments.seconds, seed).await?);
+    if matches!(part, "config" | "all") {
+        report.spreads.push(spans::config(3, seed).await?);
+        report.spreads.push(spans::config(8, seed).await?);
+    }
+    if matches!(part, "take-over" | "all") {
+        report.spreads.push(spans::take_over(true, seed).await?);
+        report.spreads.push(spans::take_over(false, seed).await?);
+    }
+    Ok(report)
+}
+
 fn print(json: bool, report: &Report) {
     if json {
         println!("{}", serde_json::to_string(report).unwrap_or_default());
@@ -89,7 +105,9 @@
         "{:<44} {:>12} {:>12} {:>8}  points",
         "slope", "each", "at zero", "residual"
     );
-    for slope in &report.slopes {
-        println!("{slope}");
-    }
+    report.slopes.iter().for_each(|slope| println!("{slope}"));
+    report
+        .spreads
+        .iter()
+        .for_each(|spread| println!("{spread}"));
 }
