--- a/crates/marigoldpick-shard/examples/cost.rs
+++ b/crates/marigoldpick-shard/examples/cost.rs
@@ -61,6 +61,7 @@
     let killed = site.now;
     // Without the store the next lead starts what it has seen running.
     let led = site.leads.len();
+    let starts = site.starts.len();
     if store != Odds::AWAY {
         site.end_instance();
     }
@@ -71,7 +72,6 @@
     if store == Odds::AWAY {
         site.end_instance();
     }
-    let starts = site.starts.len();
     assert!(
         site.run_until(60_000, |site| site.starts.len() > starts),
         "seed {seed}"
