--- a/crates/marigoldpick/src/arguments.rs
+++ b/crates/marigoldpick/src/arguments.rs
@@ -187,7 +187,7 @@
     /// a site's directory in place of both samples
     #[options(meta = "DIR")]
     pub intents: Option<String>,
-    /// callers' requests for each site
+    /// callers' requests, over all sites
     #[options(meta = "N", default = "200")]
     pub requests: u32,
     /// the seed of the callers' mix
--- a/crates/marigoldpick/src/dev/once.rs
+++ b/crates/marigoldpick/src/dev/once.rs
@@ -40,14 +40,14 @@
 ) -> Result<Code, Problem> {
     let mut sum = Report::default();
     let mut broken = Vec::new();
-    for site in sites {
+    for (site, requests) in sites.iter().zip(shares(arguments.requests, sites.len())) {
         let targets = site.targets();
         let own: Vec<Fault> = faults
             .iter()
             .filter(|fault| fault.hits(&targets))
             .cloned()
             .collect();
-        let ended = run_site(arguments, site, &own).await?;
+        let ended = run_site(arguments, site, requests, &own).await?;
         sum += ended.report;
         let named = ended
             .broken
@@ -69,6 +69,12 @@
     })
 }
 
+/// Splits the callers' requests evenly over the sites.
+fn shares(requests: u32, sites: usize) -> impl Iterator<Item = u32> {
+    let sites = u32::try_from(sites).unwrap_or(u32::MAX).max(1);
+    (0..sites).map(move |at| requests / sites + u32::from(at < requests % sites))
+}
+
 fn show(report: &Report, json: bool) {
     if json {
         crate::command::print_json(report);
@@ -83,6 +89,7 @@
 async fn run_site(
     arguments: &arguments::Dev,
     site: &Site,
+    requests: u32,
     faults: &[Fault],
 ) -> Result<Ended, Problem> {
     let until = Instant::now() + Duration::from_secs(arguments.limit);
@@ -91,7 +98,6 @@
     let book = Arc::new(Book::default());
     let watch = watch::start(&cluster, &book);
     let injected = inject::play(&cluster, &book, site, faults);
-    let requests = arguments.requests;
     let act = act(&cluster, &book, site, arguments.seed, requests, &bar);
     let in_time = match async_std::future::timeout(left(until), act).await {
         Ok(acted) => {
--- a/crates/marigoldpick/tests/dev.rs
+++ b/crates/marigoldpick/tests/dev.rs
@@ -62,6 +62,11 @@
     verify_whole(&dev(&words), 470, 400);
 }
 
+#[googletest::test]
+fn once_both_samples_share_the_requests() {
+    verify_whole(&dev(&["--requests", "51"]), 918, 51);
+}
+
 /// Plays faults that overlap; requests may end "unknown" or "not run", but no promise may break.
 fn verify_storm(site: &str, name: &str, text: &str, tasks: u64) {
     let directory = sample(site);
