Keep large holes on accelerator workers from the first task on

Before the first large task has come, the mix knows nothing of it, and small ones spread over accelerator workers. Free halves and quarters of those now count a little. Replays now begin with a full fleet whatever their span.

--- a/crates/marigoldpick-bench/src/place/scenario.rs
+++ b/crates/marigoldpick-bench/src/place/scenario.rs
@@ -23,6 +23,8 @@
 const RUN_SECONDS: f64 = 60.0;
 /// Work offered, as a multiple of what the fleet holds at once.
 const LOAD: f64 = 1.15;
+/// Batch that is there at the start, as a multiple of what the fleet holds at once.
+const FIRST: f64 = 1.25;
 /// The part of the processors that services hold.
 const SERVICES: f64 = 0.25;
 /// Tasks of a batch job at most.
@@ -263,6 +265,7 @@
     let mut arrivals = Vec::new();
     let mut sum = 0.0;
     let mut services = 0.0;
+    let first = (FIRST * RUN_SECONDS * 1e3 / (load * span.0 as f64)).min(1.0);
     while sum < offered {
         let n = u32::try_from(arrivals.len()).expect("fewer than 2^32 jobs");
         let mut job = firm.job(n, rng);
@@ -282,8 +285,8 @@
             job.run_ms = Some(Millis((run.0 as f64 * wrong) as u64 + 1));
             sum += held * run.0 as f64 / (RUN_SECONDS * 1e3);
         }
-        // Services and an eighth of the batch are there at the start, so that the fleet is full.
-        let at = if service || rng.random_ratio(1, 8) {
+        // Services and enough batch to fill the fleet are there at the start.
+        let at = if service || rng.random_bool(first) {
             0
         } else {
             rng.random_range(0..span.0)
--- a/crates/marigoldpick-place/src/score.rs
+++ b/crates/marigoldpick-place/src/score.rs
@@ -226,6 +226,9 @@
 /// How much the room left counts among workers that strand the same.
 const TIE: f64 = 0.02;
 
+/// How much free halves and quarters count beside the mix.
+const HOLES: f64 = 0.05;
+
 /// Returns a worker of the cell that the task fits into.
 fn member(fleet: &Fleet, cell: &Cell, needs: &Size) -> Option<u32> {
     let pool = &fleet.index().pools()[cell.key.pool as usize];
@@ -254,7 +257,18 @@
         let count = free.fits(&shape.size, u32::MAX);
         sum += shape.weight * f64::from(count) * shape.size.dominant(size);
     }
-    sum / ask.mix.weight()
+    sum / ask.mix.weight() + HOLES * holes(free, size)
+}
+
+/// Returns how much of a worker with accelerators is free in halves and quarters.
+///
+/// It keeps large holes there also before the first large task has come.
+fn holes(free: &Size, size: &Size) -> f64 {
+    if size.accelerator_sum() == 0 {
+        return 0.0;
+    }
+    let of = |parts| f64::from(free.fits(&size.part(parts), parts)) / f64::from(parts);
+    of(2) + of(4)
 }
 
 /// Returns the sum of the shares of `part` in `whole`.
--- a/crates/marigoldpick-place/src/size.rs
+++ b/crates/marigoldpick-place/src/size.rs
@@ -58,6 +58,17 @@
         self
     }
 
+    /// Returns this size divided by `parts`, accelerators rounded up.
+    #[must_use]
+    pub fn part(mut self, parts: u32) -> Self {
+        self.millicores /= u64::from(parts);
+        self.memory /= u64::from(parts);
+        for accelerators in &mut self.accelerators {
+            *accelerators = accelerators.div_ceil(parts);
+        }
+        self
+    }
+
     /// Returns how many times `other` fits into this size, at most `most`.
     #[must_use]
     pub fn fits(&self, other: &Self, most: u32) -> u32 {
