--- a/crates/marigoldpick-shard/tests/lead.rs
+++ b/crates/marigoldpick-shard/tests/lead.rs
@@ -4,6 +4,7 @@
 
 use googletest::prelude::*;
 use marigoldpick_core::intent::Class;
+use marigoldpick_shard::Settings;
 use support::Odds;
 use support::site::{Job, Site, job};
 
@@ -248,3 +249,35 @@
         check_end(&mut site);
     }
 }
+
+#[googletest::test]
+fn trimmed_log_keeps_its_tenures_for_a_lead_that_wakes_up_late() {
+    for seed in 140..144 {
+        let settings = Settings {
+            snapshot_every: 5,
+            ..Settings::default()
+        };
+        let mut site = Site::with(settings, seed, 3, 6, jobs());
+        site.jobs[1].count = 300;
+        site.run(4_000);
+        let lead = site.leader().expect("somebody leads");
+        site.entries[lead].paused_until = site.now + 60_000;
+        let position = site.entries[lead].lead.record().sequence;
+        site.run(30_000);
+        let logged = |site: &Site| {
+            let keys = site.store.items.keys();
+            keys.filter(|key| key.contains("/log/")).count()
+        };
+        expect_that!(logged(&site), lt(25));
+        let first = site.leads.len();
+        expect_that!(first, ge(2));
+        let follower = site.leads[first - 1].1;
+        let record = site.entries[follower].lead.record();
+        expect_that!(record.sequence, gt(position));
+        let tenure = |value: &str| value.contains("tenure\":{");
+        let kept = site.store.items.values().filter(|(value, _)| tenure(value));
+        expect_that!(kept.count(), ge(2));
+        site.run(35_000);
+        check_end(&mut site);
+    }
+}
--- a/crates/marigoldpick-shard/tests/support/site.rs
+++ b/crates/marigoldpick-shard/tests/support/site.rs
@@ -108,8 +108,17 @@
 
 impl Site {
     pub fn new(seed: u64, entries: usize, workers: usize, jobs: Vec<Job>) -> Self {
+        Self::with(Settings::default(), seed, entries, workers, jobs)
+    }
+
+    pub fn with(
+        settings: Settings,
+        seed: u64,
+        entries: usize,
+        workers: usize,
+        jobs: Vec<Job>,
+    ) -> Self {
         let mut rng = random(seed);
-        let settings = Settings::default();
         let mut site = Self {
             seed,
             now: 0,
