Compute the sums over all endpoints on ticks, not in decisions

With 875 endpoints each fiftieth decision sorted them all and took over 20 microseconds. Each tick does it now.

--- a/crates/marigoldpick-route/src/back.rs
+++ b/crates/marigoldpick-route/src/back.rs
@@ -9,7 +9,8 @@
 const GAIN: f64 = 0.1;
 /// The first measurements are averaged evenly.
 const FIRST: u32 = 8;
-/// The estimate of an endpoint without traffic halves in this time, so that it is measured again.
+/// The estimate of an endpoint without traffic is a half after this time, a third after twice as
+/// long, and so on, so that it is measured again.
 const FORGET: Millis = Millis::from_secs(10);
 /// No completion for this many times the estimate counts as a stall.
 const STALL: f64 = 4.0;
@@ -160,7 +161,7 @@
         }
         if self.used == 0 {
             let idle = now.since(self.started).0 as f64 / FORGET.0 as f64;
-            return self.estimate * (-idle).exp2();
+            return self.estimate / (1.0 + idle);
         }
         let stall = now.since(self.progress);
         let micros = stall.0 as f64 * 1_000.0;
--- a/crates/marigoldpick-route/src/router.rs
+++ b/crates/marigoldpick-route/src/router.rs
@@ -23,8 +23,9 @@
 use crate::rank;
 use choice::Speeds;
 
-/// How long computed sums over all endpoints are used.
-const REFRESH: Millis = Millis(5);
+/// How long computed sums over all endpoints are used at most; each tick computes them anew, so that
+/// decisions seldom do.
+const REFRESH: Millis = Millis(20);
 /// Without any slot for this time, requests are refused rather than queued.
 const DRY: Millis = Millis(500);
 /// Services with no more endpoints than this keep a slot of each at every entry.
@@ -361,6 +362,7 @@
         for item in late {
             refuse(item.ticket, Code::NotRunTooLate, None, out);
         }
+        self.speeds.forget();
         self.refresh(now);
         if self.is_dry(now) {
             while let Some(item) = self.queue.pop(u32::MAX, |_| true) {
