Go past attempts that a worker has seen under an earlier lead

Cause: attempts of idempotent tasks are in no log, so a new lead starts at one again. A worker that had run that attempt refused it as `Again`, which reached the scheduler as `Runs`: it took the task for running, for ever. The refusal is now handed on as the worker gave it. Ruled out: that the worker's end was not told; its whole list at the claim had neither run.

--- a/crates/marigoldpick-entry/src/control/local.rs
+++ b/crates/marigoldpick-entry/src/control/local.rs
@@ -4,7 +4,7 @@
 
 use marigoldpick_core::config::{Accepted, State, Target};
 use marigoldpick_core::prelude::*;
-use marigoldpick_core::worker::{Outcome, Refusal, Running};
+use marigoldpick_core::worker::{Outcome, Running};
 use marigoldpick_core::{intent, operator, store, vm, worker};
 use marigoldpick_place::action::Action;
 use marigoldpick_place::event::{Event, Span};
@@ -399,13 +399,14 @@
                 run: refused,
                 worker,
                 code,
+                refusal,
             } => {
                 let event = match code {
                     Code::TaskMaybeStarted => Event::MaybeStarted { run: refused },
-                    code => Event::Refused {
+                    _ => Event::Refused {
                         run: refused,
                         worker,
-                        refusal: refusal(code),
+                        refusal,
                     },
                 };
                 self.event(event, run);
@@ -607,15 +608,6 @@
         .collect()
 }
 
-const fn refusal(code: Code) -> Option<Refusal> {
-    match code {
-        Code::Fenced => Some(Refusal::Fenced),
-        Code::WorkerFull => Some(Refusal::Full),
-        Code::Duplicate => Some(Refusal::Runs),
-        _ => None,
-    }
-}
-
 const fn outcome(outcome: &Outcome) -> &'static str {
     match outcome {
         Outcome::Done => "done",
--- a/crates/marigoldpick-entry/tests/path/main.rs
+++ b/crates/marigoldpick-entry/tests/path/main.rs
@@ -135,3 +135,45 @@
         expect_that!(status.sequence >= 1, eq(true));
     });
 }
+
+/// Two tasks that fill both workers of a rack and end by themselves again and again.
+const RESTARTS: &str = r#"
+[[team]]
+name = "sales"
+quota = { millicores = 64000, memory_mib = 131072 }
+
+[[job]]
+name = "watch"
+class = "service"
+team = "sales"
+count = 2
+needs = { millicores = 16000, memory_mib = 16384 }
+where = { racks = ["north-a"] }
+command = "run_ms=200"
+"#;
+
+#[googletest::test]
+fn kill_lead_next_one_passes_forgotten_attempts() {
+    async_std::task::block_on(async {
+        let mut site = Site::start(2).await;
+        site.wait_for_leads().await;
+        let plan = plan(&site.operators(0), RESTARTS)
+            .await
+            .expect("the intent is well formed");
+        confirm(&site.operators(0), &plan.id)
+            .await
+            .expect("the plan is fresh");
+        eventually("some restarts", || site.platform.truth().starts >= 8).await;
+        let lead = site.lead().await;
+        let killed = site.entries.remove(lead);
+        killed.kill();
+        drop(killed);
+        let before = site.platform.truth().starts;
+        // Workers refuse attempts that they have seen; the next lead has to go past them.
+        eventually("restarts under the next lead", || {
+            site.platform.truth().starts >= before + 10
+        })
+        .await;
+        expect_that!(site.platform.truth().tasks_in_two_places, eq(0));
+    });
+}
--- a/crates/marigoldpick-shard/src/lead/message.rs
+++ b/crates/marigoldpick-shard/src/lead/message.rs
@@ -159,6 +159,8 @@
         worker: id::Worker,
         /// Why.
         code: Code,
+        /// What the worker said, when it was the worker that refused.
+        refusal: Option<worker::Refusal>,
     },
     /// A limit on a run's processors is in force.
     Throttled {
--- a/crates/marigoldpick-shard/src/lead/start.rs
+++ b/crates/marigoldpick-shard/src/lead/start.rs
@@ -49,7 +49,13 @@
     ) {
         if let Err(code) = self.check_start(&worker, &spec) {
             let run = spec.run;
-            return Self::notice(out, Notice::Refused { run, worker, code });
+            let refused = Notice::Refused {
+                run,
+                worker,
+                code,
+                refusal: None,
+            };
+            return Self::notice(out, refused);
         }
         let place = Place {
             worker: worker.clone(),
@@ -210,11 +216,21 @@
             Refusal::Runs | Refusal::Again => Code::Duplicate,
             Refusal::Lapsed | Refusal::UnknownRun => Code::WorkerAway,
         };
-        self.refuse_start(run, code, out);
+        self.end_start(run, code, Some(refusal), out);
     }
 
     /// The run was certainly not started.
     pub(super) fn refuse_start(&mut self, run: &id::Run, code: Code, out: &mut Vec<Output>) {
+        self.end_start(run, code, None, out);
+    }
+
+    fn end_start(
+        &mut self,
+        run: &id::Run,
+        code: Code,
+        refusal: Option<Refusal>,
+        out: &mut Vec<Output>,
+    ) {
         let Some(at) = self.pending(run) else {
             return;
         };
@@ -224,7 +240,13 @@
         }
         self.unplace(run, &pending.worker);
         let (run, worker) = (pending.spec.run, pending.worker);
-        Self::notice(out, Notice::Refused { run, worker, code });
+        let notice = Notice::Refused {
+            run,
+            worker,
+            code,
+            refusal,
+        };
+        Self::notice(out, notice);
     }
 
     /// The answer to a start was lost.
