wire: pack the frames between entries

Most bytes of an unpacked frame are zero, and beats are the larger part of what an entry spends on control.

--- a/crates/marigoldpick-wire/src/stream.rs
+++ b/crates/marigoldpick-wire/src/stream.rs
@@ -6,6 +6,7 @@
 
 use async_std::net::TcpStream;
 use capnp::message::ReaderOptions;
+use capnp_futures::serialize_packed::{PackedRead, PackedWrite};
 use capnp_rpc::rpc_twoparty_capnp::Side;
 use capnp_rpc::twoparty::VatNetwork;
 use futures::io::{AsyncRead, AsyncWrite, BufReader, BufWriter};
@@ -16,14 +17,17 @@
 /// The deepest nesting in a frame.
 const MAX_NESTING: i32 = 32;
 
+/// The frames that come in: packed, since most of their bytes are zero.
+type Incoming = PackedRead<BufReader<Metered>>;
+
 /// Makes the network of one side; a frame beyond the bounds ends the connection.
-pub(crate) fn network(stream: &TcpStream, side: Side) -> Box<VatNetwork<BufReader<Metered>>> {
+pub(crate) fn network(stream: &TcpStream, side: Side) -> Box<VatNetwork<Incoming>> {
     let mut options = ReaderOptions::new();
     options
         .traversal_limit_in_words(Some(MAX_FRAME))
         .nesting_limit(MAX_NESTING);
-    let reader = BufReader::new(Metered::new(stream));
-    let writer = BufWriter::new(Metered::new(stream));
+    let reader = PackedRead::new(BufReader::new(Metered::new(stream)));
+    let writer = PackedWrite::new(BufWriter::new(Metered::new(stream)));
     Box::new(VatNetwork::new(reader, writer, side, options))
 }
 
