Let the upkeep of request placement rest while no request is in flight

Cause: it ran a round each 10 ms, and each round woke the timer's thread and a pool thread several times.

--- a/crates/marigoldpick-entry/src/traffic/slots.rs
+++ b/crates/marigoldpick-entry/src/traffic/slots.rs
@@ -16,8 +16,10 @@
 use super::state::{State, lock};
 use crate::view::View;
 
-/// The time between two rounds of upkeep.
+/// The time between two rounds of upkeep while requests are in flight.
 const ROUND: Duration = Duration::from_millis(10);
+/// The time between two rounds without requests.
+const REST: Duration = Duration::from_millis(100);
 /// Leases are looked at in each of this many rounds.
 const LEASE_ROUNDS: u32 = 2;
 
@@ -206,11 +208,11 @@
         for desk in state.desks.load().iter() {
             state.note_changes(desk.tell(Input::Tick, now));
         }
-        if round % LEASE_ROUNDS == 0 {
+        if round % LEASE_ROUNDS == 0 || state.idle() {
             renew(&state, &view, draining, now);
         }
         round = round.wrapping_add(1);
-        async_std::task::sleep(ROUND).await;
+        state.rest(ROUND, REST).await;
     }
 }
 
--- a/crates/marigoldpick-entry/src/traffic/state.rs
+++ b/crates/marigoldpick-entry/src/traffic/state.rs
@@ -4,8 +4,11 @@
 use std::net::Shutdown;
 use std::sync::atomic::{AtomicBool, AtomicU64, AtomicUsize, Ordering};
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
+use std::time::Duration;
 
 use arc_swap::ArcSwap;
+use async_channel::{Receiver, Sender};
+use async_std::future::timeout;
 use async_std::net::TcpStream;
 use marigoldpick_core::clock::System;
 use marigoldpick_core::operator;
@@ -34,10 +37,11 @@
     /// Bytes of request bodies that are held.
     pub held: AtomicU64,
     pub forward: super::forward::Peers,
-    events: async_channel::Sender<Note>,
+    events: Sender<Note>,
     register: Mutex<Register>,
     ticket: AtomicU64,
     busy: AtomicUsize,
+    woken: (Sender<()>, Receiver<()>),
     draining: AtomicBool,
     killed: AtomicBool,
     callers: Mutex<HashMap<u64, TcpStream>>,
@@ -62,7 +66,7 @@
         view: Cell,
         wire: W,
         clock: System,
-        events: async_channel::Sender<Note>,
+        events: Sender<Note>,
     ) -> Self {
         let now = clock.now();
         let first = view.load();
@@ -81,6 +85,7 @@
             register: Mutex::new(Register::new(now)),
             ticket: AtomicU64::new(1),
             busy: AtomicUsize::new(0),
+            woken: async_channel::bounded(1),
             draining: AtomicBool::new(false),
             killed: AtomicBool::new(false),
             callers: Mutex::new(HashMap::new()),
@@ -112,7 +117,9 @@
 
     /// Counts a request in flight, unless the face drains.
     pub fn enter(self: &Arc<Self>) -> Option<Busy<W>> {
-        self.busy.fetch_add(1, Ordering::SeqCst);
+        if self.busy.fetch_add(1, Ordering::SeqCst) == 0 {
+            self.wake();
+        }
         let busy = Busy {
             state: Arc::clone(self),
         };
@@ -135,6 +142,21 @@
         self.busy.load(Ordering::SeqCst) == 0
     }
 
+    /// Ends the upkeep's rest; a wake-up that is under way already is enough.
+    fn wake(&self) {
+        let _woken_already = self.woken.0.try_send(());
+    }
+
+    /// Waits for the upkeep's next round: soon while requests are in flight, else until the first
+    /// one comes or `rest` has passed.
+    pub async fn rest(&self, round: Duration, rest: Duration) {
+        if self.idle() {
+            let _rested_or_woken = timeout(rest, self.woken.1.recv()).await;
+        } else {
+            async_std::task::sleep(round).await;
+        }
+    }
+
     /// Tells whether the face was killed.
     pub fn killed(&self) -> bool {
         self.killed.load(Ordering::SeqCst)
