Split the shard at an entry into modules, and measure beats between domains

control/local.rs had grown past 600 lines with three jobs in it: the shard's two machines, what exists only while it is led here, and the queue of what follows from one input. No behaviour changes.

--- a/crates/marigoldpick-bench/src/cost.rs
+++ b/crates/marigoldpick-bench/src/cost.rs
@@ -30,7 +30,7 @@
     #[options(help = "write the slopes as a plot", meta = "FILE")]
     svg: Option<String>,
     #[options(
-        help = "measure all, machines, sites, or one of workers, tasks, entries, starts, changes, config, take-over",
+        help = "measure all, machines, sites, or one of workers, tasks, entries, domains, starts, changes, config, take-over",
         meta = "PART",
         default = "all"
     )]
--- a/crates/marigoldpick-bench/src/cost/sites.rs
+++ b/crates/marigoldpick-bench/src/cost/sites.rs
@@ -17,6 +17,10 @@
 const TASKS: [u32; 3] = [0, 160, 640];
 /// Entries of the idle sites.
 const ENTRIES: [u32; 4] = [2, 4, 8, 12];
+/// Failure domains of the idle sites.
+const DOMAINS: [u32; 4] = [2, 4, 8, 12];
+/// Beats between failure domains are seconds apart, so that a short look would miss some.
+const FAR_SECONDS: u64 = 12;
 /// Task starts a second of the busy sites.
 const STARTS: [u32; 3] = [10, 40, 120];
 /// Configuration changes a second of the busy sites.
@@ -68,6 +72,9 @@
     if wants("entries") {
         slopes.extend(by_entries(seconds, seed).await?);
     }
+    if wants("domains") {
+        slopes.extend(by_domains(seconds, seed).await?);
+    }
     if wants("starts") {
         slopes.extend(by_starts(seconds, seed).await?);
     }
@@ -137,6 +144,21 @@
     Ok(series.fit())
 }
 
+async fn by_domains(seconds: u64, seed: u64) -> Result<Vec<Slope>, Error> {
+    let mut series = Series::new("entry of another domain");
+    for domains in DOMAINS {
+        let mut shape = Shape::new(1, 4, seed);
+        shape.domains = domains;
+        let rig = Rig::start(shape).await?;
+        let (before, after) = rig.watch(0, seconds.max(FAR_SECONDS)).await;
+        let x = f64::from(domains - 1);
+        series.add("entry.processor", "us/s", x, after.processor(&before));
+        series.add("entry.beat-bytes", "B/s", x, after.rate(&before, &BEATS));
+        series.add("entry.store-calls", "1/s", x, store_calls(&after, &before));
+    }
+    Ok(series.fit())
+}
+
 async fn by_starts(seconds: u64, seed: u64) -> Result<Vec<Slope>, Error> {
     let mut series = Series::new("task start");
     for rate in STARTS {
--- a/crates/marigoldpick-bench/src/cost/spans.rs
+++ b/crates/marigoldpick-bench/src/cost/spans.rs
@@ -17,6 +17,9 @@
 
 /// Changes whose spread is timed.
 const CHANGES: u32 = 60;
+/// Services with different run times, and by how much these differ.
+const STEPS: u64 = 40;
+const STEP: Millis = Millis(400);
 /// Take-overs that are timed, of each kind.
 const TAKE_OVERS: u64 = 5;
 /// The longest wait for one.
@@ -132,9 +135,7 @@
     let mut rig = Rig::start(Shape::new(3, 8, seed)).await?;
     let lead = rig.lead().await?;
     let other = (lead + 1) % rig.entries.len();
-    // Instances of a service that end by themselves are started again, store or no store.
-    rig.confirm(other, &intent("steady", "service", 200, "run_ms=400"))
-        .await?;
+    rig.confirm(other, &staggered()).await?;
     task::sleep(Duration::from_secs(2)).await;
     if !store_up {
         switch(&rig, "{\"fault\":{\"kind\":\"store-down\"},\"on\":true}").await;
@@ -154,6 +155,24 @@
     Err(Error::Late("a start by the next lead"))
 }
 
+/// Writes an intent of services whose instances end by themselves at many different times and are
+/// started again. Without the store a new lead starts only what it has seen running, so that some
+/// instances have to end after it took over.
+fn staggered() -> String {
+    let mut text = String::new();
+    for step in 1..=STEPS {
+        let command = format!("run_ms={}", step * STEP.0);
+        let job = intent(&format!("steady-{step}"), "service", 4, &command);
+        let from = if step == 1 {
+            0
+        } else {
+            job.find("[[job]]").unwrap_or(0)
+        };
+        text.push_str(&job[from..]);
+    }
+    text
+}
+
 async fn starts(rig: &Rig) -> Result<u64, Error> {
     let address = rig.platform.address("platform");
     let text = fetch(address.trim_start_matches("http://"), "/v1/truth").await;
--- a/crates/marigoldpick-entry/src/control/local.rs
+++ b/crates/marigoldpick-entry/src/control/local.rs
@@ -1,20 +1,24 @@
 //! One shard at this entry: its lead and, while this entry leads it, its scheduler.
 
+mod led;
+mod run;
+
 use std::collections::VecDeque;
 
-use marigoldpick_core::config::{Accepted, State, Target};
+use marigoldpick_core::config::State;
 use marigoldpick_core::prelude::*;
-use marigoldpick_core::worker::{Outcome, Running};
 use marigoldpick_core::{intent, operator, store, vm, worker};
 use marigoldpick_place::action::Action;
-use marigoldpick_place::event::{Event, Span};
+use marigoldpick_place::event::Event;
 use marigoldpick_place::scheduler::Scheduler;
 use marigoldpick_place::survey::Offer;
 use marigoldpick_shard::lead::{self, Lead, Notice, Output};
-use marigoldpick_shard::{Settings, quota, record};
+use marigoldpick_shard::{Settings, record};
 
 use crate::control::endpoints::Table;
 use crate::recorder::Note;
+use led::Led;
+use run::{Run, Step};
 
 /// `Ended` is a job whose tasks in the shard have all ended, until the configuration says so too.
 #[derive(Clone, Debug)]
@@ -65,24 +69,6 @@
     pub vms: &'a [vm::Worker],
 }
 
-#[derive(Debug)]
-enum Step {
-    Output(Output),
-    Action(Action),
-}
-
-/// `Led` is what exists only while this entry leads the shard.
-#[derive(Debug)]
-struct Led {
-    scheduler: Scheduler,
-    table: Table,
-    /// The jobs that the scheduler was told of, sorted, and whether they were cancelled.
-    fed: Vec<(id::Job, bool)>,
-    drained: Vec<id::Worker>,
-    settings_sequence: u64,
-    progress: Vec<record::Job>,
-}
-
 /// `Local` is one shard at this entry.
 #[derive(Debug)]
 pub struct Local {
@@ -358,262 +344,3 @@
         }
     }
 }
-
-impl Led {
-    fn notice(&mut self, notice: Notice, run: &mut Run<'_>) {
-        match notice {
-            Notice::WorkerUp { worker, running } => {
-                self.table.keep(&worker.id, &running);
-                self.event(Event::WorkerUp { worker, running }, run);
-                // A worker that is new to the scheduler has to be told again that it is drained.
-                self.drained.clear();
-                self.feed_drains(run);
-            }
-            Notice::WorkerReport { worker, changed } => self.report(&worker, &changed, run),
-            Notice::WorkerSilent(worker) => self.event(Event::WorkerSilent { worker }, run),
-            Notice::WorkerHeard(worker) => self.event(Event::WorkerHeard { worker }, run),
-            Notice::WorkerLost { worker, runs } => {
-                runs.iter().for_each(|ended| self.table.remove(ended));
-                self.table.keep(&worker, &[]);
-                self.event(Event::WorkerGone { worker }, run);
-            }
-            Notice::Started {
-                run: started,
-                worker,
-            } => {
-                run.effects.push(Effect::Note(Note::new(
-                    "shard",
-                    "task-started",
-                    &started.task,
-                    format!("attempt={} worker={worker}", started.attempt),
-                )));
-                self.event(
-                    Event::Started {
-                        run: started,
-                        worker,
-                    },
-                    run,
-                );
-            }
-            Notice::Refused {
-                run: refused,
-                worker,
-                code,
-                refusal,
-            } => {
-                let event = match code {
-                    Code::TaskMaybeStarted => Event::MaybeStarted { run: refused },
-                    _ => Event::Refused {
-                        run: refused,
-                        worker,
-                        refusal,
-                    },
-                };
-                self.event(event, run);
-            }
-            Notice::Throttled {
-                run: throttled,
-                millicores,
-            } => {
-                self.event(
-                    Event::Throttled {
-                        run: throttled,
-                        millicores,
-                    },
-                    run,
-                );
-            }
-            Notice::MaybeStarted(started) => {
-                self.event(Event::MaybeStarted { run: started }, run);
-            }
-            Notice::Finished { worker, finished } => {
-                self.table.remove(&finished.run);
-                let how = outcome(&finished.outcome);
-                let note = format!("attempt={} worker={worker} {how}", finished.run.attempt);
-                let note = Note::new("shard", "task-ended", &finished.run.task, note);
-                run.effects.push(Effect::Note(note));
-                let worker::Finished {
-                    run: ended,
-                    outcome,
-                    age,
-                    usage,
-                } = finished;
-                let event = Event::Finished {
-                    run: ended,
-                    worker,
-                    outcome,
-                    age,
-                    usage,
-                };
-                self.event(event, run);
-            }
-            Notice::Progress(progress) => {
-                self.progress = progress;
-                self.fed.clear();
-            }
-            Notice::Leading { .. }
-            | Notice::Deposed
-            | Notice::WorkerChanged(_)
-            | Notice::Silent(_)
-            | Notice::Held(_) => {}
-        }
-    }
-
-    fn report(&mut self, worker: &id::Worker, changed: &[Running], run: &mut Run<'_>) {
-        for running in changed {
-            self.table.put(worker, running);
-            if let Some(amount) = &running.usage {
-                let usage = Event::Usage {
-                    run: running.spec.run.clone(),
-                    amount: amount.clone(),
-                };
-                self.event(usage, run);
-            }
-        }
-    }
-
-    fn event(&mut self, event: Event, run: &mut Run<'_>) {
-        run.event(&mut self.scheduler, event);
-    }
-
-    fn feed_settings(&mut self, shard: &id::Shard, run: &mut Run<'_>) {
-        let state = run.cx.state;
-        if self.settings_sequence != state.settings_sequence {
-            self.settings_sequence = state.settings_sequence;
-            self.event(Event::Objective(state.objective), run);
-            for team in &state.teams {
-                self.event(Event::Team(team.clone()), run);
-            }
-        }
-        for allotment in quota::allotments(state, shard) {
-            let quota::Allotment { team, amount } = allotment;
-            self.event(Event::Allotment { team, amount }, run);
-        }
-    }
-
-    fn feed_drains(&mut self, run: &mut Run<'_>) {
-        let state = run.cx.state;
-        let leaves = |vm: &&vm::Worker| {
-            vm.state != vm::State::Live
-                || state.drains(&Target::Worker(vm.id.clone()))
-                || state.drains(&Target::Rack(vm.rack.clone()))
-                || state.drains(&Target::Domain(vm.domain.clone()))
-        };
-        let drained: Vec<id::Worker> = run
-            .cx
-            .vms
-            .iter()
-            .filter(leaves)
-            .map(|vm| vm.id.clone())
-            .collect();
-        let before = std::mem::replace(&mut self.drained, drained);
-        for worker in before
-            .iter()
-            .filter(|worker| self.drained.binary_search(worker).is_err())
-        {
-            let event = Event::WorkerDrain {
-                worker: worker.clone(),
-                on: false,
-            };
-            run.event(&mut self.scheduler, event);
-        }
-        for worker in self
-            .drained
-            .iter()
-            .filter(|worker| before.binary_search(worker).is_err())
-        {
-            let event = Event::WorkerDrain {
-                worker: worker.clone(),
-                on: true,
-            };
-            run.event(&mut self.scheduler, event);
-        }
-    }
-
-    fn feed_jobs(&mut self, shard: &id::Shard, run: &mut Run<'_>) {
-        let first = self.fed.is_empty();
-        let state = run.cx.state;
-        let mut fed = Vec::with_capacity(state.jobs.len());
-        let mut cancelled = Vec::new();
-        for accepted in &state.jobs {
-            let Some(home) = accepted.homes.iter().find(|home| home.shard == *shard) else {
-                continue;
-            };
-            let name = &accepted.job.name;
-            let known = self.fed.binary_search_by(|(job, _)| job.cmp(name)).ok();
-            if known.is_none() {
-                let span = Span {
-                    from: home.from,
-                    to: home.to,
-                };
-                let event = self.job_event(accepted, span, !first);
-                self.event(event, run);
-            }
-            if accepted.cancelled && known.is_none_or(|at| !self.fed[at].1) {
-                cancelled.push(name.clone());
-            }
-            fed.push((name.clone(), accepted.cancelled));
-        }
-        self.fed = fed;
-        if !cancelled.is_empty() {
-            self.event(Event::Cancel { jobs: cancelled }, run);
-        }
-    }
-
-    fn job_event(&self, accepted: &Accepted, span: Span, fresh: bool) -> Event {
-        let name = &accepted.job.name;
-        let at = self.progress.binary_search_by(|job| job.job.cmp(name)).ok();
-        let progress = at
-            .map(|at| self.progress[at].progress.clone())
-            .unwrap_or_default();
-        Event::Job {
-            job: Box::new(accepted.job.clone()),
-            span,
-            displaced: accepted.displaced.clone(),
-            done: spans(&progress.completed),
-            failed: spans(&progress.failed),
-            held: progress.started.iter().map(|(index, _)| *index).collect(),
-            fresh,
-        }
-    }
-}
-
-/// `Run` gathers what follows from one input.
-#[derive(Debug)]
-struct Run<'a> {
-    effects: Vec<Effect>,
-    steps: VecDeque<Step>,
-    cx: Context<'a>,
-}
-
-impl Run<'_> {
-    fn lead(&mut self, lead: &mut Lead, input: lead::Input) {
-        let mut out = Vec::new();
-        lead.handle(input, self.cx.now, &mut out);
-        self.steps.extend(out.into_iter().map(Step::Output));
-    }
-
-    fn event(&mut self, scheduler: &mut Scheduler, event: Event) {
-        let mut out = Vec::new();
-        scheduler.handle(event, self.cx.now, &mut out);
-        self.steps.extend(out.into_iter().map(Step::Action));
-    }
-}
-
-fn spans(ranges: &record::Ranges) -> Vec<Span> {
-    ranges
-        .0
-        .iter()
-        .map(|&(from, to)| Span { from, to })
-        .collect()
-}
-
-const fn outcome(outcome: &Outcome) -> &'static str {
-    match outcome {
-        Outcome::Done => "done",
-        Outcome::Failed => "failed",
-        Outcome::Stopped => "stopped",
-        Outcome::Checkpointed(_) => "checkpointed",
-        Outcome::Lapsed => "lapsed",
-    }
-}
--- /dev/null
+++ b/crates/marigoldpick-entry/src/control/local/led.rs
@@ -0,0 +1,264 @@
+//! What exists only while this entry leads the shard: its scheduler and its list of endpoints.
+
+use marigoldpick_core::config::{Accepted, Target};
+use marigoldpick_core::prelude::*;
+use marigoldpick_core::worker::{Outcome, Running};
+use marigoldpick_core::{vm, worker};
+use marigoldpick_place::event::{Event, Span};
+use marigoldpick_place::scheduler::Scheduler;
+use marigoldpick_shard::lead::Notice;
+use marigoldpick_shard::{quota, record};
+
+use super::Effect;
+use super::run::Run;
+use crate::control::endpoints::Table;
+use crate::recorder::Note;
+
+/// `Led` is what exists only while this entry leads the shard.
+#[derive(Debug)]
+pub(super) struct Led {
+    pub(super) scheduler: Scheduler,
+    pub(super) table: Table,
+    /// The jobs that the scheduler was told of, sorted, and whether they were cancelled.
+    pub(super) fed: Vec<(id::Job, bool)>,
+    pub(super) drained: Vec<id::Worker>,
+    pub(super) settings_sequence: u64,
+    pub(super) progress: Vec<record::Job>,
+}
+
+impl Led {
+    pub(super) fn notice(&mut self, notice: Notice, run: &mut Run<'_>) {
+        match notice {
+            Notice::WorkerUp { worker, running } => {
+                self.table.keep(&worker.id, &running);
+                self.event(Event::WorkerUp { worker, running }, run);
+                // A worker that is new to the scheduler has to be told again that it is drained.
+                self.drained.clear();
+                self.feed_drains(run);
+            }
+            Notice::WorkerReport { worker, changed } => self.report(&worker, &changed, run),
+            Notice::WorkerSilent(worker) => self.event(Event::WorkerSilent { worker }, run),
+            Notice::WorkerHeard(worker) => self.event(Event::WorkerHeard { worker }, run),
+            Notice::WorkerLost { worker, runs } => {
+                runs.iter().for_each(|ended| self.table.remove(ended));
+                self.table.keep(&worker, &[]);
+                self.event(Event::WorkerGone { worker }, run);
+            }
+            Notice::Started {
+                run: started,
+                worker,
+            } => {
+                run.effects.push(Effect::Note(Note::new(
+                    "shard",
+                    "task-started",
+                    &started.task,
+                    format!("attempt={} worker={worker}", started.attempt),
+                )));
+                self.event(
+                    Event::Started {
+                        run: started,
+                        worker,
+                    },
+                    run,
+                );
+            }
+            Notice::Refused {
+                run: refused,
+                worker,
+                code,
+                refusal,
+            } => {
+                let event = match code {
+                    Code::TaskMaybeStarted => Event::MaybeStarted { run: refused },
+                    _ => Event::Refused {
+                        run: refused,
+                        worker,
+                        refusal,
+                    },
+                };
+                self.event(event, run);
+            }
+            Notice::Throttled {
+                run: throttled,
+                millicores,
+            } => {
+                self.event(
+                    Event::Throttled {
+                        run: throttled,
+                        millicores,
+                    },
+                    run,
+                );
+            }
+            Notice::MaybeStarted(started) => {
+                self.event(Event::MaybeStarted { run: started }, run);
+            }
+            Notice::Finished { worker, finished } => {
+                self.table.remove(&finished.run);
+                let how = outcome(&finished.outcome);
+                let note = format!("attempt={} worker={worker} {how}", finished.run.attempt);
+                let note = Note::new("shard", "task-ended", &finished.run.task, note);
+                run.effects.push(Effect::Note(note));
+                let worker::Finished {
+                    run: ended,
+                    outcome,
+                    age,
+                    usage,
+                } = finished;
+                let event = Event::Finished {
+                    run: ended,
+                    worker,
+                    outcome,
+                    age,
+                    usage,
+                };
+                self.event(event, run);
+            }
+            Notice::Progress(progress) => {
+                self.progress = progress;
+                self.fed.clear();
+            }
+            Notice::Leading { .. }
+            | Notice::Deposed
+            | Notice::WorkerChanged(_)
+            | Notice::Silent(_)
+            | Notice::Held(_) => {}
+        }
+    }
+
+    fn report(&mut self, worker: &id::Worker, changed: &[Running], run: &mut Run<'_>) {
+        for running in changed {
+            self.table.put(worker, running);
+            if let Some(amount) = &running.usage {
+                let usage = Event::Usage {
+                    run: running.spec.run.clone(),
+                    amount: amount.clone(),
+                };
+                self.event(usage, run);
+            }
+        }
+    }
+
+    fn event(&mut self, event: Event, run: &mut Run<'_>) {
+        run.event(&mut self.scheduler, event);
+    }
+
+    pub(super) fn feed_settings(&mut self, shard: &id::Shard, run: &mut Run<'_>) {
+        let state = run.cx.state;
+        if self.settings_sequence != state.settings_sequence {
+            self.settings_sequence = state.settings_sequence;
+            self.event(Event::Objective(state.objective), run);
+            for team in &state.teams {
+                self.event(Event::Team(team.clone()), run);
+            }
+        }
+        for allotment in quota::allotments(state, shard) {
+            let quota::Allotment { team, amount } = allotment;
+            self.event(Event::Allotment { team, amount }, run);
+        }
+    }
+
+    pub(super) fn feed_drains(&mut self, run: &mut Run<'_>) {
+        let state = run.cx.state;
+        let leaves = |vm: &&vm::Worker| {
+            vm.state != vm::State::Live
+                || state.drains(&Target::Worker(vm.id.clone()))
+                || state.drains(&Target::Rack(vm.rack.clone()))
+                || state.drains(&Target::Domain(vm.domain.clone()))
+        };
+        let drained: Vec<id::Worker> = run
+            .cx
+            .vms
+            .iter()
+            .filter(leaves)
+            .map(|vm| vm.id.clone())
+            .collect();
+        let before = std::mem::replace(&mut self.drained, drained);
+        for worker in before
+            .iter()
+            .filter(|worker| self.drained.binary_search(worker).is_err())
+        {
+            let event = Event::WorkerDrain {
+                worker: worker.clone(),
+                on: false,
+            };
+            run.event(&mut self.scheduler, event);
+        }
+        for worker in self
+            .drained
+            .iter()
+            .filter(|worker| before.binary_search(worker).is_err())
+        {
+            let event = Event::WorkerDrain {
+                worker: worker.clone(),
+                on: true,
+            };
+            run.event(&mut self.scheduler, event);
+        }
+    }
+
+    pub(super) fn feed_jobs(&mut self, shard: &id::Shard, run: &mut Run<'_>) {
+        let first = self.fed.is_empty();
+        let state = run.cx.state;
+        let mut fed = Vec::with_capacity(state.jobs.len());
+        let mut cancelled = Vec::new();
+        for accepted in &state.jobs {
+            let Some(home) = accepted.homes.iter().find(|home| home.shard == *shard) else {
+                continue;
+            };
+            let name = &accepted.job.name;
+            let known = self.fed.binary_search_by(|(job, _)| job.cmp(name)).ok();
+            if known.is_none() {
+                let span = Span {
+                    from: home.from,
+                    to: home.to,
+                };
+                let event = self.job_event(accepted, span, !first);
+                self.event(event, run);
+            }
+            if accepted.cancelled && known.is_none_or(|at| !self.fed[at].1) {
+                cancelled.push(name.clone());
+            }
+            fed.push((name.clone(), accepted.cancelled));
+        }
+        self.fed = fed;
+        if !cancelled.is_empty() {
+            self.event(Event::Cancel { jobs: cancelled }, run);
+        }
+    }
+
+    fn job_event(&self, accepted: &Accepted, span: Span, fresh: bool) -> Event {
+        let name = &accepted.job.name;
+        let at = self.progress.binary_search_by(|job| job.job.cmp(name)).ok();
+        let progress = at
+            .map(|at| self.progress[at].progress.clone())
+            .unwrap_or_default();
+        Event::Job {
+            job: Box::new(accepted.job.clone()),
+            span,
+            displaced: accepted.displaced.clone(),
+            done: spans(&progress.completed),
+            failed: spans(&progress.failed),
+            held: progress.started.iter().map(|(index, _)| *index).collect(),
+            fresh,
+        }
+    }
+}
+
+fn spans(ranges: &record::Ranges) -> Vec<Span> {
+    ranges
+        .0
+        .iter()
+        .map(|&(from, to)| Span { from, to })
+        .collect()
+}
+
+const fn outcome(outcome: &Outcome) -> &'static str {
+    match outcome {
+        Outcome::Done => "done",
+        Outcome::Failed => "failed",
+        Outcome::Stopped => "stopped",
+        Outcome::Checkpointed(_) => "checkpointed",
+        Outcome::Lapsed => "lapsed",
+    }
+}
