End a job whose tasks were recorded before a take-over without the store

Cause: a lead that took over while the store was out has no record of what had been completed. When the log can be read again it refuses to start those tasks as duplicates; the scheduler took that for a passing hindrance and tried each second for ever, so the job never ended. Ruled out: handing the record to the scheduler as the job's past, since tasks whose start is under way would have to be unwound there too. Now such a refusal ends the task as the log has it.

--- a/crates/marigoldpick-entry/src/control/local/led.rs
+++ b/crates/marigoldpick-entry/src/control/local/led.rs
@@ -26,6 +26,13 @@
     pub(super) progress: Vec<record::Job>,
 }
 
+/// `Recorded` is how a task's end stands in the shard's log.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum Recorded {
+    Completed,
+    Failed,
+}
+
 impl Led {
     pub(super) fn notice(&mut self, notice: Notice, run: &mut Run<'_>) {
         match notice {
@@ -68,8 +75,18 @@
                 code,
                 refusal,
             } => {
-                let event = match code {
-                    Code::TaskMaybeStarted => Event::MaybeStarted { run: refused },
+                let recorded = self.recorded(&refused.task);
+                let event = match (code, recorded) {
+                    (Code::TaskMaybeStarted, _) | (Code::Duplicate, Some(Recorded::Failed)) => {
+                        Event::MaybeStarted { run: refused }
+                    }
+                    (Code::Duplicate, Some(Recorded::Completed)) => Event::Finished {
+                        run: refused,
+                        worker,
+                        outcome: Outcome::Done,
+                        age: Millis::ZERO,
+                        usage: None,
+                    },
                     _ => Event::Refused {
                         run: refused,
                         worker,
@@ -114,10 +131,7 @@
                 };
                 self.event(event, run);
             }
-            Notice::Progress(progress) => {
-                self.progress = progress;
-                self.fed.clear();
-            }
+            Notice::Progress(progress) => self.progress = progress,
             Notice::Leading { .. }
             | Notice::Deposed
             | Notice::WorkerChanged(_)
@@ -126,6 +140,22 @@
         }
     }
 
+    /// Returns what the log had of a task when it was last read.
+    ///
+    /// A lead that took over without the store learns only later what was completed before it, by
+    /// the refusal of a start of that task.
+    fn recorded(&self, task: &id::Task) -> Option<Recorded> {
+        let found = self.progress.binary_search_by(|job| job.job.cmp(&task.job));
+        let progress = &self.progress[found.ok()?].progress;
+        if progress.completed.contains(task.index) {
+            return Some(Recorded::Completed);
+        }
+        progress
+            .failed
+            .contains(task.index)
+            .then_some(Recorded::Failed)
+    }
+
     fn report(&mut self, worker: &id::Worker, changed: &[Running], run: &mut Run<'_>) {
         for running in changed {
             self.table.put(worker, running);
--- a/crates/marigoldpick-entry/tests/path/main.rs
+++ b/crates/marigoldpick-entry/tests/path/main.rs
@@ -5,6 +5,7 @@
 
 use googletest::prelude::*;
 use marigoldpick_core::prelude::*;
+use marigoldpick_standin::Fault;
 
 use operators::{call, confirm, plan, status};
 use site::{INTENT, Site, eventually};
@@ -177,3 +178,54 @@
         expect_that!(site.platform.truth().tasks_in_two_places, eq(0));
     });
 }
+
+/// Forty tasks of which eight run at a time.
+const QUEUE: &str = r#"
+[[team]]
+name = "sales"
+quota = { millicores = 640000, memory_mib = 131072 }
+
+[[job]]
+name = "night"
+class = "batch"
+team = "sales"
+count = 40
+needs = { millicores = 8000, memory_mib = 1024 }
+command = "run_ms=900"
+"#;
+
+#[googletest::test]
+fn kill_lead_without_the_store_ends_the_job_once_it_is_back() {
+    async_std::task::block_on(async {
+        let mut site = Site::start(2).await;
+        site.wait_for_leads().await;
+        let plan = plan(&site.operators(0), QUEUE)
+            .await
+            .expect("the intent is well formed");
+        confirm(&site.operators(0), &plan.id)
+            .await
+            .expect("the plan is fresh");
+        eventually("some tasks end", || {
+            site.platform.truth().tasks_completed >= 20
+        })
+        .await;
+        let lead = site.lead().await;
+        site.platform
+            .fault(&Fault::StoreDown)
+            .expect("the store is there");
+        let killed = site.entries.remove(lead);
+        killed.kill();
+        drop(killed);
+        site.led_by_the_first().await;
+        site.platform
+            .heal(&Fault::StoreDown)
+            .expect("the store is there");
+        eventually("all tasks end", || {
+            site.platform.truth().tasks_completed == 40
+        })
+        .await;
+        site.job_ended("night", 40).await;
+        expect_that!(site.platform.truth().tasks_done_twice, eq(0));
+        expect_that!(site.platform.truth().tasks_in_two_places, eq(0));
+    });
+}
--- a/crates/marigoldpick-entry/tests/path/site.rs
+++ b/crates/marigoldpick-entry/tests/path/site.rs
@@ -2,6 +2,7 @@
 
 use std::time::{Duration, Instant};
 
+use marigoldpick_core::operator;
 use marigoldpick_core::prelude::*;
 use marigoldpick_entry::settings::Peer;
 use marigoldpick_entry::{Entry, Settings};
@@ -107,6 +108,35 @@
         }
     }
 
+    /// Waits until the first entry leads the shard.
+    pub(crate) async fn led_by_the_first(&self) {
+        let entry = &self.entries[0].addresses().entry;
+        self.until("the next lead", |status| {
+            status.shards[0].lead.as_ref() == Some(entry)
+        })
+        .await;
+    }
+
+    /// Waits until the configuration has a job's end, with all its tasks completed.
+    pub(crate) async fn job_ended(&self, name: &str, count: u32) {
+        self.until("the job's end", |status| {
+            let job = status.jobs.iter().find(|job| job.job.as_str() == name);
+            job.is_some_and(|job| job.completed == count && job.running == 0 && job.waiting == 0)
+        })
+        .await;
+    }
+
+    async fn until(&self, what: &str, holds: impl Fn(&operator::Status) -> bool) {
+        let start = Instant::now();
+        while !crate::status(&self.operators(0))
+            .await
+            .is_ok_and(|status| holds(&status))
+        {
+            assert!(start.elapsed() < LONGEST, "not in time: {what}");
+            async_std::task::sleep(POLL).await;
+        }
+    }
+
     /// Returns which entry leads the shard.
     pub(crate) async fn lead(&self) -> usize {
         let status = crate::status(&self.operators(0))
