Wait for the lead in the test that kills it

Two entries that start together may hand the lead over once, and the test took the moment without a lead for a fault: it failed once on a busy machine, at the question who leads, before anything was killed. It now asks until there is one, with the limit of the other waits; what it checks after the kill is unchanged.

--- a/crates/marigoldpick-entry/tests/path/site.rs
+++ b/crates/marigoldpick-entry/tests/path/site.rs
@@ -137,17 +137,20 @@
         }
     }
 
-    /// Returns which entry leads the shard.
+    /// Returns which entry leads the shard, once there is a lead among the entries.
     pub(crate) async fn lead(&self) -> usize {
-        let status = crate::status(&self.operators(0))
-            .await
-            .expect("status is answered");
-        let lead = status.shards[0].lead.clone().expect("there is a lead");
-        let found = self
-            .entries
-            .iter()
-            .position(|entry| entry.addresses().entry == lead);
-        found.expect("the lead is one of the entries")
+        let names: Vec<&id::Entry> = self.entries.iter().map(|e| &e.addresses().entry).collect();
+        let start = Instant::now();
+        loop {
+            let status = crate::status(&self.operators(0)).await;
+            let status = status.expect("status is answered");
+            let lead = status.shards[0].lead.as_ref();
+            if let Some(at) = names.iter().position(|name| Some(*name) == lead) {
+                return at;
+            }
+            assert!(start.elapsed() < LONGEST, "no lead");
+            async_std::task::sleep(POLL).await;
+        }
     }
 }
 
