Tell a shard's totals without its list of jobs

A beat tells how many tasks run and wait; it made and sorted the list of all jobs for that, and dropped it. The totals have functions of their own now, which the list's count uses too. No behaviour changes; not measured.

--- a/crates/marigoldpick-entry/src/control/local.rs
+++ b/crates/marigoldpick-entry/src/control/local.rs
@@ -117,9 +117,8 @@
     pub fn status(&self) -> operator::Shard {
         let mut status = self.lead.status();
         if let Some(led) = &self.led {
-            let counts = led.scheduler.counts();
-            status.running = counts.running;
-            status.waiting = counts.waiting;
+            status.running = led.scheduler.running();
+            status.waiting = led.scheduler.waiting();
         }
         status
     }
--- a/crates/marigoldpick-place/src/scheduler.rs
+++ b/crates/marigoldpick-place/src/scheduler.rs
@@ -244,12 +244,24 @@
         let mut jobs: Vec<operator::Job> = self.jobs.iter().map(|(_, job)| count(job)).collect();
         jobs.sort_unstable_by(|a, b| a.job.cmp(&b.job));
         Counts {
-            running: u32::try_from(self.runs.len()).unwrap_or(u32::MAX),
-            waiting: jobs.iter().map(|job| job.waiting).sum(),
+            running: self.running(),
+            waiting: self.waiting(),
             jobs,
         }
     }
 
+    /// Returns the number of runs, those that are being started or stopped among them.
+    #[must_use]
+    pub fn running(&self) -> u32 {
+        u32::try_from(self.runs.len()).unwrap_or(u32::MAX)
+    }
+
+    /// Returns the number of tasks that wait.
+    #[must_use]
+    pub fn waiting(&self) -> u32 {
+        self.jobs.iter().map(|(_, job)| job.waiting).sum()
+    }
+
     fn lead(&mut self, unheard: Vec<id::Worker>) {
         self.unheard = unheard;
         self.unheard.sort_unstable();
