Check numbers and names of documents in one place

Intents, the entry's settings and the stand-ins' settings each had their own checks for numbers above zero, names that stand twice and bad values. They are now functions of core::document; the messages are the same.

--- a/crates/marigoldpick-core/src/document.rs
+++ b/crates/marigoldpick-core/src/document.rs
@@ -37,6 +37,12 @@
         }
     }
 
+    /// Makes an error about a field's value.
+    #[must_use]
+    pub fn value(field: &str, message: &str) -> Self {
+        Self::field(Code::BadValue, field, message)
+    }
+
     /// Names the file.
     #[must_use]
     pub fn in_file(mut self, file: &str) -> Self {
@@ -74,6 +80,33 @@
     toml::from_str(text).map_err(|source| describe(file, text, &source))
 }
 
+/// Checks that a number is more than zero.
+///
+/// # Errors
+/// Fails with `BadValue`, naming the field.
+pub fn positive(field: &str, value: impl Into<u64>) -> Result<(), Error> {
+    if value.into() == 0 {
+        return Err(Error::value(field, "must be more than zero"));
+    }
+    Ok(())
+}
+
+/// Checks that no name stands twice.
+///
+/// # Errors
+/// Fails with `Duplicate`, naming the field.
+pub fn unique<'a>(field: &str, names: impl Iterator<Item = &'a str>) -> Result<(), Error> {
+    let mut names: Vec<&str> = names.collect();
+    names.sort_unstable();
+    match names.windows(2).find(|pair| pair[0] == pair[1]) {
+        Some(pair) => {
+            let message = format!("'{}' stands twice", pair[0]);
+            Err(Error::field(Code::Duplicate, field, message))
+        }
+        None => Ok(()),
+    }
+}
+
 fn describe(file: &str, text: &str, source: &toml::de::Error) -> Error {
     let message = source.message().trim().to_owned();
     let code = if message.contains("unknown field") || message.contains("unknown variant") {
--- a/crates/marigoldpick-core/src/intent.rs
+++ b/crates/marigoldpick-core/src/intent.rs
@@ -3,8 +3,7 @@
 use serde::{Deserialize, Serialize};
 
 use crate::clock::Millis;
-use crate::code::Code;
-use crate::document::{self, Error};
+use crate::document::{self, Error, positive, unique};
 use crate::id;
 use crate::name::Name;
 use crate::resource::Amount;
@@ -306,7 +305,7 @@
         unique("service", self.service.iter().map(|s| s.name.as_str()))?;
         unique("job", self.job.iter().map(|j| j.name.as_str()))?;
         for (at, team) in self.team.iter().enumerate() {
-            positive(&format!("team[{at}].weight"), u64::from(team.weight))?;
+            positive(&format!("team[{at}].weight"), team.weight)?;
             check_amount(&format!("team[{at}].quota"), &team.quota)?;
         }
         for (at, service) in self.service.iter().enumerate() {
@@ -329,28 +328,31 @@
         .iter()
         .find(|(_, weight)| !weight.is_finite() || *weight < 0.0)
     {
-        Some((field, _)) => Err(bad(field, "must be a number that is not negative")),
+        Some((field, _)) => Err(Error::value(field, "must be a number that is not negative")),
         None => Ok(()),
     }
 }
 
 fn check_service(path: &str, service: &Service) -> Result<(), Error> {
-    positive(&format!("{path}.slots"), u64::from(service.slots))?;
+    positive(&format!("{path}.slots"), service.slots)?;
     positive(
         &format!("{path}.connections"),
         u64::from(service.connections),
     )?;
-    positive(&format!("{path}.queue"), u64::from(service.queue))?;
+    positive(&format!("{path}.queue"), service.queue)?;
     positive(&format!("{path}.body_limit"), service.body_limit)?;
     span(&format!("{path}.deadline_ms"), service.deadline_ms)?;
     if service.connections < service.slots {
-        return Err(bad(
+        return Err(Error::value(
             &format!("{path}.connections"),
             "must be at least the slots",
         ));
     }
     if service.retry_percent > 100 {
-        return Err(bad(&format!("{path}.retry_percent"), "must be at most 100"));
+        return Err(Error::value(
+            &format!("{path}.retry_percent"),
+            "must be at most 100",
+        ));
     }
     for (at, weight) in service.weight.iter().enumerate() {
         positive(
@@ -366,13 +368,19 @@
 
 fn check_job(path: &str, job: &Job) -> Result<(), Error> {
     if job.name.as_str().len() > MAX_JOB_NAME {
-        return Err(bad(&format!("{path}.name"), "must have at most 96 bytes"));
+        return Err(Error::value(
+            &format!("{path}.name"),
+            "must have at most 96 bytes",
+        ));
     }
-    positive(&format!("{path}.count"), u64::from(job.count))?;
+    positive(&format!("{path}.count"), job.count)?;
     if job.count > MAX_COUNT {
-        return Err(bad(&format!("{path}.count"), "must be at most 100000"));
+        return Err(Error::value(
+            &format!("{path}.count"),
+            "must be at most 100000",
+        ));
     }
-    positive(&format!("{path}.attempts"), u64::from(job.attempts))?;
+    positive(&format!("{path}.attempts"), job.attempts)?;
     check_amount(&format!("{path}.needs"), &job.needs)?;
     positive(&format!("{path}.needs.millicores"), job.needs.millicores)?;
     positive(&format!("{path}.needs.memory_mib"), job.needs.memory_mib)?;
@@ -383,16 +391,19 @@
         span(&format!("{path}.deadline_ms"), deadline)?;
     }
     if job.stop_ms > MAX_SPAN {
-        return Err(bad(
+        return Err(Error::value(
             &format!("{path}.stop_ms"),
             "must be at most thirty days",
         ));
     }
     if job.class == Class::Service && job.run_ms.is_some() {
-        return Err(bad(&format!("{path}.run_ms"), "a service has no run time"));
+        return Err(Error::value(
+            &format!("{path}.run_ms"),
+            "a service has no run time",
+        ));
     }
     if job.class != Class::Service && job.service.is_some() {
-        return Err(bad(
+        return Err(Error::value(
             &format!("{path}.service"),
             "only tasks of class service are endpoints",
         ));
@@ -415,10 +426,10 @@
     /// Bounds that keep sums over a fleet far below the width of the integers.
     const MOST: u64 = 1 << 40;
     if amount.millicores > MOST {
-        return Err(bad(&format!("{path}.millicores"), "is too large"));
+        return Err(Error::value(&format!("{path}.millicores"), "is too large"));
     }
     if amount.memory_mib > MOST {
-        return Err(bad(&format!("{path}.memory_mib"), "is too large"));
+        return Err(Error::value(&format!("{path}.memory_mib"), "is too large"));
     }
     for (at, accelerators) in amount.accelerators.iter().enumerate() {
         positive(
@@ -429,41 +440,19 @@
     let sorted = amount.accelerators.is_sorted_by(|a, b| a.kind < b.kind);
     if !sorted {
         let field = format!("{path}.accelerators");
-        return Err(bad(&field, "must be sorted by kind, each kind once"));
+        return Err(Error::value(
+            &field,
+            "must be sorted by kind, each kind once",
+        ));
     }
     Ok(())
 }
 
-fn unique<'a>(path: &str, names: impl Iterator<Item = &'a str>) -> Result<(), Error> {
-    let mut seen: Vec<&str> = names.collect();
-    seen.sort_unstable();
-    match seen.windows(2).find(|pair| pair[0] == pair[1]) {
-        Some(pair) => Err(Error::field(
-            Code::Duplicate,
-            path,
-            format!("'{}' stands twice", pair[0]),
-        )),
-        None => Ok(()),
-    }
-}
-
-fn positive(path: &str, value: u64) -> Result<(), Error> {
-    if value == 0 {
-        Err(bad(path, "must be more than zero"))
-    } else {
-        Ok(())
-    }
-}
-
 fn span(path: &str, value: Millis) -> Result<(), Error> {
     positive(path, value.0)?;
     if value > MAX_SPAN {
-        Err(bad(path, "must be at most thirty days"))
+        Err(Error::value(path, "must be at most thirty days"))
     } else {
         Ok(())
     }
 }
-
-fn bad(field: &str, message: &str) -> Error {
-    Error::field(Code::BadValue, field, message)
-}
--- a/crates/marigoldpick-entry/src/settings.rs
+++ b/crates/marigoldpick-entry/src/settings.rs
@@ -98,10 +98,13 @@
         address("operators", &self.operators)?;
         address("inner", &self.inner)?;
         if !self.platform.starts_with("http://") {
-            return Err(bad("platform", "must begin with http://"));
+            return Err(Error::value("platform", "must begin with http://"));
         }
         if self.log.parse::<log::LevelFilter>().is_err() {
-            return Err(bad("log", "must be error, warn, info, debug or trace"));
+            return Err(Error::value(
+                "log",
+                "must be error, warn, info, debug or trace",
+            ));
         }
         self.verify_peers()?;
         self.span.verify()
@@ -132,7 +135,7 @@
             ("span.drain_ms", self.drain_ms),
         ];
         match spans.iter().find(|(_, span)| *span == Millis::ZERO) {
-            Some((field, _)) => Err(bad(field, "must be more than zero")),
+            Some((field, _)) => Err(Error::value(field, "must be more than zero")),
             None => Ok(()),
         }
     }
@@ -141,13 +144,9 @@
 fn address(field: &str, text: &str) -> Result<(), Error> {
     match text.parse::<std::net::SocketAddr>() {
         Ok(_) => Ok(()),
-        Err(_) => Err(bad(
+        Err(_) => Err(Error::value(
             field,
             "must be an IP number and a port, such as 127.0.0.1:7400",
         )),
     }
 }
-
-fn bad(field: &str, message: &str) -> Error {
-    Error::field(Code::BadValue, field, message)
-}
--- a/crates/marigoldpick-standin/src/settings.rs
+++ b/crates/marigoldpick-standin/src/settings.rs
@@ -1,6 +1,6 @@
 //! What the stand-ins are: failure domains, racks, workers, rates and lags.
 
-use marigoldpick_core::document::{self, Error};
+use marigoldpick_core::document::{self, Error, positive, unique};
 use marigoldpick_core::prelude::*;
 use serde::{Deserialize, Serialize};
 
@@ -192,7 +192,7 @@
     /// Names the first field that is out of its bounds.
     pub fn check(&self) -> Result<(), Error> {
         if self.listen.parse::<std::net::SocketAddr>().is_err() {
-            return Err(bad("listen", "must be an IP number and a port"));
+            return Err(Error::value("listen", "must be an IP number and a port"));
         }
         positive("store.writes_per_second", self.store.writes_per_second)?;
         positive("store.reads_per_second", self.store.reads_per_second)?;
@@ -208,7 +208,7 @@
 
     fn check_domains(&self) -> Result<(), Error> {
         if self.domain.is_empty() {
-            return Err(bad("domain", "must not be empty"));
+            return Err(Error::value("domain", "must not be empty"));
         }
         unique("domain", self.domain.iter().map(|d| d.name.as_str()))?;
         let racks = || self.domain.iter().flat_map(|domain| &domain.rack);
@@ -220,7 +220,10 @@
         }
         let workers: u64 = racks().map(|rack| u64::from(rack.workers)).sum();
         if workers > MAX_WORKERS {
-            return Err(bad("domain.rack.workers", "must be at most 2000 in all"));
+            return Err(Error::value(
+                "domain.rack.workers",
+                "must be at most 2000 in all",
+            ));
         }
         Ok(())
     }
@@ -228,44 +231,31 @@
 
 fn check_rack(path: &str, rack: &Rack) -> Result<(), Error> {
     if rack.name.as_str().len() > MAX_RACK {
-        return Err(bad(&format!("{path}.name"), "has at most 100 bytes"));
+        return Err(Error::value(
+            &format!("{path}.name"),
+            "has at most 100 bytes",
+        ));
     }
     positive(&format!("{path}.workers"), rack.workers)?;
     let size = &rack.size;
     if size.millicores == 0 {
-        return Err(bad(
+        return Err(Error::value(
             &format!("{path}.size.millicores"),
             "must be more than zero",
         ));
     }
     if size.memory_mib == 0 {
-        return Err(bad(
+        return Err(Error::value(
             &format!("{path}.size.memory_mib"),
             "must be more than zero",
         ));
     }
     if !size.accelerators.is_sorted_by(|a, b| a.kind < b.kind) {
         let field = format!("{path}.size.accelerators");
-        return Err(bad(&field, "must be sorted by kind, each kind once"));
-    }
-    Ok(())
-}
-
-fn unique<'a>(field: &str, names: impl Iterator<Item = &'a str>) -> Result<(), Error> {
-    let mut names: Vec<&str> = names.collect();
-    names.sort_unstable();
-    match names.windows(2).find(|pair| pair[0] == pair[1]) {
-        Some(pair) => {
-            let message = format!("'{}' stands twice", pair[0]);
-            Err(Error::field(Code::Duplicate, field, message))
-        }
-        None => Ok(()),
-    }
-}
-
-fn positive(field: &str, value: u32) -> Result<(), Error> {
-    if value == 0 {
-        return Err(bad(field, "must be more than zero"));
+        return Err(Error::value(
+            &field,
+            "must be sorted by kind, each kind once",
+        ));
     }
     Ok(())
 }
@@ -275,12 +265,8 @@
     if valid && 0.0 <= range.from && range.from <= range.to {
         return Ok(());
     }
-    Err(bad(
+    Err(Error::value(
         field,
         "must go from a number that is not negative to one not below it",
     ))
 }
-
-fn bad(field: &str, message: &str) -> Error {
-    Error::field(Code::BadValue, field, message)
-}
