Name the causes of events between processes

The merge of the time line goes by causes, and none was recorded, so events of different processes came in the order of clocks that are not comparable, and following a task showed its start and end alone.

A plan's confirm follows the plan's making, be it at another entry; the entry of the configuration names the confirm, so that each process's "in force" follows it; a task's start follows its job's coming into force at the lead, and its end follows the start. The cause travels in the writer's name of the configuration's entry, which held process and incarnation already: one character and the event's number more per change, no new field, and old entries read as before. Ruled out: a field of the entry, which a process of before refuses, and a new call.

Tests on the real path with four entries and clocks moved apart: with the causes taken away, the task's way is "task-started, task-ended" and config-applied comes before plan-confirmed; with them both orders hold whichever failure domain is ahead.

Of the two, entries that came into force together are now recorded one by one.

--- a/crates/marigoldpick-core/src/config.rs
+++ b/crates/marigoldpick-core/src/config.rs
@@ -3,6 +3,7 @@
 //! An entry is accepted exactly when it was created in the store under its number. Every process
 //! applies the entries in order, without a gap, and so comes to the same state.
 
+use std::fmt;
 use std::sync::Arc;
 
 use serde::{Deserialize, Serialize};
@@ -12,12 +13,16 @@
 use crate::intent::{Intent, Job, Objective, Service, Team};
 use crate::plan::{Displaced, Home, Plan};
 use crate::resource::Amount;
+use crate::timeline::Mark;
 
 /// Jobs that ended and are still told by `status`.
 const ENDED_KEPT: usize = 1_000;
 /// Confirmed plans that are remembered, so that a repeated confirm finds its first answer.
 const CONFIRMED_KEPT: usize = 1_000;
 
+/// Stands before the event's number in a writer's name; names don't have it.
+const EVENT: char = '@';
+
 /// `Entry` is one numbered entry of the log.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 #[serde(deny_unknown_fields)]
@@ -30,6 +35,34 @@
     pub changes: Vec<Change>,
 }
 
+impl Entry {
+    /// Names the writer of a try, and the event that proposed the last change if it is known.
+    ///
+    /// It stands in the writer's name, so that entries without it, and processes that don't know of
+    /// it, go on as they are.
+    #[must_use]
+    pub fn write(process: &id::Entry, incarnation: u64, tries: u64, event: Option<u64>) -> String {
+        let writer = format!("{process}/{incarnation:016x}/{tries}");
+        match event {
+            Some(event) => format!("{writer}{EVENT}{event}"),
+            None => writer,
+        }
+    }
+
+    /// Returns the event that proposed the entry's last change, if the writer names it.
+    #[must_use]
+    pub fn cause(&self) -> Option<Mark> {
+        let (writer, event) = self.writer.rsplit_once(EVENT)?;
+        let (writer, _tries) = writer.rsplit_once('/')?;
+        let (process, incarnation) = writer.rsplit_once('/')?;
+        Some(Mark {
+            process: process.parse().ok()?,
+            incarnation: u64::from_str_radix(incarnation, 16).ok()?,
+            sequence: event.parse().ok()?,
+        })
+    }
+}
+
 /// `Change` is one change of the configuration.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 #[serde(rename_all = "kebab-case", deny_unknown_fields)]
@@ -77,6 +110,18 @@
     Domain(id::Domain),
 }
 
+impl fmt::Display for Target {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        match self {
+            Self::Worker(worker) => write!(f, "worker {worker}"),
+            Self::Endpoint(endpoint) => write!(f, "endpoint {endpoint}"),
+            Self::Entry(entry) => write!(f, "entry {entry}"),
+            Self::Rack(rack) => write!(f, "rack {rack}"),
+            Self::Domain(domain) => write!(f, "domain {domain}"),
+        }
+    }
+}
+
 /// `Accepted` is an accepted job that has not ended everywhere.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 #[serde(deny_unknown_fields)]
--- a/crates/marigoldpick-core/src/plan.rs
+++ b/crates/marigoldpick-core/src/plan.rs
@@ -9,6 +9,7 @@
 use crate::intent::{Intent, Yield};
 use crate::name::Name;
 use crate::resource::Amount;
+use crate::timeline::Mark;
 
 /// `Home` is a range of a job's tasks that one shard is responsible for.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
@@ -88,6 +89,9 @@
     pub blocked: Option<Code>,
     /// More on that, naming the part.
     pub reason: String,
+    /// The event of its making, told between entries alone.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub made: Option<Mark>,
 }
 
 impl Plan {
@@ -127,6 +131,7 @@
             quotas,
             blocked,
             reason,
+            made: None,
         }
     }
 }
--- a/crates/marigoldpick-core/src/timeline.rs
+++ b/crates/marigoldpick-core/src/timeline.rs
@@ -28,7 +28,7 @@
     pub mark: Mark,
     /// The process's own time.
     pub at: Millis,
-    /// The event of another process that led to this one, if known.
+    /// The event that led to this one, if known; mostly one of another process.
     pub cause: Option<Mark>,
     /// The part of the program: `entry`, `shard`, `place`, `route`, `wire`, `store`, `worker`.
     pub part: Name,
--- a/crates/marigoldpick-core/tests/config.rs
+++ b/crates/marigoldpick-core/tests/config.rs
@@ -184,3 +184,37 @@
     );
     expect_that!(state.ended.len(), eq(1));
 }
+
+#[googletest::test]
+fn cause_of_entry_is_the_event_that_the_writer_names() {
+    let me = id::Entry::new("turku/b-1").expect("a name");
+    let writer = Entry::write(&me, 0xfe, 3, Some(17));
+    let cause = written(&writer).cause().expect("a cause");
+    expect_that!(cause.process.as_str(), eq("turku/b-1"));
+    expect_that!((cause.incarnation, cause.sequence), eq((0xfe, 17)));
+}
+
+#[googletest::test]
+fn cause_of_old_or_foreign_entry_is_unknown() {
+    let me = id::Entry::new("turku-1").expect("a name");
+    for writer in [
+        &Entry::write(&me, 0xfe, 3, None),
+        "test",
+        "@",
+        "@7",
+        "turku-1/fe@7",
+        "turku-1/xy/1@7",
+        "turku-1/fe/1@x",
+        "a b/fe/1@7",
+    ] {
+        expect_that!(written(writer).cause(), none());
+    }
+}
+
+fn written(writer: &str) -> Entry {
+    Entry {
+        sequence: 1,
+        writer: writer.to_owned(),
+        changes: Vec::new(),
+    }
+}
--- a/crates/marigoldpick-entry/src/control.rs
+++ b/crates/marigoldpick-entry/src/control.rs
@@ -13,6 +13,7 @@
 mod peers;
 pub mod planning;
 mod shards;
+mod trace;
 
 use async_channel::Receiver;
 use marigoldpick_core::clock::System;
@@ -34,6 +35,7 @@
 use operate::Ticket;
 use peers::Peers;
 use planning::Plans;
+use trace::Trace;
 
 /// `Start` is what the control thread begins with.
 #[derive(Debug)]
@@ -68,7 +70,9 @@
     vms_at: Option<Millis>,
     plans: Plans,
     tickets: Vec<Ticket>,
-    next_ticket: u64,
+    trace: Trace,
+    /// The last entry whose coming into force was recorded.
+    in_force: u64,
     draining: bool,
     left: Vec<message::Left>,
     dirty: bool,
@@ -112,7 +116,8 @@
             vms_at: None,
             plans: Plans::default(),
             tickets: Vec::new(),
-            next_ticket: 1,
+            trace: Trace::default(),
+            in_force: 0,
             draining: false,
             left: Vec::new(),
             dirty: true,
--- a/crates/marigoldpick-entry/src/control/follow.rs
+++ b/crates/marigoldpick-entry/src/control/follow.rs
@@ -6,11 +6,13 @@
 use marigoldpick_core::plan::Plan;
 use marigoldpick_core::prelude::*;
 use marigoldpick_core::store;
+use marigoldpick_core::timeline::Mark;
 use marigoldpick_shard::config::{Input, Output};
 
 use crate::control::Control;
 use crate::control::message::{Part, Reply};
 use crate::control::operate::Ticket;
+use crate::recorder::{Cause, Note};
 
 /// The time after which a job's end is proposed again.
 const REPEAT: Millis = Millis(2_000);
@@ -49,14 +51,18 @@
     }
 
     /// Proposes a change; its result comes to [`Control::decided`].
+    ///
+    /// The ticket is the number of the event, which the log hands on with the entry as its cause.
     pub(super) fn propose(
         &mut self,
         change: Change,
+        cause: Cause,
         plan: Option<Box<Plan>>,
         reply: Option<Reply<Accepted>>,
     ) {
-        let number = self.next_ticket;
-        self.next_ticket += 1;
+        let (what, about) = proposed(&change);
+        let note = Note::new("shard", what, about, "").after(cause);
+        let number = self.start.recorder.record(self.now(), note).sequence;
         self.tickets.push(Ticket {
             number,
             plan,
@@ -101,10 +107,33 @@
         self.dirty = true;
         let sequence = self.config.state().sequence;
         metrics::gauge!("marigold_config_sequence").set(sequence as f64);
-        self.note("shard", "config-applied", sequence, String::new());
+        self.note_in_force(sequence);
         self.feed_shards();
     }
 
+    /// Records each entry that has come into force. Of a state taken whole, entries that are no
+    /// longer kept are not told one by one.
+    fn note_in_force(&mut self, last: u64) {
+        let now = self.now();
+        let mut marks: Vec<(u64, Mark)> = Vec::new();
+        for sequence in self.in_force + 1..=last {
+            let entry = self.config.entry(sequence);
+            if entry.is_none() && sequence < last {
+                continue;
+            }
+            let cause = entry.and_then(|entry| entry.cause());
+            let note = Note::new("shard", "config-applied", sequence, "")
+                .after(cause.map_or(Cause::None, Cause::Mark));
+            marks.push((sequence, self.start.recorder.record(now, note)));
+        }
+        self.in_force = last;
+        let open = &self.config.state().jobs;
+        self.trace.follow(open, |accepted| {
+            let at = marks.partition_point(|(sequence, _)| *sequence < accepted.sequence);
+            marks[at.min(marks.len() - 1)].1.clone()
+        });
+    }
+
     /// Proposes the end of jobs whose tasks in a shard led here have all ended.
     pub(super) fn retry_ended(&mut self, now: Millis) {
         let mut changes = Vec::new();
@@ -120,17 +149,18 @@
                     continue;
                 }
                 ended.proposed_at = Some(now);
-                changes.push(Change::Ended {
+                let change = Change::Ended {
                     job: ended.job.clone(),
                     shard: shard.clone(),
                     completed: ended.completed,
                     failed: ended.failed,
-                });
+                };
+                changes.push(change);
             }
         }
         changes
             .into_iter()
-            .for_each(|change| self.propose(change, None, None));
+            .for_each(|change| self.propose(change, Cause::None, None, None));
     }
 
     /// Tells whether this entry gives up its leads: the process stops, or an operator drains it.
@@ -139,3 +169,17 @@
         self.draining || self.config.state().drains(&target)
     }
 }
+
+/// Returns the word for a proposed change, and what it is about.
+fn proposed(change: &Change) -> (&'static str, String) {
+    match change {
+        Change::Confirm(plan) => ("plan-confirmed", plan.id.to_string()),
+        Change::Cancel { jobs } => {
+            let names: Vec<&str> = jobs.iter().map(id::Job::as_str).collect();
+            ("jobs-cancelled", names.join(","))
+        }
+        Change::Drain { target, on: true } => ("drain-begun", target.to_string()),
+        Change::Drain { target, on: false } => ("drain-ended", target.to_string()),
+        Change::Ended { job, .. } => ("job-completed", job.to_string()),
+    }
+}
--- a/crates/marigoldpick-entry/src/control/local/led.rs
+++ b/crates/marigoldpick-entry/src/control/local/led.rs
@@ -12,7 +12,7 @@
 use super::Effect;
 use super::run::Run;
 use crate::control::endpoints::Table;
-use crate::recorder::Note;
+use crate::recorder::{Cause, Note};
 
 /// `Led` is what exists only while this entry leads the shard.
 #[derive(Debug)]
@@ -55,12 +55,10 @@
                 run: started,
                 worker,
             } => {
-                run.effects.push(Effect::Note(Note::new(
-                    "shard",
-                    "task-started",
-                    &started.task,
-                    format!("attempt={} worker={worker}", started.attempt),
-                )));
+                let note = format!("attempt={} worker={worker}", started.attempt);
+                let note = Note::new("shard", "task-started", &started.task, note);
+                let cause = Cause::Started(started.task.clone());
+                run.effects.push(Effect::Note(note.after(cause)));
                 self.event(
                     Event::Started {
                         run: started,
@@ -115,7 +113,8 @@
                 let how = outcome(&finished.outcome);
                 let note = format!("attempt={} worker={worker} {how}", finished.run.attempt);
                 let note = Note::new("shard", "task-ended", &finished.run.task, note);
-                run.effects.push(Effect::Note(note));
+                let cause = Cause::Ended(finished.run.task.clone());
+                run.effects.push(Effect::Note(note.after(cause)));
                 let worker::Finished {
                     run: ended,
                     outcome,
--- a/crates/marigoldpick-entry/src/control/operate.rs
+++ b/crates/marigoldpick-entry/src/control/operate.rs
@@ -12,6 +12,7 @@
 use crate::control::Control;
 use crate::control::message::{Message, Reply};
 use crate::control::planning::{self, Answering, Question, Surveyed};
+use crate::recorder::{Cause, Note};
 
 /// When to ask again while a shard has no lead or the store is away.
 const LATER: Millis = Millis(2_000);
@@ -72,13 +73,18 @@
             return;
         }
         let plan = planner::plan(self.config.state(), intent, &surveys);
-        self.note(
+        let note = Note::new(
             "place",
             "plan-made",
             &plan.id,
             format!("base={}", plan.base),
         );
-        self.plans.hold(plan.clone(), self.now());
+        let made = self.start.recorder.record(self.now(), note);
+        let held = Plan {
+            made: Some(made),
+            ..plan.clone()
+        };
+        self.plans.hold(held, self.now());
         match reply {
             Answering::Plan(reply) => answer(&reply, Ok(plan)),
             Answering::Stale(mut problem, reply) => {
@@ -126,13 +132,15 @@
         }
     }
 
-    fn confirm_plan(&mut self, plan: Box<Plan>, reply: Reply<Accepted>) {
+    fn confirm_plan(&mut self, mut plan: Box<Plan>, reply: Reply<Accepted>) {
         if let Some(code) = plan.blocked {
             answer(&reply, Err(Problem::new(code, plan.reason)));
             return;
         }
+        // The log needs no more of it than the confirm's own event.
+        let cause = plan.made.take().map_or(Cause::None, Cause::Mark);
         let change = Change::Confirm(plan.clone());
-        self.propose(change, Some(plan), Some(reply));
+        self.propose(change, cause, Some(plan), Some(reply));
     }
 
     pub(super) fn cancel(&mut self, jobs: Vec<id::Job>, reply: Reply<Accepted>) {
@@ -149,7 +157,7 @@
             answer(&reply, Err(Problem::new(Code::UnknownTask, message)));
             return;
         }
-        self.propose(Change::Cancel { jobs }, None, Some(reply));
+        self.propose(Change::Cancel { jobs }, Cause::None, None, Some(reply));
     }
 
     pub(super) fn drain(&mut self, target: Target, on: bool, reply: Reply<Accepted>) {
@@ -158,7 +166,7 @@
             answer(&reply, Ok(Accepted { sequence }));
             return;
         }
-        self.propose(Change::Drain { target, on }, None, Some(reply));
+        self.propose(Change::Drain { target, on }, Cause::None, None, Some(reply));
     }
 
     /// The result of a proposed change has come.
--- a/crates/marigoldpick-entry/src/control/shards.rs
+++ b/crates/marigoldpick-entry/src/control/shards.rs
@@ -29,7 +29,7 @@
             .for_each(|effect| self.carry_out(&shard, effect));
     }
 
-    fn carry_out(&self, shard: &id::Shard, effect: Effect) {
+    fn carry_out(&mut self, shard: &id::Shard, effect: Effect) {
         match effect {
             Effect::Store { call, request } => {
                 self.io.store(Part::Shard(shard.clone()), call, request);
@@ -43,7 +43,10 @@
                 self.io
                     .worker(shard.clone(), worker, address, call, request);
             }
-            Effect::Note(note) => drop(self.start.recorder.record(self.now(), note)),
+            Effect::Note(note) => {
+                let now = self.now();
+                self.trace.record(&self.start.recorder, now, note);
+            }
         }
     }
 
--- a/crates/marigoldpick-entry/src/recorder.rs
+++ b/crates/marigoldpick-entry/src/recorder.rs
@@ -21,8 +21,22 @@
     pub about: String,
     /// More, for people.
     pub note: String,
-    /// The event of another process that led to this one.
-    pub cause: Option<Mark>,
+    /// What led to it.
+    pub cause: Cause,
+}
+
+/// `Cause` is what led to an event.
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+pub enum Cause {
+    /// Nothing that is known.
+    #[default]
+    None,
+    /// An event.
+    Mark(Mark),
+    /// The configuration that brought the job; the event starts a run of this task.
+    Started(id::Task),
+    /// The start of the task's run.
+    Ended(id::Task),
 }
 
 impl Note {
@@ -42,20 +56,32 @@
             what,
             about: about.to_string(),
             note: note.into(),
-            cause: None,
+            cause: Cause::None,
         }
     }
 
+    /// Says what led to it.
+    #[must_use]
+    pub fn after(mut self, cause: Cause) -> Self {
+        self.cause = cause;
+        self
+    }
+
     /// Makes a note of what an ownership machine did.
     #[must_use]
     pub fn event(part: &'static str, event: marigoldpick_shard::event::Event) -> Self {
-        let marigoldpick_shard::event::Event { what, about, note } = event;
+        let marigoldpick_shard::event::Event {
+            what,
+            about,
+            note,
+            cause,
+        } = event;
         Self {
             part,
             what,
             about,
             note,
-            cause: None,
+            cause: cause.map_or(Cause::None, Cause::Mark),
         }
     }
 }
@@ -91,12 +117,16 @@
         }
     }
 
-    /// Records an event and returns its mark.
+    /// Records an event, whose cause must be resolved by now, and returns its mark.
     ///
     /// # Panics
     /// Panics when the part is no name, which is a fault of the caller's source.
     pub fn record(&self, at: Millis, note: Note) -> Mark {
         let part = Name::new(note.part).expect("a part is a name");
+        let cause = match note.cause {
+            Cause::Mark(mark) => Some(mark),
+            Cause::None | Cause::Started(_) | Cause::Ended(_) => None,
+        };
         let mut kept = self.kept.lock().unwrap_or_else(PoisonError::into_inner);
         let mark = Mark {
             process: self.process.clone(),
@@ -110,7 +140,7 @@
         kept.events.push_back(Event {
             mark: mark.clone(),
             at,
-            cause: note.cause,
+            cause,
             part,
             what: note.what,
             about: note.about,
--- a/crates/marigoldpick-shard/src/config.rs
+++ b/crates/marigoldpick-shard/src/config.rs
@@ -31,7 +31,7 @@
     },
     /// An operator or a lead wants a change; the ticket comes back with the answer.
     Propose {
-        /// The ticket.
+        /// The ticket: the number of the event that proposes it, so that others learn the cause.
         ticket: u64,
         /// The change.
         change: Change,
@@ -179,6 +179,12 @@
         self.journal.entries_after(sequence)
     }
 
+    /// Returns an entry that is in force here, while it is still kept.
+    #[must_use]
+    pub fn entry(&self, sequence: u64) -> Option<&Entry> {
+        self.journal.entry(sequence)
+    }
+
     /// Returns how old the knowledge of the store is, or [`Millis::MAX`] when there was none.
     #[must_use]
     pub fn age(&self, now: Millis) -> Millis {
--- a/crates/marigoldpick-shard/src/config/propose.rs
+++ b/crates/marigoldpick-shard/src/config/propose.rs
@@ -109,9 +109,11 @@
 
     fn append(&mut self) {
         self.tries += 1;
+        let tickets = self.flight.iter().flat_map(|p| &p.tickets);
+        let event = tickets.map(|(ticket, _)| *ticket).max();
         let entry = Entry {
             sequence: self.state().sequence + 1,
-            writer: format!("{}/{:016x}/{}", self.me, self.incarnation, self.tries),
+            writer: Entry::write(&self.me, self.incarnation, self.tries, event),
             changes: self.flight.iter().map(|p| p.change.clone()).collect(),
         };
         self.journal.append(entry);
@@ -143,11 +145,9 @@
 
     fn appended(&mut self, entry: &Entry, out: &mut Vec<Output>) {
         let note = format!("{} changes", entry.changes.len());
-        out.push(Output::Event(Event::new(
-            "config-accepted",
-            entry.sequence,
-            note,
-        )));
+        let mut event = Event::new("config-accepted", entry.sequence, note);
+        event.cause = entry.cause();
+        out.push(Output::Event(event));
         for proposal in std::mem::take(&mut self.flight) {
             let result = self.outcome(&proposal.change, entry.sequence);
             answer_all(out, &proposal, result);
--- a/crates/marigoldpick-shard/src/event.rs
+++ b/crates/marigoldpick-shard/src/event.rs
@@ -1,6 +1,7 @@
 //! Events for the time line; the entry adds its own mark.
 
 use marigoldpick_core::prelude::*;
+use marigoldpick_core::timeline::Mark;
 
 /// `Event` is one thing that a machine did.
 #[derive(Clone, Debug, PartialEq, Eq)]
@@ -11,6 +12,8 @@
     pub about: String,
     /// More, for people.
     pub note: String,
+    /// The event that led to this one, if known.
+    pub cause: Option<Mark>,
 }
 
 impl Event {
@@ -24,6 +27,7 @@
             what: Name::new(what).expect("the word is a name"),
             about: about.to_string(),
             note: note.into(),
+            cause: None,
         }
     }
 }
--- a/crates/marigoldpick-shard/src/journal.rs
+++ b/crates/marigoldpick-shard/src/journal.rs
@@ -206,6 +206,13 @@
         Some(self.recent.iter().skip(skip).cloned().collect())
     }
 
+    /// Returns an entry if it is kept.
+    pub fn entry(&self, sequence: u64) -> Option<&S::Entry> {
+        let first = self.recent.front()?.sequence();
+        let at = usize::try_from(sequence.checked_sub(first)?).ok()?;
+        self.recent.get(at)
+    }
+
     /// Asks for a read of everything newer.
     pub const fn refresh(&mut self) {
         self.refresh = true;
--- a/crates/marigoldpick/tests/history/main.rs
+++ b/crates/marigoldpick/tests/history/main.rs
@@ -3,6 +3,7 @@
 //! What operators were told is checked for linearizability, and against what the stand-ins alone
 //! counted. Verdicts don't depend on timing; waits have generous limits.
 
+mod causes;
 mod check;
 mod cluster;
 mod faults;
