--- a/crates/marigoldpick-route/tests/slots.rs
+++ b/crates/marigoldpick-route/tests/slots.rs
@@ -12,6 +12,8 @@
 const ENDPOINTS: usize = 3;
 const STEP: Millis = Millis(10);
 const RUN: Millis = Millis(200);
+/// How long a lapsed lease counts where it must outlast the test.
+const LONG: Millis = Millis::from_secs(20);
 
 fn endpoint(at: usize) -> id::Endpoint {
     id::Endpoint::new(&format!("endpoint-{at}")).unwrap()
@@ -251,3 +253,45 @@
     (0..250).for_each(|_| world.step(|| Some(1)));
     expect_that!(world.nodes[1].held(0, world.now), eq(SLOTS));
 }
+
+/// Asks as entry `at` for slots of the first endpoint; returns what it may use.
+fn ask(arbiter: &mut Arbiter, at: usize, [held, want]: [u32; 2], now: Millis) -> u32 {
+    let want = Want {
+        endpoint: endpoint(0),
+        held,
+        used: 0,
+        want,
+        cover: LONG,
+    };
+    let demand = Demand {
+        entry: entry(at),
+        incarnation: 1,
+        sequence: now.0,
+        whole: true,
+        wants: vec![want],
+    };
+    arbiter.demand(&demand, now).leases[0].slots
+}
+
+#[googletest::test]
+fn arbiter_moves_the_slots_of_an_entry_that_is_back_after_its_lease_lapsed() {
+    let mut arbiter = Arbiter::default();
+    let charge = Charge {
+        endpoint: endpoint(0),
+        slots: SLOTS,
+        cover: LONG,
+    };
+    arbiter.set(vec![charge], Millis(0));
+    arbiter.set_entries(vec![entry(0), entry(1)]);
+    ask(&mut arbiter, 0, [0, SLOTS], Millis(100));
+    ask(&mut arbiter, 1, [0, 0], Millis(200));
+    let held = ask(&mut arbiter, 0, [0, SLOTS], Millis(300));
+    expect_that!(held, eq(SLOTS));
+    (4..40).for_each(|tick| arbiter.tick(Millis(tick * 100)));
+    // Entry 0 may have requests in flight, as far as anybody knows.
+    let other = ask(&mut arbiter, 1, [0, SLOTS], Millis(4_000));
+    expect_that!(other, eq(0));
+    ask(&mut arbiter, 0, [0, 0], Millis(4_100));
+    let other = ask(&mut arbiter, 1, [0, SLOTS], Millis(4_200));
+    expect_that!(other, eq(SLOTS));
+}
