Let entries advertise an address, and links have latency in tests

Cause: nothing ran over links with latency, since an entry told others the address that it listens at and no stand-in could sit between. Entries now take an optional setting 'advertise'; the stand-ins have a relay that carries connections with latency, and parts and heals without losing bytes.

--- a/crates/marigoldpick-bench/src/cost/rig.rs
+++ b/crates/marigoldpick-bench/src/cost/rig.rs
@@ -138,6 +138,7 @@
             callers: any.clone(),
             operators: any.clone(),
             inner: any,
+            advertise: None,
             platform: self.platform.address("platform"),
             peer: peers.clone(),
             log: "warn".to_owned(),
--- a/crates/marigoldpick-entry/src/entry.rs
+++ b/crates/marigoldpick-entry/src/entry.rs
@@ -96,7 +96,10 @@
         let known = Known {
             entry: settings.entry.clone(),
             domain: settings.domain.clone(),
-            address: addresses.inner.clone(),
+            address: settings
+                .advertise
+                .clone()
+                .unwrap_or_else(|| addresses.inner.clone()),
         };
         let incarnation: u64 = rand::random();
         let clock = System::new();
--- a/crates/marigoldpick-entry/src/settings.rs
+++ b/crates/marigoldpick-entry/src/settings.rs
@@ -18,6 +18,9 @@
     pub operators: String,
     /// Where other entries reach it.
     pub inner: String,
+    /// Where other entries are told to reach it, when that is not `inner`.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub advertise: Option<String>,
     /// The base URL of the platform's store and VM list.
     pub platform: String,
     /// Other entries that are asked first; the rest is learnt from them.
@@ -97,6 +100,9 @@
         address("callers", &self.callers)?;
         address("operators", &self.operators)?;
         address("inner", &self.inner)?;
+        if let Some(advertised) = &self.advertise {
+            address("advertise", advertised)?;
+        }
         if !self.platform.starts_with("http://") {
             return Err(Error::value("platform", "must begin with http://"));
         }
--- a/crates/marigoldpick-entry/tests/path/main.rs
+++ b/crates/marigoldpick-entry/tests/path/main.rs
@@ -1,6 +1,7 @@
 //! The whole path over loopback: intent, plan, confirm, tasks on workers, requests on endpoints.
 
 mod operators;
+mod regions;
 mod site;
 
 use googletest::prelude::*;
--- a/crates/marigoldpick-entry/tests/path/site.rs
+++ b/crates/marigoldpick-entry/tests/path/site.rs
@@ -172,7 +172,8 @@
     }
 }
 
-fn entry_settings(number: usize, platform: &str, peer: Vec<Peer>) -> Settings {
+/// Returns the settings of an entry of the first failure domain.
+pub(crate) fn entry_settings(number: usize, platform: &str, peer: Vec<Peer>) -> Settings {
     let any = "127.0.0.1:0".to_owned();
     Settings {
         entry: id::Entry::new(&format!("north-{number}")).expect("a name"),
@@ -180,6 +181,7 @@
         callers: any.clone(),
         operators: any.clone(),
         inner: any,
+        advertise: None,
         platform: platform.to_owned(),
         peer,
         log: "info".to_owned(),
--- a/crates/marigoldpick-standin/src/lib.rs
+++ b/crates/marigoldpick-standin/src/lib.rs
@@ -11,6 +11,7 @@
 mod http;
 mod listener;
 pub mod platform;
+pub mod relay;
 mod seed;
 pub mod settings;
 mod slot;
@@ -21,5 +22,6 @@
 
 pub use fault::Fault;
 pub use platform::Platform;
+pub use relay::Relay;
 pub use settings::Settings;
 pub use truth::Truth;
--- /dev/null
+++ b/crates/marigoldpick-standin/src/relay.rs
@@ -0,0 +1,185 @@
+//! A link between two places: it carries connections with latency, and can be parted.
+
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
+use std::time::{Duration, Instant};
+
+use async_std::io::{ReadExt, WriteExt};
+use async_std::net::{Shutdown, TcpListener, TcpStream};
+use async_std::task;
+use futures::future::join;
+use marigoldpick_core::prelude::*;
+
+/// The bytes that are read at a time.
+const CHUNK: usize = 16 * 1024;
+/// The chunks of one direction that are on their way, at most.
+const ON_THE_WAY: usize = 1_024;
+/// Between two looks at a parted link.
+const POLL: Duration = Duration::from_millis(5);
+
+/// `Relay` listens at one address and carries connections to another.
+///
+/// While it is parted no byte arrives, as on a link that drops packets; what was sent arrives after
+/// it has healed, as by retransmission.
+#[derive(Clone, Debug)]
+pub struct Relay {
+    address: SocketAddr,
+    link: Arc<Link>,
+}
+
+#[derive(Debug, Default)]
+struct Link {
+    /// One way, in milliseconds.
+    latency: AtomicU64,
+    parted: AtomicBool,
+    ended: AtomicBool,
+}
+
+impl Relay {
+    /// Listens at a free loopback port and carries connections to `target`.
+    ///
+    /// # Errors
+    /// Fails when no port can be taken.
+    pub async fn start(target: SocketAddr, latency: Millis) -> std::io::Result<Self> {
+        let (listener, address) = listen().await?;
+        let relay = Self::new(address, latency);
+        task::spawn(accept(listener, target, Arc::clone(&relay.link)));
+        Ok(relay)
+    }
+
+    /// Takes a port whose target is known only later, by `aim`.
+    ///
+    /// # Errors
+    /// Fails when no port can be taken.
+    pub async fn reserve(latency: Millis) -> std::io::Result<(Self, Aim)> {
+        let (listener, address) = listen().await?;
+        let relay = Self::new(address, latency);
+        let link = Arc::clone(&relay.link);
+        Ok((relay, Aim { listener, link }))
+    }
+
+    fn new(address: SocketAddr, latency: Millis) -> Self {
+        let link = Arc::new(Link::default());
+        link.latency.store(latency.0, Ordering::SeqCst);
+        Self { address, link }
+    }
+
+    /// Returns where it listens.
+    #[must_use]
+    pub const fn address(&self) -> SocketAddr {
+        self.address
+    }
+
+    /// Parts the link, or heals it.
+    pub fn part(&self, on: bool) {
+        self.link.parted.store(on, Ordering::SeqCst);
+    }
+
+    /// Ends the link and all its connections.
+    pub fn end(&self) {
+        self.link.ended.store(true, Ordering::SeqCst);
+    }
+}
+
+/// `Aim` is a relay that has no target yet.
+#[derive(Debug)]
+pub struct Aim {
+    listener: TcpListener,
+    link: Arc<Link>,
+}
+
+impl Aim {
+    /// Carries connections to `target` from now on.
+    pub fn at(self, target: SocketAddr) {
+        task::spawn(accept(self.listener, target, self.link));
+    }
+}
+
+impl Link {
+    fn is_parted(&self) -> bool {
+        self.parted.load(Ordering::SeqCst)
+    }
+
+    fn is_ended(&self) -> bool {
+        self.ended.load(Ordering::SeqCst)
+    }
+
+    fn latency(&self) -> Duration {
+        Duration::from_millis(self.latency.load(Ordering::SeqCst))
+    }
+
+    /// Waits until `due` has passed and the link is whole; false when it has ended.
+    async fn arrive(&self, due: Instant) -> bool {
+        task::sleep(due.saturating_duration_since(Instant::now())).await;
+        while self.is_parted() && !self.is_ended() {
+            task::sleep(POLL).await;
+        }
+        !self.is_ended()
+    }
+}
+
+async fn listen() -> std::io::Result<(TcpListener, SocketAddr)> {
+    let listener = TcpListener::bind("127.0.0.1:0").await?;
+    let address = listener.local_addr()?;
+    Ok((listener, address))
+}
+
+async fn accept(listener: TcpListener, target: SocketAddr, link: Arc<Link>) {
+    while !link.is_ended() {
+        let Ok((near, _)) = listener.accept().await else {
+            task::sleep(POLL).await;
+            continue;
+        };
+        task::spawn(carry(near, target, Arc::clone(&link)));
+    }
+}
+
+async fn carry(near: TcpStream, target: SocketAddr, link: Arc<Link>) {
+    // The first packet needs a way there and back before data may follow.
+    let due = Instant::now() + link.latency() * 2;
+    if !link.arrive(due).await {
+        return;
+    }
+    let Ok(far) = TcpStream::connect(target).await else {
+        drop(near.shutdown(Shutdown::Both));
+        return;
+    };
+    let is_plain = near.set_nodelay(true).is_ok() && far.set_nodelay(true).is_ok();
+    if is_plain {
+        join(
+            pass(near.clone(), far.clone(), &link),
+            pass(far.clone(), near.clone(), &link),
+        )
+        .await;
+    }
+}
+
+/// Passes one direction on, each chunk a latency after it came, then its end.
+async fn pass(mut from: TcpStream, mut to: TcpStream, link: &Link) {
+    let (sender, receiver) = async_channel::bounded::<(Instant, Vec<u8>)>(ON_THE_WAY);
+    let read = async move {
+        let mut chunk = vec![0; CHUNK];
+        while let Ok(count @ 1..) = from.read(&mut chunk).await {
+            let due = Instant::now() + link.latency();
+            if sender.send((due, chunk[..count].to_vec())).await.is_err() {
+                return;
+            }
+        }
+    };
+    let write = async move {
+        while let Ok((due, bytes)) = receiver.recv().await {
+            if !link.arrive(due).await || to.write_all(&bytes).await.is_err() {
+                drop(to.shutdown(Shutdown::Both));
+                return;
+            }
+        }
+        // The end arrives as late as the bytes.
+        if link.arrive(Instant::now() + link.latency()).await {
+            drop(to.shutdown(Shutdown::Write));
+        } else {
+            drop(to.shutdown(Shutdown::Both));
+        }
+    };
+    join(read, write).await;
+}
--- a/crates/marigoldpick-standin/tests/standin/main.rs
+++ b/crates/marigoldpick-standin/tests/standin/main.rs
@@ -3,6 +3,7 @@
 mod common;
 mod endpoint;
 mod platform;
+mod relay;
 mod settings;
 mod store;
 mod worker;
--- /dev/null
+++ b/crates/marigoldpick-standin/tests/standin/relay.rs
@@ -0,0 +1,73 @@
+//! Links with latency that part.
+
+use std::time::{Duration, Instant};
+
+use async_std::io::{ReadExt, WriteExt};
+use async_std::net::{TcpListener, TcpStream};
+use googletest::prelude::*;
+use marigoldpick_core::prelude::*;
+use marigoldpick_standin::Relay;
+
+const LATENCY: Millis = Millis(20);
+/// Longer than any byte needs on a link that is whole.
+const HELD: Duration = Duration::from_millis(200);
+
+/// Starts an echo behind a relay and returns a connection to it.
+async fn echo() -> (Relay, TcpStream) {
+    let listener = TcpListener::bind("127.0.0.1:0").await.expect("a free port");
+    let target = listener.local_addr().expect("an address");
+    async_std::task::spawn(async move {
+        let (stream, _) = listener.accept().await.expect("a connection");
+        async_std::io::copy(&stream, &stream)
+            .await
+            .expect("an echo");
+    });
+    let relay = Relay::start(target, LATENCY).await.expect("a free port");
+    let stream = TcpStream::connect(relay.address())
+        .await
+        .expect("the relay listens");
+    (relay, stream)
+}
+
+#[googletest::test]
+#[async_std::test]
+async fn relay_carries_bytes_no_sooner_than_its_latency() {
+    let (_relay, mut stream) = echo().await;
+    let mut answer = [0; 4];
+    for word in [b"left", b"stay", b"here"] {
+        let start = Instant::now();
+        stream.write_all(word).await.expect("the link is whole");
+        stream.read_exact(&mut answer).await.expect("an answer");
+        expect_that!(answer, eq(*word));
+        expect_that!(start.elapsed(), ge((LATENCY + LATENCY).duration()));
+    }
+}
+
+#[googletest::test]
+#[async_std::test]
+async fn relay_parted_holds_bytes_until_it_heals() {
+    let (relay, mut stream) = echo().await;
+    let mut answer = [0; 4];
+    stream.write_all(b"once").await.expect("the link is whole");
+    stream.read_exact(&mut answer).await.expect("an answer");
+    relay.part(true);
+    stream.write_all(b"late").await.expect("it is buffered");
+    let early = async_std::future::timeout(HELD, stream.read_exact(&mut answer)).await;
+    expect_that!(early.is_err(), eq(true));
+    relay.part(false);
+    stream.read_exact(&mut answer).await.expect("an answer");
+    expect_that!(&answer, eq(b"late"));
+}
+
+#[googletest::test]
+#[async_std::test]
+async fn relay_end_closes_its_connections() {
+    let (relay, mut stream) = echo().await;
+    let mut answer = [0; 4];
+    stream.write_all(b"once").await.expect("the link is whole");
+    stream.read_exact(&mut answer).await.expect("an answer");
+    relay.end();
+    let sent = stream.write_all(b"gone").await;
+    let read = stream.read(&mut answer).await;
+    expect_that!(sent.is_err() || !matches!(read, Ok(1..)), eq(true));
+}
