--- a/crates/marigoldpick-bench/src/cost.rs
+++ b/crates/marigoldpick-bench/src/cost.rs
@@ -7,6 +7,7 @@
 mod machines;
 mod plot;
 mod process;
+mod regions;
 mod rig;
 mod sites;
 mod spans;
@@ -30,7 +31,7 @@
     #[options(help = "write the slopes as a plot", meta = "FILE")]
     svg: Option<String>,
     #[options(
-        help = "measure all, machines, sites, or one of workers, tasks, entries, domains, starts, changes, config, take-over",
+        help = "measure all, machines, sites, or one of workers, tasks, entries, domains, starts, changes, config, regions, take-over",
         meta = "PART",
         default = "all"
     )]
@@ -89,6 +90,9 @@
         report.spreads.push(spans::config(3, seed).await?);
         report.spreads.push(spans::config(8, seed).await?);
     }
+    if matches!(part, "regions" | "all") {
+        report.spreads.extend(regions::measure(seed).await?);
+    }
     if matches!(part, "take-over" | "all") {
         report.spreads.push(spans::take_over(true, seed).await?);
         report.spreads.push(spans::take_over(false, seed).await?);
--- a/crates/marigoldpick-bench/src/cost/rig.rs
+++ b/crates/marigoldpick-bench/src/cost/rig.rs
@@ -9,7 +9,8 @@
 use marigoldpick_core::operator::{Ask, Status};
 use marigoldpick_core::prelude::*;
 use marigoldpick_entry::settings::{Peer, Settings as EntrySettings, Span};
-use marigoldpick_standin::Settings as StandinSettings;
+use marigoldpick_standin::relay::Aim;
+use marigoldpick_standin::{Relay, Settings as StandinSettings};
 
 use super::process::{Error, Process};
 
@@ -30,6 +31,8 @@
     pub(crate) workers: u32,
     /// Leases, beats and logs.
     pub(crate) ownership: marigoldpick_shard::Settings,
+    /// The latency of the links between entries, and from entries to the store, one way.
+    pub(crate) latency: Option<Millis>,
     /// The seed of the stand-ins.
     pub(crate) seed: u64,
 }
@@ -42,6 +45,7 @@
             entries,
             workers,
             ownership: marigoldpick_shard::Settings::default(),
+            latency: None,
             seed,
         }
     }
@@ -83,12 +87,36 @@
     }
 }
 
+/// `Links` are one entry's links, when they have latency.
+#[derive(Debug)]
+struct Links {
+    /// From other entries.
+    entry: Relay,
+    /// To the store.
+    store: Relay,
+}
+
+impl Links {
+    async fn start(
+        platform: &Process,
+        latency: Millis,
+    ) -> Result<(Option<Self>, Option<Aim>), Error> {
+        let base = platform.address("platform");
+        let store = base.trim_start_matches("http://").parse();
+        let store = Relay::start(store.expect("an address"), latency).await;
+        let (entry, aim) = Relay::reserve(latency).await.map_err(Error::File)?;
+        let store = store.map_err(Error::File)?;
+        Ok((Some(Self { entry, store }), Some(aim)))
+    }
+}
+
 /// `Rig` is the running site.
 #[derive(Debug)]
 pub(crate) struct Rig {
     pub(crate) platform: Process,
     pub(crate) entries: Vec<Process>,
     names: Vec<id::Entry>,
+    links: Vec<Links>,
     shape: Shape,
     directory: PathBuf,
     start: Instant,
@@ -107,6 +135,7 @@
             platform,
             entries: Vec::new(),
             names: Vec::new(),
+            links: Vec::new(),
             shape,
             directory,
             start: Instant::now(),
@@ -114,7 +143,7 @@
         let mut peers = Vec::new();
         for domain in 0..rig.shape.domains {
             for number in 0..rig.shape.entries {
-                rig.start_entry(domain, number, &mut peers)?;
+                rig.start_entry(domain, number, &mut peers).await?;
             }
         }
         rig.wait_for_leads().await?;
@@ -122,7 +151,7 @@
         Ok(rig)
     }
 
-    fn start_entry(
+    async fn start_entry(
         &mut self,
         domain: u32,
         number: u32,
@@ -132,14 +161,23 @@
         let any = "127.0.0.1:0".to_owned();
         let entry = id::Entry::new(&name).expect("a name");
         let domain = id::Domain::new(&format!("d{domain}")).expect("a name");
+        let (links, aim) = match self.shape.latency {
+            Some(latency) => Links::start(&self.platform, latency).await?,
+            None => (None, None),
+        };
         let settings = EntrySettings {
             entry: entry.clone(),
             domain: domain.clone(),
             callers: any.clone(),
             operators: any.clone(),
             inner: any,
-            advertise: None,
-            platform: self.platform.address("platform"),
+            advertise: links
+                .as_ref()
+                .map(|links| links.entry.address().to_string()),
+            platform: links.as_ref().map_or_else(
+                || self.platform.address("platform"),
+                |links| format!("http://{}", links.store.address()),
+            ),
             peer: peers.clone(),
             log: "warn".to_owned(),
             events: 20_000,
@@ -150,16 +188,34 @@
         let file = self.directory.join(format!("{name}.toml"));
         std::fs::write(&file, text).map_err(Error::File)?;
         let process = Process::start("marigold-entry", &file.to_string_lossy())?;
+        let inner = process.address("inner");
+        if let Some(aim) = aim {
+            aim.at(inner.parse().expect("an address"));
+        }
+        let address = settings.advertise.unwrap_or(inner);
         peers.push(Peer {
             entry: entry.clone(),
             domain,
-            address: process.address("inner"),
+            address,
         });
+        self.links.extend(links);
         self.entries.push(process);
         self.names.push(entry);
         Ok(())
     }
 
+    /// Parts the links of the entries from `first` on from all others, or heals them.
+    pub(crate) fn part(&self, first: usize, on: bool) {
+        for links in &self.links[first..] {
+            links.entry.part(on);
+            links.store.part(on);
+        }
+        // What the parted entries send goes over the others' links.
+        for links in &self.links[..first] {
+            links.entry.part(on);
+        }
+    }
+
     /// Returns a client of the operators' faces, the entry at `at` first.
     pub(crate) fn client(&self, at: usize) -> Client {
         let mut named: Vec<String> = vec![self.entries[at].address("operators")];
--- a/crates/marigoldpick-bench/src/cost/spans.rs
+++ b/crates/marigoldpick-bench/src/cost/spans.rs
@@ -39,7 +39,8 @@
 }
 
 impl Spread {
-    fn new(name: &'static str, spans: &[Duration]) -> Self {
+    /// Makes the spread of samples.
+    pub(crate) fn new(name: &'static str, spans: &[Duration]) -> Self {
         let mut histogram: Histogram<u64> =
             Histogram::new_with_bounds(1, LONGEST_MICROS, 3).expect("the bounds are in order");
         for span in spans {
@@ -71,34 +72,44 @@
     let mut shape = Shape::new(3, 4, seed);
     shape.domains = domains;
     let rig = Rig::start(shape).await?;
-    let client = rig.client(0);
+    let name = if domains == 8 {
+        "config in force, 24 entries"
+    } else {
+        "config in force"
+    };
+    Ok(Spread::new(name, &changes(&rig).await?))
+}
+
+/// Makes changes one after the other and times each until it is in force at all entries.
+pub(crate) async fn changes(rig: &Rig) -> Result<Vec<Duration>, Error> {
     let mut spans = Vec::new();
     for number in 0..CHANGES {
-        let worker = id::Worker::new(&format!("bench-{}", number / 2)).expect("a name");
-        let drain = Drain {
-            target: Target::Worker(worker),
-            on: number % 2 == 0,
-        };
         let start = Instant::now();
-        let accepted = client.drain(&drain).await;
-        let sequence = accepted
-            .map_err(|problem| Error::Entry(problem.message))?
-            .sequence;
+        let sequence = change(rig, number).await?;
         for at in 0..rig.entries.len() {
-            reached(&rig, at, sequence).await?;
+            reached(rig, at, sequence).await?;
         }
         spans.push(start.elapsed());
         task::sleep(Duration::from_millis(37)).await;
     }
-    let name = if domains == 8 {
-        "config in force, 24 entries"
-    } else {
-        "config in force"
+    Ok(spans)
+}
+
+/// Starts or ends the drain of one of four workers at the first entry, and returns its number.
+pub(crate) async fn change(rig: &Rig, number: u32) -> Result<u64, Error> {
+    let worker = id::Worker::new(&format!("d0-r0/w{}", number / 2 % 4)).expect("a name");
+    let drain = Drain {
+        target: Target::Worker(worker),
+        on: number.is_multiple_of(2),
     };
-    Ok(Spread::new(name, &spans))
+    let accepted = rig.client(0).drain(&drain).await;
+    accepted
+        .map(|accepted| accepted.sequence)
+        .map_err(|problem| Error::Entry(problem.message))
 }
 
-async fn reached(rig: &Rig, at: usize, sequence: u64) -> Result<(), Error> {
+/// Waits until a change is in force at an entry.
+pub(crate) async fn reached(rig: &Rig, at: usize, sequence: u64) -> Result<(), Error> {
     let start = Instant::now();
     let address = rig.entries[at].address("operators");
     while start.elapsed() < LONGEST {
