Follow a request over entries in the time line

Each request now leaves an accepted and an answered event, and one that is sent on leaves its sending, receipt, reply and return. They are kept in a list of their own, as they are, and become events only when they are read, so requests push out no event of the control thread. Both lists take their numbers from one counter; a page reads them together. The ends of a forwarded call and of its answer tell the same name, and the reader links them: no byte on the wire. Ruled out: a mark in the call, which the schema has no room for and which would cost bytes in each.

The settings `events` and `requests` have to be from 1 to 200,000.

--- a/crates/marigoldpick-bench/src/cost/rig.rs
+++ b/crates/marigoldpick-bench/src/cost/rig.rs
@@ -181,6 +181,7 @@
             peer: peers.clone(),
             log: "warn".to_owned(),
             events: 20_000,
+            requests: 20_000,
             span: Span::default(),
             ownership: self.shape.ownership.clone(),
         };
--- a/crates/marigoldpick-bench/src/load/site.rs
+++ b/crates/marigoldpick-bench/src/load/site.rs
@@ -11,9 +11,13 @@
 use marigoldpick_core::intent::Intent;
 use marigoldpick_core::peer;
 use marigoldpick_core::prelude::*;
+use marigoldpick_entry::recorder::Trail;
 use marigoldpick_entry::traffic::{Face, Settings, Wire};
 use marigoldpick_entry::view::{Cell, Endpoint, Peer, View};
 
+/// Events of requests that an entry keeps.
+const EVENTS: usize = 20_000;
+
 /// `Lines` carries calls between the faces without a network.
 #[derive(Clone, Debug, Default)]
 pub struct Lines(Arc<Mutex<HashMap<id::Entry, Face<Self>>>>);
@@ -145,6 +149,7 @@
             lines.clone(),
             System::new(),
             events,
+            Trail::new(Arc::default(), EVENTS),
         );
         lines.put(entry, face.clone());
         let listener = TcpListener::bind("127.0.0.1:0").await?;
--- a/crates/marigoldpick-core/src/timeline.rs
+++ b/crates/marigoldpick-core/src/timeline.rs
@@ -38,4 +38,35 @@
     pub about: String,
     /// More, for people.
     pub note: String,
+    /// The message between two processes that this event is one end of, if any.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub message: Option<Message>,
+}
+
+/// `Message` is one end of a message; both ends tell its name, so that the cause need not travel.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct Message {
+    /// The message's name.
+    pub name: String,
+    /// Which end this is.
+    pub side: Side,
+}
+
+/// `Side` is an end of a message.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Serialize, Deserialize)]
+#[serde(rename_all = "kebab-case")]
+pub enum Side {
+    /// It was sent.
+    Sent,
+    /// It was received.
+    Received,
+}
+
+impl Message {
+    /// Names an end of a message.
+    #[must_use]
+    pub const fn new(name: String, side: Side) -> Self {
+        Self { name, side }
+    }
 }
--- a/crates/marigoldpick-entry/src/entry.rs
+++ b/crates/marigoldpick-entry/src/entry.rs
@@ -105,7 +105,8 @@
         let clock = System::new();
         let view = View::new(known.entry.clone(), incarnation, known.domain.clone()).cell();
         let events = usize::try_from(settings.events).unwrap_or(usize::MAX);
-        let recorder = Recorder::new(known.entry.0.clone(), incarnation, events);
+        let requests = usize::try_from(settings.requests).unwrap_or(usize::MAX);
+        let recorder = Recorder::new(known.entry.0.clone(), incarnation, events, requests);
         let local = wire::Local {
             entry: known.entry.clone(),
             domain: known.domain.clone(),
@@ -129,6 +130,7 @@
             Carrier::new(client.clone(), Arc::clone(&view)),
             clock,
             notes,
+            recorder.trail().clone(),
         );
         let handler = Handler::new(sender.clone(), face.clone());
         let server = wire::Server::start(inner, handler).map_err(Error::Thread)?;
--- a/crates/marigoldpick-entry/src/recorder.rs
+++ b/crates/marigoldpick-entry/src/recorder.rs
@@ -1,12 +1,17 @@
 //! Keeps the latest events of this process for the time line.
 
+mod trail;
+
 use std::collections::VecDeque;
+use std::sync::atomic::{AtomicU64, Ordering};
 use std::sync::{Arc, Mutex, PoisonError};
 
 use marigoldpick_core::operator::Timeline;
 use marigoldpick_core::prelude::*;
 use marigoldpick_core::timeline::{Event, Mark};
 
+pub use trail::{Kind, Trail};
+
 /// The most events in one page.
 const PAGE: usize = 2_000;
 
@@ -92,31 +97,32 @@
     process: Name,
     incarnation: u64,
     most: usize,
-    kept: Arc<Mutex<Kept>>,
-}
-
-#[derive(Debug, Default)]
-struct Kept {
-    next: u64,
-    events: VecDeque<Event>,
+    next: Arc<AtomicU64>,
+    kept: Arc<Mutex<VecDeque<Event>>>,
+    trail: Trail,
 }
 
 impl Recorder {
-    /// Makes a recorder that keeps at most `most` events.
+    /// Makes a recorder that keeps at most `most` events, and `requests` of requests besides.
     #[must_use]
-    pub fn new(process: Name, incarnation: u64, most: usize) -> Self {
-        let kept = Kept {
-            next: 1,
-            events: VecDeque::new(),
-        };
+    pub fn new(process: Name, incarnation: u64, most: usize, requests: usize) -> Self {
+        let next = Arc::new(AtomicU64::new(1));
         Self {
             process,
             incarnation,
             most,
-            kept: Arc::new(Mutex::new(kept)),
+            trail: Trail::new(Arc::clone(&next), requests),
+            next,
+            kept: Arc::default(),
         }
     }
 
+    /// Returns where the steps of requests go.
+    #[must_use]
+    pub const fn trail(&self) -> &Trail {
+        &self.trail
+    }
+
     /// Records an event, whose cause must be resolved by now, and returns its mark.
     ///
     /// # Panics
@@ -131,13 +137,12 @@
         let mark = Mark {
             process: self.process.clone(),
             incarnation: self.incarnation,
-            sequence: kept.next,
+            sequence: self.next.fetch_add(1, Ordering::Relaxed),
         };
-        kept.next += 1;
-        if kept.events.len() >= self.most {
-            kept.events.pop_front();
+        if kept.len() >= self.most {
+            kept.pop_front();
         }
-        kept.events.push_back(Event {
+        kept.push_back(Event {
             mark: mark.clone(),
             at,
             cause,
@@ -145,31 +150,29 @@
             what: note.what,
             about: note.about,
             note: note.note,
+            message: None,
         });
         mark
     }
 
     /// Returns the events with numbers above `after`, one page of them.
+    ///
+    /// Both lists are held while they are read: a number that is missing in between was dropped.
     #[must_use]
     pub fn page(&self, after: u64) -> Timeline {
         let kept = self.kept.lock().unwrap_or_else(PoisonError::into_inner);
-        let first = kept
-            .events
-            .front()
-            .map_or(kept.next, |event| event.mark.sequence);
-        let dropped = first.saturating_sub(after + 1);
-        let events: Vec<Event> = kept
-            .events
-            .iter()
-            .skip(usize::try_from((after + 1).saturating_sub(first)).unwrap_or(usize::MAX))
-            .take(PAGE)
-            .cloned()
-            .collect();
+        let mut events = self.trail.events(after, &self.process, self.incarnation);
+        let first = kept.partition_point(|event| event.mark.sequence <= after);
+        events.extend(kept.range(first..).cloned());
+        std::mem::drop(kept);
+        events.sort_unstable_by_key(|event| event.mark.sequence);
+        events.truncate(PAGE);
         let next = events.last().map_or(after, |event| event.mark.sequence);
+        let told = u64::try_from(events.len()).unwrap_or(u64::MAX);
         Timeline {
+            dropped: next.saturating_sub(after).saturating_sub(told),
             events,
             next,
-            dropped,
         }
     }
 }
--- /dev/null
+++ b/crates/marigoldpick-entry/src/recorder/trail.rs
@@ -0,0 +1,139 @@
+//! Keeps the steps of the latest requests, so that they push no other events out.
+
+use std::collections::VecDeque;
+use std::sync::atomic::{AtomicU64, Ordering};
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
+
+use marigoldpick_core::prelude::*;
+use marigoldpick_core::timeline::{Event, Mark, Message, Side};
+
+/// `Kind` is what happened to a request.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum Kind {
+    /// A caller's request was read whole.
+    Accepted,
+    /// The caller's answer was decided.
+    Answered(Code),
+    /// The request was sent to an entry of another failure domain.
+    Forwarded(id::Entry),
+    /// It came from an entry of another failure domain.
+    Received,
+    /// The answer to that entry was decided.
+    Replied(Code),
+    /// The answer of the other entry came.
+    Returned(id::Entry, Code),
+    /// No answer of the other entry came.
+    Lost(id::Entry, Code),
+}
+
+/// `Step` is one event of a request, in the form in which it is kept.
+#[derive(Clone, Debug)]
+struct Step {
+    sequence: u64,
+    at: Millis,
+    request: id::Request,
+    attempt: u32,
+    kind: Kind,
+}
+
+/// `Trail` keeps the steps of the latest requests; clones share them.
+///
+/// A step is kept as it is and becomes an event only when it is read, since it is taken on the
+/// request path.
+#[derive(Clone, Debug)]
+pub struct Trail {
+    next: Arc<AtomicU64>,
+    most: usize,
+    steps: Arc<Mutex<VecDeque<Step>>>,
+}
+
+impl Trail {
+    /// Makes a trail that keeps at most `most` steps and takes their numbers from `next`.
+    #[must_use]
+    pub fn new(next: Arc<AtomicU64>, most: usize) -> Self {
+        Self {
+            next,
+            most,
+            steps: Arc::default(),
+        }
+    }
+
+    /// Records a step of a request.
+    pub fn record(&self, at: Millis, request: &id::Request, attempt: u32, kind: Kind) {
+        let mut step = Step {
+            sequence: 0,
+            at,
+            request: request.clone(),
+            attempt,
+            kind,
+        };
+        let mut steps = lock(&self.steps);
+        step.sequence = self.next.fetch_add(1, Ordering::Relaxed);
+        let oldest = if steps.len() >= self.most {
+            steps.pop_front()
+        } else {
+            None
+        };
+        steps.push_back(step);
+        std::mem::drop(steps);
+        // The oldest step's names are freed without the lock.
+        std::mem::drop(oldest);
+    }
+
+    /// Reads the steps with numbers above `after`, as events of this process, while `others` are
+    /// held too, so that no number comes in between.
+    pub(super) fn events(&self, after: u64, process: &Name, incarnation: u64) -> Vec<Event> {
+        let steps = lock(&self.steps);
+        let first = steps.partition_point(|step| step.sequence <= after);
+        let event = |step: &Step| step.event(process, incarnation);
+        steps.range(first..).map(event).collect()
+    }
+}
+
+impl Step {
+    fn event(&self, process: &Name, incarnation: u64) -> Event {
+        let (what, note, message) = self.describe(process);
+        Event {
+            mark: Mark {
+                process: process.clone(),
+                incarnation,
+                sequence: self.sequence,
+            },
+            at: self.at,
+            cause: None,
+            part: Name::new("route").expect("a part is a name"),
+            what: Name::new(what).expect("an event's word is a name"),
+            about: self.request.to_string(),
+            note: format!("attempt={}{note}", self.attempt),
+            message,
+        }
+    }
+
+    fn describe(&self, me: &Name) -> (&'static str, String, Option<Message>) {
+        let call = |to: &Name| format!("{}#{}>{to}", self.request, self.attempt);
+        let reply = |from: &Name| format!("{}#{}<{from}", self.request, self.attempt);
+        let sent = |name| Some(Message::new(name, Side::Sent));
+        let received = |name| Some(Message::new(name, Side::Received));
+        let code = |code: &Code| format!(" code={}", code.number());
+        match &self.kind {
+            Kind::Accepted => ("request-accepted", String::new(), None),
+            Kind::Answered(result) => ("request-answered", code(result), None),
+            Kind::Forwarded(to) => ("request-forwarded", format!(" to={to}"), sent(call(&to.0))),
+            Kind::Received => ("request-received", String::new(), received(call(me))),
+            Kind::Replied(result) => ("request-replied", code(result), sent(reply(me))),
+            Kind::Returned(from, result) => (
+                "request-returned",
+                format!(" from={from}{}", code(result)),
+                received(reply(&from.0)),
+            ),
+            Kind::Lost(to, result) => {
+                let note = format!(" to={to}{}", code(result));
+                ("request-lost", note, None)
+            }
+        }
+    }
+}
+
+fn lock(steps: &Mutex<VecDeque<Step>>) -> MutexGuard<'_, VecDeque<Step>> {
+    steps.lock().unwrap_or_else(PoisonError::into_inner)
+}
--- a/crates/marigoldpick-entry/src/settings.rs
+++ b/crates/marigoldpick-entry/src/settings.rs
@@ -4,6 +4,9 @@
 use marigoldpick_core::prelude::*;
 use serde::{Deserialize, Serialize};
 
+/// The most events that an entry keeps of a kind, for the sake of its memory.
+const MOST_EVENTS: u32 = 200_000;
+
 /// `Settings` is all that an entry learns before it starts.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 #[serde(deny_unknown_fields)]
@@ -32,6 +35,9 @@
     /// Events that the time line keeps.
     #[serde(default = "events")]
     pub events: u32,
+    /// Events of requests that the time line keeps besides.
+    #[serde(default = "events")]
+    pub requests: u32,
     /// Spans of the control thread.
     #[serde(default)]
     pub span: Span,
@@ -112,6 +118,8 @@
                 "must be error, warn, info, debug or trace",
             ));
         }
+        kept("events", self.events)?;
+        kept("requests", self.requests)?;
         self.verify_peers()?;
         self.span.verify()
     }
@@ -147,6 +155,15 @@
     }
 }
 
+/// Checks how many events are kept.
+fn kept(field: &str, events: u32) -> Result<(), Error> {
+    if (1..=MOST_EVENTS).contains(&events) {
+        return Ok(());
+    }
+    let message = format!("must be from 1 to {MOST_EVENTS}");
+    Err(Error::value(field, &message))
+}
+
 fn address(field: &str, text: &str) -> Result<(), Error> {
     match text.parse::<std::net::SocketAddr>() {
         Ok(_) => Ok(()),
--- a/crates/marigoldpick-entry/src/traffic.rs
+++ b/crates/marigoldpick-entry/src/traffic.rs
@@ -25,6 +25,7 @@
 use marigoldpick_core::prelude::*;
 use marigoldpick_route::quorum::RESEND;
 
+use crate::recorder::Trail;
 use crate::view::Cell;
 pub use gate::Gate;
 use state::State;
@@ -109,8 +110,10 @@
         wire: W,
         clock: System,
         events: async_channel::Sender<Note>,
+        trail: Trail,
     ) -> Self {
-        let state = Arc::new(State::new(settings, view, wire, clock, events));
+        let state = State::new(settings, view, wire, clock, events, trail);
+        let state = Arc::new(state);
         async_std::task::spawn(slots::keep(Arc::clone(&state)));
         Self { state }
     }
--- a/crates/marigoldpick-entry/src/traffic/accept.rs
+++ b/crates/marigoldpick-entry/src/traffic/accept.rs
@@ -16,6 +16,7 @@
 use super::caller::{self, Problem};
 use super::run::{self, Ask, Reply};
 use super::state::State;
+use crate::recorder::Kind;
 
 /// How long an unread body is skipped before the connection is closed.
 const SKIP: Duration = Duration::from_millis(500);
@@ -157,6 +158,7 @@
         forwarded: false,
         body: Arc::new(body),
     };
+    state.step(&ask, Kind::Accepted);
     let (open, gone) = async_channel::bounded(1);
     let (sender, receiver) = oneshot::channel();
     async_std::task::spawn(run::run(Arc::clone(state), busy, ask, gone, sender));
--- a/crates/marigoldpick-entry/src/traffic/forward.rs
+++ b/crates/marigoldpick-entry/src/traffic/forward.rs
@@ -13,6 +13,7 @@
 use super::exchange::{Whole, left};
 use super::run::{self, Ask, Reply};
 use super::state::{State, lock};
+use crate::recorder::Kind;
 
 /// A failure domain that refused or did not answer is left alone for this time.
 const BACK_OFF: Millis = Millis(300);
@@ -62,8 +63,13 @@
         body: ask.body.to_vec(),
     };
     let call = peer::Call::Forward(Box::new(forward));
+    state.step(ask, Kind::Forwarded(peer.entry.clone()));
     let call = state.wire.call(&peer.entry, &peer.address, call);
     let answer = async_std::future::timeout(left(ask.deadline, now), call).await;
+    let came = matches!(
+        answer,
+        Ok(Ok(peer::Answer::Forward(_) | peer::Answer::Refused(_)))
+    );
     let result = match answer {
         Ok(Ok(peer::Answer::Forward(forwarded))) => result(*forwarded),
         Ok(Ok(peer::Answer::Refused(code))) if code.is_not_run() => Err((code, None)),
@@ -71,6 +77,11 @@
         Ok(_) => Err((Code::UnknownEndpointLost, None)),
         Err(_) => Err((Code::UnknownTimeout, None)),
     };
+    let code = result
+        .as_ref()
+        .map_or_else(|failed| failed.0, |_| Code::Done);
+    let kind = if came { Kind::Returned } else { Kind::Lost };
+    state.step(ask, kind(peer.entry.clone(), code));
     if result.is_err() {
         lock(&state.forward.until).insert(peer.domain, state.now() + BACK_OFF);
     }
@@ -79,6 +90,19 @@
 
 /// Runs a request that came from another failure domain, if a slot is free at once.
 pub async fn receive<W: Wire>(state: &Arc<State<W>>, forward: Forward) -> peer::Answer {
+    let (request, attempt) = (forward.request.clone(), forward.attempt);
+    let step = |kind| state.trail.record(state.now(), &request, attempt, kind);
+    step(Kind::Received);
+    let answer = place(state, forward).await;
+    step(Kind::Replied(match &answer {
+        peer::Answer::Forward(forwarded) => forwarded.code,
+        peer::Answer::Refused(code) => *code,
+        peer::Answer::Grant(_) | peer::Answer::Record(_) => Code::Internal,
+    }));
+    answer
+}
+
+async fn place<W: Wire>(state: &Arc<State<W>>, forward: Forward) -> peer::Answer {
     let Some(busy) = state.enter() else {
         return peer::Answer::Refused(Code::NotRunDraining);
     };
--- a/crates/marigoldpick-entry/src/traffic/run.rs
+++ b/crates/marigoldpick-entry/src/traffic/run.rs
@@ -12,11 +12,12 @@
 use marigoldpick_route::router::{Input, Request};
 use rand::Rng;
 
-use super::answer;
+use super::answer as body;
 use super::desk::{Desk, Turn};
 use super::exchange::{Large, Start, Whole, content, exchange, left};
 use super::state::{Busy, State};
 use super::{Wire, forward, once};
+use crate::recorder::Kind;
 
 /// Tries of one request at one entry.
 const TRIES: u32 = 4;
@@ -75,6 +76,14 @@
         Self::Failed { code, retry_after }
     }
 
+    /// Returns the result.
+    pub const fn code(&self) -> Code {
+        match self {
+            Self::Done { .. } => Code::Done,
+            Self::Failed { code, .. } => *code,
+        }
+    }
+
     /// Makes a reply of a whole answer.
     pub fn whole(whole: Whole) -> Self {
         Self::Done {
@@ -112,16 +121,16 @@
     reply: oneshot::Sender<Reply>,
 ) {
     let Some(desk) = state.desk(&ask.service) else {
-        let failed = Reply::failed(Code::NotRunUnknownService, None);
-        drop(reply.send(failed));
-        return;
+        return answer(
+            &state,
+            &ask,
+            reply,
+            Reply::failed(Code::NotRunUnknownService, None),
+        );
     };
     let claim = match once::claim(&state, &ask).await {
         Ok(claim) => claim,
-        Err(known) => {
-            drop(reply.send(known));
-            return;
-        }
+        Err(known) => return answer(&state, &ask, reply, known),
     };
     let found = Way {
         state: &state,
@@ -133,11 +142,11 @@
     let outcome = match found {
         Found::Whole(whole) => {
             let outcome = once::done(whole.status, Some(&whole.body));
-            drop(reply.send(Reply::whole(whole)));
+            answer(&state, &ask, reply, Reply::whole(whole));
             outcome
         }
         Found::Failed(code, retry_after) => {
-            drop(reply.send(Reply::failed(code, retry_after)));
+            answer(&state, &ask, reply, Reply::failed(code, retry_after));
             ended(code)
         }
         Found::Large { large, flight } => pass(&state, &desk, &ask, large, flight, reply).await,
@@ -146,6 +155,15 @@
     drop(busy);
 }
 
+/// Sends the reply. A request of another entry is told of where that entry is answered.
+fn answer<W: Wire>(state: &State<W>, ask: &Ask, to: oneshot::Sender<Reply>, reply: Reply) {
+    if !ask.forwarded {
+        state.step(ask, Kind::Answered(reply.code()));
+    }
+    // A caller that is gone needs no reply.
+    drop(to.send(reply));
+}
+
 /// Passes a large answer on and ends its flight.
 async fn pass<W: Wire>(
     state: &State<W>,
@@ -156,7 +174,7 @@
     reply: oneshot::Sender<Reply>,
 ) -> Outcome {
     let status = large.response.status() as u16;
-    let (sink, body) = answer::body(large.length);
+    let (sink, body) = body::body(large.length);
     let done = Reply::Done {
         status,
         content: content(&large.response),
@@ -164,8 +182,12 @@
     };
     drop(reply.send(done));
     let rest = left(ask.deadline, state.now());
-    let passed = async_std::future::timeout(rest, answer::pass(*large, &sink)).await;
+    let passed = async_std::future::timeout(rest, body::pass(*large, &sink)).await;
     let passed = passed.unwrap_or(Err(Code::UnknownTimeout));
+    if !ask.forwarded {
+        let code = passed.err().unwrap_or(Code::Done);
+        state.step(ask, Kind::Answered(code));
+    }
     let end = match passed {
         Ok(()) => End::Answered(flight.started.elapsed()),
         Err(Code::NotRunCallerGone) => End::Unsent,
--- a/crates/marigoldpick-entry/src/traffic/state.rs
+++ b/crates/marigoldpick-entry/src/traffic/state.rs
@@ -19,8 +19,10 @@
 use super::desk::{Change, Desk};
 use super::gate::Gate;
 use super::pool::Pool;
+use super::run::Ask;
 use super::slots::Slots;
 use super::{Note, Settings};
+use crate::recorder::{Kind, Trail};
 use crate::view::{Cell, View};
 
 /// `State` is what the tasks of a face share.
@@ -38,6 +40,7 @@
     pub held: AtomicU64,
     pub forward: super::forward::Peers,
     events: Sender<Note>,
+    pub trail: Trail,
     register: Mutex<Register>,
     ticket: AtomicU64,
     busy: AtomicUsize,
@@ -67,6 +70,7 @@
         wire: W,
         clock: System,
         events: Sender<Note>,
+        trail: Trail,
     ) -> Self {
         let now = clock.now();
         let first = view.load();
@@ -76,6 +80,7 @@
             wire,
             clock,
             events,
+            trail,
             gate: Gate::default(),
             pool: Pool::default(),
             slots: Mutex::new(slots),
@@ -225,6 +230,12 @@
         drop(self.events.try_send(note));
     }
 
+    /// Adds a step of a request to the time line.
+    pub fn step(&self, ask: &Ask, kind: Kind) {
+        self.trail
+            .record(self.now(), &ask.request, ask.attempt, kind);
+    }
+
     /// Returns the services as this entry routes to them.
     pub fn status(&self) -> Vec<operator::Service> {
         let now = self.now();
--- a/crates/marigoldpick-entry/tests/path/site.rs
+++ b/crates/marigoldpick-entry/tests/path/site.rs
@@ -186,6 +186,7 @@
         peer,
         log: "info".to_owned(),
         events: 1_000,
+        requests: 1_000,
         span: marigoldpick_entry::settings::Span::default(),
         ownership: marigoldpick_shard::Settings::default(),
     }
--- a/crates/marigoldpick-entry/tests/traffic/site.rs
+++ b/crates/marigoldpick-entry/tests/traffic/site.rs
@@ -11,6 +11,7 @@
 use marigoldpick_core::operator::Service;
 use marigoldpick_core::peer;
 use marigoldpick_core::prelude::*;
+use marigoldpick_entry::recorder::Recorder;
 use marigoldpick_entry::traffic::{Face, Settings, Wire};
 use marigoldpick_entry::view::{Cell, Endpoint, Peer, View};
 
@@ -179,7 +180,17 @@
             lines: self.lines.clone(),
         };
         let (events, _) = async_channel::bounded(1);
-        let face = Face::new(settings, Arc::clone(&cell), line, System::new(), events);
+        let view = cell.load();
+        let recorder = Recorder::new(view.me.0.clone(), view.incarnation, 1, settings.connections);
+        let trail = recorder.trail().clone();
+        let face = Face::new(
+            settings,
+            Arc::clone(&cell),
+            line,
+            System::new(),
+            events,
+            trail,
+        );
         self.lines
             .faces
             .lock()
--- a/crates/marigoldpick/src/timeline.rs
+++ b/crates/marigoldpick/src/timeline.rs
@@ -7,7 +7,7 @@
 use std::collections::BinaryHeap;
 
 use marigoldpick_core::clock::Millis;
-use marigoldpick_core::timeline::{Event, Mark};
+use marigoldpick_core::timeline::{Event, Mark, Message};
 
 /// Merges events into an order in which each one follows its predecessors and its cause.
 ///
@@ -18,11 +18,37 @@
 pub fn merge(mut events: Vec<Event>) -> Vec<Event> {
     events.sort_by(|a, b| a.mark.cmp(&b.mark));
     events.dedup_by(|a, b| a.mark == b.mark);
+    link(&mut events);
     let graph = Graph::new(&events);
     let order = graph.order(&events);
     pick(events, &order)
 }
 
+/// Names the cause of each event that received a message: the event that sent it.
+///
+/// A message's name that was sent or received more than once, as when a caller repeats an attempt,
+/// links nothing, since its ends can't be told apart.
+fn link(events: &mut [Event]) {
+    let mut ends: Vec<(&Message, usize)> = Vec::new();
+    for (at, event) in events.iter().enumerate() {
+        if let Some(message) = &event.message {
+            ends.push((message, at));
+        }
+    }
+    ends.sort_by(|a, b| (&a.0.name, a.0.side, a.1).cmp(&(&b.0.name, b.0.side, b.1)));
+    let pairs: Vec<(usize, usize)> = ends
+        .chunk_by(|a, b| a.0.name == b.0.name)
+        .filter_map(|ends| match ends {
+            [(sent, from), (received, to)] if sent.side < received.side => Some((*from, *to)),
+            _ => None,
+        })
+        .collect();
+    for (from, to) in pairs {
+        let sent = events[from].mark.clone();
+        events[to].cause.get_or_insert(sent);
+    }
+}
+
 /// Keeps the events about `about` and the causes that led to them, in the order given.
 ///
 /// `about` is a task, whose runs and job are also followed, or a request.
--- a/crates/marigoldpick/tests/timeline.rs
+++ b/crates/marigoldpick/tests/timeline.rs
@@ -2,7 +2,7 @@
 
 use googletest::prelude::*;
 use marigoldpick::core::prelude::*;
-use marigoldpick::core::timeline::{Event, Mark};
+use marigoldpick::core::timeline::{Event, Mark, Message, Side};
 use marigoldpick::timeline;
 use proptest::prelude::{Just, Strategy, any, prop, proptest};
 
@@ -23,6 +23,7 @@
         what: Name::new("task-started").expect("a name"),
         about: about.to_owned(),
         note: String::new(),
+        message: None,
     }
 }
 
@@ -79,6 +80,32 @@
     expect_that!(order(&merged), elements_are![eq("b1"), eq("a1"), eq("a2")]);
 }
 
+fn end(mut event: Event, name: &str, side: Side) -> Event {
+    event.message = Some(Message::new(name.to_owned(), side));
+    event
+}
+
+#[googletest::test]
+fn merge_message_is_received_after_it_was_sent() {
+    let sent = end(event("a", 1, 9_000, "r"), "r#1>b", Side::Sent);
+    let received = end(event("b", 1, 5, "r"), "r#1>b", Side::Received);
+    let merged = timeline::merge(vec![received, sent]);
+    expect_that!(order(&merged), elements_are![eq("a1"), eq("b1")]);
+    expect_that!(merged[1].cause, some(eq(&mark("a", 1))));
+}
+
+#[googletest::test]
+fn merge_message_with_ends_that_cant_be_told_apart_links_nothing() {
+    let sent = |process| end(event(process, 1, 9, "r"), "r#1>b", Side::Sent);
+    let received = |number| end(event("b", number, 5, "r"), "r#1>b", Side::Received);
+    let twice_sent = timeline::merge(vec![sent("a"), sent("c"), received(1)]);
+    let twice_received = timeline::merge(vec![sent("a"), received(1), received(2)]);
+    let never_sent = timeline::merge(vec![received(1), received(2)]);
+    for merged in [twice_sent, twice_received, never_sent] {
+        expect_that!(merged.iter().all(|e| e.cause.is_none()), eq(true));
+    }
+}
+
 #[googletest::test]
 fn follow_task_takes_runs_and_causes_alone() {
     let events = timeline::merge(vec![
