Register first attempts with a home failure domain, so that none runs twice

A balancer that silently repeated a non-idempotent request in another failure domain could run it twice, since only the owners of the failure domain where it came in were asked. An id now has one home: the failure domain that its first part names, else one by hash. Ruled out: asking all failure domains for each first attempt, which refuses every booking while one is cut off or down.

Codes 307 and 308 can't be said truthfully and are removed; 310 stands in the time line. The callers' table and the code are held against each other by tests.

--- a/crates/marigoldpick-core/src/code.rs
+++ b/crates/marigoldpick-core/src/code.rs
@@ -59,10 +59,8 @@
     304 NotRunDraining "not run: the entry is draining; ask another one";
     305 NotRunRefused "not run: the endpoint refused the request unread";
     306 NotRunUnknownService "not run: no such service is configured";
-    307 NotRunDuplicate "not run: an earlier attempt of this request id has it";
-    308 NotRunOwnerAway "not run: the owner of the request id can't be asked";
     309 NotRunCallerGone "not run: the caller closed its connection while the request was queued";
-    310 NotRunBudget "not run: the retry budget is used up";
+    310 NotRunBudget "no retry: the retry budget is used up";
     400 UnknownEndpointLost "unknown: the endpoint was lost after the request had left";
     401 UnknownTimeout "unknown: the deadline passed after the request had left";
     402 UnknownAnswerCut "unknown: the endpoint's answer was cut short";
--- a/crates/marigoldpick-entry/src/traffic.rs
+++ b/crates/marigoldpick-entry/src/traffic.rs
@@ -45,11 +45,6 @@
     pub longest: Millis,
     /// How long after an entry took a request the balancer may silently hand it to another one.
     pub resend: Millis,
-    /// Whether a first attempt of a non-idempotent request also asks the other failure domains.
-    ///
-    /// It makes a balancer's silent repeat in another failure domain safe, and refuses such requests
-    /// while a failure domain is cut off.
-    pub everywhere: bool,
     /// The seed of random choices.
     pub seed: u64,
 }
@@ -63,7 +58,6 @@
             body_bytes: 64 << 20,
             longest: Millis::from_secs(300),
             resend: RESEND,
-            everywhere: false,
             seed: 0,
         }
     }
--- a/crates/marigoldpick-entry/src/traffic/accept.rs
+++ b/crates/marigoldpick-entry/src/traffic/accept.rs
@@ -286,11 +286,14 @@
     }
 }
 
-/// Names a request whose caller did not.
+/// Names a request whose caller did not; its home is this failure domain.
 fn unnamed<W>(state: &State<W>, number: u64) -> id::Request {
     let view = state.view.load();
     let text = format!("unnamed-{:x}-{number}", view.incarnation);
-    id::Request::new(&text).unwrap_or_else(|error| unreachable!("a name has such letters: {error}"))
+    let homed = id::Request::new(&format!("{}/{text}", view.domain));
+    homed
+        .or_else(|_too_long| id::Request::new(&text))
+        .unwrap_or_else(|error| unreachable!("a name has such letters: {error}"))
 }
 
 fn close(mut response: Response) -> Response {
--- a/crates/marigoldpick-entry/src/traffic/once.rs
+++ b/crates/marigoldpick-entry/src/traffic/once.rs
@@ -47,7 +47,7 @@
         request: ask.request.clone(),
         attempt: ask.attempt,
         token: rand::rng().random(),
-        owners: owners(&view, &view.domain, &ask.request),
+        owners: owners(&view, &home(&view, &ask.request), &ask.request),
     };
     let verdict = loop {
         let verdict = verdict(state, &view, &claim, ask).await;
@@ -133,15 +133,20 @@
     }
     let within = ask.deadline.since(state.now());
     let step = Step::Register { within };
-    let home = judge_owners(state, view, claim, &claim.owners, &step, first, need).await;
-    if home != Verdict::Clear || (first && !state.settings.everywhere) {
-        return home;
+    // An entry that just started may not know all failure domains yet.
+    let age = state.now();
+    if first && age < resend {
+        return Verdict::Wait(resend - age);
+    }
+    let verdict = judge_owners(state, view, claim, &claim.owners, &step, first, need).await;
+    if verdict != Verdict::Clear || first {
+        return verdict;
     }
     let far = |domain| async move {
         let owners = owners(view, &domain, &claim.request);
         judge_owners(state, view, claim, &owners, &Step::Close, false, need).await
     };
-    let verdicts = join_all(others(view).into_iter().map(far)).await;
+    let verdicts = join_all(others(view, &ask.request).into_iter().map(far)).await;
     let rank = |verdict: &Verdict| match verdict {
         Verdict::Ended(_) => 0,
         Verdict::Taken => 1,
@@ -218,11 +223,32 @@
     rank::top(request.as_str(), entries, OWNERS)
 }
 
-/// Returns the other failure domains.
-fn others(view: &View) -> Vec<id::Domain> {
+/// Returns the failure domain whose entries own a request id: the one that its first part names,
+/// else the first by rendezvous hash. All entries that know the same failure domains agree on it.
+fn home(view: &View, request: &id::Request) -> id::Domain {
+    let domains = domains(view);
+    let named = request.as_str().split_once('/');
+    let named = named.and_then(|(name, _)| domains.iter().find(|d| d.as_str() == name));
+    let hashed = || {
+        let score = |domain: &&id::Domain| rank::score(request.as_str(), domain.as_str());
+        domains.iter().max_by_key(score)
+    };
+    named.or_else(hashed).unwrap_or(&view.domain).clone()
+}
+
+/// Returns the failure domains that are not a request id's home.
+fn others(view: &View, request: &id::Request) -> Vec<id::Domain> {
+    let home = home(view, request);
+    let mut domains = domains(view);
+    domains.retain(|domain| *domain != home);
+    domains
+}
+
+/// Returns all failure domains, sorted.
+fn domains(view: &View) -> Vec<id::Domain> {
     let mut domains: Vec<id::Domain> = view.entries.iter().map(|p| p.domain.clone()).collect();
+    domains.push(view.domain.clone());
     domains.sort_unstable();
     domains.dedup();
-    domains.retain(|domain| *domain != view.domain);
     domains
 }
--- a/crates/marigoldpick-entry/src/traffic/run.rs
+++ b/crates/marigoldpick-entry/src/traffic/run.rs
@@ -246,11 +246,11 @@
             let (endpoint, address) = match turn {
                 Turn::Go { endpoint, address } => (endpoint, address),
                 Turn::Refused { code, retry_after } => {
-                    let code = if code == Code::NotRunBudget {
-                        refused
-                    } else {
-                        code
-                    };
+                    if code == Code::NotRunBudget {
+                        let request = self.ask.request.as_str();
+                        self.state.note("request-not-retried", request, code.name());
+                        return Found::Failed(unknown.unwrap_or(refused), None);
+                    }
                     return self.refused(unknown, code, retry_after).await;
                 }
             };
--- a/crates/marigoldpick-entry/tests/traffic/site.rs
+++ b/crates/marigoldpick-entry/tests/traffic/site.rs
@@ -233,12 +233,17 @@
         });
     }
 
-    /// Cuts or joins two entries.
+    /// Cuts two entries from each other.
     pub fn cut(&self, a: usize, b: usize) {
         let pair = (self.nodes[a].id.clone(), self.nodes[b].id.clone());
         self.lines.cut.lock().unwrap().push(pair);
     }
 
+    /// Joins all entries again.
+    pub fn heal(&self) {
+        self.lines.cut.lock().unwrap().clear();
+    }
+
     /// How often a request ran.
     pub fn runs(&self, request: &str) -> usize {
         let log = self.log.lock().unwrap();
--- a/crates/marigoldpick/src/dev/caller.rs
+++ b/crates/marigoldpick/src/dev/caller.rs
@@ -104,11 +104,11 @@
                 return;
             }
             Verdict::NotRun(code, after) => {
+                log::debug!(target: "dev", "Not run; request={} code={code}.", wish.id);
                 book.write().told_not_run.push(Attempt {
                     request: wish.id.clone(),
                     attempt,
                 });
-                may_have_run |= code == Code::NotRunDuplicate;
                 attempt += 1;
                 pause = after.unwrap_or(pause);
             }
--- a/crates/marigoldpick/tests/docs.rs
+++ b/crates/marigoldpick/tests/docs.rs
@@ -54,6 +54,55 @@
     expect_that!(table, eq(&codes));
 }
 
+/// Codes of requests: those of the 300s and 400s.
+fn request_codes() -> impl Iterator<Item = &'static Code> {
+    Code::ALL
+        .iter()
+        .filter(|code| code.is_not_run() || code.is_unknown())
+}
+
+#[googletest::test]
+fn callers_table_has_each_code_of_a_request_that_callers_get() {
+    let table = rows(&page("callers.md"), |cell| {
+        cell.split(", ").all(|number| number.parse::<u16>().is_ok())
+    });
+    let mut told: Vec<u16> = table
+        .iter()
+        .flat_map(|cells| cells[0].split(", "))
+        .map(|number| number.parse().expect("a number"))
+        .filter(|number| number / 100 == 3 || number / 100 == 4)
+        .collect();
+    told.sort_unstable();
+    // The time line tells of it; the caller gets the code of the try before.
+    let got = request_codes().filter(|code| **code != Code::NotRunBudget);
+    let got: Vec<u16> = got.map(|code| code.number()).collect();
+    expect_that!(told, eq(&got));
+}
+
+#[googletest::test]
+fn results_codes_of_requests_are_sent_by_the_code() {
+    let crates = root().join("crates");
+    let mut folders = vec![
+        crates.join("marigoldpick-entry/src/traffic"),
+        crates.join("marigoldpick-route/src"),
+    ];
+    let mut sources = String::new();
+    while let Some(folder) = folders.pop() {
+        for item in fs::read_dir(folder).expect("a folder") {
+            let path = item.expect("an item").path();
+            if path.is_dir() {
+                folders.push(path);
+            } else {
+                sources += &fs::read_to_string(path).expect("a source");
+            }
+        }
+    }
+    for code in request_codes() {
+        let named = format!("Code::{}", code.name());
+        expect_true!(sources.contains(&named), "{named}");
+    }
+}
+
 #[googletest::test]
 fn results_kinds_have_the_exit_codes() {
     let kinds = rows(&page("RESULTS.md"), |cell| cell.ends_with("xx"));
