Play whole runs with worker faults with non-idempotent jobs

Cause: a run in which a worker is killed or fails everything left out the jobs whose tasks start once, since the verdict wanted every task completed. So nothing held the whole program to "at most once" when a worker goes.

The verdict now counts what operators are told as failed, for non-idempotent jobs alone, and starts of such tasks by the stand-ins' own count. Without a worker's fault every task must still be completed, and idempotent jobs must be completed in all runs. The tasks run 1.5 s in place of 0.3 s, so that faults meet them. The check in the runs without worker faults is as before, with two counts more.

--- a/crates/marigoldpick/src/dev/book.rs
+++ b/crates/marigoldpick/src/dev/book.rs
@@ -40,6 +40,8 @@
     pub(super) name: id::Job,
     pub(super) count: u32,
     pub(super) cancelled: bool,
+    /// Whether its tasks may run again.
+    pub(super) idempotent: bool,
 }
 
 /// `Requests` counts requests by how they ended.
@@ -70,6 +72,7 @@
                 name: job.name.clone(),
                 count: job.count,
                 cancelled: false,
+                idempotent: job.idempotent,
             };
             if job.class == Class::Service {
                 pages.services.push(entry);
--- a/crates/marigoldpick/src/dev/once.rs
+++ b/crates/marigoldpick/src/dev/once.rs
@@ -15,7 +15,7 @@
 use super::site::Site;
 use super::{caller, inject, operator, ready, watch};
 use crate::arguments;
-use crate::faults::Fault;
+use crate::faults::{Fault, Kind};
 
 /// The time between two looks at how far the work is.
 const EVERY: Duration = Duration::from_millis(100);
@@ -102,7 +102,7 @@
     let in_time = match async_std::future::timeout(left(until), act).await {
         Ok(acted) => {
             acted?;
-            heal(injected, until).await && settle(&cluster, &book, &bar, until).await
+            heal(injected, until).await && settle(&cluster, &book, faults, &bar, until).await
         }
         Err(_) => false,
     };
@@ -115,8 +115,11 @@
     };
     broken.extend(unfinished(&cluster, &book, site, requests).await);
     bar.finish_and_clear();
-    let report = count(&cluster, &book);
+    let pages = book.read();
+    let failed = failed(&cluster, &pages).await;
+    let report = count(&cluster, &pages, failed);
     broken.extend(report.broken());
+    broken.extend(uncompleted(&cluster, &pages, hits_workers(faults)));
     broken.extend(book.read().notes);
     cluster.drain().await;
     Ok(Ended { report, broken })
@@ -183,14 +186,20 @@
 }
 
 /// Waits until all accepted work is done and recorded; tells whether that was in time.
-async fn settle(cluster: &Cluster, book: &Book, bar: &ProgressBar, until: Instant) -> bool {
+async fn settle(
+    cluster: &Cluster,
+    book: &Book,
+    faults: &[Fault],
+    bar: &ProgressBar,
+    until: Instant,
+) -> bool {
     bar.set_message("waiting for the accepted tasks");
     while Instant::now() < until {
         let pages = book.read();
         let done = completed(cluster, &pages);
         let due = accepted(&pages);
         bar.set_message(format!("{done} of {due} tasks completed"));
-        if done == due
+        if uncompleted(cluster, &pages, hits_workers(faults)).is_empty()
             && open_jobs(cluster, &pages).await.is_empty()
             && services_run(cluster, &pages)
         {
@@ -213,6 +222,42 @@
         .sum()
 }
 
+/// Tells whether a worker may fail tasks; non-idempotent ones are then not started again.
+fn hits_workers(faults: &[Fault]) -> bool {
+    let kinds = [Kind::KillWorker, Kind::FailWorker];
+    faults.iter().any(|fault| kinds.contains(&fault.kind))
+}
+
+/// Names the accepted jobs that must be completed and are not.
+fn uncompleted(cluster: &Cluster, pages: &Pages, workers_fail: bool) -> Vec<String> {
+    let completed = cluster.platform.completed();
+    let done = |job: &Job| completed.iter().filter(|task| task.job == job.name).count();
+    pages
+        .due()
+        .filter(|job| job.idempotent || !workers_fail)
+        .filter(|job| done(job) != job.count as usize)
+        .map(|job| {
+            format!(
+                "{} of {} tasks of {} were completed",
+                done(job),
+                job.count,
+                job.name
+            )
+        })
+        .collect()
+}
+
+/// Counts the tasks of non-idempotent jobs that are told as failed.
+async fn failed(cluster: &Cluster, pages: &Pages) -> u64 {
+    let Ok(status) = operator::client(cluster).status().await else {
+        return 0;
+    };
+    let jobs = pages.due().filter(|job| !job.idempotent);
+    jobs.filter_map(|job| status.jobs.iter().find(|told| told.job == job.name))
+        .map(|told| u64::from(told.failed))
+        .sum()
+}
+
 /// Tells whether all tasks of the accepted services run.
 fn services_run(cluster: &Cluster, pages: &Pages) -> bool {
     let running = cluster.platform.running();
@@ -290,9 +335,8 @@
     }
 }
 
-fn count(cluster: &Cluster, book: &Book) -> Report {
+fn count(cluster: &Cluster, pages: &Pages, failed: u64) -> Report {
     let truth = cluster.platform.truth();
-    let pages = book.read();
     let executed = cluster.platform.executed();
     let runs = |request: &str| {
         let found = executed.binary_search_by(|e| e.request.as_str().cmp(request));
@@ -304,8 +348,10 @@
     };
     let twice = |request: &&String| runs(request).len() > 1;
     Report {
-        tasks_accepted: accepted(&pages),
-        tasks_completed: completed(cluster, &pages),
+        tasks_accepted: accepted(pages),
+        tasks_completed: completed(cluster, pages),
+        tasks_failed: failed,
+        tasks_started_twice: truth.tasks_started_twice,
         tasks_in_two_places: truth.tasks_in_two_places,
         vm_overloads: truth.vm_overloads,
         requests_sent: pages.requests.sent,
--- a/crates/marigoldpick/src/dev/report.rs
+++ b/crates/marigoldpick/src/dev/report.rs
@@ -11,6 +11,10 @@
     pub tasks_accepted: u64,
     /// Those of them that ended well.
     pub tasks_completed: u64,
+    /// Non-idempotent tasks that were told as failed, since their worker failed or was lost.
+    pub tasks_failed: u64,
+    /// Non-idempotent tasks that were started more than once.
+    pub tasks_started_twice: u64,
     /// Tasks that ran in two places at one time.
     pub tasks_in_two_places: u64,
     /// Starts that made a VM carry more than its size.
@@ -41,6 +45,7 @@
     pub fn broken(&self) -> Vec<String> {
         let zeros = [
             ("tasks_in_two_places", self.tasks_in_two_places),
+            ("tasks_started_twice", self.tasks_started_twice),
             ("vm_overloads", self.vm_overloads),
             ("requests_run_twice", self.requests_run_twice),
             ("answers_wrong_or_cut", self.answers_wrong_or_cut),
@@ -52,10 +57,13 @@
             .filter(|(_, count)| *count > 0)
             .map(|(name, count)| format!("{name} is {count}"))
             .collect();
-        if self.tasks_completed != self.tasks_accepted {
+        // A task may have ended well on a worker that was lost before it could tell.
+        if self.tasks_completed > self.tasks_accepted
+            || self.tasks_completed + self.tasks_failed < self.tasks_accepted
+        {
             broken.push(format!(
-                "{} of {} accepted tasks were completed",
-                self.tasks_completed, self.tasks_accepted
+                "{} of {} accepted tasks were completed, {} told as failed",
+                self.tasks_completed, self.tasks_accepted, self.tasks_failed
             ));
         }
         let told = self.requests_answered + self.requests_not_run + self.requests_unknown;
@@ -73,6 +81,8 @@
     fn add_assign(&mut self, rhs: Self) {
         self.tasks_accepted += rhs.tasks_accepted;
         self.tasks_completed += rhs.tasks_completed;
+        self.tasks_failed += rhs.tasks_failed;
+        self.tasks_started_twice += rhs.tasks_started_twice;
         self.tasks_in_two_places += rhs.tasks_in_two_places;
         self.vm_overloads += rhs.vm_overloads;
         self.requests_sent += rhs.requests_sent;
--- a/crates/marigoldpick/tests/matrix/main.rs
+++ b/crates/marigoldpick/tests/matrix/main.rs
@@ -58,9 +58,7 @@
     let lane = &LANES[seed as usize % LANES.len()];
     let _one = lane.lock().unwrap_or_else(PoisonError::into_inner);
     let root = Path::new(env!("CARGO_TARGET_TMPDIR")).join("matrix");
-    // A worker's fault ends a task that may be started once, and then it is not completed.
-    let with_once = !faults.iter().any(|(kind, _)| kind.ends_with("-worker"));
-    let site = site::write(&root, name, seed, with_once);
+    let site = site::write(&root, name, seed);
     let file = site.join("faults.toml");
     fs::write(&file, faults_file(faults)).expect("the file is written");
     let output = Command::new(env!("CARGO_BIN_EXE_marigold"))
@@ -81,7 +79,17 @@
     println!("{name}, seed {seed}: {last}");
     expect_that!(output.status.code(), some(eq(0)), "{name}: {errors}");
     expect_that!(report.broken(), is_empty(), "{name}");
-    expect_that!(report.tasks_completed, eq(report.tasks_accepted), "{name}");
+    let workers_fail = faults.iter().any(|(kind, _)| kind.ends_with("-worker"));
+    if workers_fail {
+        // A non-idempotent task whose worker fails is told as failed and not started again.
+        let told = report.tasks_completed + report.tasks_failed;
+        expect_that!(told, ge(report.tasks_accepted), "{name}");
+        expect_that!(report.tasks_failed, le(site::ONCE), "{name}");
+    } else {
+        expect_that!(report.tasks_completed, eq(report.tasks_accepted), "{name}");
+        expect_that!(report.tasks_failed, eq(0), "{name}");
+    }
+    expect_that!(report.tasks_started_twice, eq(0), "{name}");
     expect_that!(report.requests_sent, eq(REQUESTS), "{name}");
     report
 }
--- a/crates/marigoldpick/tests/matrix/site.rs
+++ b/crates/marigoldpick/tests/matrix/site.rs
@@ -62,8 +62,8 @@
 count = 20
 idempotent = false
 needs = { millicores = 200, memory_mib = 256 }
-run_ms = 300
-command = "run_ms=300"
+run_ms = 1500
+command = "run_ms=1500"
 "#;
 
 /// Tasks of batch and gang jobs that may run again.
@@ -71,9 +71,8 @@
 /// Tasks that may be started once.
 pub const ONCE: u64 = 20;
 
-/// Writes the site below `root`, with or without tasks that may be started once, and returns its
-/// directory.
-pub fn write(root: &Path, name: &str, seed: u64, with_once: bool) -> PathBuf {
+/// Writes the site below `root` and returns its directory.
+pub fn write(root: &Path, name: &str, seed: u64) -> PathBuf {
     let site = root.join(name);
     if site.exists() {
         fs::remove_dir_all(&site).expect("a directory of an earlier run");
@@ -90,9 +89,7 @@
     }
     put(&site, "intents/10-teams.toml", TEAMS);
     put(&site, "intents/20-jobs.toml", JOBS);
-    if with_once {
-        put(&site, "intents/30-charges.toml", CHARGES);
-    }
+    put(&site, "intents/30-charges.toml", CHARGES);
     site
 }
 
--- a/crates/marigoldpick/tests/report.rs
+++ b/crates/marigoldpick/tests/report.rs
@@ -24,9 +24,24 @@
 /// `Break` spoils one count.
 type Break = fn(&mut Report);
 
+#[googletest::test]
+fn broken_counts_tasks_that_were_told_as_failed() {
+    let mut report = good();
+    report.tasks_completed = 3;
+    report.tasks_failed = 2;
+    expect_that!(report.broken(), is_empty());
+    report.tasks_failed = 1;
+    expect_that!(
+        report.broken(),
+        elements_are![contains_substring("3 of 5 accepted tasks")]
+    );
+}
+
 #[googletest::test]
 fn broken_each_count_is_named() {
-    let breaks: [(&str, Break); 8] = [
+    let breaks: [(&str, Break); 10] = [
+        ("tasks_started_twice", |r| r.tasks_started_twice = 1),
+        ("6 of 5 accepted tasks", |r| r.tasks_completed = 6),
         ("tasks_in_two_places", |r| r.tasks_in_two_places = 1),
         ("vm_overloads", |r| r.vm_overloads = 1),
         ("requests_run_twice", |r| r.requests_run_twice = 1),
