Tell jobs of one name apart by the entry that accepted them

Cause: a job's name is free again after its end, but the shard's records, runs, workers' ends and the proposal of an end named the job alone. After a take-over a job under a used name was taken for done: accepted, and none of its tasks ran. An end proposed twice could also end the later job, and records of a job whose end came while nobody led stayed in the log for good.

Each now carries the number of the entry that accepted the job. An Opened record ahead of a job's first record voids an earlier job's; any lead drops records of jobs that have left, unless its own configuration is older than they are.

Tests, red first: path names::name_used_again_after_a_take_over_runs_all_tasks ("not in time: all tasks run") before the change. Each guard taken away in lead/homes.rs makes a test of shard tests/names.rs fail: owner by name alone, progress by name alone, no prune, prune without the number.

--- a/crates/marigoldpick-core/src/config.rs
+++ b/crates/marigoldpick-core/src/config.rs
@@ -85,6 +85,8 @@
     Ended {
         /// The job.
         job: id::Job,
+        /// The entry that accepted the job, since its name may be used again.
+        accepted: u64,
         /// The shard.
         shard: id::Shard,
         /// Tasks that were completed.
@@ -270,10 +272,15 @@
                     Ok(())
                 }
             }
-            Change::Ended { job, shard, .. } => {
-                let open = self
-                    .job(job)
-                    .is_some_and(|a| a.homes.iter().any(|home| home.shard == *shard));
+            Change::Ended {
+                job,
+                accepted,
+                shard,
+                ..
+            } => {
+                let open = self.job(job).is_some_and(|a| {
+                    a.sequence == *accepted && a.homes.iter().any(|home| home.shard == *shard)
+                });
                 if open { Ok(()) } else { Err(Code::Stale) }
             }
         }
@@ -361,6 +368,7 @@
                 shard,
                 completed,
                 failed,
+                ..
             } => {
                 self.end(job, shard, *completed, *failed);
             }
--- a/crates/marigoldpick-core/src/worker.rs
+++ b/crates/marigoldpick-core/src/worker.rs
@@ -33,6 +33,9 @@
 pub struct Spec {
     /// The run.
     pub run: id::Run,
+    /// The configuration's entry that accepted the job. A name may be used again after the job's end,
+    /// so the name alone does not tell which job a run belongs to.
+    pub accepted: u64,
     /// The team, for accounts.
     pub team: id::Team,
     /// What is set aside for it.
@@ -165,6 +168,8 @@
 pub struct Finished {
     /// The run.
     pub run: id::Run,
+    /// The configuration's entry that accepted the job.
+    pub accepted: u64,
     /// How it ended.
     pub outcome: Outcome,
     /// How long it ran.
--- a/crates/marigoldpick-core/tests/config.rs
+++ b/crates/marigoldpick-core/tests/config.rs
@@ -171,6 +171,7 @@
     assert!(state.apply(&entry(&state, Change::Confirm(Box::new(one)))));
     let ended = Change::Ended {
         job: id::Job::new("a").expect("a name"),
+        accepted: state.sequence,
         shard: id::Shard::new("north/0").expect("a name"),
         completed: 8,
         failed: 0,
@@ -218,3 +219,31 @@
         changes: Vec::new(),
     }
 }
+
+#[googletest::test]
+fn ended_of_an_earlier_job_leaves_a_later_one_of_its_name() {
+    let mut state = with_team();
+    let ended = |accepted: u64| Change::Ended {
+        job: id::Job::new("a").expect("a name"),
+        accepted,
+        shard: id::Shard::new("north/0").expect("a name"),
+        completed: 8,
+        failed: 0,
+    };
+    let mut accepted = Vec::new();
+    for _ in 0..2 {
+        let one = plan(&state, &job("a", 8));
+        assert!(state.apply(&entry(&state, Change::Confirm(Box::new(one)))));
+        accepted.push(state.sequence);
+        // The lead proposes the end again, since it has not heard the answer.
+        let late = ended(accepted[0]);
+        if accepted.len() == 2 {
+            expect_that!(state.allows(&late), err(eq(Code::Stale)));
+        }
+        assert!(state.apply(&entry(&state, late)));
+    }
+    let name = id::Job::new("a").expect("a name");
+    expect_that!(state.job(&name).is_some(), eq(true));
+    assert!(state.apply(&entry(&state, ended(accepted[1]))));
+    expect_that!(state.job(&name).is_none(), eq(true));
+}
--- a/crates/marigoldpick-entry/src/control/follow.rs
+++ b/crates/marigoldpick-entry/src/control/follow.rs
@@ -142,7 +142,9 @@
             let shard = local.shard().clone();
             local.ended.retain(|ended| {
                 let open = state.job(&ended.job);
-                open.is_some_and(|a| a.homes.iter().any(|home| home.shard == shard))
+                open.is_some_and(|a| {
+                    a.sequence == ended.accepted && a.homes.iter().any(|home| home.shard == shard)
+                })
             });
             for ended in &mut local.ended {
                 if ended.proposed_at.is_some_and(|at| now.since(at) < REPEAT) {
@@ -151,6 +153,7 @@
                 ended.proposed_at = Some(now);
                 let change = Change::Ended {
                     job: ended.job.clone(),
+                    accepted: ended.accepted,
                     shard: shard.clone(),
                     completed: ended.completed,
                     failed: ended.failed,
--- a/crates/marigoldpick-entry/src/control/local.rs
+++ b/crates/marigoldpick-entry/src/control/local.rs
@@ -25,6 +25,8 @@
 pub struct Ended {
     /// The job.
     pub job: id::Job,
+    /// The configuration's entry that accepted it.
+    pub accepted: u64,
     /// Tasks that were completed.
     pub completed: u32,
     /// Tasks that were given up.
@@ -142,9 +144,7 @@
     #[must_use]
     pub fn explain(&self, task: &id::Task, now: Millis) -> Option<operator::Explain> {
         let led = self.led.as_ref()?;
-        led.fed
-            .binary_search_by(|(job, _)| job.cmp(&task.job))
-            .ok()?;
+        led.fed(&task.job)?;
         Some(led.scheduler.explain(task, now))
     }
 
@@ -173,7 +173,10 @@
         };
         run.lead(
             &mut self.lead,
-            lead::Input::Jobs(lead::homed(cx.state, &self.shard)),
+            lead::Input::Jobs {
+                jobs: lead::homed(cx.state, &self.shard),
+                sequence: cx.state.sequence,
+            },
         );
         self.feed(&mut run);
         self.settle(&mut run);
@@ -329,7 +332,9 @@
             } => {
                 run.effects
                     .push(Effect::Note(Note::new("place", "job-ended", &job, "")));
+                let Some(fed) = led.fed(&job) else { return };
                 self.ended.push(Ended {
+                    accepted: fed.accepted,
                     job,
                     completed,
                     failed,
--- a/crates/marigoldpick-entry/src/control/local/led.rs
+++ b/crates/marigoldpick-entry/src/control/local/led.rs
@@ -19,13 +19,22 @@
 pub(super) struct Led {
     pub(super) scheduler: Scheduler,
     pub(super) table: Table,
-    /// The jobs that the scheduler was told of, sorted, and whether they were cancelled.
-    pub(super) fed: Vec<(id::Job, bool)>,
+    /// The jobs that the scheduler was told of, sorted.
+    pub(super) fed: Vec<Fed>,
     pub(super) drained: Vec<id::Worker>,
     pub(super) settings_sequence: u64,
     pub(super) progress: Vec<record::Job>,
 }
 
+/// `Fed` is a job that the scheduler was told of.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub(super) struct Fed {
+    pub(super) job: id::Job,
+    /// The configuration's entry that accepted it.
+    pub(super) accepted: u64,
+    pub(super) cancelled: bool,
+}
+
 /// `Recorded` is how a task's end stands in the shard's log.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 enum Recorded {
@@ -120,6 +129,7 @@
                     outcome,
                     age,
                     usage,
+                    ..
                 } = finished;
                 let event = Event::Finished {
                     run: ended,
@@ -144,8 +154,8 @@
     /// A lead that took over without the store learns only later what was completed before it, by
     /// the refusal of a start of that task.
     fn recorded(&self, task: &id::Task) -> Option<Recorded> {
-        let found = self.progress.binary_search_by(|job| job.job.cmp(&task.job));
-        let progress = &self.progress[found.ok()?].progress;
+        let accepted = self.fed(&task.job)?.accepted;
+        let progress = self.past(&task.job, accepted)?;
         if progress.completed.contains(task.index) {
             return Some(Recorded::Completed);
         }
@@ -155,6 +165,19 @@
             .then_some(Recorded::Failed)
     }
 
+    /// Returns what the log had of a job; its name may stand for one that ended before.
+    fn past(&self, job: &id::Job, accepted: u64) -> Option<&record::Progress> {
+        let at = self.progress.binary_search_by(|have| have.job.cmp(job));
+        let progress = &self.progress[at.ok()?].progress;
+        (progress.accepted == accepted).then_some(progress)
+    }
+
+    /// Returns a job that the scheduler was told of.
+    pub(super) fn fed(&self, job: &id::Job) -> Option<&Fed> {
+        let at = self.fed.binary_search_by(|fed| fed.job.cmp(job)).ok()?;
+        Some(&self.fed[at])
+    }
+
     fn report(&mut self, worker: &id::Worker, changed: &[Running], run: &mut Run<'_>) {
         for running in changed {
             self.table.put(worker, running);
@@ -236,7 +259,10 @@
                 continue;
             };
             let name = &accepted.job.name;
-            let known = self.fed.binary_search_by(|(job, _)| job.cmp(name)).ok();
+            let known = self
+                .fed(name)
+                .filter(|fed| fed.accepted == accepted.sequence);
+            let stopped = known.is_some_and(|fed| fed.cancelled);
             if known.is_none() {
                 let span = Span {
                     from: home.from,
@@ -245,10 +271,14 @@
                 let event = self.job_event(accepted, span, !first);
                 self.event(event, run);
             }
-            if accepted.cancelled && known.is_none_or(|at| !self.fed[at].1) {
+            if accepted.cancelled && !stopped {
                 cancelled.push(name.clone());
             }
-            fed.push((name.clone(), accepted.cancelled));
+            fed.push(Fed {
+                job: name.clone(),
+                accepted: accepted.sequence,
+                cancelled: accepted.cancelled,
+            });
         }
         self.fed = fed;
         if !cancelled.is_empty() {
@@ -258,10 +288,8 @@
 
     fn job_event(&self, accepted: &Accepted, span: Span, fresh: bool) -> Event {
         let name = &accepted.job.name;
-        let at = self.progress.binary_search_by(|job| job.job.cmp(name)).ok();
-        let progress = at
-            .map(|at| self.progress[at].progress.clone())
-            .unwrap_or_default();
+        let past = self.past(name, accepted.sequence);
+        let progress = past.cloned().unwrap_or_default();
         Event::Job {
             job: Box::new(accepted.job.clone()),
             span,
--- a/crates/marigoldpick-entry/tests/path/main.rs
+++ b/crates/marigoldpick-entry/tests/path/main.rs
@@ -1,5 +1,6 @@
 //! The whole path over loopback: intent, plan, confirm, tasks on workers, requests on endpoints.
 
+mod names;
 mod operators;
 mod regions;
 mod site;
@@ -9,7 +10,7 @@
 use marigoldpick_standin::Fault;
 
 use operators::{call, confirm, plan, status};
-use site::{INTENT, Site, eventually};
+use site::{INTENT, QUEUE, Site, eventually};
 
 #[googletest::test]
 fn path_from_intent_to_completion_and_answer() {
@@ -159,12 +160,7 @@
     async_std::task::block_on(async {
         let mut site = Site::start(2).await;
         site.wait_for_leads().await;
-        let plan = plan(&site.operators(0), RESTARTS)
-            .await
-            .expect("the intent is well formed");
-        confirm(&site.operators(0), &plan.id)
-            .await
-            .expect("the plan is fresh");
+        site.submit(RESTARTS).await;
         eventually("some restarts", || site.platform.truth().starts >= 8).await;
         let lead = site.lead().await;
         let killed = site.entries.remove(lead);
@@ -180,32 +176,12 @@
     });
 }
 
-/// Forty tasks of which eight run at a time.
-const QUEUE: &str = r#"
-[[team]]
-name = "sales"
-quota = { millicores = 640000, memory_mib = 131072 }
-
-[[job]]
-name = "night"
-class = "batch"
-team = "sales"
-count = 40
-needs = { millicores = 8000, memory_mib = 1024 }
-command = "run_ms=900"
-"#;
-
 #[googletest::test]
 fn kill_lead_without_the_store_ends_the_job_once_it_is_back() {
     async_std::task::block_on(async {
         let mut site = Site::start(2).await;
         site.wait_for_leads().await;
-        let plan = plan(&site.operators(0), QUEUE)
-            .await
-            .expect("the intent is well formed");
-        confirm(&site.operators(0), &plan.id)
-            .await
-            .expect("the plan is fresh");
+        site.submit(QUEUE).await;
         eventually("some tasks end", || {
             site.platform.truth().tasks_completed >= 20
         })
--- a/crates/marigoldpick-entry/tests/path/site.rs
+++ b/crates/marigoldpick-entry/tests/path/site.rs
@@ -63,6 +63,21 @@
 run_ms = 300
 "#;
 
+/// Forty tasks of which eight run at a time.
+pub(crate) const QUEUE: &str = r#"
+[[team]]
+name = "sales"
+quota = { millicores = 640000, memory_mib = 131072 }
+
+[[job]]
+name = "night"
+class = "batch"
+team = "sales"
+count = 40
+needs = { millicores = 8000, memory_mib = 1024 }
+command = "run_ms=900"
+"#;
+
 /// `Site` is the platform with its entries.
 pub(crate) struct Site {
     pub(crate) platform: Platform,
@@ -108,6 +123,15 @@
         }
     }
 
+    /// Confirms an intent that displaces nothing.
+    pub(crate) async fn submit(&self, intent: &str) {
+        let operators = self.operators(0);
+        let plan = crate::plan(&operators, intent).await;
+        let plan = plan.expect("the intent is well formed");
+        let accepted = crate::confirm(&operators, &plan.id).await;
+        accepted.expect("the plan is fresh");
+    }
+
     /// Waits until the first entry leads the shard.
     pub(crate) async fn led_by_the_first(&self) {
         let entry = &self.entries[0].addresses().entry;
--- a/crates/marigoldpick-place/src/scheduler/round.rs
+++ b/crates/marigoldpick-place/src/scheduler/round.rs
@@ -257,6 +257,8 @@
         let run = self.runs.get(slot);
         Spec {
             run: run.id(),
+            // The lead fills it in.
+            accepted: 0,
             team: job.spec.team.clone(),
             needs: self.accelerators.amount(ask),
             service: job.spec.service.clone(),
--- a/crates/marigoldpick-shard/examples/cost.rs
+++ b/crates/marigoldpick-shard/examples/cost.rs
@@ -224,10 +224,14 @@
         Millis(1),
     );
     run.feed(
-        Input::Jobs(vec![Homed {
-            job: job.clone(),
-            class,
-        }]),
+        Input::Jobs {
+            jobs: vec![Homed {
+                job: job.clone(),
+                class,
+                accepted: 1,
+            }],
+            sequence: 1,
+        },
         "list",
         Millis(1),
     );
@@ -294,6 +298,7 @@
             task: id::Task::new(job.clone(), index),
             attempt: 1,
         },
+        accepted: 0,
         team: id::Team::new("maps").expect("a name"),
         needs: Amount::new(1_000, 512),
         service: None,
--- a/crates/marigoldpick-shard/src/lead.rs
+++ b/crates/marigoldpick-shard/src/lead.rs
@@ -5,6 +5,7 @@
 //! worker's tasks for ended only after nobody can have renewed that worker for a whole lease.
 
 mod evidence;
+mod homes;
 mod ledger;
 mod member;
 mod message;
@@ -71,6 +72,7 @@
     endings: Vec<ledger::Ending>,
     record_at: Millis,
     jobs: Vec<Homed>,
+    config_sequence: u64,
 }
 
 /// Returns the jobs homed in `shard`, for [`Input::Jobs`].
@@ -83,6 +85,7 @@
         .map(|accepted| Homed {
             job: accepted.job.name.clone(),
             class: accepted.job.class,
+            accepted: accepted.sequence,
         })
         .collect()
 }
@@ -135,6 +138,7 @@
             endings: Vec::new(),
             record_at: Millis::ZERO,
             jobs: Vec::new(),
+            config_sequence: 0,
         }
     }
 
@@ -214,7 +218,7 @@
             Input::Store { call, result } => self.store(call, result, now, out),
             Input::Worker { call, result, .. } => self.answered(call, result, now, out),
             Input::Workers(workers) => self.listed(workers, out),
-            Input::Jobs(jobs) => self.homed(jobs),
+            Input::Jobs { jobs, sequence } => self.homed(jobs, sequence),
             Input::Start { worker, spec } => self.start(worker, spec, now, out),
             Input::Stop { run, grace } => self.stop(&run, grace, out),
             Input::Checkpoint { run } => self.act(&run, member::Act::Checkpoint(run.clone())),
--- a/crates/marigoldpick-shard/src/lead/evidence.rs
+++ b/crates/marigoldpick-shard/src/lead/evidence.rs
@@ -139,7 +139,7 @@
         self.lose_starts(&worker, out);
         let maybe: Vec<id::Run> = runs
             .iter()
-            .filter(|run| self.journal.state().started(&run.task).is_some())
+            .filter(|run| self.started_as(&run.task).is_some())
             .cloned()
             .collect();
         self.event(out, "worker-lost", worker.as_str());
--- a/crates/marigoldpick-shard/src/lead/ledger.rs
+++ b/crates/marigoldpick-shard/src/lead/ledger.rs
@@ -6,7 +6,7 @@
 
 use super::member::Member;
 use super::takeover::Role;
-use super::{Homed, Lead, Notice, Output};
+use super::{Lead, Notice, Output};
 use crate::journal::Step;
 use crate::record::{Entry, Ranges, Record};
 
@@ -33,6 +33,7 @@
         let count = self.outbox.len().min(MOST_RECORDS);
         records.extend(self.outbox.drain(..count));
         if !records.is_empty() {
+            self.open_jobs(&mut records);
             self.append(records, now);
         }
     }
@@ -44,8 +45,9 @@
         }
         self.record_at = now + self.settings.record_ms;
         let mut jobs: Vec<(id::Job, Ranges)> = Vec::new();
-        for ending in self.endings.iter_mut().take(MOST_RECORDS) {
-            ending.written = true;
+        for at in 0..self.endings.len().min(MOST_RECORDS) {
+            self.endings[at].written = true;
+            let ending = &self.endings[at];
             let task = &ending.finished.run.task;
             let at = match jobs.binary_search_by(|(job, _)| job.cmp(&task.job)) {
                 Ok(at) => at,
@@ -137,6 +139,7 @@
             let (worker, finished) = (ending.worker, ending.finished);
             Self::notice(out, Notice::Finished { worker, finished });
         }
+        self.prune();
     }
 
     /// The entry was certainly not written: starts are refused, all else waits.
@@ -156,32 +159,15 @@
         for record in entry.records {
             match record {
                 Record::Started(run) => self.refuse_start(&run, Code::StoreAway, out),
-                Record::Completed { .. } | Record::Tenure { .. } => {}
+                Record::Completed { .. } | Record::Opened { .. } | Record::Tenure { .. } => {}
                 other => kept.push(other),
             }
         }
         self.outbox.splice(0..0, kept);
     }
 
-    /// Keeps the list of jobs, and drops what was recorded of jobs that have left the shard.
-    pub(super) fn homed(&mut self, jobs: Vec<Homed>) {
-        let before = std::mem::replace(&mut self.jobs, jobs);
-        if self.role != Role::Lead {
-            return;
-        }
-        for old in before {
-            let there = self
-                .jobs
-                .binary_search_by(|have| have.job.cmp(&old.job))
-                .is_ok();
-            if !there && self.journal.state().progress(&old.job).is_some() {
-                self.outbox.push(Record::Pruned(old.job));
-            }
-        }
-    }
-
     pub(super) fn give_up(&mut self, task: id::Task) {
-        if self.role != Role::Lead || self.journal.state().is_over(&task) {
+        if self.role != Role::Lead || self.home(&task.job).is_none() || self.is_over(&task) {
             return;
         }
         self.outbox.push(Record::Failed {
--- a/crates/marigoldpick-shard/src/lead/message.rs
+++ b/crates/marigoldpick-shard/src/lead/message.rs
@@ -34,8 +34,13 @@
     },
     /// The shard's workers as the platform's list has them.
     Workers(Vec<vm::Worker>),
-    /// The jobs that are homed in the shard, sorted by name; see [`homed`].
-    Jobs(Vec<Homed>),
+    /// The jobs that are homed in the shard; see [`homed`].
+    Jobs {
+        /// The jobs, sorted by name.
+        jobs: Vec<Homed>,
+        /// The configuration's number.
+        sequence: u64,
+    },
     /// Start a run on a worker.
     Start {
         /// The worker.
@@ -187,6 +192,8 @@
     pub job: id::Job,
     /// Its class.
     pub class: Class,
+    /// The configuration's entry that accepted it.
+    pub accepted: u64,
 }
 
 /// `Held` is a worker that this lead holds.
--- a/crates/marigoldpick-shard/src/lead/report.rs
+++ b/crates/marigoldpick-shard/src/lead/report.rs
@@ -1,9 +1,9 @@
 //! Workers' answers: who obeys, what runs, what ended.
 
-use marigoldpick_core::intent::Class;
 use marigoldpick_core::prelude::*;
 use marigoldpick_core::worker::{self, Finished, Outcome, Report, Running};
 
+use super::homes::Owner;
 use super::ledger::Ending;
 use super::member::{Act, Probe};
 use super::takeover::Role;
@@ -191,6 +191,7 @@
             .collect();
         for run in gone {
             let finished = Finished {
+                accepted: self.home(&run.task.job).map_or(0, |home| home.accepted),
                 run,
                 outcome: Outcome::Lapsed,
                 age: Millis::ZERO,
@@ -211,11 +212,26 @@
         if member.acks.contains(&finished.run) || member.ending.contains(&finished.run) {
             return;
         }
+        match self.owner(&finished) {
+            Owner::Homed => {}
+            Owner::Past => {
+                let member = &mut self.members[at];
+                member.drop_run(&finished.run);
+                member.acks.push(finished.run.clone());
+                self.unplace(&finished.run, worker);
+                return;
+            }
+            // The worker tells it again, and by then the configuration may have the job.
+            Owner::Unknown => {
+                self.members[at].want_whole = true;
+                return;
+            }
+        }
         // That it ended here does not tell where the task is now: the earlier lead may have started it
         // elsewhere already. Only a run that was seen going on does.
         self.yield_start(&finished.run, out);
         self.started(&finished.run, worker, out);
-        if self.journal.state().is_over(&finished.run.task) {
+        if self.is_over(&finished.run.task) {
             let member = &mut self.members[at];
             member.drop_run(&finished.run);
             member.acks.push(finished.run.clone());
@@ -248,13 +264,6 @@
             .is_some_and(|place| place.worker != *worker)
     }
 
-    /// Tells whether completions of a job's tasks are kept: instances of services are started anew.
-    fn is_recorded(&self, job: &id::Job) -> bool {
-        self.jobs
-            .binary_search_by(|have| have.job.cmp(job))
-            .map_or(true, |at| self.jobs[at].class != Class::Service)
-    }
-
     fn end(
         &mut self,
         at: usize,
--- a/crates/marigoldpick-shard/src/lead/start.rs
+++ b/crates/marigoldpick-shard/src/lead/start.rs
@@ -43,7 +43,7 @@
     pub(super) fn start(
         &mut self,
         worker: id::Worker,
-        spec: Spec,
+        mut spec: Spec,
         now: Millis,
         out: &mut Vec<Output>,
     ) {
@@ -57,6 +57,9 @@
             };
             return Self::notice(out, refused);
         }
+        spec.accepted = self
+            .home(&spec.run.task.job)
+            .map_or(0, |home| home.accepted);
         let place = Place {
             worker: worker.clone(),
             attempt: spec.run.attempt,
@@ -82,7 +85,10 @@
         }
         let task = &spec.run.task;
         let ending = self.endings.iter().any(|e| e.finished.run.task == *task);
-        if self.placed.contains_key(task) || ending || self.journal.state().is_over(task) {
+        if self.home(&task.job).is_none() || self.is_behind(&task.job) {
+            return Err(Code::ConfigOld);
+        }
+        if self.placed.contains_key(task) || ending || self.is_over(task) {
             return Err(Code::Duplicate);
         }
         if spec.idempotent {
@@ -101,7 +107,7 @@
 
     /// Tells whether a non-idempotent task was or may have been started.
     fn is_started(&self, task: &id::Task) -> bool {
-        let Some(attempt) = self.journal.state().started(task) else {
+        let Some(attempt) = self.started_as(task) else {
             return false;
         };
         let run = id::Run {
@@ -235,7 +241,7 @@
             return;
         };
         let pending = self.starts.swap_remove(at);
-        if self.journal.state().started(&run.task) == Some(run.attempt) {
+        if self.started_as(&run.task) == Some(run.attempt) {
             self.outbox.push(Record::NotStarted(run.clone()));
         }
         self.unplace(run, &pending.worker);
--- a/crates/marigoldpick-shard/src/lead/takeover.rs
+++ b/crates/marigoldpick-shard/src/lead/takeover.rs
@@ -221,6 +221,7 @@
         let whole = self.epoch.interim == 0;
         let jobs = &self.journal.state().jobs;
         let progress = if whole { jobs.clone() } else { Vec::new() };
+        self.prune();
         self.event(out, "lead-taken", format!("{}", self.epoch.tenure));
         let epoch = self.epoch;
         Self::notice(
@@ -283,7 +284,10 @@
         for job in &self.journal.state().jobs {
             for (index, attempt) in &job.progress.started {
                 let task = id::Task::new(job.job.clone(), *index);
-                let told = self.journal.state().is_over(&task) || self.placed.contains_key(&task);
+                if self.started_as(&task).is_none() {
+                    continue;
+                }
+                let told = self.is_over(&task) || self.placed.contains_key(&task);
                 if told || self.endings.iter().any(|e| e.finished.run.task == task) {
                     continue;
                 }
--- a/crates/marigoldpick-shard/src/record.rs
+++ b/crates/marigoldpick-shard/src/record.rs
@@ -38,6 +38,13 @@
     Left(id::Worker),
     /// A worker no longer is one of those whose majority counts.
     Dropped(id::Worker),
+    /// A job's records begin; what was known of an earlier job of that name goes.
+    Opened {
+        /// The job.
+        job: id::Job,
+        /// The configuration's entry that accepted it.
+        accepted: u64,
+    },
     /// A non-idempotent run is about to be started.
     Started(id::Run),
     /// A run so recorded was certainly not started.
@@ -69,6 +76,8 @@
 #[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
 #[serde(default, deny_unknown_fields)]
 pub struct Progress {
+    /// The configuration's entry that accepted the job.
+    pub accepted: u64,
     /// Tasks that ended as they should.
     pub completed: Ranges,
     /// Tasks that were given up.
@@ -153,6 +162,21 @@
     }
 }
 
+impl Progress {
+    /// Returns the recorded run of a non-idempotent task, if any.
+    #[must_use]
+    pub fn started(&self, index: u32) -> Option<u32> {
+        let at = self.started.binary_search_by_key(&index, |(i, _)| *i);
+        Some(self.started[at.ok()?].1)
+    }
+
+    /// Tells whether a task was completed or given up.
+    #[must_use]
+    pub fn is_over(&self, index: u32) -> bool {
+        self.completed.contains(index) || self.failed.contains(index)
+    }
+}
+
 impl State {
     /// Returns what is known of `job`.
     #[must_use]
@@ -161,22 +185,11 @@
         Some(&self.jobs[at].progress)
     }
 
-    /// Returns the recorded run of a non-idempotent task, if any.
-    #[must_use]
-    pub fn started(&self, task: &id::Task) -> Option<u32> {
-        let progress = self.progress(&task.job)?;
-        let at = progress
-            .started
-            .binary_search_by_key(&task.index, |(index, _)| *index)
-            .ok()?;
-        Some(progress.started[at].1)
-    }
-
     /// Tells whether `task` was completed or given up.
     #[must_use]
     pub fn is_over(&self, task: &id::Task) -> bool {
         self.progress(&task.job)
-            .is_some_and(|p| p.completed.contains(task.index) || p.failed.contains(task.index))
+            .is_some_and(|progress| progress.is_over(task.index))
     }
 
     fn find(&self, job: &id::Job) -> Result<usize, usize> {
@@ -215,6 +228,15 @@
             Record::Joined(worker) => add(&mut self.electors, worker),
             Record::Left(worker) => self.workers.retain(|have| have != worker),
             Record::Dropped(worker) => self.electors.retain(|have| have != worker),
+            Record::Opened { job, accepted } => {
+                let progress = self.progress_mut(job);
+                if progress.accepted < *accepted {
+                    *progress = Progress {
+                        accepted: *accepted,
+                        ..Progress::default()
+                    };
+                }
+            }
             Record::Started(run) => self.note_started(run),
             Record::NotStarted(run) => {
                 let progress = self.progress_mut(&run.task.job);
@@ -246,6 +268,21 @@
     }
 }
 
+impl Record {
+    /// Returns the job that the record tells of, if any.
+    #[must_use]
+    pub const fn job(&self) -> Option<&id::Job> {
+        match self {
+            Self::Started(run) | Self::NotStarted(run) => Some(&run.task.job),
+            Self::Opened { job, .. }
+            | Self::Completed { job, .. }
+            | Self::Failed { job, .. }
+            | Self::Pruned(job) => Some(job),
+            _ => None,
+        }
+    }
+}
+
 fn add(list: &mut Vec<id::Worker>, worker: &id::Worker) {
     if let Err(at) = list.binary_search(worker) {
         list.insert(at, worker.clone());
--- a/crates/marigoldpick-shard/tests/rules.rs
+++ b/crates/marigoldpick-shard/tests/rules.rs
@@ -255,6 +255,7 @@
     apply(&mut state, Change::Cancel { jobs });
     let ended = |shard: &str| Change::Ended {
         job: id::Job::new("one").expect("a name"),
+        accepted: 2,
         shard: id::Shard::new(shard).expect("a name"),
         completed: 0,
         failed: 0,
--- a/crates/marigoldpick-shard/tests/support/site.rs
+++ b/crates/marigoldpick-shard/tests/support/site.rs
@@ -7,9 +7,9 @@
 use marigoldpick_core::prelude::*;
 use marigoldpick_core::worker::{self, Outcome, Spec};
 use marigoldpick_core::{store, vm};
-use marigoldpick_shard::Settings;
 use marigoldpick_shard::lead::{Homed, Input, Lead, Notice, Output};
 use marigoldpick_shard::membership::{Led, Membership};
+use marigoldpick_shard::{Settings, record};
 use rand::Rng;
 use rand_chacha::ChaCha8Rng;
 
@@ -66,6 +66,8 @@
     pub class: Class,
     pub idempotent: bool,
     pub run: Option<u64>,
+    /// The number of the configuration's entry that accepted it.
+    pub accepted: u64,
 }
 
 #[derive(Debug)]
@@ -86,6 +88,8 @@
     pub cut_entries: BTreeSet<(usize, usize)>,
     pub cut_store: BTreeSet<usize>,
     pub jobs: Vec<Job>,
+    /// The configuration's number.
+    pub sequence: u64,
     queue: BinaryHeap<Reverse<(u64, u64)>>,
     events: BTreeMap<u64, Event>,
     next: u64,
@@ -103,6 +107,7 @@
         class,
         idempotent,
         run,
+        accepted: 1,
     }
 }
 
@@ -134,6 +139,7 @@
             cut_entries: BTreeSet::new(),
             cut_store: BTreeSet::new(),
             jobs,
+            sequence: 1,
             queue: BinaryHeap::new(),
             events: BTreeMap::new(),
             next: 0,
@@ -330,7 +336,11 @@
             self.feed(at, Input::Candidate(candidate));
         }
         self.feed(at, Input::Workers(self.vms.clone()));
-        self.feed(at, Input::Jobs(self.homed()));
+        let jobs = Input::Jobs {
+            jobs: self.homed(),
+            sequence: self.sequence,
+        };
+        self.feed(at, jobs);
         self.feed(at, Input::Tick);
         self.schedule(at);
     }
@@ -342,6 +352,7 @@
             .map(|job| Homed {
                 job: job.id.clone(),
                 class: job.class,
+                accepted: job.accepted,
             })
             .collect();
         jobs.sort_by(|a, b| a.job.cmp(&b.job));
@@ -462,7 +473,30 @@
         }
     }
 
+    /// Without what is left of earlier jobs of a name that was used again.
+    fn current(&self, mut progress: Vec<record::Job>) -> Vec<record::Job> {
+        progress.retain(|have| {
+            let accepted = have.progress.accepted;
+            let mut jobs = self.jobs.iter();
+            jobs.any(|job| job.id == have.job && job.accepted == accepted)
+        });
+        progress
+    }
+
     fn notice(&mut self, at: usize, notice: Notice) {
+        let notice = match notice {
+            Notice::Leading {
+                epoch,
+                progress,
+                whole,
+            } => Notice::Leading {
+                epoch,
+                progress: self.current(progress),
+                whole,
+            },
+            Notice::Progress(progress) => Notice::Progress(self.current(progress)),
+            other => other,
+        };
         let scheduler = &mut self.entries[at].scheduler;
         match notice {
             Notice::Leading {
@@ -606,6 +640,13 @@
         running == wanted as usize
     }
 
+    /// Lets the schedulers forget the tasks that are over, as for a new job.
+    pub fn forget_ends(&mut self) {
+        for entry in &mut self.entries {
+            entry.scheduler.over.clear();
+        }
+    }
+
     /// Ends one running instance, as if it had failed.
     pub fn end_instance(&mut self) {
         let now = Millis(self.now);
@@ -626,7 +667,7 @@
 }
 
 impl Scheduler {
-    fn progress(&mut self, progress: &[marigoldpick_shard::record::Job]) {
+    fn progress(&mut self, progress: &[record::Job]) {
         for job in progress {
             for (from, to) in job
                 .progress
@@ -652,6 +693,7 @@
     fn spec(&self, run: id::Run) -> Spec {
         Spec {
             run,
+            accepted: self.accepted,
             team: id::Team::new("maps").expect("a name"),
             needs: Amount::new(1_000, 512),
             service: None,
--- a/crates/marigoldpick-shard/tests/support/worker.rs
+++ b/crates/marigoldpick-shard/tests/support/worker.rs
@@ -61,6 +61,7 @@
             };
             self.finished.push(Finished {
                 run: task.spec.run,
+                accepted: task.spec.accepted,
                 outcome,
                 age: time.since(task.started),
                 usage: None,
@@ -75,6 +76,7 @@
         let task = self.tasks.remove(0);
         self.finished.push(Finished {
             run: task.spec.run,
+            accepted: task.spec.accepted,
             outcome: Outcome::Failed,
             age,
             usage: None,
@@ -157,6 +159,7 @@
                 let task = self.tasks.swap_remove(at.ok_or(Refusal::UnknownRun)?);
                 self.finished.push(Finished {
                     run: task.spec.run,
+                    accepted: task.spec.accepted,
                     outcome: Outcome::Stopped,
                     age: time.since(task.started),
                     usage: None,
--- a/crates/marigoldpick-standin/src/worker/state.rs
+++ b/crates/marigoldpick-standin/src/worker/state.rs
@@ -297,6 +297,7 @@
         };
         let finished = Finished {
             run: ended.run.clone(),
+            accepted: run.spec.accepted,
             outcome: ended.outcome.clone(),
             age,
             usage: (age >= self.usage_lag).then(|| run.usage()),
--- a/crates/marigoldpick-standin/tests/standin/common.rs
+++ b/crates/marigoldpick-standin/tests/standin/common.rs
@@ -147,6 +147,7 @@
     let task = task(job);
     Spec {
         run: id::Run { task, attempt: 1 },
+        accepted: 1,
         team: name("team", id::Team::new),
         needs: Amount::new(millicores, 64),
         service: None,
