Measure urgent work behind a full cluster at 7,400 workers

The mixed replay leaves the fleet of 7,400 workers at 87% and so does not show urgent starts behind a cluster full of batch. A part `urgent` offers batch at 230%, so that the fleet stays full. The arrivals move to a module of their own. Rows for a black hole that reports full memory and for the same real sizes declared right come with it.

--- a/crates/marigoldpick-bench/src/place.rs
+++ b/crates/marigoldpick-bench/src/place.rs
@@ -1,5 +1,6 @@
 //! `marigold-bench place`: task placement by policy on the same seeded work.
 
+mod arrivals;
 mod packing;
 mod replay;
 mod scale;
@@ -22,7 +23,9 @@
     seed: u64,
     #[options(help = "print JSON")]
     json: bool,
-    #[options(help = "run only this part: packing, scale, mixed, sizes, black-hole, objectives")]
+    #[options(
+        help = "run only this part: packing, scale, mixed, urgent, sizes, black-hole, objectives"
+    )]
     part: Option<String>,
 }
 
@@ -56,8 +59,9 @@
     if wanted("scale") {
         report.scale.push(scale::measure(workers, seed));
     }
-    let replays: [(&str, Measure); 4] = [
+    let replays: [(&str, Measure); 5] = [
         ("mixed", scenario::mixed),
+        ("urgent", scenario::urgent),
         ("sizes", scenario::sizes),
         ("black-hole", scenario::black_hole),
         ("objectives", scenario::objectives),
--- a/crates/marigoldpick-bench/src/place/replay.rs
+++ b/crates/marigoldpick-bench/src/place/replay.rs
@@ -41,13 +41,21 @@
     pub real_permille: u64,
 }
 
+/// `BlackHole` is a worker that fails all at once.
+#[derive(Clone, Debug)]
+pub struct BlackHole {
+    pub worker: id::Worker,
+    /// Whether its failures report all of the memory as used.
+    pub full_memory: bool,
+}
+
 /// `Scenario` is what is replayed.
 #[derive(Clone, Debug)]
 pub struct Scenario {
     pub fleet: Vec<vm::Worker>,
     pub arrivals: Vec<Arrival>,
     pub end: Millis,
-    pub black_hole: Option<id::Worker>,
+    pub black_hole: Option<BlackHole>,
     pub settings: Settings,
     pub objective: Option<marigoldpick_core::intent::Objective>,
 }
@@ -266,11 +274,14 @@
             (span, end) = (Millis(span.0 / 2), End::Failed);
             self.tally.out_of_memory += 1;
         }
-        if self.scenario.black_hole.as_ref() == Some(&worker) {
+        let mut told = Some(used.clone());
+        if let Some(hole) = self.scenario.black_hole.as_ref()
+            && hole.worker == worker
+        {
             self.tally.black_hole_starts += 1;
             (span, end) = (BLACK_HOLE, End::Failed);
+            told = hole.full_memory.then(|| spec.needs.clone());
         }
-        let told = (span != BLACK_HOLE).then(|| used.clone());
         self.serial += 1;
         let serial = self.serial;
         self.hold(&worker, &spec.needs, &used);
@@ -418,7 +429,8 @@
     Histogram::new(3).expect("three digits are allowed")
 }
 
-fn scaled(needs: &Amount, permille: u64) -> Amount {
+/// Returns an amount without its accelerators, in thousandths of `needs`.
+pub fn scaled(needs: &Amount, permille: u64) -> Amount {
     Amount::new(
         (needs.millicores * permille / 1_000).max(1),
         (needs.memory_mib * permille / 1_000).max(1),
