Leave out of a renewal what says nothing new

Bodies carry no content type, since all are JSON; empty fields of a worker's answer are left out; an epoch is a list; the answer to a call that was carried out leaves out the epoch, which is the call's, and the adapter puts it back.

Ruled out: dropping the host and the date, which the HTTP library writes by itself; sending the caller's names once for each connection, since a connection is not a caller for a real platform's proxy.

--- a/crates/marigoldpick-core/src/worker.rs
+++ b/crates/marigoldpick-core/src/worker.rs
@@ -17,7 +17,7 @@
 #[derive(
     Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize,
 )]
-#[serde(deny_unknown_fields)]
+#[serde(from = "(u64, u64, u64)", into = "(u64, u64, u64)")]
 pub struct Epoch {
     /// The number of the tenure in the shard's log.
     pub tenure: u64,
@@ -27,6 +27,30 @@
     pub lead: u64,
 }
 
+impl From<(u64, u64, u64)> for Epoch {
+    fn from((tenure, interim, lead): (u64, u64, u64)) -> Self {
+        Self {
+            tenure,
+            interim,
+            lead,
+        }
+    }
+}
+
+impl From<Epoch> for (u64, u64, u64) {
+    fn from(epoch: Epoch) -> Self {
+        (epoch.tenure, epoch.interim, epoch.lead)
+    }
+}
+
+impl Epoch {
+    /// Tells whether it is the epoch of a worker that nobody has claimed.
+    #[must_use]
+    pub fn is_unset(&self) -> bool {
+        *self == Self::default()
+    }
+}
+
 /// `Spec` is what a worker is told of a task.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 #[serde(deny_unknown_fields)]
@@ -72,6 +96,7 @@
         /// The lease is extended to `stamp + span`.
         span: Millis,
         /// Finished runs whose end is recorded.
+        #[serde(default, skip_serializing_if = "Vec::is_empty")]
         acknowledged: Vec<id::Run>,
     },
     /// Starts a run; refused when the lease has lapsed, the size is passed or the task runs.
@@ -115,6 +140,20 @@
 }
 
 impl Call {
+    /// Returns the epoch at which the call is made.
+    #[must_use]
+    pub const fn epoch(&self) -> Option<Epoch> {
+        match self {
+            Self::Claim { epoch }
+            | Self::Renew { epoch, .. }
+            | Self::Start { epoch, .. }
+            | Self::Stop { epoch, .. }
+            | Self::Checkpoint { epoch, .. }
+            | Self::Throttle { epoch, .. } => Some(*epoch),
+            Self::List => None,
+        }
+    }
+
     /// Returns the call's kind, for counters.
     #[must_use]
     pub const fn kind(&self) -> &'static str {
@@ -186,16 +225,20 @@
 #[serde(deny_unknown_fields)]
 pub struct Report {
     /// The highest epoch that claimed the worker.
+    #[serde(default, skip_serializing_if = "Epoch::is_unset")]
     pub epoch: Epoch,
     /// The worker's clock at the answer.
     pub stamp: Millis,
     /// The lease's end by the worker's clock.
     pub lease_end: Millis,
     /// Whether `running` and `finished` are the whole sets.
+    #[serde(default, skip_serializing_if = "std::ops::Not::not")]
     pub whole: bool,
     /// What runs.
+    #[serde(default, skip_serializing_if = "Vec::is_empty")]
     pub running: Vec<Running>,
     /// What ended and waits for acknowledgement.
+    #[serde(default, skip_serializing_if = "Vec::is_empty")]
     pub finished: Vec<Finished>,
 }
 
@@ -204,11 +247,32 @@
 #[serde(deny_unknown_fields)]
 pub struct Answer {
     /// Why the call was refused, if it was.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
     pub refused: Option<Refusal>,
     /// The worker's state.
     pub report: Report,
 }
 
+impl Answer {
+    /// Leaves out the epoch of an answer to a call that was carried out, since it is the call's.
+    #[must_use]
+    pub fn short(mut self, call: Option<Epoch>) -> Self {
+        if self.refused.is_none() && call == Some(self.report.epoch) {
+            self.report.epoch = Epoch::default();
+        }
+        self
+    }
+
+    /// Puts the epoch of the call back into an answer that [`Answer::short`] has shortened.
+    #[must_use]
+    pub fn full(mut self, call: Option<Epoch>) -> Self {
+        if self.refused.is_none() && self.report.epoch.is_unset() {
+            self.report.epoch = call.unwrap_or_default();
+        }
+        self
+    }
+}
+
 /// `Refusal` is why a worker did not carry out a call.
 #[derive(Clone, Copy, Debug, Display, PartialEq, Eq, Serialize, Deserialize)]
 #[serde(rename_all = "kebab-case")]
--- a/crates/marigoldpick-platform/src/exchange.rs
+++ b/crates/marigoldpick-platform/src/exchange.rs
@@ -87,7 +87,8 @@
         request.insert_header(ENTRY_HEADER, self.caller.entry.as_str());
         if !body.is_empty() {
             request.set_body(body);
-            request.insert_header(CONTENT_TYPE, "application/json");
+            // All bodies are JSON, and most are shorter than the header that would say so.
+            request.remove_header(CONTENT_TYPE);
         }
         request
     }
--- a/crates/marigoldpick-platform/src/worker.rs
+++ b/crates/marigoldpick-platform/src/worker.rs
@@ -30,7 +30,8 @@
             .exchange(Method::Post, &url, body, Millis::ZERO)
             .await
             .map_err(fault)?;
-        serde_json::from_slice(&answer).map_err(|_source| Fault::Unknown)
+        let answer: Answer = serde_json::from_slice(&answer).map_err(|_source| Fault::Unknown)?;
+        Ok(answer.full(call.epoch()))
     }
 }
 
--- a/crates/marigoldpick-standin/src/fleet.rs
+++ b/crates/marigoldpick-standin/src/fleet.rs
@@ -13,7 +13,7 @@
 use crate::command::Command;
 use crate::cut::Cut;
 use crate::endpoint::Endpoint;
-use crate::http::{drop_connection, header, json, parse};
+use crate::http::{drop_connection, header, parse, plain};
 use crate::listener::{Handler, Listener};
 use crate::seed::Seed;
 use crate::settings::{Range, Settings};
@@ -381,8 +381,10 @@
         };
         let caller = header(&request, ENTRY_HEADER).unwrap_or_default();
         lock(&inner.counters).add(caller, call.kind());
+        let epoch = call.epoch();
         let answer = self.fleet.call(self.seat, call);
-        Ok(json(&answer.map_err(|_source| drop_connection())?))
+        let answer = answer.map_err(|_source| drop_connection())?;
+        Ok(plain(&answer.short(epoch)))
     }
 }
 
--- a/crates/marigoldpick-standin/src/http.rs
+++ b/crates/marigoldpick-standin/src/http.rs
@@ -25,6 +25,13 @@
     }
 }
 
+/// Makes an answer with a JSON body and no header that says so.
+pub(crate) fn plain<T: Serialize>(value: &T) -> Response {
+    let mut response = json(value);
+    response.remove_header(CONTENT_TYPE);
+    response
+}
+
 /// Makes the answer to a request that was refused unread.
 pub(crate) fn refused() -> Response {
     let mut response = Response::new(StatusCode::ServiceUnavailable);
