Let a lead pace its renewals by the number of its workers

Cause: each worker's lease was renewed each second, whatever the size of the shard; the lead of 96 workers spent 29.9 KB/s on it, six times a node's budget.

A lead now renews each worker once in an interval that its log states: the workers of the shard over ten a second, from 1 s to 20 s. Lease, right to act and sign of a silent lead grow with it. The longest interval that ever stood in the log bounds what earlier leads may have given, and the wait for a silent worker uses it. Workers whose runs are young, or that were just told something, are renewed sooner, so that the end of a run is heard within an eighth of the time that it ran. A renewal that failed is tried again after a second.

Ruled out: a constant maximum (small sites would wait a minute for a silent worker), deriving the interval from the VM list (two leads may see different ones), and idle_ms grown by one interval: a renewal counts from the stamp of the one before, so that a rival then took the lead from one at work; a test showed it.

Each guard was taken away first: the settings' own or the present interval in place of the longest runs a task twice; without looking sooner a run's end comes 5.5 to 8.9 s late; with the short idle_ms a rival takes the lead. The test of the wait-out is the same over `paced` as a method, and checks two spans more.

--- a/crates/marigoldpick-shard/src/lead.rs
+++ b/crates/marigoldpick-shard/src/lead.rs
@@ -9,6 +9,7 @@
 mod ledger;
 mod member;
 mod message;
+mod pace;
 mod report;
 mod start;
 mod takeover;
--- a/crates/marigoldpick-shard/src/lead/evidence.rs
+++ b/crates/marigoldpick-shard/src/lead/evidence.rs
@@ -13,7 +13,7 @@
         if !matches!(self.role, Role::Claim { .. } | Role::Lead) {
             return false;
         }
-        let from = now - self.settings.majority_ms;
+        let from = now - self.pace().majority_ms;
         let confirmed = self.epoch.interim == 0 && self.confirmed_at.is_some_and(|at| at >= from);
         confirmed || self.has_majority(from, now)
     }
@@ -72,8 +72,9 @@
     /// Returns when the tasks of a silent worker have ended, if nobody gets the right to renew it
     /// before then.
     fn lapse_of(&self, member: &Member) -> Option<Millis> {
-        let others = self.alone_since()? + self.settings.wait_out();
-        let lease = self.settings.lease_ms;
+        let longest = self.longest();
+        let others = self.alone_since()? + longest.wait_out();
+        let lease = longest.lease_ms;
         let own = member
             .stamp_at
             .map_or(Millis::ZERO, |at| at + lease + self.settings.margin(lease));
@@ -92,7 +93,7 @@
 
     /// Notes which workers are silent and which are lost.
     pub(super) fn look_for_losses(&mut self, now: Millis, out: &mut Vec<Output>) {
-        let from = now - self.settings.majority_ms;
+        let from = now - self.pace().majority_ms;
         for at in 0..self.members.len() {
             let member = &self.members[at];
             if member.lost {
--- a/crates/marigoldpick-shard/src/lead/ledger.rs
+++ b/crates/marigoldpick-shard/src/lead/ledger.rs
@@ -121,8 +121,10 @@
         }
         self.confirmed_at = self.confirmed_at.max(Some(self.appended_from));
         for record in &entry.records {
-            if let Record::Started(run) = record {
-                self.start_recorded(run);
+            match record {
+                Record::Started(run) => self.start_recorded(run),
+                Record::Pace(_) => self.paced(now),
+                _ => {}
             }
         }
         let (written, rest) = std::mem::take(&mut self.endings)
--- a/crates/marigoldpick-shard/src/lead/member.rs
+++ b/crates/marigoldpick-shard/src/lead/member.rs
@@ -49,6 +49,8 @@
     pub(super) heard: Option<Millis>,
     pub(super) probe: Option<Probe>,
     pub(super) due: Millis,
+    /// When its youngest run began or it was last told to do something.
+    pub(super) fresh_at: Option<Millis>,
     pub(super) call: Option<u64>,
     /// Whether the last call got no answer.
     pub(super) failing: bool,
@@ -80,6 +82,7 @@
             heard: None,
             probe: None,
             due: Millis::ZERO,
+            fresh_at: None,
             call: None,
             failing: false,
             want_whole: false,
--- a/crates/marigoldpick-shard/src/lead/report.rs
+++ b/crates/marigoldpick-shard/src/lead/report.rs
@@ -38,7 +38,7 @@
         self.members[at].call = None;
         match result {
             Ok(answer) => self.heard(at, sent, answer, now, out),
-            Err(fault) => self.worker_fault(at, sent, fault, out),
+            Err(fault) => self.worker_fault(at, sent, fault, now, out),
         }
     }
 
@@ -80,10 +80,19 @@
         member.heard = member.heard.max(Some(sent.at));
         member.stamp = report.stamp;
         member.stamp_at = Some(now);
+        self.freshen(at, &report, now);
         self.merge(at, report, out);
         self.after_call(at, sent.kind, answer.refused, out);
     }
 
+    /// Notes how young the worker's runs are.
+    fn freshen(&mut self, at: usize, report: &Report, now: Millis) {
+        let began = |run: &Running| if run.stopping { now } else { now - run.age };
+        if let Some(time) = report.running.iter().map(began).max() {
+            self.members[at].freshen(time, now, self.settings.renew_ms);
+        }
+    }
+
     fn after_call(
         &mut self,
         at: usize,
--- a/crates/marigoldpick-shard/src/lead/takeover.rs
+++ b/crates/marigoldpick-shard/src/lead/takeover.rs
@@ -107,12 +107,13 @@
     fn is_idle(&self, since: Millis, now: Millis) -> bool {
         let (mut active, mut answered) = (0, 0);
         let own = self.lead_hash();
+        let pace = self.pace();
+        let busy = pace.lease_ms - pace.idle_ms;
         for probe in self.members.iter().filter_map(|m| m.probe) {
             if probe.sent < since {
                 continue;
             }
             answered += 1;
-            let busy = self.settings.lease_ms - self.settings.idle_ms;
             active += usize::from(probe.left > busy && probe.epoch.lead != own);
         }
         let all = answered == self.members.len();
@@ -243,7 +244,8 @@
         self.note_held(out);
         self.elect(now);
         self.release_starts(now, out);
-        let from = now - self.settings.majority_ms;
+        self.set_pace();
+        let from = now - self.pace().majority_ms;
         if self.epoch.interim > 0 || !self.has_majority(from, now) {
             self.read_soon(now);
         }
--- a/crates/marigoldpick-shard/src/lead/work.rs
+++ b/crates/marigoldpick-shard/src/lead/work.rs
@@ -144,12 +144,15 @@
             return Some((Kind::Look, Call::Claim { epoch }));
         }
         if due && may {
-            member.due = now + renew;
+            let next = self.next_renewal(at, now);
+            let span = self.pace().lease_ms;
+            let member = &mut self.members[at];
+            member.due = next;
             let acknowledged = member.acks.clone();
             let request = Call::Renew {
                 epoch,
                 stamp: member.stamp,
-                span: self.settings.lease_ms,
+                span,
                 acknowledged: acknowledged.clone(),
             };
             return Some((Kind::Renew(acknowledged), request));
@@ -191,7 +194,7 @@
 
     fn start_call(&mut self, at: usize, run: &id::Run) -> Option<Call> {
         let stamp = self.members[at].stamp;
-        let span = self.settings.majority_ms;
+        let span = self.pace().majority_ms;
         let pending = self.pending(run)?;
         let pending = &mut self.starts[pending];
         pending.stage = Stage::Sent(stamp + span);
@@ -215,7 +218,11 @@
         self.next_call += 1;
         let call = self.next_call;
         self.worker_calls.add(request.kind());
-        self.members[at].call = Some(call);
+        let member = &mut self.members[at];
+        member.call = Some(call);
+        if matches!(kind, Kind::Start(_) | Kind::Act(_)) {
+            member.freshen(now, now, self.settings.renew_ms);
+        }
         let worker = self.members[at].id.clone();
         let sent = Sent {
             worker: worker.clone(),
@@ -237,10 +244,12 @@
         at: usize,
         sent: Sent,
         fault: Fault,
+        now: Millis,
         out: &mut Vec<Output>,
     ) {
         let member = &mut self.members[at];
         member.failing = true;
+        member.due = member.due.min(now + self.settings.renew_ms);
         member.want_whole |= fault == Fault::Unknown;
         match sent.kind {
             Kind::Start(run) if fault == Fault::Unknown => self.doubt_start(&run, Millis::ZERO),
--- a/crates/marigoldpick-shard/src/record.rs
+++ b/crates/marigoldpick-shard/src/record.rs
@@ -30,6 +30,8 @@
     },
     /// The lead has given up the shard by itself.
     Resigned,
+    /// Leases are renewed at this interval from now on.
+    Pace(Millis),
     /// A worker may hold tasks from now on.
     Worker(id::Worker),
     /// A worker joins those whose majority counts.
@@ -118,6 +120,12 @@
     pub tenure: u64,
     /// Who took the lead last.
     pub holder: Option<Holder>,
+    /// The time between two renewals, where it is longer than the settings say.
+    #[serde(default)]
+    pub renew_ms: Millis,
+    /// The longest time between two renewals that any lead may have used.
+    #[serde(default)]
+    pub longest_ms: Millis,
     /// The workers that may hold tasks, sorted.
     pub workers: Vec<id::Worker>,
     /// The workers whose majority counts, sorted.
@@ -224,6 +232,10 @@
                     holder.resigned = true;
                 }
             }
+            Record::Pace(renew) => {
+                self.renew_ms = *renew;
+                self.longest_ms = self.longest_ms.max(*renew);
+            }
             Record::Worker(worker) => add(&mut self.workers, worker),
             Record::Joined(worker) => add(&mut self.electors, worker),
             Record::Left(worker) => self.workers.retain(|have| have != worker),
--- a/crates/marigoldpick-shard/src/settings.rs
+++ b/crates/marigoldpick-shard/src/settings.rs
@@ -7,8 +7,12 @@
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 #[serde(default, deny_unknown_fields)]
 pub struct Settings {
-    /// The time between two renewals of a worker's lease.
+    /// The least time between two renewals of a worker's lease.
     pub renew_ms: Millis,
+    /// The longest time between two renewals, however many workers a shard has.
+    pub renew_most_ms: Millis,
+    /// Renewals a second that one lead makes before it lengthens the time between them.
+    pub renewals: u32,
     /// The span that a renewal gives a worker from its own stamp.
     pub lease_ms: Millis,
     /// How long a majority's answers, or the store's, let a lead act.
@@ -65,6 +69,8 @@
     fn default() -> Self {
         Self {
             renew_ms: Millis(1_000),
+            renew_most_ms: Millis(20_000),
+            renewals: 10,
             lease_ms: Millis(8_000),
             majority_ms: Millis(3_000),
             drift_permille: 10,
@@ -95,23 +101,30 @@
 }
 
 impl Settings {
-    /// Returns settings whose leases are renewed each `renew`, with all spans that hang on it.
+    /// Returns these settings with leases that are renewed each `renew`, if that is longer.
     ///
-    /// A lead's bytes are its workers times a renewal's bytes over this span; in return a silent
-    /// worker's tasks are taken for ended that much later.
+    /// All spans that hang on the interval grow with it. A renewal counts from the stamp of the one
+    /// before, so that a lease and the sign of a silent lead need two intervals, the right to act one.
     #[must_use]
-    pub fn paced(renew: Millis) -> Self {
-        let usual = Self::default();
-        let scaled = |span: Millis| Millis(span.0 * renew.0 / usual.renew_ms.0);
+    pub fn paced(&self, renew: Millis) -> Self {
+        let more = renew - self.renew_ms;
         Self {
-            renew_ms: renew,
-            lease_ms: scaled(usual.lease_ms),
-            majority_ms: scaled(usual.majority_ms),
-            idle_ms: scaled(usual.idle_ms),
-            ..usual
+            renew_ms: self.renew_ms + more,
+            lease_ms: self.lease_ms + more + more,
+            majority_ms: self.majority_ms + more,
+            idle_ms: self.idle_ms + more + more,
+            ..self.clone()
         }
     }
 
+    /// Returns the time between two renewals that suits a shard of so many workers.
+    #[must_use]
+    pub fn interval(&self, workers: usize) -> Millis {
+        let workers = u64::try_from(workers).unwrap_or(u64::MAX);
+        let even = Millis(workers.saturating_mul(1_000) / u64::from(self.renewals.max(1)));
+        even.min(self.renew_most_ms).max(self.renew_ms)
+    }
+
     /// Returns what two clocks may differ by over `span`, with one tick of rounding at each end.
     #[must_use]
     pub const fn margin(&self, span: Millis) -> Millis {
--- a/crates/marigoldpick-shard/tests/rules.rs
+++ b/crates/marigoldpick-shard/tests/rules.rs
@@ -182,7 +182,9 @@
 #[googletest::test]
 fn settings_wait_out_covers_what_a_drifting_lead_may_do() {
     for renew in [500, 1_000, 15_000] {
-        let settings = Settings::paced(Millis(renew));
+        let settings = Settings::default().paced(Millis(renew));
+        expect_that!(settings.majority_ms, gt(settings.renew_ms));
+        expect_that!(settings.lease_ms, gt(settings.renew_ms.times(2)));
         let span = settings.majority_ms.0 + settings.lease_ms.0;
         // The slowest clock that the bound allows, against the fastest.
         let slow = span as f64 * 1.005;
