Refuse drains of what is unknown and drains that change nothing

A drain of a worker, rack, endpoint, entry or failure domain that does not exist was accepted and stayed in the configuration without effect, and a second drain of the same was answered like the first. Both are numbered errors now: 105, and 211 which is new; the message names the target.

Workers and racks are looked for in the VM lists of all failure domains, endpoints at the lead of their shard. When that can't be asked the drain is accepted, since an outage must not hold it up. Ruled out: judging it in the configuration's state, which knows neither VMs nor endpoints.

--- a/crates/marigoldpick-core/src/code.rs
+++ b/crates/marigoldpick-core/src/code.rs
@@ -52,6 +52,7 @@
     208 NotLead "this entry does not lead the shard; another one does";
     209 NoLead "the shard has no lead now; try again later";
     210 NeedsConfirm "the plan displaces running tasks, so it has to be confirmed by itself";
+    211 NoChange "it is as asked already; nothing was changed";
     300 NotRunQueueFull "not run: the team's queue is full";
     301 NotRunTooLate "not run: the wait would pass the deadline";
     302 NotRunNoEndpoint "not run: no endpoint of the service can take work";
--- a/crates/marigoldpick-core/src/id.rs
+++ b/crates/marigoldpick-core/src/id.rs
@@ -113,6 +113,16 @@
 }
 
 impl Run {
+    /// Returns the run that an endpoint is, if its name is one of a run.
+    #[must_use]
+    pub fn of_endpoint(endpoint: &Endpoint) -> Option<Self> {
+        let (rest, attempt) = endpoint.as_str().rsplit_once('.')?;
+        let (job, index) = rest.rsplit_once('.')?;
+        let task = Task::new(Job::new(job).ok()?, index.parse().ok()?);
+        let attempt = attempt.parse().ok()?;
+        Some(Self { task, attempt })
+    }
+
     /// Names the endpoint that this run is: `job.index.attempt`.
     ///
     /// # Panics
--- a/crates/marigoldpick-entry/src/control.rs
+++ b/crates/marigoldpick-entry/src/control.rs
@@ -4,6 +4,7 @@
 //! comes in, carries out what they ask for, and publishes a view for the traffic threads.
 
 mod beats;
+mod drain;
 mod endpoints;
 mod follow;
 mod io;
@@ -166,6 +167,11 @@
             Message::Fetched { plan, reply } => self.fetched(plan, reply),
             Message::Cancel { jobs, reply } => self.cancel(jobs, reply),
             Message::Drain { target, on, reply } => self.drain(target, on, reply),
+            Message::Sought {
+                target,
+                result,
+                reply,
+            } => self.sought(target, result, reply),
             Message::Status { reply } => self.status(reply),
             Message::Explain { task, reply } => self.explain(task, reply),
             Message::Peer { call, reply } => operate::answer(&reply, self.peer(call)),
--- a/crates/marigoldpick-entry/src/control/io.rs
+++ b/crates/marigoldpick-entry/src/control/io.rs
@@ -7,7 +7,7 @@
 use marigoldpick_core::store::Store as _;
 use marigoldpick_core::vm::Source as _;
 use marigoldpick_core::worker::Port as _;
-use marigoldpick_core::{store, worker};
+use marigoldpick_core::{store, vm, worker};
 use marigoldpick_platform::{Store, Vms, Workers};
 use marigoldpick_wire as wire;
 
@@ -83,6 +83,14 @@
         self.send(async move { Message::Vms(vms.list(&domain).await) });
     }
 
+    /// Reads the list of VMs of any failure domain.
+    ///
+    /// # Errors
+    /// Fails when the platform does not answer.
+    pub async fn list(&self, domain: &id::Domain) -> Result<vm::List, Code> {
+        self.vms.list(domain).await
+    }
+
     /// Sends a beat; the answer comes back as one.
     pub fn beat(&self, to: Known, beat: Beat) {
         let io = self.clone();
--- a/crates/marigoldpick-entry/src/control/message.rs
+++ b/crates/marigoldpick-entry/src/control/message.rs
@@ -53,6 +53,15 @@
         /// Where the answer goes.
         reply: Reply<Accepted>,
     },
+    /// What an operator wants to drain was looked for.
+    Sought {
+        /// What is to be drained.
+        target: Target,
+        /// Whether it exists, as far as can be told.
+        result: Result<(), Code>,
+        /// Where the answer goes.
+        reply: Reply<Accepted>,
+    },
     /// An operator asks for the state.
     Status {
         /// Where the answer goes.
--- a/crates/marigoldpick-entry/src/control/operate.rs
+++ b/crates/marigoldpick-entry/src/control/operate.rs
@@ -1,7 +1,7 @@
 //! Operators' calls: plan, confirm, cancel, drain, status, explain.
 
 use async_channel::Sender;
-use marigoldpick_core::config::{Change, Target};
+use marigoldpick_core::config::Change;
 use marigoldpick_core::control::{Answer, Call, Known};
 use marigoldpick_core::intent::Intent;
 use marigoldpick_core::operator::{self, Accepted, Ask, Explain, Problem, Status};
@@ -160,15 +160,6 @@
         self.propose(Change::Cancel { jobs }, Cause::None, None, Some(reply));
     }
 
-    pub(super) fn drain(&mut self, target: Target, on: bool, reply: Reply<Accepted>) {
-        if self.config.state().drains(&target) == on {
-            let sequence = self.config.state().sequence;
-            answer(&reply, Ok(Accepted { sequence }));
-            return;
-        }
-        self.propose(Change::Drain { target, on }, Cause::None, None, Some(reply));
-    }
-
     /// The result of a proposed change has come.
     pub(super) fn decided(&mut self, number: u64, result: Result<u64, Code>) {
         let Ok(at) = self
@@ -186,6 +177,8 @@
                 let problem = Problem::new(Code::Stale, details);
                 self.survey_all(plan.intent, Answering::Stale(problem, reply));
             }
+            // Another operator's drain came first.
+            (Err(Code::Stale), None) => answer(&reply, Err(Problem::new(Code::NoChange, ""))),
             (Err(code), _) => {
                 let mut problem = Problem::new(code, "");
                 let later = matches!(code, Code::NotAccepted | Code::AcceptUnknown);
@@ -224,7 +217,7 @@
     }
 
     /// Returns the shard that is responsible for a task.
-    fn home(&self, task: &id::Task) -> Option<id::Shard> {
+    pub(super) fn home(&self, task: &id::Task) -> Option<id::Shard> {
         let accepted = self.config.state().job(&task.job)?;
         let holds = |from: u32, to: u32| (from..to).contains(&task.index);
         let home = accepted.homes.iter().find(|home| holds(home.from, home.to));
--- a/crates/marigoldpick-entry/tests/path/main.rs
+++ b/crates/marigoldpick-entry/tests/path/main.rs
@@ -1,5 +1,6 @@
 //! The whole path over loopback: intent, plan, confirm, tasks on workers, requests on endpoints.
 
+mod drains;
 mod names;
 mod operators;
 mod regions;
--- a/crates/marigoldpick-entry/tests/path/operators.rs
+++ b/crates/marigoldpick-entry/tests/path/operators.rs
@@ -2,7 +2,8 @@
 
 use async_std::net::TcpStream;
 use http_types::{Method, Request, Response, Url};
-use marigoldpick_core::operator::{Accepted, Ask, Confirm, Problem, Status};
+use marigoldpick_core::config::Target;
+use marigoldpick_core::operator::{Accepted, Ask, Confirm, Drain, Problem, Status};
 use marigoldpick_core::plan::Plan;
 use marigoldpick_core::prelude::*;
 use serde::Serialize;
@@ -25,6 +26,11 @@
     post(address, "/v1/confirm", &Confirm { plan: plan.clone() }).await
 }
 
+/// Starts or ends a drain.
+pub(crate) async fn drain(address: &str, target: Target, on: bool) -> Result<Accepted, Problem> {
+    post(address, "/v1/drain", &Drain { target, on }).await
+}
+
 /// Asks for the status.
 pub(crate) async fn status(address: &str) -> Result<Status, Problem> {
     let mut response = exchange(address, request(address, Method::Get, "/v1/status")).await;
