Start no task again that the log shows as over once it can be read

Cause: a lead that takes over without the store does not know what was completed, so its scheduler asks for starts of such tasks, which are held. When the store was back, the held starts were let go without a look at the log: completed tasks ran a second time, and the end of such a run was acknowledged without a word to the scheduler, which had the task as running for good. So the job never ended.

A held start of a task that is over is now refused as Duplicate, and the end of a run of such a task is told to the scheduler.

The wait in path now prints the last status when it fails.

--- a/crates/marigoldpick-entry/tests/path/site.rs
+++ b/crates/marigoldpick-entry/tests/path/site.rs
@@ -152,11 +152,15 @@
 
     async fn until(&self, what: &str, holds: impl Fn(&operator::Status) -> bool) {
         let start = Instant::now();
-        while !crate::status(&self.operators(0))
-            .await
-            .is_ok_and(|status| holds(&status))
-        {
-            assert!(start.elapsed() < LONGEST, "not in time: {what}");
+        loop {
+            let status = crate::status(&self.operators(0)).await;
+            if status.as_ref().is_ok_and(&holds) {
+                return;
+            }
+            assert!(
+                start.elapsed() < LONGEST,
+                "not in time: {what}: {status:#?}"
+            );
             async_std::task::sleep(POLL).await;
         }
     }
--- a/crates/marigoldpick-shard/src/lead/report.rs
+++ b/crates/marigoldpick-shard/src/lead/report.rs
@@ -241,11 +241,8 @@
         self.yield_start(&finished.run, out);
         self.started(&finished.run, worker, out);
         if self.is_over(&finished.run.task) {
-            let member = &mut self.members[at];
-            member.drop_run(&finished.run);
-            member.acks.push(finished.run.clone());
-            self.unplace(&finished.run, worker);
-            return;
+            // The scheduler may have it as running, if it learned of it before the log could be read.
+            return self.end(at, worker, finished, true, out);
         }
         if finished.outcome == Outcome::Done && self.is_recorded(&finished.run.task.job) {
             let member = &mut self.members[at];
--- a/crates/marigoldpick-shard/src/lead/start.rs
+++ b/crates/marigoldpick-shard/src/lead/start.rs
@@ -123,6 +123,7 @@
     /// Lets go of the starts that nothing holds any more.
     pub(super) fn release_starts(&mut self, now: Millis, out: &mut Vec<Output>) {
         self.refuse_late(now, out);
+        self.refuse_over(out);
         let blind = self.is_blind();
         for at in 0..self.starts.len() {
             let pending = &self.starts[at];
@@ -142,6 +143,20 @@
         }
     }
 
+    /// Refuses starts of tasks that are over, as the log has shown only after they were asked for.
+    fn refuse_over(&mut self, out: &mut Vec<Output>) {
+        let over = |p: &&Pending| p.stage == Stage::Held && self.is_over(&p.spec.run.task);
+        let runs: Vec<id::Run> = self
+            .starts
+            .iter()
+            .filter(over)
+            .map(|p| p.spec.run.clone())
+            .collect();
+        for run in runs {
+            self.cancel_start(&run, Code::Duplicate, out);
+        }
+    }
+
     /// Refuses starts whose record does not get into the log in time.
     fn refuse_late(&mut self, now: Millis, out: &mut Vec<Output>) {
         let patience = self.settings.propose_ms;
--- a/crates/marigoldpick-shard/tests/lead.rs
+++ b/crates/marigoldpick-shard/tests/lead.rs
@@ -281,3 +281,25 @@
         check_end(&mut site);
     }
 }
+
+#[googletest::test]
+fn task_completed_before_a_take_over_without_the_store_is_not_run_again() {
+    for seed in 100..106 {
+        let maps = job("maps", 20, Class::Batch, true, Some(1_500));
+        let mut site = Site::new(seed, 3, 6, vec![maps]);
+        assert!(site.run_until(30_000, Site::is_complete), "seed {seed}");
+        // The workers have forgotten the ends, and only the log has them.
+        site.run(3_000);
+        let starts = site.starts.len();
+        site.store_odds = Odds::AWAY;
+        let lead = site.leader().expect("somebody leads");
+        site.kill(lead);
+        let led = site.run_until(10_000, |site| site.leader().is_some());
+        assert!(led, "seed {seed}: no lead without the store");
+        site.run(3_000);
+        site.store_odds = Odds::default();
+        check_end(&mut site);
+        site.run(5_000);
+        expect_that!(site.starts.len(), eq(starts), "seed {seed}");
+    }
+}
