Deal out slots by votes, so that entries that disagree never pass them

Two entries of a failure domain that disagreed on who lives could both deal out an endpoint's slots: a pure test with up to four entries, views that disagree, pauses, restarts, lost and late messages finds 12 in use of 8 when votes are not counted. An arbiter now deals out all slots with the votes of most entries, half of them with those of just half, else none; an entry votes for one at a time and changes 1.1 s after it last asked.

Ruled out: a fixed share for each entry (a dead entry's share is out until it is back), majority alone (one survivor of two stops), the store as a witness (a dependence on it for each take-over). Also mended: a whole demand that no longer named an endpoint could still be answered with a lease for it.

--- a/crates/marigoldpick-entry/src/traffic/slots.rs
+++ b/crates/marigoldpick-entry/src/traffic/slots.rs
@@ -20,6 +20,8 @@
 const ROUND: Duration = Duration::from_millis(10);
 /// The time between two rounds without requests.
 const REST: Duration = Duration::from_millis(100);
+/// An entry that was silent for this time is no longer counted among those that may live.
+const FORGET: Millis = Millis::from_secs(600);
 /// Leases are looked at in each of this many rounds.
 const LEASE_ROUNDS: u32 = 2;
 
@@ -108,7 +110,11 @@
     /// Returns the entries that may hold slots: all but those silent for long.
     fn holders(&self, view: &View, now: Millis) -> Vec<id::Entry> {
         let cover = view.services.iter().map(|s| s.deadline_ms).max();
-        let span = SPAN + cover.unwrap_or_default();
+        self.entries(view, SPAN + cover.unwrap_or_default(), now)
+    }
+
+    /// Returns the entries that were not silent for `span`.
+    fn entries(&self, view: &View, span: Millis, now: Millis) -> Vec<id::Entry> {
         let held = |entry: &id::Entry| {
             let since = self.silent.get(entry);
             since.is_none_or(|since| now.since(*since) < span)
@@ -250,7 +256,8 @@
     let demands = {
         let mut slots = lock(&state.slots);
         let holders = slots.holders(view, now);
-        slots.arbiter.set_entries(holders);
+        let members = slots.entries(view, FORGET, now);
+        slots.arbiter.set_entries(holders, members);
         slots.arbiter.tick(now);
         slots.poll(&desks, view, draining, now)
     };
--- a/crates/marigoldpick-route/src/arbiter.rs
+++ b/crates/marigoldpick-route/src/arbiter.rs
@@ -3,7 +3,13 @@
 //! For each endpoint one entry of the failure domain, the first by rendezvous hash among the live
 //! ones, deals out the slots. The sum of what it granted and what may still run under lapsed leases
 //! never passes the endpoint's slots. An arbiter that is new, or was paused, first accepts what the
-//! others hold; it deals out the rest when it has heard all entries or one lease span has passed.
+//! others hold; it deals out the rest when it has heard all entries or their leases have lapsed.
+//!
+//! Entries may disagree on who lives, and so on who is the arbiter. Each gives its vote to one at a
+//! time. With the votes of most of the failure domain's entries an arbiter deals out all slots, with
+//! those of just half of them half of the slots, with fewer none.
+
+use std::cmp::Ordering;
 
 use fxhash::FxHashMap;
 use marigoldpick_core::peer::{Demand, Grant, Lease, Want};
@@ -13,6 +19,11 @@
 
 /// How long a lease lasts.
 pub const SPAN: Millis = Millis(2_000);
+/// How long a vote lasts.
+pub const AGREE: Millis = Millis(1_000);
+/// How long an arbiter goes on without the votes that it had. With a vote it is no longer than a lease,
+/// so that nobody else has dealt out by then what lapsed.
+const GRACE: Millis = Millis(1_000);
 /// A gap between two ticks from which on the arbiter counts as having been paused.
 const PAUSE: Millis = Millis(1_000);
 
@@ -32,6 +43,7 @@
 pub struct Arbiter {
     plots: Vec<Plot>,
     entries: Vec<id::Entry>,
+    members: Vec<id::Entry>,
     heard: FxHashMap<id::Entry, Heard>,
     seen: Millis,
 }
@@ -40,13 +52,29 @@
 struct Heard {
     incarnation: u64,
     sequence: u64,
+    answered: Millis,
+}
+
+/// `Level` is what the votes allow an arbiter to deal out.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord)]
+enum Level {
+    #[default]
+    None,
+    Half,
+    All,
 }
 
 /// `Plot` is one endpoint's account.
 #[derive(Clone, Debug)]
 struct Plot {
     charge: Charge,
+    /// Since when it is in charge without a pause.
     since: Millis,
+    level: Level,
+    /// Since when it has had this level or more.
+    reached: Millis,
+    /// When the votes were last enough for it.
+    confirmed: Millis,
     holds: Vec<Hold>,
 }
 
@@ -64,6 +92,10 @@
     at: Millis,
     until: Millis,
     cover: Millis,
+    /// When it last voted for this arbiter, at the earliest.
+    vote: Option<Millis>,
+    /// Whether it has a lease from this arbiter.
+    leased: bool,
 }
 
 impl Arbiter {
@@ -80,11 +112,7 @@
                     charge,
                     ..old.remove(at)
                 },
-                Err(_) => Plot {
-                    charge,
-                    since: now,
-                    holds: Vec::new(),
-                },
+                Err(_) => Plot::new(charge, now),
             };
             self.plots.push(plot);
         }
@@ -93,9 +121,10 @@
         }
     }
 
-    /// Sets the failure domain's entries that may hold slots.
-    pub fn set_entries(&mut self, entries: Vec<id::Entry>) {
+    /// Sets the failure domain's entries that may hold slots, and all those that may live.
+    pub fn set_entries(&mut self, entries: Vec<id::Entry>, members: Vec<id::Entry>) {
         self.entries = entries;
+        self.members = members;
     }
 
     /// Notes that time has passed; a long gap counts as a pause.
@@ -103,6 +132,7 @@
         if now.since(self.seen) >= PAUSE {
             for plot in &mut self.plots {
                 plot.since = now;
+                plot.reached = now;
             }
         }
         self.seen = now;
@@ -124,9 +154,12 @@
         let heard = Heard {
             incarnation: demand.incarnation,
             sequence: demand.sequence,
+            answered: now,
         };
         self.heard.insert(demand.entry.clone(), heard);
-        self.note(demand, now);
+        // Only who took the last answer tells changes alone, so that answer came before this vote.
+        let vote = same.filter(|_| !demand.whole).map(|last| last.answered);
+        self.note(demand, vote, now);
         Grant {
             resend: false,
             span: SPAN,
@@ -142,14 +175,14 @@
             .map_or(0, |at| self.plots[at].outstanding(now))
     }
 
-    fn note(&mut self, demand: &Demand, now: Millis) {
+    fn note(&mut self, demand: &Demand, vote: Option<Millis>, now: Millis) {
         for plot in &mut self.plots {
             let find = |want: &Want| want.endpoint.cmp(&plot.charge.endpoint);
             let want = demand.wants.binary_search_by(find).ok();
             let own = plot.position(demand);
             match (want, own) {
-                (Some(at), own) => plot.put(demand, &demand.wants[at], own, now),
-                (None, Some(at)) if !demand.whole => plot.holds[at].renew(now),
+                (Some(at), own) => plot.put(demand, &demand.wants[at], own, vote, now),
+                (None, Some(at)) if !demand.whole => plot.holds[at].renew(vote, now),
                 (None, _) => {}
             }
         }
@@ -162,11 +195,19 @@
             let Some(at) = plot.position(demand) else {
                 continue;
             };
-            let slots = plot.grant(at, &self.entries, now);
             let find = |want: &Want| want.endpoint.cmp(&plot.charge.endpoint);
             let asked = demand.wants.binary_search_by(find).is_ok();
+            if demand.whole && !asked {
+                // It has left, and its lease is not renewed.
+                continue;
+            }
+            plot.count_votes(&self.members, now);
+            let Some(slots) = plot.grant(at, &self.entries, &self.members, now) else {
+                continue;
+            };
             let hold = &mut plot.holds[at];
             hold.granted = hold.granted.max(slots);
+            hold.leased = true;
             if asked || hold.told != slots {
                 hold.told = slots;
                 leases.push(Lease {
@@ -180,12 +221,31 @@
 }
 
 impl Plot {
+    const fn new(charge: Charge, now: Millis) -> Self {
+        Self {
+            charge,
+            since: now,
+            level: Level::None,
+            reached: now,
+            confirmed: now,
+            holds: Vec::new(),
+        }
+    }
+
     fn position(&self, demand: &Demand) -> Option<usize> {
         let own = |h: &Hold| h.entry == demand.entry && h.incarnation == demand.incarnation;
         self.holds.iter().position(own)
     }
 
-    fn put(&mut self, demand: &Demand, want: &Want, own: Option<usize>, now: Millis) {
+    fn put(
+        &mut self,
+        demand: &Demand,
+        want: &Want,
+        own: Option<usize>,
+        vote: Option<Millis>,
+        now: Millis,
+    ) {
+        let old = own.map(|at| &self.holds[at]);
         let hold = Hold {
             entry: demand.entry.clone(),
             incarnation: demand.incarnation,
@@ -196,6 +256,8 @@
             at: now,
             until: now + SPAN,
             cover: want.cover.max(self.charge.cover),
+            vote: vote.or(old.and_then(|old| old.vote)),
+            leased: old.is_some_and(|old| old.leased),
         };
         match own {
             Some(at) => self.holds[at] = hold,
@@ -208,26 +270,69 @@
         counts.map(|h| h.granted).sum()
     }
 
-    /// Returns what the hold at `at` may use from now on.
-    fn grant(&self, at: usize, entries: &[id::Entry], now: Millis) -> u32 {
+    /// Takes over what the votes allow: more at once, less when they stay away for a while.
+    fn count_votes(&mut self, members: &[id::Entry], now: Millis) {
+        let votes = members.iter().filter(|m| self.has_vote(m, now)).count();
+        let level = match (votes * 2).cmp(&members.len()) {
+            Ordering::Greater => Level::All,
+            Ordering::Equal => Level::Half,
+            Ordering::Less => Level::None,
+        };
+        if level > self.level {
+            self.reached = now;
+        }
+        if level >= self.level || now >= self.confirmed + GRACE {
+            self.level = level;
+            self.confirmed = now;
+        }
+    }
+
+    fn has_vote(&self, entry: &id::Entry, now: Millis) -> bool {
+        let votes = |h: &Hold| h.entry == *entry && h.vote.is_some_and(|at| now < at + AGREE);
+        self.holds.iter().any(votes)
+    }
+
+    /// Returns the slots that the votes allow to deal out.
+    const fn allowed(&self) -> u32 {
+        match self.level {
+            Level::None => 0,
+            Level::Half => self.charge.slots / 2,
+            Level::All => self.charge.slots,
+        }
+    }
+
+    /// Returns what the hold at `at` may use from now on; none when this arbiter has no say in it.
+    fn grant(
+        &self,
+        at: usize,
+        entries: &[id::Entry],
+        members: &[id::Entry],
+        now: Millis,
+    ) -> Option<u32> {
         let hold = &self.holds[at];
+        if self.level == Level::None {
+            return hold.leased.then_some(0);
+        }
         let others = self.outstanding(now) - hold.granted;
-        let free = self.charge.slots.saturating_sub(others);
-        if !self.is_warm(entries, now) {
-            return hold.granted.min(free);
+        let free = self.allowed().saturating_sub(others);
+        if !self.is_warm(members, now) {
+            return Some(hold.granted.min(free));
         }
         let target = self.target(at, entries, now);
+        if self.level == Level::Half {
+            return Some(target.min(free));
+        }
         let most = free.max(hold.used.min(hold.granted));
-        target.max(hold.used).min(most)
+        Some(target.max(hold.used).min(most))
     }
 
     /// Tells whether nothing can be held that this arbiter does not know of.
-    fn is_warm(&self, entries: &[id::Entry], now: Millis) -> bool {
-        let heard = |entry: &id::Entry| {
+    fn is_warm(&self, members: &[id::Entry], now: Millis) -> bool {
+        let told = |entry: &id::Entry| {
             let fresh = |h: &Hold| h.entry == *entry && h.at >= self.since;
-            self.holds.iter().any(fresh)
+            self.holds.iter().any(fresh) && self.has_vote(entry, now)
         };
-        now >= self.since + SPAN + self.charge.cover || entries.iter().all(heard)
+        now >= self.reached + GRACE + SPAN + self.charge.cover || members.iter().all(told)
     }
 
     /// Shares the slots by demand, one at a time to whoever has least. What nobody wants is spread
@@ -248,7 +353,7 @@
         let lost: u32 = lapsed.map(|h| h.granted).sum();
         let mut wants: Vec<u32> = holds.iter().map(|h| h.want).collect();
         wants.resize(holds.len() + unheard, 0);
-        share(self.charge.slots.saturating_sub(lost), &wants)[own]
+        share(self.allowed().saturating_sub(lost), &wants)[own]
     }
 }
 
@@ -268,13 +373,15 @@
 }
 
 impl Hold {
-    fn renew(&mut self, now: Millis) {
+    fn renew(&mut self, vote: Option<Millis>, now: Millis) {
+        self.vote = vote.or(self.vote);
         self.at = now;
         self.until = now + SPAN;
     }
 
-    /// Tells whether a request may still run under it.
+    /// Tells whether a request may still run under it, or under a lease of a new arbiter that took it
+    /// over while this one went on without votes.
     fn counts(&self, now: Millis) -> bool {
-        now < self.until + self.cover
+        now < self.until + self.cover.max(GRACE)
     }
 }
--- a/crates/marigoldpick-route/src/holder.rs
+++ b/crates/marigoldpick-route/src/holder.rs
@@ -2,10 +2,15 @@
 //!
 //! One demand to an arbiter is under way at a time. A lease lasts from when its demand was sent, by
 //! the holder's own clock, less a margin for drift; so the holder's lease ends first.
+//!
+//! To ask an arbiter for an endpoint's slots is a vote for it. When another entry becomes the
+//! endpoint's arbiter, it is asked once the vote for the last one has lapsed there.
 
 use marigoldpick_core::peer::{Demand, Grant, Lease, Want};
 use marigoldpick_core::prelude::*;
 
+use crate::arbiter::AGREE;
+
 /// Leases are renewed this long after the last demand.
 pub const RENEW: Millis = Millis(300);
 /// An arbiter is asked this long after the last demand while more slots are wanted than held.
@@ -44,6 +49,16 @@
     incarnation: u64,
     sequence: u64,
     links: Vec<Link>,
+    /// Who has the votes, sorted by endpoint.
+    votes: Vec<Vote>,
+}
+
+/// `Vote` is who was asked last for an endpoint's slots.
+#[derive(Clone, Debug)]
+struct Vote {
+    endpoint: id::Endpoint,
+    arbiter: id::Entry,
+    until: Millis,
 }
 
 /// `Link` is the exchange with one arbiter.
@@ -76,6 +91,7 @@
             incarnation,
             sequence: 0,
             links: Vec::new(),
+            votes: Vec::new(),
         }
     }
 
@@ -83,6 +99,9 @@
     pub fn poll(&mut self, targets: Vec<Target>, now: Millis) -> Vec<(id::Entry, Demand)> {
         let mut groups: Vec<(id::Entry, Vec<Want>)> = Vec::new();
         for target in targets {
+            if !self.may_ask(&target, now) {
+                continue;
+            }
             match groups.iter_mut().find(|group| group.0 == target.arbiter) {
                 Some(group) => group.1.push(target.want),
                 None => groups.push((target.arbiter, vec![target.want])),
@@ -92,13 +111,43 @@
         self.links.retain(named);
         let mut demands = Vec::new();
         for (arbiter, wants) in groups {
+            let endpoints: Vec<id::Endpoint> = wants.iter().map(|w| w.endpoint.clone()).collect();
             if let Some(demand) = self.demand(&arbiter, wants, now) {
+                self.vote(endpoints, &arbiter, now);
                 demands.push((arbiter, demand));
             }
         }
         demands
     }
 
+    /// Tells whether no other arbiter has the vote on the target's endpoint.
+    fn may_ask(&self, target: &Target, now: Millis) -> bool {
+        let vote = self
+            .find(&target.want.endpoint)
+            .ok()
+            .map(|at| &self.votes[at]);
+        vote.is_none_or(|vote| vote.arbiter == target.arbiter || now >= vote.until)
+    }
+
+    fn vote(&mut self, endpoints: Vec<id::Endpoint>, arbiter: &id::Entry, now: Millis) {
+        for endpoint in endpoints {
+            let vote = Vote {
+                endpoint,
+                arbiter: arbiter.clone(),
+                until: now + AGREE + MARGIN,
+            };
+            match self.find(&vote.endpoint) {
+                Ok(at) => self.votes[at] = vote,
+                Err(at) => self.votes.insert(at, vote),
+            }
+        }
+        self.votes.retain(|vote| now < vote.until + AGREE);
+    }
+
+    fn find(&self, endpoint: &id::Endpoint) -> Result<usize, usize> {
+        self.votes.binary_search_by(|v| v.endpoint.cmp(endpoint))
+    }
+
     /// Takes an arbiter's answer, or none when it did not come; returns the leases that changed.
     pub fn answer(
         &mut self,
@@ -131,7 +180,13 @@
                 link.named.insert(at, lease.endpoint.clone());
             }
         }
-        updates(grant, &link.named, until)
+        let mut updates = updates(grant, &link.named, until);
+        // A new arbiter has been asked for some of them since.
+        updates.retain(|update| {
+            let vote = self.find(&update.endpoint).ok();
+            vote.is_some_and(|at| self.votes[at].arbiter == *arbiter)
+        });
+        updates
     }
 
     fn demand(&mut self, arbiter: &id::Entry, wants: Vec<Want>, now: Millis) -> Option<Demand> {
@@ -153,6 +208,7 @@
         if link.pending.take().is_some() {
             link.told.clear();
         }
+        link.leave(&wants);
         let whole = link.told.is_empty();
         let age = link.sent.map_or(RENEW, |sent| now.since(sent));
         if age < LEAST {
@@ -193,6 +249,20 @@
         }
     }
 
+    /// Has the arbiter told all when it is no longer asked for an endpoint, else it would renew that
+    /// lease and count the vote.
+    fn leave(&mut self, wants: &[Want]) {
+        let asked = |endpoint: &id::Endpoint| {
+            wants
+                .binary_search_by(|want| want.endpoint.cmp(endpoint))
+                .is_ok()
+        };
+        if !self.told.iter().all(|want| asked(&want.endpoint)) {
+            self.told.clear();
+        }
+        self.named.retain(asked);
+    }
+
     /// Returns the wants that the arbiter must be told anew. With a renewal all that differ are
     /// told; else those that can't wait: more slots are wanted, some are returned, or the arbiter
     /// did not know the endpoint.
