Keep a checkpoint on its worker until the task runs again

Cause: the lead acknowledged a checkpointed run at once, so the worker forgot the checkpoint. When the lead died before the task was started again, the task began anew. A next lead also heard such ends before its scheduler was there, and the scheduler left them out.

The run is now acknowledged once the task runs again, is given up, or its job leaves. A new lead tells its scheduler of the checkpoints after it has taken the lead, and the scheduler keeps the one of the latest attempt.

Tests: shard lead checkpoint_outlasts_a_lead_that_dies_before_the_task_ starts_again is red without the kept run and without the second telling; place ownership finished_before_with_a_checkpoint_is_gone_on_from is red without the look at the attempt.

--- a/crates/marigoldpick-place/src/scheduler/answer.rs
+++ b/crates/marigoldpick-place/src/scheduler/answer.rs
@@ -196,8 +196,15 @@
         let Some(task) = job.task_mut(id.task.index) else {
             return;
         };
+        let latest = id.attempt >= task.attempt;
         task.attempt = task.attempt.max(id.attempt);
         let state = task.state;
+        if let Outcome::Checkpointed(text) = outcome {
+            if latest && matches!(state, State::Waiting | State::Delayed) {
+                job.checkpoints.insert(id.task.index, text.clone());
+            }
+            return;
+        }
         if *outcome != Outcome::Done || task.ended() || self.runs_on(slot) {
             return;
         }
--- a/crates/marigoldpick-place/tests/ownership.rs
+++ b/crates/marigoldpick-place/tests/ownership.rs
@@ -161,3 +161,25 @@
     expect_that!(attempts(&site.run_starts()), elements_are![eq(&(0, 2))]);
     expect_that!(site.scheduler.counts().jobs[0].completed, eq(0));
 }
+
+#[googletest::test]
+fn finished_before_with_a_checkpoint_is_gone_on_from() {
+    let mut site = Site::new(1, 1);
+    site.accept(batch("b", 2, 1));
+    let first = site.run_starts().remove(0);
+    let index = 1 - first.spec.run.task.index;
+    for (attempt, text) in [(3, "at-7"), (2, "at-3")] {
+        let task = id::Task::new(first.spec.run.task.job.clone(), index);
+        site.handle(Event::Finished {
+            run: id::Run { task, attempt },
+            worker: first.worker.clone(),
+            outcome: Outcome::Checkpointed(text.to_owned()),
+            age: Millis(9_000),
+            usage: None,
+        });
+    }
+    site.finish(&first, Outcome::Done);
+    let next = site.run_starts().remove(0);
+    expect_that!(attempts(std::slice::from_ref(&next)), eq(&vec![(index, 4)]));
+    expect_that!(next.spec.checkpoint, some(eq("at-7")));
+}
--- a/crates/marigoldpick-shard/src/lead/homes.rs
+++ b/crates/marigoldpick-shard/src/lead/homes.rs
@@ -83,6 +83,7 @@
             if !there {
                 self.outbox.retain(|record| record.job() != Some(&old.job));
                 self.drop_endings(&old);
+                self.drop_checkpoints(|task| task.job == old.job);
             }
         }
         self.prune();
--- a/crates/marigoldpick-shard/src/lead/ledger.rs
+++ b/crates/marigoldpick-shard/src/lead/ledger.rs
@@ -22,7 +22,47 @@
     pub(super) written: bool,
 }
 
+/// `Checkpoint` is an ended run whose checkpoint its worker keeps until the task runs again, so that
+/// the next lead finds it there.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub(super) struct Checkpoint {
+    pub(super) worker: id::Worker,
+    pub(super) finished: Finished,
+}
+
 impl Lead {
+    pub(super) fn keep_checkpoint(&mut self, at: usize, finished: Finished) {
+        let member = &mut self.members[at];
+        member.ending.push(finished.run.clone());
+        let worker = member.id.clone();
+        self.checkpoints.push(Checkpoint { worker, finished });
+    }
+
+    /// Tells the scheduler, which is new, of the checkpoints that workers told at the claims.
+    pub(super) fn tell_checkpoints(&self, out: &mut Vec<Output>) {
+        for Checkpoint { worker, finished } in &self.checkpoints {
+            let (worker, finished) = (worker.clone(), finished.clone());
+            Self::notice(out, Notice::Finished { worker, finished });
+        }
+    }
+
+    /// Lets workers forget the checkpoints of tasks that need them no more.
+    pub(super) fn drop_checkpoints(&mut self, over: impl Fn(&id::Task) -> bool) {
+        let (gone, kept) = std::mem::take(&mut self.checkpoints)
+            .into_iter()
+            .partition(|checkpoint| over(&checkpoint.finished.run.task));
+        self.checkpoints = kept;
+        let gone: Vec<Checkpoint> = gone;
+        for Checkpoint { worker, finished } in gone {
+            let run = finished.run;
+            if let Some(at) = self.find(&worker) {
+                let member = &mut self.members[at];
+                member.ending.retain(|have| *have != run);
+                member.acks.push(run);
+            }
+        }
+    }
+
     /// Writes what waits, all in one entry.
     pub(super) fn flush(&mut self, now: Millis) {
         let rightful = self.role == Role::Lead && self.epoch.interim == 0;
@@ -172,6 +212,7 @@
         if self.role != Role::Lead || self.home(&task.job).is_none() || self.is_over(&task) {
             return;
         }
+        self.drop_checkpoints(|have| *have == task);
         self.outbox.push(Record::Failed {
             job: task.job,
             tasks: vec![(task.index, task.index + 1)],
--- a/crates/marigoldpick-shard/src/lead/report.rs
+++ b/crates/marigoldpick-shard/src/lead/report.rs
@@ -167,6 +167,7 @@
             attempt: run.attempt,
         };
         self.yield_start(run, out);
+        self.drop_checkpoints(|task| *task == run.task);
         match self.placed.get(&run.task) {
             Some(have) if have.worker != *worker => {
                 self.event(
@@ -280,8 +281,10 @@
     ) {
         let member = &mut self.members[at];
         member.drop_run(&finished.run);
-        if ack {
-            member.acks.push(finished.run.clone());
+        match finished.outcome {
+            Outcome::Checkpointed(_) if ack => self.keep_checkpoint(at, finished.clone()),
+            _ if ack => member.acks.push(finished.run.clone()),
+            _ => {}
         }
         self.unplace(&finished.run, worker);
         let worker = worker.clone();
--- a/crates/marigoldpick-shard/src/lead/start.rs
+++ b/crates/marigoldpick-shard/src/lead/start.rs
@@ -223,6 +223,7 @@
             return;
         };
         let pending = self.starts.swap_remove(at);
+        self.drop_checkpoints(|task| *task == run.task);
         if let Some(at) = self.find(&pending.worker) {
             self.members[at].add_run(run);
         }
--- a/crates/marigoldpick-shard/src/lead/takeover.rs
+++ b/crates/marigoldpick-shard/src/lead/takeover.rs
@@ -233,6 +233,7 @@
                 whole,
             },
         );
+        self.tell_checkpoints(out);
     }
 
     /// Keeps the lead going.
@@ -328,6 +329,7 @@
         self.starts.clear();
         self.outbox.clear();
         self.endings.clear();
+        self.checkpoints.clear();
         drop(self.journal.withdraw());
     }
 
--- a/crates/marigoldpick-shard/tests/lead.rs
+++ b/crates/marigoldpick-shard/tests/lead.rs
@@ -303,3 +303,35 @@
         expect_that!(site.starts.len(), eq(starts), "seed {seed}");
     }
 }
+
+#[googletest::test]
+fn checkpoint_outlasts_a_lead_that_dies_before_the_task_starts_again() {
+    for seed in 110..114 {
+        let maps = job("maps", 6, Class::Batch, true, Some(600_000));
+        let mut site = Site::new(seed, 3, 6, vec![maps]);
+        assert!(
+            site.run_until(20_000, |site| site.starts.len() == 6),
+            "seed {seed}"
+        );
+        site.holds_starts = true;
+        site.run(2_000);
+        let run = site.checkpoint_one();
+        // Renewals go on meanwhile, and may acknowledge.
+        site.run(4_000);
+        let first = site.leader().expect("somebody leads");
+        expect_that!(site.checkpoints, eq(&vec![(first, run.clone())]));
+        site.kill(first);
+        assert!(
+            site.run_until(10_000, |site| site.leader().is_some()),
+            "seed {seed}"
+        );
+        site.run(2_000);
+        let next = site.leader().expect("somebody leads");
+        expect_that!(site.checkpoints, contains(eq(&(next, run))), "seed {seed}");
+        // Once the task runs again nothing is kept.
+        site.holds_starts = false;
+        let forgotten = |site: &Site| site.workers.iter().all(|worker| worker.kept() == 0);
+        let started = site.run_until(20_000, |site| site.starts.len() == 7 && forgotten(site));
+        expect_that!(started, eq(true), "seed {seed}");
+    }
+}
--- a/crates/marigoldpick-shard/tests/support/site.rs
+++ b/crates/marigoldpick-shard/tests/support/site.rs
@@ -98,6 +98,10 @@
     pub maybe: BTreeSet<id::Task>,
     pub starts: Vec<(u64, id::Run)>,
     pub leads: Vec<(u64, usize, worker::Epoch)>,
+    /// Whether schedulers ask for no starts.
+    pub holds_starts: bool,
+    /// Checkpoints that schedulers were told of.
+    pub checkpoints: Vec<(usize, id::Run)>,
 }
 
 pub fn job(name: &str, count: u32, class: Class, idempotent: bool, run: Option<u64>) -> Job {
@@ -147,6 +151,8 @@
             maybe: BTreeSet::new(),
             starts: Vec::new(),
             leads: Vec::new(),
+            holds_starts: false,
+            checkpoints: Vec::new(),
             rng: random(seed ^ 1),
         };
         for at in 0..workers {
@@ -545,6 +551,9 @@
             }
             Notice::Finished { finished, .. } => {
                 scheduler.at.remove(&finished.run.task);
+                if scheduler.leading && matches!(finished.outcome, Outcome::Checkpointed(_)) {
+                    self.checkpoints.push((at, finished.run.clone()));
+                }
                 let task = finished.run.task;
                 if finished.outcome == Outcome::Done {
                     scheduler.over.insert(task);
@@ -568,7 +577,7 @@
 
     /// Asks for all starts that are missing.
     fn schedule(&mut self, at: usize) {
-        if !self.entries[at].scheduler.leading {
+        if !self.entries[at].scheduler.leading || self.holds_starts {
             return;
         }
         let mut starts = Vec::new();
@@ -640,6 +649,18 @@
         running == wanted as usize
     }
 
+    /// Has the lead write a checkpoint of a running task.
+    pub fn checkpoint_one(&mut self) -> id::Run {
+        let lead = self.leader().expect("somebody leads");
+        let run = self
+            .workers
+            .iter()
+            .find_map(|w| w.running().next().cloned());
+        let run = run.expect("something runs");
+        self.feed(lead, Input::Checkpoint { run: run.clone() });
+        run
+    }
+
     /// Lets the schedulers forget the tasks that are over, as for a new job.
     pub fn forget_ends(&mut self) {
         for entry in &mut self.entries {
--- a/crates/marigoldpick-shard/tests/support/worker.rs
+++ b/crates/marigoldpick-shard/tests/support/worker.rs
@@ -83,6 +83,11 @@
         });
     }
 
+    /// Counts the ended runs that the worker keeps.
+    pub fn kept(&self) -> usize {
+        self.finished.len()
+    }
+
     pub fn running(&self) -> impl Iterator<Item = &id::Run> {
         self.tasks.iter().map(|task| &task.spec.run)
     }
@@ -157,10 +162,14 @@
                 self.obey(*epoch)?;
                 let at = self.tasks.iter().position(|t| t.spec.run == *run);
                 let task = self.tasks.swap_remove(at.ok_or(Refusal::UnknownRun)?);
+                let outcome = match call {
+                    Call::Checkpoint { .. } => Outcome::Checkpointed("half".to_owned()),
+                    _ => Outcome::Stopped,
+                };
                 self.finished.push(Finished {
                     run: task.spec.run,
                     accepted: task.spec.accepted,
-                    outcome: Outcome::Stopped,
+                    outcome,
                     age: time.since(task.started),
                     usage: None,
                 });
