Refuse a plan while a shard that it needs has no lead to ask

A plan used the offers of the shards that answered. An entry that had just started, or a lead that was silent, left a failure domain out, and all tasks of a job spread over domains went to the others; a job that fits only there was told that it can never run.

A domain whose entries have all been silent for far_dead_ms is away and done without, as before, so a lost domain holds no plan up; an entry that just started gives entries that it has never heard as long.

Ruled out: waiting inside the call, since a take-over may take longer than an operator's patience, and the answer says when to ask again.

--- a/crates/marigoldpick-entry/src/control/operate.rs
+++ b/crates/marigoldpick-entry/src/control/operate.rs
@@ -3,11 +3,12 @@
 use async_channel::Sender;
 use marigoldpick_core::config::Change;
 use marigoldpick_core::control::{Answer, Call, Known};
-use marigoldpick_core::intent::Intent;
+use marigoldpick_core::intent::{self, Intent};
 use marigoldpick_core::operator::{self, Accepted, Ask, Explain, Problem, Status};
 use marigoldpick_core::plan::Plan;
 use marigoldpick_core::prelude::*;
 use marigoldpick_place::planner;
+use marigoldpick_shard::shards;
 
 use crate::control::Control;
 use crate::control::message::{Message, Reply};
@@ -47,9 +48,34 @@
         }
         let own = self.own_offers(&intent.job);
         let questions = self.questions();
+        let asked = questions.iter().map(|question| &question.shard);
+        let led: Vec<&id::Shard> = own.iter().map(|(shard, _)| shard).chain(asked).collect();
+        let needed = self.needed_shards(&intent.job);
+        if let Some(shard) = needed.iter().find(|shard| !led.contains(shard)) {
+            return refuse(reply, unled(shard, "has no lead that this entry knows"));
+        }
         planning::gather(&self.io, intent, own, questions, reply);
     }
 
+    /// Returns the shards that have to be asked about jobs: all those of the failure domains that the
+    /// jobs may use. A plan without one of them would put its share on the others.
+    ///
+    /// A failure domain whose entries are all silent counts as away, and is done without.
+    fn needed_shards(&self, jobs: &[intent::Job]) -> Vec<id::Shard> {
+        let ownership = &self.start.settings.ownership;
+        let may_use = |domain: &id::Domain| {
+            let allows = |job: &intent::Job| {
+                job.place.domains.is_empty() || job.place.domains.contains(domain)
+            };
+            jobs.iter().any(allows)
+        };
+        let domains = self.peers.domains(self.now()).into_iter();
+        domains
+            .filter(may_use)
+            .flat_map(|domain| shards::all(ownership, &domain))
+            .collect()
+    }
+
     fn questions(&self) -> Vec<Question> {
         let leads = self.peers.leads();
         leads
@@ -64,13 +90,17 @@
         let Surveyed {
             intent,
             surveys,
+            silent,
             reply,
         } = surveyed;
+        let needed = self.needed_shards(&intent.job);
+        if let Some(shard) = silent.iter().find(|shard| needed.contains(shard)) {
+            return refuse(reply, unled(shard, "did not answer the survey"));
+        }
         if surveys.is_empty() && !intent.job.is_empty() {
             let mut problem = Problem::new(Code::NoLead, "no shard answered the survey");
             problem.retry_after_ms = Some(LATER);
-            refuse(reply, problem);
-            return;
+            return refuse(reply, problem);
         }
         let plan = planner::plan(self.config.state(), intent, &surveys);
         let note = Note::new(
@@ -270,6 +300,13 @@
     }
 }
 
+fn unled(shard: &id::Shard, how: &str) -> Problem {
+    let message = format!("shard {shard} {how}; a plan without it would use the others alone");
+    let mut problem = Problem::new(Code::NoLead, message);
+    problem.retry_after_ms = Some(LATER);
+    problem
+}
+
 fn refuse(reply: Answering, problem: Problem) {
     match reply {
         Answering::Plan(reply) => answer(&reply, Err(problem)),
--- a/crates/marigoldpick-entry/src/control/peers.rs
+++ b/crates/marigoldpick-entry/src/control/peers.rs
@@ -179,6 +179,20 @@
         self.alive().filter(|known| known.domain == self.me.domain)
     }
 
+    /// Returns the failure domains that count: the own one, and those of entries that are alive or
+    /// may still be heard for the first time. It takes the time since the start.
+    #[must_use]
+    pub fn domains(&self, now: Millis) -> Vec<id::Domain> {
+        let early = now <= self.settings.far_dead_ms;
+        let counts = |peer: &&Peer| peer.alive || (early && peer.heard_at.is_none());
+        let others = self.peers.iter().filter(counts);
+        let mut domains: Vec<id::Domain> = others.map(|peer| peer.known.domain.clone()).collect();
+        domains.push(self.me.domain.clone());
+        domains.sort_unstable();
+        domains.dedup();
+        domains
+    }
+
     /// Returns all entries that are known, the own one included.
     #[must_use]
     pub fn known(&self) -> Vec<Known> {
--- a/crates/marigoldpick-entry/src/control/planning.rs
+++ b/crates/marigoldpick-entry/src/control/planning.rs
@@ -24,6 +24,8 @@
     pub intent: Intent,
     /// What each shard offers.
     pub surveys: Vec<(id::Shard, Vec<Offer>)>,
+    /// The shards whose leads did not answer.
+    pub silent: Vec<id::Shard>,
     /// Where the plan goes.
     pub reply: Answering,
 }
@@ -67,11 +69,13 @@
         });
         let answers = futures::future::join_all(asked).await;
         let mut surveys = own;
+        let mut silent = Vec::new();
         for (shard, answer) in answers {
             match offers(answer) {
                 Ok(offers) => surveys.push((shard, offers)),
                 Err(code) => {
                     log::info!(target: "place", "No survey; shard={shard} code={}.", code.number());
+                    silent.push(shard);
                 }
             }
         }
@@ -79,6 +83,7 @@
         Message::Surveyed(Box::new(Surveyed {
             intent,
             surveys,
+            silent,
             reply,
         }))
     });
--- a/crates/marigoldpick-entry/tests/path/main.rs
+++ b/crates/marigoldpick-entry/tests/path/main.rs
@@ -3,6 +3,7 @@
 mod drains;
 mod names;
 mod operators;
+mod plans;
 mod regions;
 mod site;
 
--- a/crates/marigoldpick-entry/tests/path/site.rs
+++ b/crates/marigoldpick-entry/tests/path/site.rs
@@ -12,7 +12,7 @@
 const LONGEST: Duration = Duration::from_secs(60);
 const POLL: Duration = Duration::from_millis(20);
 
-const PLATFORM: &str = r#"
+pub(crate) const PLATFORM: &str = r#"
 seed = 7
 listen = "127.0.0.1:0"
 
--- a/crates/marigoldpick/tests/history/causes.rs
+++ b/crates/marigoldpick/tests/history/causes.rs
@@ -21,7 +21,7 @@
 /// The seat of an entry in the failure domain that runs no task.
 const NORTH: usize = 0;
 /// The seats of the entries in the other failure domain.
-const SOUTH: [usize; 2] = [2, 3];
+pub const SOUTH: [usize; 2] = [2, 3];
 
 const INTENT: &str = r#"
 [[team]]
@@ -64,7 +64,7 @@
 const PAUSE: Duration = Duration::from_millis(50);
 
 /// Waits until each entry knows the leads of all shards, which have all their workers.
-async fn wait_for_leads(cluster: &Cluster) {
+pub async fn wait_for_leads(cluster: &Cluster) {
     cluster
         .until("leads of all shards", |statuses| {
             statuses.iter().all(|status| {
--- a/crates/marigoldpick/tests/history/main.rs
+++ b/crates/marigoldpick/tests/history/main.rs
@@ -8,3 +8,4 @@
 mod cluster;
 mod faults;
 mod operators;
+mod plans;
--- /dev/null
+++ b/crates/marigoldpick/tests/history/plans.rs
@@ -0,0 +1,50 @@
+//! A plan while the lead of a failure domain does not answer.
+
+use async_std::task::block_on;
+use googletest::prelude::*;
+use marigoldpick::core::operator::Ask;
+use marigoldpick::core::prelude::*;
+
+use crate::causes::{SOUTH, wait_for_leads};
+use crate::cluster::Cluster;
+
+const SEED: u64 = 5;
+/// Longer than the wait for a survey.
+const STILL: Millis = Millis::from_secs(10);
+
+const SPREAD: &str = r#"
+[[team]]
+name = "sellers"
+quota = { millicores = 60000, memory_mib = 60000 }
+
+[[service]]
+name = "booking"
+
+[[job]]
+name = "booking"
+class = "service"
+team = "sellers"
+service = "booking"
+count = 4
+needs = { millicores = 500, memory_mib = 512 }
+where = { spread = "domain" }
+"#;
+
+#[googletest::test]
+fn plan_without_the_answer_of_a_lead_is_refused() {
+    block_on(async {
+        let cluster = Cluster::start(SEED).await;
+        wait_for_leads(&cluster).await;
+        for seat in SOUTH {
+            cluster.pause(seat, STILL);
+        }
+        let ask = Ask {
+            file: "spread.toml".to_owned(),
+            text: SPREAD.to_owned(),
+        };
+        let client = cluster.client(0).expect("the entry runs");
+        let refused = client.plan(&ask).await.expect_err("a lead stands still");
+        expect_that!(refused.code, eq(Code::NoLead));
+        expect_that!(refused.message, contains_substring("south/0"));
+    });
+}
