Take failures of a service instance back while it runs

The count of a task's failures only grew, so an instance that failed `attempts` times in years was given up. Each ten minutes that the failed run had lasted now take one failure back. Batch and gangs keep their count: a job that fails after an hour each time would otherwise go on for ever.

service_failures_far_apart_give_up_nothing failed before (1 given up after 20 failures an hour apart, 3 attempts) and passes now (0); failures a minute apart still end with the attempts.

--- a/crates/marigoldpick-place/src/scheduler/answer.rs
+++ b/crates/marigoldpick-place/src/scheduler/answer.rs
@@ -169,12 +169,18 @@
     }
 
     fn failed(&mut self, slot: u32, run: &Run, now: Millis, out: &mut Vec<Action>) {
+        let forgiven = if self.runs_on(slot) {
+            now.since(run.since).0 / self.settings.forgive.0.max(1)
+        } else {
+            0
+        };
         let job = self.jobs.get_mut(slot);
         let (limit, idempotent) = (job.spec.attempts, job.spec.idempotent);
         let Some(task) = job.task_mut(run.index) else {
             return;
         };
-        task.failures = task.failures.saturating_add(1);
+        let forgiven = u16::try_from(forgiven).unwrap_or(u16::MAX);
+        task.failures = task.failures.saturating_sub(forgiven).saturating_add(1);
         task.failed_on = Some(run.worker);
         let failures = u32::from(task.failures);
         if failures >= limit || !idempotent {
--- a/crates/marigoldpick-place/src/settings.rs
+++ b/crates/marigoldpick-place/src/settings.rs
@@ -11,6 +11,8 @@
     pub backoff: Millis,
     /// The longest delay before another attempt.
     pub backoff_max: Millis,
+    /// A service instance that ran for this long has one failure fewer to its count.
+    pub forgive: Millis,
     /// The first quarantine of a worker; it doubles each time.
     pub quarantine: Millis,
     /// The longest quarantine of a worker.
@@ -43,6 +45,7 @@
             aging: Millis::from_secs(600),
             backoff: Millis::from_secs(1),
             backoff_max: Millis::from_secs(60),
+            forgive: Millis::from_secs(600),
             quarantine: Millis::from_secs(30),
             quarantine_max: Millis::from_secs(3_600),
             blames: 3,
--- a/crates/marigoldpick-place/tests/policy.rs
+++ b/crates/marigoldpick-place/tests/policy.rs
@@ -491,3 +491,32 @@
         expect_that!(site.run_starts().len(), eq(started));
     }
 }
+
+/// Lets a service's one instance fail again and again after running for `span`.
+fn failing_service(span: Millis, times: u32) -> Vec<Action> {
+    let mut site = Site::new(4, 4);
+    let needs = "needs = { millicores = 1000, memory_mib = 1000 }\nattempts = 3";
+    site.accept(job("s", "service", needs));
+    for _ in 0..times {
+        let starts = site.run_starts();
+        site.pass(span);
+        starts.iter().for_each(|start| fail(&mut site, start));
+        site.pass(Millis::from_secs(120));
+    }
+    site.run_starts();
+    site.take()
+}
+
+#[googletest::test]
+fn service_failures_far_apart_give_up_nothing() {
+    let actions = failing_service(Millis::from_secs(3_600), 20);
+    let given_up = |a: &&Action| matches!(a, Action::GiveUp { .. });
+    expect_that!(actions.iter().filter(given_up).count(), eq(0));
+}
+
+#[googletest::test]
+fn service_failures_in_a_row_end_with_its_attempts() {
+    let actions = failing_service(Millis::from_secs(60), 20);
+    let given_up = |a: &&Action| matches!(a, Action::GiveUp { .. });
+    expect_that!(actions.iter().filter(given_up).count(), eq(1));
+}
