Let non-idempotent tasks of the whole runs take more of the workers

Cause: in the runs with worker faults no non-idempotent task was on a worker that failed, so at most once was not put to the test there.

Twenty such tasks of two cores take most of the site, in waves of 1.5 s.

--- a/crates/marigoldpick/tests/matrix/site.rs
+++ b/crates/marigoldpick/tests/matrix/site.rs
@@ -61,7 +61,7 @@
 team = "sellers"
 count = 20
 idempotent = false
-needs = { millicores = 200, memory_mib = 256 }
+needs = { millicores = 2000, memory_mib = 256 }
 run_ms = 1500
 command = "run_ms=1500"
 "#;
