Check the bounds of ownership, and number the answer to an unknown call

Settings of leases, beats and logs were taken as they are: spans of zero made an entry spin, four billion shards ended it, and a lease shorter than its renewal lapsed each time. They are checked with the rest now; the error names file and field. A call of operators to an unknown path, or by another method, got an empty 404 or 405; it gets 106 as a problem like all others.

--- a/crates/marigoldpick-entry/src/operators.rs
+++ b/crates/marigoldpick-entry/src/operators.rs
@@ -5,6 +5,7 @@
 use marigoldpick_core::prelude::*;
 use serde::Serialize;
 use serde::de::DeserializeOwned;
+use tide::utils::After;
 use tide::{Request, Response, StatusCode};
 
 use crate::control::message::{Message, Reply, ask};
@@ -39,6 +40,7 @@
     #[must_use]
     pub fn server(self) -> tide::Server<Self> {
         let mut server = tide::with_state(self);
+        server.with(After(|response: Response| async { Ok(unrouted(response)) }));
         server.at("/v1/plan").post(plan);
         server.at("/v1/confirm").post(confirm);
         server.at("/v1/cancel").post(cancel);
@@ -155,6 +157,20 @@
     respond(outcome)
 }
 
+/// Gives the answer to an unknown path or method its number; all other answers have a body.
+fn unrouted(mut response: Response) -> Response {
+    let status = response.status();
+    let unrouted = matches!(status, StatusCode::NotFound | StatusCode::MethodNotAllowed);
+    if unrouted && response.is_empty() != Some(false) {
+        let details = "no such call; see docs/operators/command-line.md for what there is";
+        let problem = Problem::new(Code::BadRequest, details);
+        let text = serde_json::to_string(&problem).unwrap_or_default();
+        response.set_content_type("application/json");
+        response.set_body(text);
+    }
+    response
+}
+
 async fn metrics(request: Request<Face>) -> tide::Result {
     let text = request.state().exposition.render();
     Ok(Response::builder(StatusCode::Ok)
--- a/crates/marigoldpick-entry/src/settings.rs
+++ b/crates/marigoldpick-entry/src/settings.rs
@@ -121,7 +121,8 @@
         kept("events", self.events)?;
         kept("requests", self.requests)?;
         self.verify_peers()?;
-        self.span.verify()
+        self.span.verify()?;
+        self.ownership.verify()
     }
 
     fn verify_peers(&self) -> Result<(), Error> {
--- a/crates/marigoldpick-entry/tests/path/main.rs
+++ b/crates/marigoldpick-entry/tests/path/main.rs
@@ -11,7 +11,7 @@
 use marigoldpick_core::prelude::*;
 use marigoldpick_standin::Fault;
 
-use operators::{call, confirm, plan, status};
+use operators::{call, confirm, misdirect, plan, status};
 use site::{INTENT, QUEUE, Site, eventually};
 
 #[googletest::test]
@@ -208,3 +208,19 @@
         expect_that!(site.platform.truth().tasks_in_two_places, eq(0));
     });
 }
+
+#[googletest::test]
+fn call_unknown_path_or_method_gets_a_number() {
+    async_std::task::block_on(async {
+        let site = Site::start(1).await;
+        let address = site.operators(0);
+        for (method, path) in [
+            (http_types::Method::Get, "/v1/nothing"),
+            (http_types::Method::Get, "/v1/plan"),
+            (http_types::Method::Post, "/"),
+        ] {
+            let refused = misdirect(&address, method, path).await;
+            expect_that!(refused.code, eq(Code::BadRequest), "{path}");
+        }
+    });
+}
--- a/crates/marigoldpick-entry/tests/path/operators.rs
+++ b/crates/marigoldpick-entry/tests/path/operators.rs
@@ -31,6 +31,13 @@
     post(address, "/v1/drain", &Drain { target, on }).await
 }
 
+/// Calls what is no call, and returns the refusal.
+pub(crate) async fn misdirect(address: &str, method: Method, path: &str) -> Problem {
+    let mut response = exchange(address, request(address, method, path)).await;
+    let refused: Result<Status, Problem> = read(&mut response).await;
+    refused.expect_err("no such call")
+}
+
 /// Asks for the status.
 pub(crate) async fn status(address: &str) -> Result<Status, Problem> {
     let mut response = exchange(address, request(address, Method::Get, "/v1/status")).await;
--- a/crates/marigoldpick-entry/tests/path/plans.rs
+++ b/crates/marigoldpick-entry/tests/path/plans.rs
@@ -8,7 +8,7 @@
 use marigoldpick_entry::settings::Peer;
 use marigoldpick_standin::Platform;
 
-use crate::operators::plan;
+use crate::operators::{plan, status};
 use crate::site::{INTENT, PLATFORM, entry_settings};
 
 /// Longer than any test.
@@ -33,9 +33,23 @@
     let mut settings = entry_settings(0, &platform.address(), vec![peer]);
     settings.ownership.far_dead_ms = dead;
     let entry = Entry::start(settings).await.expect("the entry starts");
+    wait_for_workers(&entry).await;
     (platform, entry)
 }
 
+/// Waits until the own shard's lead has all workers; until then a plan finds too few of them.
+async fn wait_for_workers(entry: &Entry) {
+    for _ in 0..TRIES {
+        let status = status(&entry.addresses().operators).await;
+        let status = status.expect("status is answered");
+        if status.shards.iter().any(|shard| shard.workers == 4) {
+            return;
+        }
+        async_std::task::sleep(PAUSE.duration()).await;
+    }
+    panic!("the shard's workers are not known after {TRIES} looks");
+}
+
 /// Asks for plans until one is made, or refused as `wanted` says.
 async fn plan_until(
     entry: &Entry,
@@ -60,7 +74,6 @@
 fn plan_before_all_failure_domains_are_heard_is_refused() {
     async_std::task::block_on(async {
         let (_platform, entry) = start(LONG).await;
-        // The own shard has a lead by then, since it is looked for first.
         let refused = plan_until(&entry, INTENT, names_south).await;
         let refused = refused.expect_err("a failure domain is missing");
         expect_that!(refused.code, eq(Code::NoLead));
--- a/crates/marigoldpick-shard/src/settings.rs
+++ b/crates/marigoldpick-shard/src/settings.rs
@@ -1,8 +1,14 @@
 //! The intervals and bounds of ownership.
 
+use marigoldpick_core::document::{self, Error};
 use marigoldpick_core::prelude::*;
 use serde::{Deserialize, Serialize};
 
+/// The most shards of one failure domain, for the sake of an entry's memory.
+const MOST_SHARDS: u32 = 1_000;
+/// The largest bound on the drift between two clocks, in parts per thousand.
+const MOST_DRIFT: u64 = 500;
+
 /// `Settings` are the intervals and bounds; all entries of a site use the same.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 #[serde(default, deny_unknown_fields)]
@@ -101,6 +107,58 @@
 }
 
 impl Settings {
+    /// Checks the values.
+    ///
+    /// # Errors
+    /// Names the first field that is out of its bounds.
+    pub fn verify(&self) -> Result<(), Error> {
+        self.verify_spans()?;
+        document::positive("ownership.renewals", self.renewals)?;
+        document::positive("ownership.snapshot_every", self.snapshot_every)?;
+        let recent = u64::try_from(self.recent).unwrap_or(u64::MAX);
+        document::positive("ownership.recent", recent)?;
+        if !(1..=MOST_SHARDS).contains(&self.shards) {
+            let message = format!("must be from 1 to {MOST_SHARDS}");
+            return Err(Error::value("ownership.shards", &message));
+        }
+        if self.drift_permille > MOST_DRIFT {
+            let message = format!("must be at most {MOST_DRIFT}");
+            return Err(Error::value("ownership.drift_permille", &message));
+        }
+        if self.lease_ms <= self.renew_ms {
+            let message = "must be more than renew_ms, or each lease lapses before it is renewed";
+            return Err(Error::value("ownership.lease_ms", message));
+        }
+        Ok(())
+    }
+
+    fn verify_spans(&self) -> Result<(), Error> {
+        let spans = [
+            ("renew_ms", self.renew_ms),
+            ("renew_most_ms", self.renew_most_ms),
+            ("lease_ms", self.lease_ms),
+            ("majority_ms", self.majority_ms),
+            ("idle_ms", self.idle_ms),
+            ("claim_ms", self.claim_ms),
+            ("patience_ms", self.patience_ms),
+            ("follow_ms", self.follow_ms),
+            ("record_ms", self.record_ms),
+            ("beat_ms", self.beat_ms),
+            ("far_beat_ms", self.far_beat_ms),
+            ("dead_ms", self.dead_ms),
+            ("far_dead_ms", self.far_dead_ms),
+            ("watch_ms", self.watch_ms),
+            ("old_ms", self.old_ms),
+            ("propose_ms", self.propose_ms),
+            ("backoff_ms", self.backoff_ms),
+            ("backoff_most_ms", self.backoff_most_ms),
+            ("retry_ms", self.retry_ms),
+        ];
+        spans
+            .iter()
+            .try_for_each(|(field, span)| document::positive(&format!("ownership.{field}"), span.0))
+    }
+
     /// Returns these settings with leases that are renewed each `renew`, if that is longer.
     ///
     /// All spans that hang on the interval grow with it. A renewal counts from the stamp of the one
