--- a/crates/marigoldpick-bench/src/cost.rs
+++ b/crates/marigoldpick-bench/src/cost.rs
@@ -3,12 +3,14 @@
 //! Each slope is fitted through measurements at three or more sizes: of real entry processes over
 //! loopback, or of the pure machines alone.
 
+mod days;
 mod fit;
 mod machines;
 mod plot;
 mod process;
 mod regions;
 mod rig;
+mod roles;
 mod sites;
 mod spans;
 
@@ -17,6 +19,7 @@
 use gumdrop::Options;
 use serde::Serialize;
 
+use days::Outcome;
 use fit::Slope;
 use process::Error;
 use spans::Spread;
@@ -31,7 +34,7 @@
     #[options(help = "write the slopes as a plot", meta = "FILE")]
     svg: Option<String>,
     #[options(
-        help = "measure all, machines, sites, or one of workers, tasks, entries, domains, starts, changes, config, regions, take-over",
+        help = "measure all, machines, sites, or one of workers, pace, tasks, entries, domains, starts, changes, teams, requests, config, regions, take-over, days",
         meta = "PART",
         default = "all"
     )]
@@ -52,6 +55,7 @@
     seed: u64,
     slopes: Vec<Slope>,
     spreads: Vec<Spread>,
+    days: Vec<Outcome>,
 }
 
 /// Runs the measurements.
@@ -79,6 +83,7 @@
         seed,
         slopes: Vec::new(),
         spreads: Vec::new(),
+        days: Vec::new(),
     };
     if matches!(part, "machines" | "all") {
         report.slopes.extend(machines::measure(seed));
@@ -97,6 +102,9 @@
         report.spreads.push(spans::take_over(true, seed).await?);
         report.spreads.push(spans::take_over(false, seed).await?);
     }
+    if matches!(part, "days" | "all") {
+        report.days = days::play(arguments.seconds, seed).await?;
+    }
     Ok(report)
 }
 
@@ -114,4 +122,5 @@
         .spreads
         .iter()
         .for_each(|spread| println!("{spread}"));
+    report.days.iter().for_each(|day| println!("{day}"));
 }
--- a/crates/marigoldpick-bench/src/cost/rig.rs
+++ b/crates/marigoldpick-bench/src/cost/rig.rs
@@ -77,7 +77,8 @@
         (self.sum(words) - before.sum(words)) / self.seconds(before)
     }
 
-    fn sum(&self, words: &[&str]) -> f64 {
+    /// Returns the sum of the counters whose line has all `words`.
+    pub(crate) fn sum(&self, words: &[&str]) -> f64 {
         let has = |name: &str| words.iter().all(|word| name.contains(word));
         self.counters
             .iter()
@@ -251,21 +252,54 @@
         Err(Error::Late(what))
     }
 
-    async fn wait_for_leads(&self) -> Result<(), Error> {
-        let (domains, workers) = (self.shape.domains as usize, self.shape.workers);
+    /// Waits until all entries know a lead of each shard with all its workers.
+    pub(crate) async fn wait_for_leads(&self) -> Result<(), Error> {
+        let shards = (self.shape.domains * self.shape.ownership.shards) as usize;
+        let workers = self.shape.domains * self.shape.workers;
         for at in 0..self.entries.len() {
             self.until(at, "leads of all shards", |status| {
-                let led = status
-                    .shards
-                    .iter()
-                    .filter(|shard| shard.workers == workers);
-                !status.config_old && led.count() == domains
+                let led = status.shards.iter().filter(|shard| shard.lead.is_some());
+                let there: u32 = status.shards.iter().map(|shard| shard.workers).sum();
+                !status.config_old && led.count() == shards && there == workers
             })
             .await?;
         }
         Ok(())
     }
 
+    /// Kills an entry and starts it again; it is told of the others.
+    pub(crate) fn restart(&mut self, at: usize) -> Result<(), Error> {
+        self.entries[at].kill();
+        let file = self.directory.join(format!("{}.toml", self.names[at]));
+        let text = std::fs::read_to_string(&file).map_err(Error::File)?;
+        let mut settings =
+            EntrySettings::parse("entry.toml", &text).expect("it was written as settings");
+        settings.peer = self
+            .names
+            .iter()
+            .zip(&self.entries)
+            .filter(|(name, _)| **name != settings.entry)
+            .map(|(name, process)| Peer {
+                entry: name.clone(),
+                domain: settings.domain.clone(),
+                address: process.address("inner"),
+            })
+            .collect();
+        let text = toml::to_string(&settings).expect("settings are TOML");
+        std::fs::write(&file, text).map_err(Error::File)?;
+        self.entries[at] = Process::start("marigold-entry", &file.to_string_lossy())?;
+        Ok(())
+    }
+
+    /// Returns how many shards an entry leads, by its own word.
+    pub(crate) async fn led_by(&self, at: usize) -> Result<usize, Error> {
+        let status = self.status(at).await?;
+        let own = |shard: &&marigoldpick_core::operator::Shard| {
+            shard.lead.as_ref() == Some(&self.names[at])
+        };
+        Ok(status.shards.iter().filter(own).count())
+    }
+
     /// Returns which entry leads the first shard.
     pub(crate) async fn lead(&self) -> Result<usize, Error> {
         let status = self.status(0).await?;
@@ -313,6 +347,16 @@
         }
     }
 
+    /// Returns the calls that all entries have made to the store.
+    pub(crate) async fn store_calls(&self) -> f64 {
+        let mut calls = 0.0;
+        for at in 0..self.entries.len() {
+            let words = ["marigold_platform_calls_total", "target=\"store\""];
+            calls += self.read(at).await.sum(&words);
+        }
+        calls
+    }
+
     /// Reads an entry twice, `seconds` apart.
     pub(crate) async fn watch(&self, at: usize, seconds: u64) -> (Reading, Reading) {
         let before = self.read(at).await;
--- a/crates/marigoldpick-bench/src/cost/sites.rs
+++ b/crates/marigoldpick-bench/src/cost/sites.rs
@@ -10,9 +10,16 @@
 use super::fit::{Point, Slope};
 use super::process::Error;
 use super::rig::{Reading, Rig, Shape};
+use super::roles;
 
 /// Workers of the idle sites.
 const WORKERS: [u32; 3] = [8, 32, 96];
+/// Workers of the idle sites whose number decides how often they are renewed.
+const PACED: [u32; 3] = [48, 96, 192];
+/// Twice the longest interval of those sites.
+const PACED_SECONDS: u64 = 40;
+/// A bound on the renewals a second that no site reaches.
+const UNBOUNDED: u32 = 1_000_000;
 /// Running tasks of the idle sites.
 const TASKS: [u32; 3] = [0, 160, 640];
 /// Entries of the idle sites.
@@ -29,20 +36,20 @@
 const SOME: u32 = 32;
 
 /// `Series` gathers the points of slopes over one size.
-struct Series {
+pub(super) struct Series {
     per: &'static str,
     lines: Vec<(&'static str, &'static str, Vec<Point>)>,
 }
 
 impl Series {
-    const fn new(per: &'static str) -> Self {
+    pub(super) const fn new(per: &'static str) -> Self {
         Self {
             per,
             lines: Vec::new(),
         }
     }
 
-    fn add(&mut self, name: &'static str, unit: &'static str, x: f64, y: f64) {
+    pub(super) fn add(&mut self, name: &'static str, unit: &'static str, x: f64, y: f64) {
         let point = Point { x, y };
         match self.lines.iter_mut().find(|line| line.0 == name) {
             Some(line) => line.2.push(point),
@@ -50,7 +57,7 @@
         }
     }
 
-    fn fit(self) -> Vec<Slope> {
+    pub(super) fn fit(self) -> Vec<Slope> {
         let per = self.per;
         self.lines
             .into_iter()
@@ -66,6 +73,9 @@
     if wants("workers") {
         slopes.extend(by_workers(seconds, seed).await?);
     }
+    if wants("pace") {
+        slopes.extend(by_pace(seconds, seed).await?);
+    }
     if wants("tasks") {
         slopes.extend(by_tasks(seconds, seed).await?);
     }
@@ -81,13 +91,22 @@
     if wants("changes") {
         slopes.extend(by_changes(seconds, seed).await?);
     }
+    if wants("teams") {
+        slopes.extend(roles::by_teams(seconds, seed).await?);
+    }
+    if wants("requests") {
+        slopes.extend(roles::by_requests(seconds, seed).await?);
+    }
     Ok(slopes)
 }
 
+/// Measures sites whose leads renew each worker once a second.
 async fn by_workers(seconds: u64, seed: u64) -> Result<Vec<Slope>, Error> {
     let mut series = Series::new("worker");
     for workers in WORKERS {
-        let rig = Rig::start(Shape::new(2, workers, seed)).await?;
+        let mut shape = Shape::new(2, workers, seed);
+        shape.ownership.renewals = UNBOUNDED;
+        let rig = Rig::start(shape).await?;
         let lead = rig.lead().await?;
         let (before, after) = rig.watch(lead, seconds).await;
         let x = f64::from(workers);
@@ -100,6 +119,21 @@
     Ok(series.fit())
 }
 
+/// Measures sites whose leads renew as often as the number of workers calls for.
+async fn by_pace(seconds: u64, seed: u64) -> Result<Vec<Slope>, Error> {
+    let mut series = Series::new("worker, paced");
+    for workers in PACED {
+        let rig = Rig::start(Shape::new(2, workers, seed)).await?;
+        let lead = rig.lead().await?;
+        let (before, after) = rig.watch(lead, seconds.max(PACED_SECONDS)).await;
+        let x = f64::from(workers);
+        series.add("lead.processor", "us/s", x, after.processor(&before));
+        series.add("lead.worker-bytes", "B/s", x, worker_bytes(&after, &before));
+        series.add("lead.worker-calls", "1/s", x, worker_calls(&after, &before));
+    }
+    Ok(series.fit())
+}
+
 async fn by_tasks(seconds: u64, seed: u64) -> Result<Vec<Slope>, Error> {
     let mut series = Series::new("running task");
     for tasks in TASKS {
@@ -240,20 +274,20 @@
 }
 
 /// The words of the counters of bytes between entries.
-const BEATS: [&str; 2] = ["marigold_bytes_total", "target=\"entry\""];
+pub(super) const BEATS: [&str; 2] = ["marigold_bytes_total", "target=\"entry\""];
 
-fn worker_bytes(after: &Reading, before: &Reading) -> f64 {
+pub(super) fn worker_bytes(after: &Reading, before: &Reading) -> f64 {
     after.rate(before, &["marigold_bytes_total", "target=\"worker\""])
 }
 
-fn worker_calls(after: &Reading, before: &Reading) -> f64 {
+pub(super) fn worker_calls(after: &Reading, before: &Reading) -> f64 {
     after.rate(
         before,
         &["marigold_platform_calls_total", "target=\"worker\""],
     )
 }
 
-fn store_calls(after: &Reading, before: &Reading) -> f64 {
+pub(super) fn store_calls(after: &Reading, before: &Reading) -> f64 {
     after.rate(
         before,
         &["marigold_platform_calls_total", "target=\"store\""],
--- a/crates/marigoldpick-bench/src/cost/spans.rs
+++ b/crates/marigoldpick-bench/src/cost/spans.rs
@@ -185,15 +185,19 @@
 }
 
 async fn starts(rig: &Rig) -> Result<u64, Error> {
+    truth(rig).await.map(|truth| truth.starts)
+}
+
+/// Reads the stand-ins' truth.
+pub(super) async fn truth(rig: &Rig) -> Result<Truth, Error> {
     let address = rig.platform.address("platform");
     let text = fetch(address.trim_start_matches("http://"), "/v1/truth").await;
     let truth: Option<Truth> = text.and_then(|text| serde_json::from_str(&text).ok());
-    truth
-        .map(|truth| truth.starts)
-        .ok_or(Error::Late("the stand-ins' truth"))
+    truth.ok_or(Error::Late("the stand-ins' truth"))
 }
 
-async fn switch(rig: &Rig, body: &str) {
+/// Begins or ends a fault of the stand-ins.
+pub(super) async fn switch(rig: &Rig, body: &str) {
     let base = rig.platform.address("platform");
     let url = Url::parse(&format!("{base}/v1/fault")).expect("the address is a URL");
     let mut request = Request::new(Method::Post, url);
--- a/crates/marigoldpick/tests/capacity.rs
+++ b/crates/marigoldpick/tests/capacity.rs
@@ -2,6 +2,7 @@
 
 use googletest::prelude::*;
 use marigoldpick::shard::Settings;
+use marigoldpick_core::prelude::Millis;
 
 const PAGE: &str = include_str!("../../../docs/CAPACITY.md");
 
@@ -33,6 +34,12 @@
     number("Sizes", name, 1)
 }
 
+/// Returns the renewals a second of a lead of so many workers, as the code paces them.
+fn renewals(workers: f64) -> f64 {
+    let interval = Settings::default().interval(workers.round() as usize);
+    workers / (interval.0 as f64 / 1_000.0)
+}
+
 fn expect_result(name: &str, computed: f64) {
     let told = number("Each entry at the target", name, 2);
     let close = (told - computed).abs() <= computed.abs() * 0.01 + 0.05;
@@ -48,6 +55,8 @@
     let settings = Settings::default();
     let constants = [
         ("renew_ms", settings.renew_ms),
+        ("renew_most_ms", settings.renew_most_ms),
+        ("renewals", Millis(u64::from(settings.renewals))),
         ("lease_ms", settings.lease_ms),
         ("majority_ms", settings.majority_ms),
         ("beat_ms", settings.beat_ms),
@@ -66,12 +75,14 @@
     let near = entries / size("failure domains") - 1.0;
     let far = entries - 1.0 - near;
     let workers = size("workers") / entries;
+    let renewals = renewals(workers);
     let tasks = size("running tasks") / entries;
     let starts = size("task starts a second") / entries;
     let changes = size("config changes a day") / 86_400.0;
     let jobs = size("open jobs");
 
-    let bytes_workers = workers * slope("worker bytes");
+    expect_result("renewals", renewals);
+    let bytes_workers = renewals * slope("renewal bytes");
     let bytes_beats = near * slope("near bytes") + far * slope("far bytes");
     let bytes_changes = changes * slope("change bytes");
     let bytes_starts = starts * slope("start bytes");
@@ -80,20 +91,73 @@
     expect_result("bytes: changes", bytes_changes);
     expect_result("bytes: idle", bytes_workers + bytes_beats + bytes_changes);
     expect_result("bytes: starts", bytes_starts);
+    let idle = bytes_workers + bytes_beats + bytes_changes;
+    let young = (workers - renewals) * slope("renewal bytes");
+    expect_result("bytes: peak", idle + bytes_starts + young);
 
     let idle = slope("entry processor")
-        + workers * slope("worker processor")
+        + renewals * slope("renewal processor")
         + near * slope("near processor")
         + tasks * slope("task processor");
     expect_result("processor: idle", idle / 10_000.0);
     expect_result(
         "processor: peak",
-        starts.mul_add(slope("start processor"), idle) / 10_000.0,
+        (idle
+            + starts * slope("start processor")
+            + (workers - renewals) * slope("renewal processor"))
+            / 10_000.0,
     );
 
     let memory = slope("entry memory")
         + workers * slope("worker memory")
         + tasks * slope("task memory")
-        + jobs * slope("job memory");
+        + jobs * slope("job memory")
+        + size("teams") * slope("team memory");
     expect_result("memory", memory / 1_024.0);
 }
+
+#[googletest::test]
+fn table_of_sites_follows_from_the_slopes() {
+    let settings = Settings::default();
+    let sites = [
+        ("today", 50.0, 3.0, 8.0),
+        ("today, four domains", 50.0, 4.0, 8.0),
+        ("target, 24 entries", 7_400.0, 8.0, 24.0),
+        ("target, 48 entries", 7_400.0, 8.0, 48.0),
+        ("target, 64 entries", 7_400.0, 8.0, 64.0),
+        ("target, 96 entries", 7_400.0, 8.0, 96.0),
+    ];
+    for (name, workers, domains, entries) in sites {
+        let tell = |column: usize| number("How many", name, column);
+        // Today's firms have one shard in a failure domain, the target one for each entry.
+        let leads = if entries > 8.0 { entries } else { domains };
+        let led: f64 = workers / leads;
+        let interval = settings.interval(led.round() as usize);
+        let near = entries / domains - 1.0;
+        let far = entries - 1.0 - near;
+        let renewed = renewals(led);
+        let bytes = renewed * slope("renewal bytes")
+            + near * slope("near bytes")
+            + far * slope("far bytes");
+        let processor = slope("entry processor")
+            + renewed * slope("renewal processor")
+            + near * slope("near processor");
+        let paced = settings.paced(interval);
+        let computed = [
+            led,
+            interval.0 as f64 / 1_000.0,
+            bytes / 1_000.0,
+            processor / 10_000.0,
+            paced.wait_out().0 as f64 / 1_000.0,
+        ];
+        for (column, computed) in computed.iter().enumerate() {
+            let told = tell(column + 1);
+            let close = (told - computed).abs() <= computed.abs() * 0.01 + 0.05;
+            expect_that!(
+                close,
+                eq(true),
+                "{name}, column {column}: {told} told, {computed} computed"
+            );
+        }
+    }
+}
