Show what an order known ahead reaches in packing at 50 workers

The fractional bound treats the fleet as one worker, and nothing told whether 50 workers can reach it. The packing part tries random orders of the same first tasks and tells the most that some order placed whole.

The search is a lower bound: it does not show that more is impossible.

--- a/crates/marigoldpick-bench/src/place/packing.rs
+++ b/crates/marigoldpick-bench/src/place/packing.rs
@@ -1,5 +1,7 @@
 //! Packing and decision time: tasks come until the first one no longer fits.
 
+mod offline;
+
 use std::time::Instant;
 
 use hdrhistogram::Histogram;
@@ -24,6 +26,8 @@
     tasks: u32,
     /// Tasks that would fit if the whole fleet were one worker that can be cut at will.
     bound: u32,
+    /// Tasks that an order known ahead was found to place, where that was searched for.
+    reachable: Option<u32>,
     /// `tasks` in hundredths of `bound`.
     of_bound_percent: f64,
     processors_percent: f64,
@@ -41,11 +45,18 @@
         let mut rng = ChaCha8Rng::seed_from_u64(seed);
         let fleet = firm.fleet(workers, &mut rng);
         let jobs = sequence(firm, &fleet, &mut rng);
-        rows.push(fill::<First>("first-fit", firm, &fleet, &jobs, seed));
-        rows.push(fill::<Best>("best-fit", firm, &fleet, &jobs, seed));
-        rows.push(fill::<RandomTwo>("random-two", firm, &fleet, &jobs, seed));
-        rows.push(fill::<Dot>("dot-product", firm, &fleet, &jobs, seed));
-        rows.push(fill::<Blend>("marigoldpick", firm, &fleet, &jobs, seed));
+        let placed = |order: &[Job]| fill::<Blend>("marigoldpick", firm, &fleet, order, seed).tasks;
+        let reachable = (fleet.len() <= offline::MOST_WORKERS)
+            .then(|| offline::reachable(&total(&fleet), &jobs, seed, placed));
+        let mut filled = vec![
+            fill::<First>("first-fit", firm, &fleet, &jobs, seed),
+            fill::<Best>("best-fit", firm, &fleet, &jobs, seed),
+            fill::<RandomTwo>("random-two", firm, &fleet, &jobs, seed),
+            fill::<Dot>("dot-product", firm, &fleet, &jobs, seed),
+            fill::<Blend>("marigoldpick", firm, &fleet, &jobs, seed),
+        ];
+        filled.iter_mut().for_each(|row| row.reachable = reachable);
+        rows.append(&mut filled);
     }
     rows
 }
@@ -54,12 +65,14 @@
 pub fn print(rows: &[Row]) {
     for row in rows {
         println!(
-            "{:12} {:13} {:7} tasks {:6.2}% of bound, cpu {:5.1}% mem {:5.1}% acc {:5.1}%, \
+            "{:12} {:13} {:7} tasks {:6.2}% of bound (an order known ahead {:6.2}%), cpu {:5.1}% mem {:5.1}% acc {:5.1}%, \
              p50 {:7.1} us p99 {:7.1} us, {:9.0}/s",
             row.firm,
             row.policy,
             row.tasks,
             row.of_bound_percent,
+            row.reachable
+                .map_or(f64::NAN, |tasks| percent(tasks.into(), row.bound.into())),
             row.processors_percent,
             row.memory_percent,
             row.accelerators_percent,
@@ -126,6 +139,7 @@
         policy,
         tasks,
         bound,
+        reachable: None,
         of_bound_percent: percent(u64::from(tasks), u64::from(bound)),
         processors_percent: percent(used.millicores, total.millicores),
         memory_percent: percent(used.memory_mib, total.memory_mib),
