--- a/crates/marigoldpick-shard/examples/cost.rs
+++ b/crates/marigoldpick-shard/examples/cost.rs
@@ -19,7 +19,8 @@
 use marigoldpick_shard::record::{self, Record};
 use rand::Rng;
 use support::Odds;
-use support::site::{Site, job};
+use support::site::Site;
+use support::site::job::job;
 use support::store::Store;
 use support::worker::Worker;
 
--- a/crates/marigoldpick-shard/tests/faults.rs
+++ b/crates/marigoldpick-shard/tests/faults.rs
@@ -10,7 +10,8 @@
 use marigoldpick_core::vm;
 use rand::Rng;
 use support::Odds;
-use support::site::{Site, job};
+use support::site::Site;
+use support::site::job::job;
 
 /// Seeds of the run in CI.
 const SEEDS: u64 = 1;
--- a/crates/marigoldpick-shard/tests/lead.rs
+++ b/crates/marigoldpick-shard/tests/lead.rs
@@ -6,7 +6,8 @@
 use marigoldpick_core::intent::Class;
 use marigoldpick_shard::Settings;
 use support::Odds;
-use support::site::{Job, Site, job};
+use support::site::Site;
+use support::site::job::{Job, job};
 
 /// Longer than any take-over with a silent worker.
 const SETTLE: u64 = 30_000;
--- a/crates/marigoldpick-shard/tests/names.rs
+++ b/crates/marigoldpick-shard/tests/names.rs
@@ -6,7 +6,8 @@
 use marigoldpick_core::intent::Class;
 use marigoldpick_core::prelude::*;
 use support::Odds;
-use support::site::{Job, Site, job};
+use support::site::Site;
+use support::site::job::{Job, job};
 
 const COUNT: u32 = 20;
 
--- a/crates/marigoldpick-shard/tests/pace.rs
+++ b/crates/marigoldpick-shard/tests/pace.rs
@@ -8,7 +8,8 @@
 use marigoldpick_core::vm;
 use marigoldpick_shard::Settings;
 use support::Odds;
-use support::site::{Job, Site, job};
+use support::site::Site;
+use support::site::job::{Job, job};
 
 /// Longer than any take-over with a silent worker at these intervals.
 const SETTLE: u64 = 150_000;
--- a/crates/marigoldpick-shard/tests/support/site.rs
+++ b/crates/marigoldpick-shard/tests/support/site.rs
@@ -1,15 +1,20 @@
 //! One shard's entries, workers and store, driven by a schedule drawn from a seed.
 
+mod calls;
+mod checks;
+pub mod job;
+mod schedule;
+mod scheduler;
+
 use std::cmp::Reverse;
 use std::collections::{BTreeMap, BTreeSet, BinaryHeap};
 
-use marigoldpick_core::intent::Class;
 use marigoldpick_core::prelude::*;
-use marigoldpick_core::worker::{self, Outcome, Spec};
+use marigoldpick_core::worker::{self, Spec};
 use marigoldpick_core::{store, vm};
-use marigoldpick_shard::lead::{Homed, Input, Lead, Notice, Output};
-use marigoldpick_shard::membership::{Led, Membership};
-use marigoldpick_shard::{Settings, record};
+use marigoldpick_shard::Settings;
+use marigoldpick_shard::lead::{Input, Lead};
+use marigoldpick_shard::membership::Membership;
 use rand::Rng;
 use rand_chacha::ChaCha8Rng;
 
@@ -17,6 +22,9 @@
 use super::worker::Worker;
 use super::{Fate, Odds, random};
 
+use job::Job;
+use scheduler::Scheduler;
+
 /// The true time between two ticks of an entry.
 const TICK: u64 = 50;
 /// The time after which a call counts as unanswered.
@@ -47,29 +55,6 @@
     waiting: Vec<Event>,
 }
 
-/// The least scheduler that keeps all tasks going.
-#[derive(Debug, Default)]
-pub struct Scheduler {
-    pub leading: bool,
-    up: BTreeSet<id::Worker>,
-    /// Where each task is or may be, with its attempt.
-    pub at: BTreeMap<id::Task, (id::Worker, u32)>,
-    over: BTreeSet<id::Task>,
-    attempts: BTreeMap<id::Task, u32>,
-    whole: bool,
-}
-
-#[derive(Clone, Debug)]
-pub struct Job {
-    pub id: id::Job,
-    pub count: u32,
-    pub class: Class,
-    pub idempotent: bool,
-    pub run: Option<u64>,
-    /// The number of the configuration's entry that accepted it.
-    pub accepted: u64,
-}
-
 #[derive(Debug)]
 pub struct Site {
     pub seed: u64,
@@ -104,17 +89,6 @@
     pub checkpoints: Vec<(usize, id::Run)>,
 }
 
-pub fn job(name: &str, count: u32, class: Class, idempotent: bool, run: Option<u64>) -> Job {
-    Job {
-        id: id::Job::new(name).expect("a name"),
-        count,
-        class,
-        idempotent,
-        run,
-        accepted: 1,
-    }
-}
-
 impl Site {
     pub fn new(seed: u64, entries: usize, workers: usize, jobs: Vec<Job>) -> Self {
         Self::with(Settings::default(), seed, entries, workers, jobs)
@@ -351,71 +325,12 @@
         self.schedule(at);
     }
 
-    fn homed(&self) -> Vec<Homed> {
-        let mut jobs: Vec<Homed> = self
-            .jobs
-            .iter()
-            .map(|job| Homed {
-                job: job.id.clone(),
-                class: job.class,
-                accepted: job.accepted,
-            })
-            .collect();
-        jobs.sort_by(|a, b| a.job.cmp(&b.job));
-        jobs
-    }
-
-    fn beat(&mut self, at: usize) {
-        let now = self.time(at);
-        let entry = &mut self.entries[at];
-        entry.membership.tick(now);
-        let shard = entry.lead.shard().clone();
-        let leads = entry.lead.epoch().map(|epoch| Led { shard, epoch });
-        let beat = entry
-            .membership
-            .beat(0, Millis::ZERO, false, leads.into_iter().collect())
-            .clone();
-        for to in 0..self.entries.len() {
-            let cut = self.cut_entries.contains(&(at, to)) || self.cut_entries.contains(&(to, at));
-            let deaf = self.entries[to].dead || self.now < self.entries[to].paused_until;
-            if to != at && !cut && !deaf {
-                let heard = self.time(to);
-                self.entries[to].membership.heard(beat.clone(), heard);
-            }
-        }
-    }
-
     /// The own time of an entry.
     pub fn time(&self, at: usize) -> Millis {
         let scaled = i128::from(self.now) * i128::from(1_000 + self.entries[at].drift) / 1_000;
         Millis(u64::try_from(scaled).expect("time is positive"))
     }
 
-    /// Hands an answer to an entry, after its pause if it is paused.
-    fn input(&mut self, at: usize, input: Input, _retry: Event) {
-        if self.entries[at].dead {
-            return;
-        }
-        if self.now < self.entries[at].paused_until {
-            let until = self.entries[at].paused_until;
-            let event = match input {
-                Input::Store { call, result } => Event::StoreDone(at, call, result),
-                Input::Worker {
-                    call,
-                    worker,
-                    result,
-                } => {
-                    let to = self.vms.iter().position(|vm| vm.id == worker);
-                    Event::WorkerDone(at, call, to.expect("a worker"), result)
-                }
-                _ => return,
-            };
-            return self.push(until, event);
-        }
-        self.feed(at, input);
-        self.schedule(at);
-    }
-
     fn feed(&mut self, at: usize, input: Input) {
         let now = self.time(at);
         let mut out = Vec::new();
@@ -424,304 +339,4 @@
             self.output(at, output);
         }
     }
-
-    fn output(&mut self, at: usize, output: Output) {
-        match output {
-            Output::Store { call, request } => {
-                let odds = if self.cut_store.contains(&at) {
-                    Odds::AWAY
-                } else {
-                    self.store_odds
-                };
-                let fate = odds.draw(&mut self.rng);
-                let done = |fault| Event::StoreDone(at, call, Err(fault));
-                let lost = done(store::Fault::Unknown);
-                let away = done(store::Fault::Away);
-                self.send(fate, Event::Store(at, call, request, fate), away, lost);
-            }
-            Output::Worker {
-                call,
-                worker,
-                request,
-                ..
-            } => {
-                let to = self
-                    .vms
-                    .iter()
-                    .position(|vm| vm.id == worker)
-                    .expect("a worker");
-                let cut = self.cut_workers.contains(&(at, to)) || self.dead_workers.contains(&to);
-                let odds = if cut { Odds::AWAY } else { self.worker_odds };
-                let fate = odds.draw(&mut self.rng);
-                let done = |fault| Event::WorkerDone(at, call, to, Err(fault));
-                let lost = done(worker::Fault::Unknown);
-                let away = done(worker::Fault::Away);
-                self.send(fate, Event::Worker(at, call, to, request, fate), away, lost);
-            }
-            Output::Notice(notice) => self.notice(at, notice),
-            Output::Event(_) => {}
-        }
-    }
-
-    fn send(&mut self, fate: Fate, call: Event, away: Event, lost: Event) {
-        match fate {
-            Fate::Answered => self.deliver(3, call),
-            Fate::Away => self.deliver(3, away),
-            Fate::CallLost => self.push(self.now + TIMEOUT, lost),
-            Fate::AnswerLost => {
-                self.deliver(3, call);
-                self.push(self.now + TIMEOUT, lost);
-            }
-            Fate::Late => {
-                self.deliver(LATE, call);
-                self.push(self.now + TIMEOUT, lost);
-            }
-        }
-    }
-
-    /// Without what is left of earlier jobs of a name that was used again.
-    fn current(&self, mut progress: Vec<record::Job>) -> Vec<record::Job> {
-        progress.retain(|have| {
-            let accepted = have.progress.accepted;
-            let mut jobs = self.jobs.iter();
-            jobs.any(|job| job.id == have.job && job.accepted == accepted)
-        });
-        progress
-    }
-
-    fn notice(&mut self, at: usize, notice: Notice) {
-        let notice = match notice {
-            Notice::Leading {
-                epoch,
-                progress,
-                whole,
-            } => Notice::Leading {
-                epoch,
-                progress: self.current(progress),
-                whole,
-            },
-            Notice::Progress(progress) => Notice::Progress(self.current(progress)),
-            other => other,
-        };
-        let scheduler = &mut self.entries[at].scheduler;
-        match notice {
-            Notice::Leading {
-                epoch,
-                progress,
-                whole,
-            } => {
-                self.leads.push((self.now, at, epoch));
-                *scheduler = Scheduler {
-                    leading: true,
-                    whole,
-                    ..Scheduler::default()
-                };
-                scheduler.progress(&progress);
-            }
-            Notice::Progress(progress) => {
-                scheduler.whole = true;
-                scheduler.progress(&progress);
-            }
-            Notice::Deposed => *scheduler = Scheduler::default(),
-            Notice::WorkerUp { worker, running } => {
-                scheduler.up.insert(worker.id.clone());
-                for running in running {
-                    scheduler.runs(&running.spec.run, &worker.id);
-                }
-            }
-            Notice::WorkerReport { worker, changed } => {
-                for running in changed {
-                    scheduler.runs(&running.spec.run, &worker);
-                }
-            }
-            Notice::WorkerSilent(worker) => drop(scheduler.up.remove(&worker)),
-            Notice::WorkerHeard(worker) => drop(scheduler.up.insert(worker)),
-            Notice::WorkerLost { worker, runs } => {
-                scheduler.up.remove(&worker);
-                for run in runs {
-                    scheduler.at.remove(&run.task);
-                }
-            }
-            Notice::Refused { run, code, .. } => {
-                scheduler.at.remove(&run.task);
-                if code == Code::TaskMaybeStarted {
-                    scheduler.over.insert(run.task.clone());
-                    self.maybe.insert(run.task);
-                }
-            }
-            Notice::Finished { finished, .. } => {
-                scheduler.at.remove(&finished.run.task);
-                if scheduler.leading && matches!(finished.outcome, Outcome::Checkpointed(_)) {
-                    self.checkpoints.push((at, finished.run.clone()));
-                }
-                let task = finished.run.task;
-                if finished.outcome == Outcome::Done {
-                    scheduler.over.insert(task);
-                } else if self.once.contains_key(&task) {
-                    scheduler.over.insert(task.clone());
-                    self.feed(at, Input::GiveUp { task });
-                }
-            }
-            Notice::MaybeStarted(run) => {
-                scheduler.at.remove(&run.task);
-                scheduler.over.insert(run.task.clone());
-                self.maybe.insert(run.task);
-            }
-            Notice::Started { .. }
-            | Notice::Throttled { .. }
-            | Notice::Silent(_)
-            | Notice::Held(_)
-            | Notice::WorkerChanged(_) => {}
-        }
-    }
-
-    /// Asks for all starts that are missing.
-    fn schedule(&mut self, at: usize) {
-        if !self.entries[at].scheduler.leading || self.holds_starts {
-            return;
-        }
-        let mut starts = Vec::new();
-        let scheduler = &mut self.entries[at].scheduler;
-        let up: Vec<id::Worker> = scheduler.up.iter().cloned().collect();
-        if up.is_empty() {
-            return;
-        }
-        for job in &self.jobs {
-            for index in 0..job.count {
-                let task = id::Task::new(job.id.clone(), index);
-                if scheduler.at.contains_key(&task) || scheduler.over.contains(&task) {
-                    continue;
-                }
-                let worker = up[self.rng.random_range(0..up.len())].clone();
-                let attempt = scheduler.attempts.entry(task.clone()).or_default();
-                // A lead counts anew, so two leads may give a run the same name.
-                *attempt += 1;
-                let run = id::Run {
-                    task: task.clone(),
-                    attempt: *attempt,
-                };
-                scheduler.at.insert(task, (worker.clone(), run.attempt));
-                starts.push((worker, job.spec(run)));
-            }
-        }
-        for (worker, spec) in starts {
-            self.feed(at, Input::Start { worker, spec });
-        }
-    }
-
-    /// Tells whether the log has the end of every task of every job that ends.
-    pub fn is_complete(&self) -> bool {
-        self.leader().is_some() && self.missing().is_empty()
-    }
-
-    /// Tasks that should end and have no end in the lead's log.
-    pub fn missing(&self) -> Vec<id::Task> {
-        let Some(lead) = self.leader() else {
-            return Vec::new();
-        };
-        let record = self.entries[lead].lead.record();
-        let ending = self.jobs.iter().filter(|job| job.run.is_some());
-        ending
-            .flat_map(|job| (0..job.count).map(|index| id::Task::new(job.id.clone(), index)))
-            .filter(|task| !record.is_over(task) && !self.maybe.contains(task))
-            .collect()
-    }
-
-    /// Tells whether all instances of all services run.
-    pub fn is_serving(&self) -> bool {
-        let wanted: u32 = self
-            .jobs
-            .iter()
-            .filter(|j| j.run.is_none())
-            .map(|j| j.count)
-            .sum();
-        let live = (0..self.workers.len()).filter(|at| !self.dead_workers.contains(at));
-        let running: usize = live
-            .map(|at| {
-                let service = |run: &&id::Run| {
-                    self.jobs
-                        .iter()
-                        .any(|j| j.id == run.task.job && j.run.is_none())
-                };
-                self.workers[at].running().filter(service).count()
-            })
-            .sum();
-        running == wanted as usize
-    }
-
-    /// Has the lead write a checkpoint of a running task.
-    pub fn checkpoint_one(&mut self) -> id::Run {
-        let lead = self.leader().expect("somebody leads");
-        let run = self
-            .workers
-            .iter()
-            .find_map(|w| w.running().next().cloned());
-        let run = run.expect("something runs");
-        self.feed(lead, Input::Checkpoint { run: run.clone() });
-        run
-    }
-
-    /// Lets the schedulers forget the tasks that are over, as for a new job.
-    pub fn forget_ends(&mut self) {
-        for entry in &mut self.entries {
-            entry.scheduler.over.clear();
-        }
-    }
-
-    /// Ends one running instance, as if it had failed.
-    pub fn end_instance(&mut self) {
-        let now = Millis(self.now);
-        let worker = self.workers.iter_mut().find(|w| w.running().count() > 0);
-        worker.expect("something runs").fail_one(now);
-    }
-
-    /// Checks that no non-idempotent task was started twice.
-    pub fn check_once(&self) {
-        for (task, starts) in &self.once {
-            assert!(
-                *starts <= 1,
-                "seed {}: {task} was started {starts} times",
-                self.seed
-            );
-        }
-    }
-}
-
-impl Scheduler {
-    fn progress(&mut self, progress: &[record::Job]) {
-        for job in progress {
-            for (from, to) in job
-                .progress
-                .completed
-                .0
-                .iter()
-                .chain(&job.progress.failed.0)
-            {
-                for index in *from..*to {
-                    self.over.insert(id::Task::new(job.job.clone(), index));
-                }
-            }
-        }
-    }
-
-    fn runs(&mut self, run: &id::Run, worker: &id::Worker) {
-        self.at
-            .insert(run.task.clone(), (worker.clone(), run.attempt));
-    }
-}
-
-impl Job {
-    fn spec(&self, run: id::Run) -> Spec {
-        Spec {
-            run,
-            accepted: self.accepted,
-            team: id::Team::new("maps").expect("a name"),
-            needs: Amount::new(1_000, 512),
-            service: None,
-            command: self.run.map_or_else(String::new, |run| run.to_string()),
-            idempotent: self.idempotent,
-            grace: Millis(1_000),
-            checkpoint: None,
-        }
-    }
 }
--- /dev/null
+++ b/crates/marigoldpick-shard/tests/support/site/checks.rs
@@ -0,0 +1,85 @@
+//! What a test asks of the site, and does to it.
+
+use marigoldpick_core::prelude::*;
+use marigoldpick_shard::lead::Input;
+
+use super::Site;
+
+impl Site {
+    /// Tells whether the log has the end of every task of every job that ends.
+    pub fn is_complete(&self) -> bool {
+        self.leader().is_some() && self.missing().is_empty()
+    }
+
+    /// Tasks that should end and have no end in the lead's log.
+    pub fn missing(&self) -> Vec<id::Task> {
+        let Some(lead) = self.leader() else {
+            return Vec::new();
+        };
+        let record = self.entries[lead].lead.record();
+        let ending = self.jobs.iter().filter(|job| job.run.is_some());
+        ending
+            .flat_map(|job| (0..job.count).map(|index| id::Task::new(job.id.clone(), index)))
+            .filter(|task| !record.is_over(task) && !self.maybe.contains(task))
+            .collect()
+    }
+
+    /// Tells whether all instances of all services run.
+    pub fn is_serving(&self) -> bool {
+        let wanted: u32 = self
+            .jobs
+            .iter()
+            .filter(|j| j.run.is_none())
+            .map(|j| j.count)
+            .sum();
+        let live = (0..self.workers.len()).filter(|at| !self.dead_workers.contains(at));
+        let running: usize = live
+            .map(|at| {
+                let service = |run: &&id::Run| {
+                    self.jobs
+                        .iter()
+                        .any(|j| j.id == run.task.job && j.run.is_none())
+                };
+                self.workers[at].running().filter(service).count()
+            })
+            .sum();
+        running == wanted as usize
+    }
+
+    /// Ends one running instance, as if it had failed.
+    pub fn end_instance(&mut self) {
+        let now = Millis(self.now);
+        let worker = self.workers.iter_mut().find(|w| w.running().count() > 0);
+        worker.expect("something runs").fail_one(now);
+    }
+
+    /// Lets the schedulers forget the tasks that are over, as for a new job.
+    pub fn forget_ends(&mut self) {
+        for entry in &mut self.entries {
+            entry.scheduler.over.clear();
+        }
+    }
+
+    /// Has the lead write a checkpoint of a running task.
+    pub fn checkpoint_one(&mut self) -> id::Run {
+        let lead = self.leader().expect("somebody leads");
+        let run = self
+            .workers
+            .iter()
+            .find_map(|w| w.running().next().cloned());
+        let run = run.expect("something runs");
+        self.feed(lead, Input::Checkpoint { run: run.clone() });
+        run
+    }
+
+    /// Checks that no non-idempotent task was started twice.
+    pub fn check_once(&self) {
+        for (task, starts) in &self.once {
+            assert!(
+                *starts <= 1,
+                "seed {}: {task} was started {starts} times",
+                self.seed
+            );
+        }
+    }
+}
