Refuse plans at a lead that does not know its workers yet

A lead is taken at its word once it has as many workers as the VM list has alive, and in any case after 5 s, since the list lags and some may be lost.

Ruled out: counting the workers that were claimed, which says nothing of those that were not reached.

--- a/crates/marigoldpick-entry/src/control.rs
+++ b/crates/marigoldpick-entry/src/control.rs
@@ -269,6 +269,12 @@
             .ok()
     }
 
+    fn is_ready(&self, local: &Local, now: Millis) -> bool {
+        let workers = self.workers_of(local.shard());
+        let live = workers.iter().filter(|vm| vm.state == vm::State::Live);
+        local.is_ready(live.count(), now)
+    }
+
     fn own_offers(&self, jobs: &[intent::Job]) -> Vec<(id::Shard, Vec<Offer>)> {
         let now = self.now();
         let locals = self.shards.iter();
--- a/crates/marigoldpick-entry/src/control/beats.rs
+++ b/crates/marigoldpick-entry/src/control/beats.rs
@@ -94,9 +94,10 @@
             }
             Call::Survey { shard, jobs } => {
                 let at = self.shard_at(&shard).ok_or(Code::NotLead)?;
-                let offers = self.shards[at]
-                    .survey(&jobs, self.now())
-                    .ok_or(Code::NotLead)?;
+                let (local, now) = (&self.shards[at], self.now());
+                let ready = Some(local).filter(|local| self.is_ready(local, now));
+                let offers = ready.and_then(|local| local.survey(&jobs, now));
+                let offers = offers.ok_or(Code::NotLead)?;
                 let text = serde_json::to_string(&offers).map_err(|_source| Code::Internal)?;
                 Ok(Answer::Offers(text))
             }
--- a/crates/marigoldpick-entry/src/control/local.rs
+++ b/crates/marigoldpick-entry/src/control/local.rs
@@ -20,6 +20,9 @@
 use led::Led;
 use run::{Run, Step};
 
+/// After this time a lead's word counts although workers of the VM list are missing.
+const READY: Millis = Millis::from_secs(5);
+
 /// `Ended` is a job whose tasks in the shard have all ended, until the configuration says so too.
 #[derive(Clone, Debug)]
 pub struct Ended {
@@ -134,6 +137,14 @@
             .unwrap_or_default()
     }
 
+    /// Tells whether a lead here knows its workers, of which the VM list has `live`. One that has just
+    /// begun would say that what it has not seen yet can never run.
+    #[must_use]
+    pub fn is_ready(&self, live: usize, now: Millis) -> bool {
+        let Some(led) = &self.led else { return true };
+        now.since(led.since) >= READY || self.lead.workers().len() >= live.max(1)
+    }
+
     /// Asks the scheduler about jobs that are being planned.
     #[must_use]
     pub fn survey(&self, jobs: &[intent::Job], now: Millis) -> Option<Vec<Offer>> {
@@ -265,6 +276,7 @@
             drained: Vec::new(),
             settings_sequence: u64::MAX,
             progress,
+            since: run.cx.now,
         };
         let unheard = self
             .lead
--- a/crates/marigoldpick-entry/src/control/local/led.rs
+++ b/crates/marigoldpick-entry/src/control/local/led.rs
@@ -24,6 +24,8 @@
     pub(super) drained: Vec<id::Worker>,
     pub(super) settings_sequence: u64,
     pub(super) progress: Vec<record::Job>,
+    /// When this entry began to lead.
+    pub(super) since: Millis,
 }
 
 /// `Fed` is a job that the scheduler was told of.
--- a/crates/marigoldpick-entry/src/control/operate.rs
+++ b/crates/marigoldpick-entry/src/control/operate.rs
@@ -11,6 +11,7 @@
 use marigoldpick_shard::shards;
 
 use crate::control::Control;
+use crate::control::local::Local;
 use crate::control::message::{Message, Reply};
 use crate::control::planning::{self, Answering, Question, Surveyed};
 use crate::recorder::{Cause, Note};
@@ -46,11 +47,16 @@
             refuse(reply, problem);
             return;
         }
+        let now = self.now();
+        let needed = self.needed_shards(&intent.job);
+        let unready = |local: &&Local| needed.contains(local.shard()) && !self.is_ready(local, now);
+        if let Some(local) = self.shards.iter().find(unready) {
+            return refuse(reply, unled(local.shard(), "does not know its workers yet"));
+        }
         let own = self.own_offers(&intent.job);
         let questions = self.questions();
         let asked = questions.iter().map(|question| &question.shard);
         let led: Vec<&id::Shard> = own.iter().map(|(shard, _)| shard).chain(asked).collect();
-        let needed = self.needed_shards(&intent.job);
         if let Some(shard) = needed.iter().find(|shard| !led.contains(shard)) {
             return refuse(reply, unled(shard, "has no lead that this entry knows"));
         }
--- a/crates/marigoldpick-entry/src/control/shards.rs
+++ b/crates/marigoldpick-entry/src/control/shards.rs
@@ -102,7 +102,7 @@
         self.feed_shards();
     }
 
-    fn workers_of(&self, shard: &id::Shard) -> Vec<vm::Worker> {
+    pub(super) fn workers_of(&self, shard: &id::Shard) -> Vec<vm::Worker> {
         let ownership = &self.start.settings.ownership;
         let here = |vm: &&vm::Worker| shards::of(ownership, &vm.domain, &vm.rack) == *shard;
         self.vms.iter().filter(here).cloned().collect()
--- a/crates/marigoldpick-entry/src/traffic/run.rs
+++ b/crates/marigoldpick-entry/src/traffic/run.rs
@@ -121,12 +121,8 @@
     reply: oneshot::Sender<Reply>,
 ) {
     let Some(desk) = state.desk(&ask.service) else {
-        return answer(
-            &state,
-            &ask,
-            reply,
-            Reply::failed(Code::NotRunUnknownService, None),
-        );
+        let unknown = Reply::failed(Code::NotRunUnknownService, None);
+        return answer(&state, &ask, reply, unknown);
     };
     let claim = match once::claim(&state, &ask).await {
         Ok(claim) => claim,
--- a/crates/marigoldpick-entry/tests/path/plans.rs
+++ b/crates/marigoldpick-entry/tests/path/plans.rs
@@ -6,7 +6,7 @@
 use marigoldpick_core::prelude::*;
 use marigoldpick_entry::Entry;
 use marigoldpick_entry::settings::Peer;
-use marigoldpick_standin::Platform;
+use marigoldpick_standin::{Fault, Platform};
 
 use crate::operators::{plan, status};
 use crate::site::{INTENT, PLATFORM, entry_settings};
@@ -102,3 +102,26 @@
         expect_that!(plan.expect("the other one is away").blocked, none());
     });
 }
+
+#[googletest::test]
+fn plan_at_a_lead_that_has_not_heard_its_workers_is_refused() {
+    async_std::task::block_on(async {
+        let settings = marigoldpick_standin::Settings::parse("platform.toml", PLATFORM)
+            .expect("the settings are well formed");
+        let platform = Platform::start(&settings).expect("the platform starts");
+        // The VM list still has them.
+        for worker in ["north-a/w0", "north-a/w1", "north-b/w0", "north-b/w1"] {
+            let worker = id::Worker::new(worker).expect("a name");
+            let killed = platform.fault(&Fault::KillWorker { worker });
+            killed.expect("the worker is there");
+        }
+        let settings = entry_settings(0, &platform.address(), Vec::new());
+        let entry = Entry::start(settings).await.expect("the entry starts");
+        let unheard = |problem: &Problem| problem.message.contains("its workers yet");
+        let refused = plan_until(&entry, INTENT, unheard).await;
+        expect_that!(
+            refused.expect_err("no worker is known").code,
+            eq(Code::NoLead)
+        );
+    });
+}
