Measure load over the inner protocol, with truth counts, and one slow endpoint alone

The load bench carried calls between entries inside the process. They now go over the inner protocol on loopback. One command with JSON also tells goodput at 0.5 to 4 times the capacity, fairness beside a flood, three ways of the news of leaving, and counts cut, doubled, mixed and wrongly 'not run' answers against what ran.

--- a/crates/marigoldpick-bench/src/load.rs
+++ b/crates/marigoldpick-bench/src/load.rs
@@ -3,26 +3,30 @@
 //! The load is open: requests are due at fixed times, and each time is counted from when the request
 //! was due, so that a slow answer does not hide the wait of those behind it.
 
+mod call;
 mod site;
 
 use std::process::ExitCode;
 use std::sync::{Arc, Mutex, PoisonError};
 use std::time::{Duration, Instant};
 
-use async_std::net::TcpStream;
 use gumdrop::Options;
 use hdrhistogram::Histogram;
-use http_types::{Method, Request, Url};
 use serde::Serialize;
 
+use call::{Counts, Job, Target};
 use site::Site;
 
 /// Callers' connections while the greatest rate is sought.
 const CONNECTIONS: usize = 64;
 /// How long an endpoint that leaves is watched.
 const WATCH: Duration = Duration::from_secs(3);
-/// The time of a request while slots are counted.
+/// The time of a request while slots are counted or there is more load than capacity.
 const WORK: Duration = Duration::from_millis(200);
+/// Endpoints under overload.
+const ENDPOINTS: usize = 17;
+/// Requests a second that they can do with eight slots each.
+const CAPACITY: f64 = ENDPOINTS as f64 * 8.0 / 0.2;
 
 /// `Arguments` is the command line.
 #[derive(Debug, Options)]
@@ -46,15 +50,25 @@
     entry: Times,
     added_p50_ms: f64,
     added_p99_ms: f64,
-    /// Slots in use of all, on average, while demand sits on one of three entries.
+    /// Slots in use as a share of all, on average, while demand for more sits on one of three entries.
     slots_in_use: f64,
     most_in_use_of_one_endpoint: usize,
-    /// The time from the news that an endpoint leaves to its last new request.
-    leaving_ms: f64,
-    /// Answers that were not `done`, in all runs.
+    /// The time from the news that an endpoint leaves to its last new run, by the way of the news.
+    leaving: Leaving,
+    overload: Vec<Overload>,
+    fairness: Vec<Fairness>,
+    /// Answers that were not `done` in the runs below capacity.
     failed: u64,
 }
 
+/// `Leaving` is in milliseconds.
+#[derive(Debug, Serialize)]
+struct Leaving {
+    config_ms: f64,
+    vms_ms: f64,
+    refusal_ms: f64,
+}
+
 /// `Times` are the times to the answer.
 #[derive(Debug, Serialize)]
 struct Times {
@@ -63,14 +77,28 @@
     p999_ms: f64,
     done: u64,
     failed: u64,
+    #[serde(skip)]
+    counts: Counts,
 }
 
-/// `Target` is where requests go.
-#[derive(Clone, Debug)]
-struct Target {
-    address: String,
-    url: Url,
-    idle: Arc<Mutex<Vec<TcpStream>>>,
+/// `Overload` is what was answered in time at a multiple of the capacity.
+#[derive(Debug, Serialize)]
+struct Overload {
+    load: f64,
+    /// Answers in time, as a share of what the endpoints can do.
+    goodput: f64,
+    counts: Counts,
+}
+
+/// `Fairness` is what four teams with 5% of the capacity each get beside a fifth.
+#[derive(Debug, Serialize)]
+struct Fairness {
+    /// What the fifth team asks for, as a share of the capacity.
+    flood: f64,
+    answered: f64,
+    p50_ms: f64,
+    p99_ms: f64,
+    counts: Counts,
 }
 
 /// Runs the measurements.
@@ -98,31 +126,45 @@
     let direct = Target::new(&quick.endpoints[0].address, "/run")?;
     let greatest_rate = closed(&entry, span).await;
     let rate = greatest_rate / 2.0;
-    let direct = open(&direct, rate, span).await;
-    let entry = open(&entry, rate, span).await;
+    let direct = open(&direct, &Job::idempotent(), rate, span).await;
+    let entry = open(&entry, &Job::idempotent(), rate, span).await;
     let (slots_in_use, most, slow) = slots(span).await?;
-    let (leaving, left) = leaving().await?;
+    let mut failed = entry.failed + slow.failed;
+    let mut left = Vec::new();
+    let ways: [fn(&Site, usize); 3] = [Site::leave, Site::vanish, Site::refuse];
+    for news in ways {
+        let (after, times) = leaving(news).await?;
+        failed += times.failed;
+        left.push(after.as_secs_f64() * 1_000.0);
+    }
     Ok(Report {
         greatest_rate,
         rate,
         added_p50_ms: entry.p50_ms - direct.p50_ms,
         added_p99_ms: entry.p99_ms - direct.p99_ms,
-        failed: entry.failed + slow.failed + left.failed,
+        failed,
         direct,
         entry,
         slots_in_use,
         most_in_use_of_one_endpoint: most,
-        leaving_ms: leaving.as_secs_f64() * 1_000.0,
+        leaving: Leaving {
+            config_ms: left[0],
+            vms_ms: left[1],
+            refusal_ms: left[2],
+        },
+        overload: overload(span).await?,
+        fairness: fairness(span).await?,
     })
 }
 
 /// Lets demand sit on one of three entries and counts the slots in use.
 async fn slots(span: Duration) -> http_types::Result<(f64, usize, Times)> {
-    let site = Site::start(3, 17, WORK).await?;
+    let site = Site::start(3, ENDPOINTS, WORK).await?;
     let all = site.endpoints.len() * 8;
     let target = Target::new(&site.entries[0], "/v1/call/booking")?;
     let rate = 1.1 * all as f64 / WORK.as_secs_f64();
-    let load = async_std::task::spawn(async move { open(&target, rate, span).await });
+    let load =
+        async_std::task::spawn(async move { open(&target, &Job::idempotent(), rate, span).await });
     async_std::task::sleep(Duration::from_secs(2)).await;
     let mut busy = 0;
     let mut samples = 0;
@@ -139,18 +181,62 @@
 }
 
 /// Lets an endpoint leave under load and returns when its last new request came.
-async fn leaving() -> http_types::Result<(Duration, Times)> {
+async fn leaving(news: fn(&Site, usize)) -> http_types::Result<(Duration, Times)> {
     let site = Site::start(2, 4, Duration::from_millis(5)).await?;
     let target = Target::new(&site.entries[0], "/v1/call/booking")?;
-    let load = async_std::task::spawn(async move { open(&target, 500.0, WATCH * 2).await });
+    let load =
+        async_std::task::spawn(
+            async move { open(&target, &Job::idempotent(), 500.0, WATCH * 2).await },
+        );
     async_std::task::sleep(WATCH).await;
-    let news = Instant::now();
-    site.leave(0);
+    let told = Instant::now();
+    news(&site, 0);
     let times = load.await;
-    let after = news.elapsed().saturating_sub(site.endpoints[0].last());
+    let after = told.elapsed().saturating_sub(site.endpoints[0].last());
     Ok((after, times))
 }
 
+/// Offers multiples of the capacity to three entries with non-idempotent requests.
+async fn overload(span: Duration) -> http_types::Result<Vec<Overload>> {
+    let mut rows = Vec::new();
+    for load in [0.5, 1.0, 2.0, 4.0] {
+        let site = Site::start(3, ENDPOINTS, WORK).await?;
+        let target = Target::new(&site.entries[0], "/v1/call/booking")?;
+        let job = Job::once("sellers");
+        let mut times = open(&target, &job, load * CAPACITY, span).await;
+        times.counts.check(&site.runs);
+        rows.push(Overload {
+            load,
+            goodput: times.done as f64 / (CAPACITY * span.as_secs_f64()),
+            counts: times.counts,
+        });
+    }
+    Ok(rows)
+}
+
+/// Four teams ask for little; a fifth for as little or for four times the capacity.
+async fn fairness(span: Duration) -> http_types::Result<Vec<Fairness>> {
+    let mut rows = Vec::new();
+    for flood in [0.05, 4.0] {
+        let site = Site::start(3, ENDPOINTS, WORK).await?;
+        let target = Target::new(&site.entries[0], "/v1/call/booking")?;
+        let (own, fifth) = (target.clone(), Job::once("flood"));
+        let rest =
+            async_std::task::spawn(async move { open(&own, &fifth, flood * CAPACITY, span).await });
+        let mut times = open(&target, &Job::once("team"), 0.2 * CAPACITY, span).await;
+        times.counts.add(&rest.await.counts);
+        times.counts.check(&site.runs);
+        rows.push(Fairness {
+            flood,
+            answered: times.done as f64 / (times.done + times.failed) as f64,
+            p50_ms: times.p50_ms,
+            p99_ms: times.p99_ms,
+            counts: times.counts,
+        });
+    }
+    Ok(rows)
+}
+
 /// Lets callers ask without rest; returns the answers a second.
 async fn closed(target: &Target, span: Duration) -> f64 {
     let caller = |_| {
@@ -159,7 +245,7 @@
             let start = Instant::now();
             let mut done = 0_u64;
             while start.elapsed() < span {
-                done += u64::from(target.call().await);
+                done += u64::from(target.call(&Job::idempotent(), 0).await.is_done());
             }
             done
         })
@@ -170,7 +256,7 @@
 }
 
 /// Sends requests at fixed times, whatever becomes of those before.
-async fn open(target: &Target, rate: f64, span: Duration) -> Times {
+async fn open(target: &Target, job: &Job, rate: f64, span: Duration) -> Times {
     let times = Arc::new(Mutex::new(
         Histogram::<u64>::new_with_bounds(1, 60_000_000, 3).expect("bounds are valid"),
     ));
@@ -181,14 +267,14 @@
         if let Some(wait) = due.checked_duration_since(Instant::now()) {
             async_std::task::sleep(wait).await;
         }
-        let (target, times) = (target.clone(), Arc::clone(&times));
+        let (target, times, job) = (target.clone(), Arc::clone(&times), job.clone());
         calls.push(async_std::task::spawn(async move {
-            let done = target.call().await;
-            if done {
+            let found = target.call(&job, nth).await;
+            if found.is_done() {
                 let mut times = times.lock().unwrap_or_else(PoisonError::into_inner);
                 times.saturating_record(due.elapsed().as_micros() as u64);
             }
-            done
+            found
         }));
     }
     let results = futures::future::join_all(calls).await;
@@ -199,46 +285,7 @@
         p99_ms: at(0.99),
         p999_ms: at(0.999),
         done: times.len(),
-        failed: results.iter().filter(|done| !**done).count() as u64,
-    }
-}
-
-impl Target {
-    fn new(address: &str, path: &str) -> http_types::Result<Self> {
-        Ok(Self {
-            address: address.to_owned(),
-            url: Url::parse(&format!("http://{address}{path}"))?,
-            idle: Arc::default(),
-        })
-    }
-
-    /// Makes one call; tells whether the whole answer came.
-    async fn call(&self) -> bool {
-        self.attempt().await.unwrap_or(false)
-    }
-
-    async fn attempt(&self) -> http_types::Result<bool> {
-        let kept = self.idle().pop();
-        let stream = match kept {
-            Some(stream) => stream,
-            None => {
-                let stream = TcpStream::connect(&self.address).await?;
-                stream.set_nodelay(true)?;
-                stream
-            }
-        };
-        let mut request = Request::new(Method::Post, self.url.clone());
-        request.insert_header("x-marigold-team", "sellers");
-        request.insert_header("x-marigold-request", "bench");
-        request.insert_header("x-marigold-idempotent", "true");
-        request.set_body("a booking");
-        let mut response = async_h1::connect(stream.clone(), request).await?;
-        let body = response.body_bytes().await?;
-        self.idle().push(stream);
-        Ok(response.status().is_success() && body == b"a booking")
-    }
-
-    fn idle(&self) -> std::sync::MutexGuard<'_, Vec<TcpStream>> {
-        self.idle.lock().unwrap_or_else(PoisonError::into_inner)
+        failed: results.iter().filter(|found| !found.is_done()).count() as u64,
+        counts: results.into_iter().collect(),
     }
 }
--- a/crates/marigoldpick-bench/src/load/site.rs
+++ b/crates/marigoldpick-bench/src/load/site.rs
@@ -1,7 +1,8 @@
-//! Entries' faces to callers and small endpoints in one process, over loopback.
+//! Entries' faces to callers and small endpoints in one process. All they say to each other goes over
+//! loopback, the inner protocol too.
 
 use std::collections::HashMap;
-use std::sync::atomic::{AtomicU64, AtomicUsize, Ordering};
+use std::sync::atomic::{AtomicBool, AtomicU64, AtomicUsize, Ordering};
 use std::sync::{Arc, Mutex, PoisonError};
 use std::time::{Duration, Instant};
 
@@ -9,43 +10,32 @@
 use http_types::{Request, Response};
 use marigoldpick_core::clock::System;
 use marigoldpick_core::intent::Intent;
-use marigoldpick_core::peer;
 use marigoldpick_core::prelude::*;
+use marigoldpick_entry::carrier::Carrier;
 use marigoldpick_entry::recorder::Trail;
-use marigoldpick_entry::traffic::{Face, Settings, Wire};
+use marigoldpick_entry::traffic::{Face, Settings};
 use marigoldpick_entry::view::{Cell, Endpoint, Peer, View};
+use marigoldpick_wire as wire;
 
 /// Events of requests that an entry keeps.
 const EVENTS: usize = 20_000;
 
-/// `Lines` carries calls between the faces without a network.
-#[derive(Clone, Debug, Default)]
-pub struct Lines(Arc<Mutex<HashMap<id::Entry, Face<Self>>>>);
-
-impl Wire for Lines {
-    async fn call(
-        &self,
-        entry: &id::Entry,
-        _address: &str,
-        call: peer::Call,
-    ) -> Result<peer::Answer, Code> {
-        let face = self.face(entry).ok_or(Code::PeerAway)?;
-        Ok(face.peer(call).await)
-    }
-}
-
-impl Lines {
-    fn face(&self, entry: &id::Entry) -> Option<Face<Self>> {
-        let faces = self.0.lock().unwrap_or_else(PoisonError::into_inner);
-        faces.get(entry).cloned()
-    }
+/// `Inner` answers the other entries' calls.
+#[derive(Clone, Debug)]
+struct Inner(Face<Carrier>);
 
-    fn put(&self, entry: id::Entry, face: Face<Self>) {
-        let mut faces = self.0.lock().unwrap_or_else(PoisonError::into_inner);
-        faces.insert(entry, face);
+impl wire::Handler for Inner {
+    async fn handle(&self, call: wire::Call) -> Result<wire::Answer, Code> {
+        match call {
+            wire::Call::Traffic(call) => Ok(wire::Answer::Traffic(self.0.peer(call).await)),
+            wire::Call::Control(_) => Err(Code::BadRequest),
+        }
     }
 }
 
+/// `Runs` tells how often each request ran.
+pub type Runs = Arc<Mutex<HashMap<String, u32>>>;
+
 /// `Load` is what an endpoint has seen.
 #[derive(Debug)]
 pub struct Load {
@@ -55,6 +45,9 @@
     busy: AtomicUsize,
     most: AtomicUsize,
     last: AtomicU64,
+    refusing: AtomicBool,
+    work: Duration,
+    runs: Runs,
 }
 
 impl Load {
@@ -82,7 +75,10 @@
     pub entries: Vec<String>,
     /// The endpoints.
     pub endpoints: Vec<Arc<Load>>,
+    /// How often each request ran, at all endpoints.
+    pub runs: Runs,
     views: Vec<Cell>,
+    servers: Vec<wire::Server>,
 }
 
 impl Site {
@@ -93,8 +89,9 @@
             .map_err(std::io::Error::other)?
             .service;
         let mut loads = Vec::new();
+        let runs = Runs::default();
         for _ in 0..endpoints {
-            loads.push(endpoint(work).await?);
+            loads.push(endpoint(work, &runs).await?);
         }
         let domain = name(id::Domain::new("domain"));
         let place = |(at, load): (usize, &Arc<Load>)| Endpoint {
@@ -106,20 +103,27 @@
             leaving: false,
         };
         let places: Vec<Endpoint> = loads.iter().enumerate().map(place).collect();
-        let known: Vec<Peer> = (0..entries).map(|at| peer(at, &domain)).collect();
-        let lines = Lines::default();
+        let mut listeners = Vec::new();
+        let mut known = Vec::new();
+        for at in 0..entries {
+            let listener = std::net::TcpListener::bind("127.0.0.1:0")?;
+            known.push(peer(at, &domain, listener.local_addr()?.to_string()));
+            listeners.push(listener);
+        }
         let mut site = Self {
             entries: Vec::new(),
             endpoints: loads,
+            runs,
             views: Vec::new(),
+            servers: Vec::new(),
         };
-        for own in &known {
+        for (own, listener) in known.iter().zip(listeners) {
             let mut view = View::new(own.entry.clone(), own.incarnation, domain.clone());
             view.services.clone_from(&services);
             view.endpoints.clone_from(&places);
             let others = known.iter().filter(|other| other.entry != own.entry);
             view.entries = others.cloned().collect();
-            site.add(view, &lines).await?;
+            site.add(view, listener).await?;
         }
         async_std::task::sleep(Duration::from_secs(1)).await;
         Ok(site)
@@ -134,8 +138,28 @@
         }
     }
 
-    async fn add(&mut self, view: View, lines: &Lines) -> std::io::Result<()> {
-        let entry = view.me.clone();
+    /// Lets an endpoint refuse requests unread from now on.
+    pub fn refuse(&self, endpoint: usize) {
+        self.endpoints[endpoint]
+            .refusing
+            .store(true, Ordering::Relaxed);
+    }
+
+    /// Lets an endpoint vanish, as when its VM is no longer listed.
+    pub fn vanish(&self, endpoint: usize) {
+        for cell in &self.views {
+            let mut view = View::clone(&cell.load());
+            view.endpoints.remove(endpoint);
+            cell.store(Arc::new(view));
+        }
+    }
+
+    async fn add(&mut self, view: View, inner: std::net::TcpListener) -> std::io::Result<()> {
+        let local = wire::Local {
+            entry: view.me.clone(),
+            domain: view.domain.clone(),
+        };
+        let client = wire::Client::start(local, wire::Settings::default())?;
         let cell = view.cell();
         let settings = Settings {
             resend: Millis::ZERO,
@@ -146,12 +170,13 @@
         let face = Face::new(
             settings,
             Arc::clone(&cell),
-            lines.clone(),
+            Carrier::new(client, Arc::clone(&cell)),
             System::new(),
             events,
             Trail::new(Arc::default(), EVENTS),
         );
-        lines.put(entry, face.clone());
+        let server = wire::Server::start(inner, Inner(face.clone()))?;
+        self.servers.push(server);
         let listener = TcpListener::bind("127.0.0.1:0").await?;
         self.entries.push(listener.local_addr()?.to_string());
         async_std::task::spawn(async move { face.serve(listener).await });
@@ -160,11 +185,11 @@
     }
 }
 
-fn peer(at: usize, domain: &id::Domain) -> Peer {
+fn peer(at: usize, domain: &id::Domain, address: String) -> Peer {
     Peer {
         entry: name(id::Entry::new(&format!("entry-{at}"))),
         domain: domain.clone(),
-        address: String::new(),
+        address,
         alive: true,
         draining: false,
         incarnation: at as u64 + 1,
@@ -176,7 +201,7 @@
     made.expect("the text is a name")
 }
 
-async fn endpoint(work: Duration) -> std::io::Result<Arc<Load>> {
+async fn endpoint(work: Duration, runs: &Runs) -> std::io::Result<Arc<Load>> {
     let listener = TcpListener::bind("127.0.0.1:0").await?;
     let load = Arc::new(Load {
         address: listener.local_addr()?.to_string(),
@@ -184,6 +209,9 @@
         busy: AtomicUsize::new(0),
         most: AtomicUsize::new(0),
         last: AtomicU64::new(0),
+        refusing: AtomicBool::new(false),
+        work,
+        runs: Arc::clone(runs),
     });
     let own = Arc::clone(&load);
     async_std::task::spawn(async move {
@@ -192,31 +220,34 @@
             // Without it the measured times are only longer.
             drop(stream.set_nodelay(true));
             async_std::task::spawn(async_h1::accept(stream, move |request| {
-                run(Arc::clone(&load), request, work)
+                run(Arc::clone(&load), request)
             }));
         }
     });
     Ok(load)
 }
 
-async fn run(
-    load: Arc<Load>,
-    mut request: Request,
-    work: Duration,
-) -> http_types::Result<Response> {
+async fn run(load: Arc<Load>, mut request: Request) -> http_types::Result<Response> {
+    let body = request.body_bytes().await?;
+    if load.refusing.load(Ordering::Relaxed) {
+        let mut refused = Response::new(503);
+        refused.insert_header("x-marigold-refused", "1");
+        return Ok(refused);
+    }
     let busy = load.busy.fetch_add(1, Ordering::Relaxed) + 1;
     load.most.fetch_max(busy, Ordering::Relaxed);
     let now = load.start.elapsed().as_micros() as u64;
     load.last.store(now, Ordering::Relaxed);
-    let body = request.body_bytes().await?;
-    if !work.is_zero() {
-        async_std::task::sleep(work).await;
+    if !load.work.is_zero() {
+        async_std::task::sleep(load.work).await;
     }
-    load.busy.fetch_sub(1, Ordering::Relaxed);
     let mut response = Response::new(200);
     if let Some(id) = request.header("x-marigold-request") {
+        let mut runs = load.runs.lock().unwrap_or_else(PoisonError::into_inner);
+        *runs.entry(id.as_str().to_owned()).or_default() += 1;
         response.insert_header("x-marigold-request", id.as_str());
     }
+    load.busy.fetch_sub(1, Ordering::Relaxed);
     response.set_body(body);
     Ok(response)
 }
--- a/crates/marigoldpick-bench/src/route.rs
+++ b/crates/marigoldpick-bench/src/route.rs
@@ -48,6 +48,7 @@
     waiting: Vec<Waiting>,
     overload: Vec<Overload>,
     fairness: Vec<Fairness>,
+    slow_back: Vec<SlowBack>,
     brown_out: Vec<BrownOut>,
 }
 
@@ -92,6 +93,19 @@
     others_p99_ms: f64,
 }
 
+/// `SlowBack` is what nine teams of little demand get beside a tenth that takes up the capacity, with
+/// and without one endpoint that is far slower than all others.
+#[derive(Debug, Serialize)]
+struct SlowBack {
+    policy: &'static str,
+    /// How many times slower than the slowest other endpoint it is.
+    times_slower: f64,
+    others_answered: f64,
+    others_p50_ms: f64,
+    others_p99_ms: f64,
+    others_p999_ms: f64,
+}
+
 /// `BrownOut` is the recovery after all endpoints were slow for a while.
 #[derive(Debug, Serialize)]
 struct BrownOut {
@@ -109,6 +123,7 @@
         waiting: waiting(arguments),
         overload: overload(arguments),
         fairness: fairness(arguments),
+        slow_back: slow_back(arguments),
         brown_out: brown_out(arguments),
     };
     if arguments.json {
@@ -203,24 +218,56 @@
         setup.teams = vec![0.05 * capacity; 10];
         setup.teams[0] = flood * capacity;
         for (policy, tally) in compare(&setup) {
-            let mut times = tally.times[1].clone();
-            for other in &tally.times[2..] {
-                times.add(other).expect("the same bounds");
-            }
-            let good: u64 = tally.good[1..].iter().sum();
-            let offered: u64 = tally.offered[1..].iter().sum();
+            let (others_answered, times) = others(&tally);
             rows.push(Fairness {
                 policy,
                 flood,
-                others_answered: good as f64 / offered as f64,
+                others_answered,
+                others_p50_ms: millis(&times, 0.5),
+                others_p99_ms: millis(&times, 0.99),
+            });
+        }
+    }
+    rows
+}
+
+/// Nine teams ask for 5% of capacity each, the first for the rest; one endpoint is far slower.
+fn slow_back(arguments: &Arguments) -> Vec<SlowBack> {
+    let mut rows = Vec::new();
+    for times_slower in [1.0, 4.0, 16.0] {
+        let mut setup = setup(arguments, 0.0);
+        let capacity = setup.capacity();
+        setup.teams = vec![0.05 * capacity; 10];
+        setup.teams[0] = 0.6 * capacity;
+        if let Some(last) = setup.speeds.last_mut() {
+            *last *= times_slower;
+        }
+        for (policy, tally) in compare(&setup) {
+            let (others_answered, times) = others(&tally);
+            rows.push(SlowBack {
+                policy,
+                times_slower,
+                others_answered,
                 others_p50_ms: millis(&times, 0.5),
                 others_p99_ms: millis(&times, 0.99),
+                others_p999_ms: millis(&times, 0.999),
             });
         }
     }
     rows
 }
 
+/// Returns the share of answers and the times of all teams but the first.
+fn others(tally: &Tally) -> (f64, Histogram<u64>) {
+    let mut times = tally.times[1].clone();
+    for other in &tally.times[2..] {
+        times.add(other).expect("the same bounds");
+    }
+    let good: u64 = tally.good[1..].iter().sum();
+    let offered: u64 = tally.offered[1..].iter().sum();
+    (good as f64 / offered as f64, times)
+}
+
 /// All endpoints are slow for ten seconds; callers ask up to five times.
 fn brown_out(arguments: &Arguments) -> Vec<BrownOut> {
     let mut setup = setup(arguments, 0.7);
