Count entries that drained, or were silent for a minute, no longer among those that vote

Cause: slots are dealt out with the votes of most of a failure domain's entries, and an entry that was gone counted for ten minutes, be it dead or drained on purpose. Two of three entries replaced one after the other left the last one without any slot for that long: the new test, two drains of three entries, waits a minute in vain without this change.

An entry that drains no longer counts, unless all of them drain, and one that is silent counts for a minute. What is given up: a cut inside a failure domain that lasts longer than a minute lets both sides deal out all slots, where the endpoint's refusal is the guard. Ruled out: to keep ten minutes for entries that died, since a failure domain of two entries would have half of its slots for so long.

--- a/crates/marigoldpick-entry/src/traffic/slots.rs
+++ b/crates/marigoldpick-entry/src/traffic/slots.rs
@@ -20,8 +20,8 @@
 const ROUND: Duration = Duration::from_millis(10);
 /// The time between two rounds without requests.
 const REST: Duration = Duration::from_millis(100);
-/// An entry that was silent for this time is no longer counted among those that may live.
-const FORGET: Millis = Millis::from_secs(600);
+/// An entry that was silent for this time is no longer counted among those that vote.
+const FORGET: Millis = Millis::from_secs(60);
 /// Leases are looked at in each of this many rounds.
 const LEASE_ROUNDS: u32 = 2;
 
@@ -113,6 +113,20 @@
         self.entries(view, SPAN + cover.unwrap_or_default(), now)
     }
 
+    /// Returns the entries that vote on who deals out slots: all but those silent for long, and those
+    /// that drain, unless all of them do.
+    fn members(&self, view: &View, draining: bool, now: Millis) -> Vec<id::Entry> {
+        let mut members = self.entries(view, FORGET, now);
+        let leaves = |entry: &id::Entry| {
+            let peer = view.entries.iter().find(|peer| peer.entry == *entry);
+            peer.map_or(draining, |peer| peer.draining)
+        };
+        if members.iter().any(|entry| !leaves(entry)) {
+            members.retain(|entry| !leaves(entry));
+        }
+        members
+    }
+
     /// Returns the entries that were not silent for `span`.
     fn entries(&self, view: &View, span: Millis, now: Millis) -> Vec<id::Entry> {
         let held = |entry: &id::Entry| {
@@ -256,7 +270,7 @@
     let demands = {
         let mut slots = lock(&state.slots);
         let holders = slots.holders(view, now);
-        let members = slots.entries(view, FORGET, now);
+        let members = slots.members(view, draining, now);
         slots.arbiter.set_entries(holders, members);
         slots.arbiter.tick(now);
         slots.poll(&desks, view, draining, now)
--- a/crates/marigoldpick-entry/tests/traffic/site.rs
+++ b/crates/marigoldpick-entry/tests/traffic/site.rs
@@ -233,6 +233,17 @@
         });
     }
 
+    /// Drains an entry and lets the others know.
+    pub fn drain(&self, at: usize) {
+        self.nodes[at].face.drain();
+        let id = self.nodes[at].id.clone();
+        self.change(|view| {
+            for peer in view.entries.iter_mut().filter(|p| p.entry == id) {
+                peer.draining = true;
+            }
+        });
+    }
+
     /// Cuts two entries from each other.
     pub fn cut(&self, a: usize, b: usize) {
         let pair = (self.nodes[a].id.clone(), self.nodes[b].id.clone());
--- a/crates/marigoldpick-entry/tests/traffic/slots.rs
+++ b/crates/marigoldpick-entry/tests/traffic/slots.rs
@@ -122,6 +122,27 @@
     expect_true!(bounds_hold(&site));
 }
 
+#[googletest::test]
+#[async_std::test]
+async fn slots_of_drained_entries_go_to_the_last_one() {
+    let site = start_with(&[3], &[2], test_settings(), "deadline_ms = 1000\n").await;
+    site.ready().await;
+    for at in [0, 1] {
+        site.drain(at);
+        until("it has given its slots back", || site.held_by(&[at]) == 0).await;
+        site.kill(at);
+        site.bury(at);
+    }
+    until("the last holds all slots", || {
+        site.held_by(&[2]) == 2 * SLOTS
+    })
+    .await;
+    for call in calls(&site, 2, 20, "slow 20") {
+        expect_that!(call.await.said(), eq("done 0"));
+    }
+    expect_true!(bounds_hold(&site));
+}
+
 #[googletest::test]
 #[async_std::test]
 async fn slots_are_not_passed_when_an_entry_and_an_endpoint_die_at_once() {
