--- a/crates/marigoldpick-place/src/scheduler.rs
+++ b/crates/marigoldpick-place/src/scheduler.rs
@@ -5,9 +5,11 @@
 mod claim;
 mod displace;
 mod explain;
+mod gang;
 mod health;
 mod hold;
 mod pick;
+mod reserve;
 mod round;
 mod survey;
 mod usage;
@@ -33,7 +35,8 @@
 use crate::settings::Settings;
 use crate::size::Kinds;
 use crate::{job, kind, run};
-use claim::{Claim, Reservation};
+use claim::Claim;
+use reserve::Reservation;
 
 /// One second.
 const SECOND: Millis = Millis::from_secs(1);
