--- a/crates/marigoldpick-bench/src/place.rs
+++ b/crates/marigoldpick-bench/src/place.rs
@@ -5,6 +5,7 @@
 mod replay;
 mod scale;
 mod scenario;
+mod tally;
 mod work;
 
 use std::process::ExitCode;
--- a/crates/marigoldpick-bench/src/place/packing.rs
+++ b/crates/marigoldpick-bench/src/place/packing.rs
@@ -185,7 +185,8 @@
     }
 }
 
-fn accelerators(amount: &Amount) -> u64 {
+/// Returns the count of accelerators of all kinds.
+pub fn accelerators(amount: &Amount) -> u64 {
     amount.accelerators.iter().map(|a| u64::from(a.count)).sum()
 }
 
--- a/crates/marigoldpick-bench/src/place/replay.rs
+++ b/crates/marigoldpick-bench/src/place/replay.rs
@@ -6,18 +6,18 @@
 //! gets fewer than it can use; one that is given less memory than it needs fails.
 
 use std::cmp::Reverse;
-use std::collections::{BTreeMap, BinaryHeap, HashMap};
+use std::collections::{BinaryHeap, HashMap};
 use std::time::Instant;
 
-use hdrhistogram::Histogram;
-use marigoldpick_core::intent::{Class, Job, Priority};
+use marigoldpick_core::intent::{Class, Job};
 use marigoldpick_core::prelude::*;
 use marigoldpick_core::vm;
 use marigoldpick_core::worker::{Outcome, Spec};
 use marigoldpick_place::score::Policy;
 use marigoldpick_place::{Action, Event, Scheduler, Settings};
 
-use super::packing::event;
+use super::packing::{accelerators, event};
+use super::tally::{Tally, class_of, histogram};
 
 /// How long a checkpoint takes.
 const CHECKPOINT: Millis = Millis(300);
@@ -60,25 +60,13 @@
     pub objective: Option<marigoldpick_core::intent::Objective>,
 }
 
-/// `Tally` is what was seen.
-#[derive(Debug)]
-pub struct Tally {
-    pub waits: BTreeMap<&'static str, Histogram<u64>>,
-    pub decisions: Histogram<u64>,
-    pub starts: u64,
-    pub black_hole_starts: u64,
-    pub displaced: u64,
-    pub throttled: u64,
-    pub lost_core_seconds: f64,
-    pub out_of_memory: u64,
-    /// Moments at which a worker's runs together held or used more than its size.
-    pub overloads: u64,
-    /// Mean share of really used processors in the second half, in hundredths.
-    pub used_processors_percent: f64,
-    /// Mean share of really used memory in the second half, in hundredths.
-    pub used_memory_percent: f64,
-    pub unstarted: BTreeMap<&'static str, u64>,
-    pub rounds: u64,
+/// `Samples` are sums of shares in use.
+#[derive(Clone, Copy, Debug, Default)]
+struct Samples {
+    processors: f64,
+    memory: f64,
+    accelerators: f64,
+    count: u64,
 }
 
 #[derive(Debug)]
@@ -120,7 +108,7 @@
     held: HashMap<id::Worker, Amount>,
     sizes: HashMap<id::Worker, Amount>,
     used: HashMap<id::Worker, Amount>,
-    samples: (f64, f64, u64),
+    samples: Samples,
     total: Amount,
     tally: Tally,
 }
@@ -142,7 +130,7 @@
         held: HashMap::new(),
         sizes: HashMap::new(),
         used: HashMap::new(),
-        samples: (0.0, 0.0, 0),
+        samples: Samples::default(),
         total: Amount::default(),
         tally: Tally::new(),
     };
@@ -150,26 +138,6 @@
     replay.finish()
 }
 
-impl Tally {
-    fn new() -> Self {
-        Self {
-            waits: BTreeMap::new(),
-            decisions: Histogram::new(3).expect("three digits are allowed"),
-            starts: 0,
-            black_hole_starts: 0,
-            displaced: 0,
-            throttled: 0,
-            lost_core_seconds: 0.0,
-            out_of_memory: 0,
-            overloads: 0,
-            used_processors_percent: 0.0,
-            used_memory_percent: 0.0,
-            unstarted: BTreeMap::new(),
-            rounds: 0,
-        }
-    }
-}
-
 impl<P: Policy> Replay<'_, P> {
     fn run(&mut self) {
         if let Some(objective) = self.scenario.objective {
@@ -392,15 +360,20 @@
             let millicores = used.millicores.min(size.millicores);
             sum.add(&Amount::new(millicores, used.memory_mib));
         }
-        self.samples.0 += sum.millicores as f64 / self.total.millicores as f64;
-        self.samples.1 += sum.memory_mib as f64 / self.total.memory_mib as f64;
-        self.samples.2 += 1;
+        let held: u64 = self.held.values().map(accelerators).sum();
+        let share = |part: u64, whole: u64| part as f64 / whole.max(1) as f64;
+        let (samples, total) = (&mut self.samples, &self.total);
+        samples.processors += share(sum.millicores, total.millicores);
+        samples.memory += share(sum.memory_mib, total.memory_mib);
+        samples.accelerators += share(held, accelerators(total));
+        samples.count += 1;
     }
 
     fn finish(mut self) -> Tally {
-        let samples = self.samples.2.max(1) as f64;
-        self.tally.used_processors_percent = 100.0 * self.samples.0 / samples;
-        self.tally.used_memory_percent = 100.0 * self.samples.1 / samples;
+        let percent = |sum: f64| 100.0 * sum / self.samples.count.max(1) as f64;
+        self.tally.used_processors_percent = percent(self.samples.processors);
+        self.tally.used_memory_percent = percent(self.samples.memory);
+        self.tally.used_accelerators_percent = percent(self.samples.accelerators);
         for arrival in self.scenario.arrivals.iter().filter(|a| a.at <= self.now) {
             let task = |index| id::Task::new(arrival.job.name.clone(), index);
             let missing = (0..arrival.job.count).filter(|&i| !self.seen.contains_key(&task(i)));
@@ -415,20 +388,6 @@
     }
 }
 
-/// Returns the class under which a job's waits are counted.
-fn class_of(job: &Job) -> &'static str {
-    match (job.priority, job.class) {
-        (Priority::Urgent, _) => "urgent",
-        (_, Class::Service) => "service",
-        (_, Class::Batch) => "batch",
-        (_, Class::Gang) => "gang",
-    }
-}
-
-fn histogram() -> Histogram<u64> {
-    Histogram::new(3).expect("three digits are allowed")
-}
-
 /// Returns an amount without its accelerators, in thousandths of `needs`.
 pub fn scaled(needs: &Amount, permille: u64) -> Amount {
     Amount::new(
--- a/crates/marigoldpick-bench/src/place/scenario.rs
+++ b/crates/marigoldpick-bench/src/place/scenario.rs
@@ -6,7 +6,8 @@
 use serde::Serialize;
 
 use super::arrivals::{LARGE, Real, declared_right, full_scenario, mixed_scenario, sizes_scenario};
-use super::replay::{BlackHole, Scenario, Tally, replay};
+use super::replay::{BlackHole, Scenario, replay};
+use super::tally::Tally;
 use super::work::{FIRMS, Firm};
 
 /// `Wait` is the waiting time of one class.
@@ -29,6 +30,7 @@
     waits: Vec<Wait>,
     used_processors_percent: f64,
     used_memory_percent: f64,
+    used_accelerators_percent: f64,
     starts: u64,
     rounds: u64,
     displaced: u64,
@@ -155,7 +157,7 @@
 pub fn print(rows: &[Row]) {
     for row in rows {
         println!(
-            "{:20} {:12} {:13} used cpu {:5.1}% mem {:5.1}%, {} starts in {} rounds, \
+            "{:20} {:12} {:13} used cpu {:5.1}% mem {:5.1}% acc {:5.1}%, {} starts in {} rounds, \
              {} displaced, {} throttled, {:.0} core s lost, {} oom, {} overloads, \
              black hole {:.2}%, p50 {:.1} us p99 {:.1} us",
             row.scenario,
@@ -163,6 +165,7 @@
             row.policy,
             row.used_processors_percent,
             row.used_memory_percent,
+            row.used_accelerators_percent,
             row.starts,
             row.rounds,
             row.displaced,
@@ -199,6 +202,7 @@
         waits: tally.waits.iter().map(wait).collect(),
         used_processors_percent: tally.used_processors_percent,
         used_memory_percent: tally.used_memory_percent,
+        used_accelerators_percent: tally.used_accelerators_percent,
         starts: tally.starts,
         rounds: tally.rounds,
         displaced: tally.displaced,
