Blame no endpoint for a request that was started too late

Cause: at four times the capacity half of the endpoints were set aside. In the first 200 ms nothing is measured and all requests are queued; those that start near their deadlines time out, three in a row set an endpoint aside, and with half of the capacity the next ones start late as well. Ruled out: the registration of requests that run at most once (idempotent ones fared alike).

A request that had less than twice the endpoint's expected time counts no longer as its failure when the deadline passes.

--- a/crates/marigoldpick-route/src/back.rs
+++ b/crates/marigoldpick-route/src/back.rs
@@ -16,6 +16,8 @@
 const STALL: f64 = 4.0;
 /// Stalls shorter than this are not told from the grain of the clock.
 const STALL_LEAST: Millis = Millis(20);
+/// A request that had less than this many times the estimate is no sign of failure when it is late.
+const FAIR: f64 = 2.0;
 /// A new or recovered endpoint gets its full share of slots after this time.
 const SLOW_START: Millis = Millis::from_secs(3);
 /// Failures in a row after which an endpoint is set aside.
@@ -193,6 +195,12 @@
         }
     }
 
+    /// Tells whether a request that had this many microseconds should have been answered in them.
+    #[must_use]
+    pub fn is_fair(&self, micros: f64) -> bool {
+        self.measured == 0 || micros >= FAIR * self.estimate
+    }
+
     /// Returns the most slots that were used lately.
     #[must_use]
     pub fn peak(&self) -> u32 {
--- a/crates/marigoldpick-route/src/router.rs
+++ b/crates/marigoldpick-route/src/router.rs
@@ -127,6 +127,8 @@
     endpoint: id::Endpoint,
     team: id::Team,
     charged: f64,
+    /// The time to its deadline when it was sent, in microseconds.
+    given: f64,
 }
 
 /// `Want` is what the router could use of an endpoint's slots.
@@ -314,6 +316,7 @@
             endpoint: self.backs[at].id.clone(),
             team: item.team,
             charged,
+            given: item.deadline.since(now).0 as f64 * 1_000.0,
         };
         self.flights.insert(item.ticket, flight);
     }
@@ -334,7 +337,9 @@
         };
         let back = &mut self.backs[at];
         let before = back.ejected();
-        back.end(end, may_eject, now);
+        // Whoever starts a request too late has itself to blame.
+        let late = end == End::TimedOut && !back.is_fair(flight.given);
+        back.end(if late { End::Unsent } else { end }, may_eject, now);
         let after = back.ejected();
         if after && !before {
             out.push(Output::Ejected(flight.endpoint));
--- a/crates/marigoldpick-route/tests/router.rs
+++ b/crates/marigoldpick-route/tests/router.rs
@@ -254,6 +254,37 @@
     expect_that!(ejected, ge(2));
 }
 
+/// Lets requests that have `left` run out of time at endpoints that take 200 ms; returns how many
+/// endpoints were set aside.
+fn set_aside_by_timeouts(left: Millis) -> u32 {
+    let mut desk = Desk::new("", 4, 8);
+    for ticket in 0..32 {
+        expect_that!(sent(&desk.ask(request(ticket, "a"))).len(), eq(1));
+    }
+    desk.pass(200);
+    (0..32).for_each(|ticket| drop(desk.end(ticket, answered(200))));
+    for ticket in 100..140 {
+        let request = Request {
+            deadline: desk.now + left,
+            class: Class::Urgent,
+            ..request(ticket, "a")
+        };
+        let out = desk.ask(request);
+        desk.pass(left.0);
+        if !sent(&out).is_empty() {
+            desk.end(ticket, End::TimedOut);
+        }
+        desk.pass(60);
+    }
+    desk.router.count(desk.now).ejected
+}
+
+#[googletest::test]
+fn endpoint_that_got_a_request_too_late_is_not_set_aside() {
+    expect_that!(set_aside_by_timeouts(Millis(250)), eq(0));
+    expect_that!(set_aside_by_timeouts(Millis(1_000)), ge(1));
+}
+
 #[googletest::test]
 fn endpoint_set_aside_is_probed_with_one_request_and_restored() {
     let mut desk = Desk::new("", 2, 8);
