Claim a request id in one place

Registering an attempt and closing an id asked the same question of what is known and differed only in the phase and the answer. Both are one function now. The two tests of an arbiter's start share their set-up.

--- a/crates/marigoldpick-route/src/once.rs
+++ b/crates/marigoldpick-route/src/once.rs
@@ -72,48 +72,25 @@
         self.forget(now);
         let age = now.since(self.started);
         let state = match once.step.clone() {
-            Step::Register { within } => self.register(&once, now + within + SLACK, now),
-            Step::Close => self.close(&once, now),
+            Step::Register { within } => {
+                let until = now + within + SLACK;
+                self.claim(&once, Phase::Open { until }, State::Yours, now)
+            }
+            Step::Close => self.claim(&once, Phase::Closed, State::Never, now),
             Step::Settle(outcome) => self.settle(&once, outcome, now),
         };
         Record { state, age }
     }
 
-    fn register(&mut self, once: &Once, until: Millis, now: Millis) -> State {
-        if let Some(entry) = self.entries.get(&once.request) {
-            let free = match &entry.phase {
-                Phase::Closed => once.attempt > entry.attempt || once.token == entry.token,
-                Phase::Ended(Outcome::NotRun) => true,
-                Phase::Open { .. } | Phase::Ended(_) => false,
-            };
-            if !free {
-                return seen(entry, once.token, now);
-            }
-        } else if self.entries.len() >= MAX_IDS {
-            return State::Full;
+    /// Puts an id that is free into `phase` and returns `state`, else what is known of the id.
+    fn claim(&mut self, once: &Once, phase: Phase, state: State, now: Millis) -> State {
+        match self.entries.get(&once.request) {
+            Some(entry) if !entry.is_free(once) => return seen(entry, once.token, now),
+            None if self.entries.len() >= MAX_IDS => return State::Full,
+            Some(_) | None => {}
         }
-        self.put(once, Phase::Open { until }, now);
-        State::Yours
-    }
-
-    fn close(&mut self, once: &Once, now: Millis) -> State {
-        let Some(entry) = self.entries.get(&once.request) else {
-            if self.entries.len() >= MAX_IDS {
-                return State::Full;
-            }
-            self.put(once, Phase::Closed, now);
-            return State::Never;
-        };
-        let free = match &entry.phase {
-            Phase::Closed => once.attempt > entry.attempt || once.token == entry.token,
-            Phase::Ended(Outcome::NotRun) => true,
-            Phase::Open { .. } | Phase::Ended(_) => false,
-        };
-        if !free {
-            return seen(entry, once.token, now);
-        }
-        self.put(once, Phase::Closed, now);
-        State::Never
+        self.put(once, phase, now);
+        state
     }
 
     fn settle(&mut self, once: &Once, outcome: Outcome, now: Millis) -> State {
@@ -166,6 +143,17 @@
     }
 }
 
+impl Entry {
+    /// Tells whether an attempt may take the id.
+    fn is_free(&self, once: &Once) -> bool {
+        match &self.phase {
+            Phase::Closed => once.attempt > self.attempt || once.token == self.token,
+            Phase::Ended(Outcome::NotRun) => true,
+            Phase::Open { .. } | Phase::Ended(_) => false,
+        }
+    }
+}
+
 fn seen(entry: &Entry, token: u64, now: Millis) -> State {
     match &entry.phase {
         Phase::Open { .. } if entry.token == token => State::Yours,
--- a/crates/marigoldpick-route/tests/slots.rs
+++ b/crates/marigoldpick-route/tests/slots.rs
@@ -373,6 +373,18 @@
     }
 }
 
+/// Returns an arbiter in charge of the first endpoint, where lapsed leases outlast the test.
+fn new_arbiter() -> Arbiter {
+    let mut arbiter = Arbiter::default();
+    let charge = Charge {
+        endpoint: endpoint(0),
+        slots: SLOTS,
+        cover: LONG,
+    };
+    arbiter.set(vec![charge], Millis(0));
+    arbiter
+}
+
 /// Asks as entry `at` for slots of the first endpoint; returns what it may use.
 fn ask(arbiter: &mut Arbiter, at: usize, [held, want]: [u32; 2], now: Millis) -> u32 {
     let first = now < Millis(300);
@@ -399,13 +411,7 @@
 
 #[googletest::test]
 fn arbiter_moves_the_slots_of_an_entry_that_is_back_after_its_lease_lapsed() {
-    let mut arbiter = Arbiter::default();
-    let charge = Charge {
-        endpoint: endpoint(0),
-        slots: SLOTS,
-        cover: LONG,
-    };
-    arbiter.set(vec![charge], Millis(0));
+    let mut arbiter = new_arbiter();
     arbiter.set_entries(vec![entry(0), entry(1)], vec![entry(0), entry(1)]);
     ask(&mut arbiter, 0, [0, SLOTS], Millis(100));
     ask(&mut arbiter, 1, [0, 0], Millis(200));
@@ -427,13 +433,7 @@
 
 #[googletest::test]
 fn arbiter_that_is_new_waits_for_an_entry_that_drains() {
-    let mut arbiter = Arbiter::default();
-    let charge = Charge {
-        endpoint: endpoint(0),
-        slots: SLOTS,
-        cover: LONG,
-    };
-    arbiter.set(vec![charge], Millis(0));
+    let mut arbiter = new_arbiter();
     // Entry 2 drains: it has no vote, but still uses three slots.
     let voters = vec![entry(0), entry(1)];
     arbiter.set_entries(vec![entry(0), entry(1), entry(2)], voters);
