--- a/crates/marigoldpick-bench/src/load/site.rs
+++ b/crates/marigoldpick-bench/src/load/site.rs
@@ -28,7 +28,7 @@
     async fn handle(&self, call: wire::Call) -> Result<wire::Answer, Code> {
         match call {
             wire::Call::Traffic(call) => Ok(wire::Answer::Traffic(self.0.peer(call).await)),
-            wire::Call::Control(_) => Err(Code::BadRequest),
+            wire::Call::Control(_) | wire::Call::Jobs(_) => Err(Code::BadRequest),
         }
     }
 }
--- a/crates/marigoldpick-core/src/lib.rs
+++ b/crates/marigoldpick-core/src/lib.rs
@@ -17,4 +17,5 @@
 pub mod store;
 pub mod timeline;
 pub mod vm;
+pub mod work;
 pub mod worker;
--- a/crates/marigoldpick-core/src/store.rs
+++ b/crates/marigoldpick-core/src/store.rs
@@ -77,6 +77,33 @@
         /// The longest wait.
         wait: Millis,
     },
+    /// Reads a page of the keys that begin with `prefix` and come after `after`, ascending.
+    Range {
+        /// The start of the keys.
+        prefix: String,
+        /// Keys up to and including this one are left out; empty for none.
+        after: String,
+        /// Whether the answer may be seconds old, which costs a tenth.
+        stale: bool,
+    },
+    /// Writes and removes several keys at once, if all conditions hold.
+    Commit {
+        /// The conditions.
+        expect: Vec<Condition>,
+        /// The writes.
+        puts: Vec<Write>,
+        /// The keys to remove.
+        deletes: Vec<String>,
+    },
+    /// Waits until a key with `prefix` is written or removed after `revision`, or `wait` has passed.
+    Follow {
+        /// The start of the keys.
+        prefix: String,
+        /// The last revision that is known.
+        revision: u64,
+        /// The longest wait.
+        wait: Millis,
+    },
     /// Makes a lease.
     Grant {
         /// The lease's span.
@@ -104,6 +131,9 @@
             Self::Put { .. } => "put",
             Self::Delete { .. } => "delete",
             Self::Watch { .. } => "watch",
+            Self::Range { .. } => "range",
+            Self::Commit { .. } => "commit",
+            Self::Follow { .. } => "follow",
             Self::Grant { .. } => "grant",
             Self::Renew { .. } => "renew",
             Self::Revoke { .. } => "revoke",
@@ -115,7 +145,11 @@
     pub const fn is_write(&self) -> bool {
         !matches!(
             self,
-            Self::Get { .. } | Self::List { .. } | Self::Watch { .. }
+            Self::Get { .. }
+                | Self::List { .. }
+                | Self::Watch { .. }
+                | Self::Range { .. }
+                | Self::Follow { .. }
         )
     }
 }
@@ -133,7 +167,27 @@
         /// The store's revision.
         revision: u64,
     },
-    /// To `Put` and `Delete`: it took effect at this revision.
+    /// To `Range`: a page, and whether there are more.
+    Page {
+        /// The items, ascending by key.
+        items: Vec<Item>,
+        /// Whether another page follows.
+        more: bool,
+        /// The store's revision.
+        revision: u64,
+    },
+    /// To `Follow`: what changed, oldest first.
+    Changes {
+        /// The changes.
+        changes: Vec<Change>,
+        /// The store's revision, to go on from.
+        revision: u64,
+    },
+    /// To `Follow`: the changes after the revision are no longer kept; read the keys again.
+    Compacted,
+    /// To `Commit`: a condition did not hold; these are the conditions' keys that exist.
+    Rivals(Vec<Item>),
+    /// To `Put`, `Delete` and `Commit`: it took effect at this revision.
     Written(u64),
     /// To `Put` and `Delete`: the condition did not hold; this is what is there.
     Conflict(Option<Item>),
@@ -143,6 +197,43 @@
     Gone,
 }
 
+/// `Condition` is a condition of a `Commit`.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct Condition {
+    /// The key.
+    pub key: String,
+    /// What must be there.
+    pub expect: Expect,
+}
+
+/// `Write` is one key that a `Commit` writes.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct Write {
+    /// The key.
+    pub key: String,
+    /// The value.
+    pub value: String,
+    /// The lease that the key ends with, if any.
+    pub lease: Option<u64>,
+}
+
+/// `Change` is a change of a key.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(rename_all = "kebab-case")]
+pub enum Change {
+    /// The key was written.
+    Written(Item),
+    /// The key was removed.
+    Removed {
+        /// The key.
+        key: String,
+        /// The revision of the removal.
+        revision: u64,
+    },
+}
+
 /// `Fault` is why a call got no answer.
 #[derive(Clone, Copy, Debug, Display, PartialEq, Eq, Serialize, Deserialize)]
 #[serde(rename_all = "kebab-case")]
--- a/crates/marigoldpick-entry/src/carrier.rs
+++ b/crates/marigoldpick-entry/src/carrier.rs
@@ -58,7 +58,7 @@
             .await;
         match answer.map_err(code)? {
             wire::Answer::Traffic(answer) => Ok(answer),
-            wire::Answer::Control(_) => Err(Code::BadRequest),
+            wire::Answer::Control(_) | wire::Answer::Jobs(_) => Err(Code::BadRequest),
         }
     }
 }
--- a/crates/marigoldpick-entry/src/control/io.rs
+++ b/crates/marigoldpick-entry/src/control/io.rs
@@ -137,7 +137,7 @@
         let answer = self.wire.call(to, call, longest).await;
         match answer.map_err(wire::Error::code)? {
             wire::Answer::Control(answer) => Ok(answer),
-            wire::Answer::Traffic(_) => Err(Code::BadRequest),
+            wire::Answer::Traffic(_) | wire::Answer::Jobs(_) => Err(Code::BadRequest),
         }
     }
 
--- a/crates/marigoldpick-entry/src/handler.rs
+++ b/crates/marigoldpick-entry/src/handler.rs
@@ -32,6 +32,7 @@
                     .map(wire::Answer::Control)
             }
             wire::Call::Traffic(call) => Ok(wire::Answer::Traffic(self.face.peer(call).await)),
+            wire::Call::Jobs(_) => Err(Code::BadRequest),
         }
     }
 }
--- /dev/null
+++ b/crates/marigoldpick-job/src/job.rs
@@ -0,0 +1,313 @@
+//! A job in the hands of a lead: which tasks are done, where the others may run.
+
+use std::sync::Arc;
+
+use marigoldpick_core::prelude::*;
+use marigoldpick_core::work::{self, Part, Phase, Step};
+
+use crate::advice::Tickets;
+use crate::record::{self, Record, ranges};
+
+/// `Place` is where a run of a task is, or may be.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Place {
+    /// The worker.
+    pub worker: id::Worker,
+    /// The run.
+    pub run: u64,
+}
+
+/// `Task` is the state of one task.
+#[derive(Clone, Debug, Default)]
+pub struct Task {
+    /// Whether it is done.
+    pub done: bool,
+    /// The runs that failed.
+    pub failed: Vec<u64>,
+    /// The last checkpoint, empty if there is none.
+    pub checkpoint: String,
+    /// Where it may run; more than one only where copies are allowed or a stop is under way.
+    pub places: Vec<Place>,
+    /// Workers on which it failed, to be avoided.
+    pub avoid: Vec<id::Worker>,
+}
+
+/// `Stage` is the state of a step of one occurrence.
+#[derive(Clone, Debug)]
+pub struct Stage {
+    /// The tasks by number.
+    pub tasks: Vec<Task>,
+    /// How many are not done.
+    pub left: u32,
+    /// What the adviser said.
+    pub tickets: Tickets,
+    /// When the last of its tasks was started.
+    pub started: Option<Millis>,
+    /// When its last task was done.
+    pub ended: Option<Millis>,
+}
+
+impl Stage {
+    fn new(step: &Step) -> Self {
+        Self {
+            tasks: vec![Task::default(); step.count as usize],
+            left: step.count,
+            tickets: Tickets::default(),
+            started: None,
+            ended: None,
+        }
+    }
+
+    /// Tells whether a task is neither done nor has a place.
+    #[must_use]
+    pub fn has_unplaced(&self) -> bool {
+        self.left > 0
+            && self
+                .tasks
+                .iter()
+                .any(|task| !task.done && task.places.is_empty())
+    }
+
+    /// Returns the run that failed most often counts against: a gang fails as one.
+    #[must_use]
+    pub fn failures(&self, index: u32, gang: bool) -> usize {
+        let at = if gang { 0 } else { index as usize };
+        self.tasks.get(at).map_or(0, |task| task.failed.len())
+    }
+}
+
+/// `Occurrence` is one of the times that a job runs.
+#[derive(Clone, Debug)]
+pub struct Occurrence {
+    /// When it is due, by the lead's clock.
+    pub due: Millis,
+    /// The steps by number.
+    pub stages: Vec<Stage>,
+}
+
+impl Occurrence {
+    /// Tells whether all tasks of all steps are done.
+    #[must_use]
+    pub fn is_done(&self) -> bool {
+        self.stages.iter().all(|stage| stage.left == 0)
+    }
+
+    /// Tells whether all steps that `step` comes after are done.
+    #[must_use]
+    pub fn is_ready(&self, spec: &work::Job, step: usize) -> bool {
+        spec.steps[step]
+            .after
+            .iter()
+            .all(|before| self.stages[*before as usize].left == 0)
+    }
+}
+
+/// `Job` is the state of one job.
+#[derive(Clone, Debug)]
+pub struct Job {
+    /// The job.
+    pub id: id::Job,
+    /// What was handed in.
+    pub spec: Arc<work::Job>,
+    /// What a task of each step claims of a worker.
+    pub claims: Vec<Amount>,
+    /// When it was handed in, by the lead's clock.
+    pub arrived: Millis,
+    /// How it stands.
+    pub phase: Phase,
+    /// How the store has it.
+    pub recorded: Phase,
+    /// Counts the changes of its record.
+    pub change: u64,
+    /// The last change that the store has.
+    pub stored: u64,
+    /// When it was over.
+    pub over: Option<Millis>,
+    /// The occurrences by number.
+    pub occurrences: Vec<Occurrence>,
+}
+
+impl Job {
+    /// Makes the state of a job none of whose tasks has started.
+    ///
+    /// `wall` is the time in milliseconds since 1970 at `now`.
+    #[must_use]
+    pub fn new(id: id::Job, spec: Arc<work::Job>, wall: u64, now: Millis) -> Self {
+        let age = wall.saturating_sub(spec.accepted);
+        let local = |at: u64| match at.checked_sub(wall) {
+            Some(ahead) => now + Millis(ahead),
+            None => now - Millis(wall - at),
+        };
+        let occurrences = (0..spec.occurrences())
+            .map(|number| Occurrence {
+                due: spec.schedule.map_or(now - Millis(age), |schedule| {
+                    local(schedule.first + schedule.every.0 * u64::from(number))
+                }),
+                stages: spec.steps.iter().map(Stage::new).collect(),
+            })
+            .collect();
+        Self {
+            id,
+            claims: spec.steps.iter().map(Step::claim).collect(),
+            arrived: now - Millis(age),
+            phase: Phase::Queued,
+            recorded: Phase::Queued,
+            change: 0,
+            stored: 0,
+            over: None,
+            occurrences,
+            spec,
+        }
+    }
+
+    /// Takes over what the store recorded.
+    pub fn restore(&mut self, record: &Record, now: Millis) {
+        self.phase = record.phase;
+        self.recorded = record.phase;
+        self.over = record.phase.is_over().then_some(now);
+        for part in &record.parts {
+            let Some(stage) = self.stage_mut(part.occurrence, part.step) else {
+                continue;
+            };
+            for (first, last) in &part.done {
+                for index in *first..=*last {
+                    stage.finish(index);
+                }
+            }
+            for (index, run) in &part.failed {
+                if let Some(task) = stage.tasks.get_mut(*index as usize) {
+                    task.failed.push(*run);
+                }
+            }
+            for (index, checkpoint) in &part.checkpoints {
+                if let Some(task) = stage.tasks.get_mut(*index as usize) {
+                    task.checkpoint.clone_from(checkpoint);
+                }
+            }
+            for (index, worker, run) in &part.places {
+                if let Some(task) = stage.tasks.get_mut(*index as usize) {
+                    task.places.push(Place {
+                        worker: worker.clone(),
+                        run: *run,
+                    });
+                }
+            }
+        }
+    }
+
+    /// Returns what the store should have.
+    #[must_use]
+    pub fn record(&self) -> Record {
+        let mut parts = Vec::new();
+        if !self.phase.is_over() {
+            for (occurrence, state) in (0..).zip(&self.occurrences) {
+                for (step, stage) in (0..).zip(&state.stages) {
+                    parts.extend(stage.record(occurrence, step));
+                }
+            }
+        }
+        Record {
+            phase: self.phase,
+            parts,
+        }
+    }
+
+    /// Returns a step's state.
+    #[must_use]
+    pub fn stage(&self, occurrence: u32, step: u32) -> Option<&Stage> {
+        let occurrence = self.occurrences.get(occurrence as usize)?;
+        occurrence.stages.get(step as usize)
+    }
+
+    /// Returns a step's state.
+    pub fn stage_mut(&mut self, occurrence: u32, step: u32) -> Option<&mut Stage> {
+        let occurrence = self.occurrences.get_mut(occurrence as usize)?;
+        occurrence.stages.get_mut(step as usize)
+    }
+
+    /// Returns a task's state.
+    #[must_use]
+    pub fn task(&self, task: &work::Task) -> Option<&Task> {
+        let stage = self.stage(task.part.occurrence, task.part.step)?;
+        stage.tasks.get(task.index as usize)
+    }
+
+    /// Returns a task's state.
+    pub fn task_mut(&mut self, task: &work::Task) -> Option<&mut Task> {
+        let stage = self.stage_mut(task.part.occurrence, task.part.step)?;
+        stage.tasks.get_mut(task.index as usize)
+    }
+
+    /// Returns the step that a part names.
+    #[must_use]
+    pub fn step(&self, part: &Part) -> Option<&Step> {
+        self.spec.steps.get(part.step as usize)
+    }
+
+    /// Tells whether all tasks of all occurrences are done.
+    #[must_use]
+    pub fn is_done(&self) -> bool {
+        self.occurrences.iter().all(Occurrence::is_done)
+    }
+
+    /// Returns all tasks that have a place.
+    #[must_use]
+    pub fn placed(&self) -> Vec<(work::Task, Place)> {
+        let mut placed = Vec::new();
+        for (occurrence, state) in (0..).zip(&self.occurrences) {
+            for (step, stage) in (0..).zip(&state.stages) {
+                for (index, task) in (0..).zip(&stage.tasks) {
+                    for place in &task.places {
+                        let part = Part {
+                            job: self.id.clone(),
+                            occurrence,
+                            step,
+                        };
+                        placed.push((part.task(index), place.clone()));
+                    }
+                }
+            }
+        }
+        placed
+    }
+}
+
+impl Stage {
+    /// Marks a task as done.
+    pub fn finish(&mut self, index: u32) {
+        if let Some(task) = self.tasks.get_mut(index as usize)
+            && !task.done
+        {
+            task.done = true;
+            task.checkpoint.clear();
+            self.left -= 1;
+        }
+    }
+
+    fn record(&self, occurrence: u32, step: u32) -> Option<record::Part> {
+        let tasks = || (0u32..).zip(&self.tasks);
+        let part = record::Part {
+            occurrence,
+            step,
+            done: ranges(tasks().filter(|(_, t)| t.done).map(|(index, _)| index)),
+            failed: tasks()
+                .flat_map(|(index, t)| t.failed.iter().map(move |run| (index, *run)))
+                .collect(),
+            checkpoints: tasks()
+                .filter(|(_, t)| !t.checkpoint.is_empty())
+                .map(|(index, t)| (index, t.checkpoint.clone()))
+                .collect(),
+            places: tasks()
+                .flat_map(|(index, t)| {
+                    let places = t.places.iter();
+                    places.map(move |place| (index, place.worker.clone(), place.run))
+                })
+                .collect(),
+        };
+        let is_empty = part.done.is_empty()
+            && part.failed.is_empty()
+            && part.checkpoints.is_empty()
+            && part.places.is_empty();
+        (!is_empty).then_some(part)
+    }
+}
--- /dev/null
+++ b/crates/marigoldpick-job/src/lead.rs
@@ -0,0 +1,515 @@
+//! The lead of a pool: takes in news, and returns what is to be done.
+//!
+//! Each change of a job is counted. A commit writes the records of changed jobs; only then are the
+//! starts that it contains ordered, the ends that it contains forgotten by the workers, and the
+//! outcome told to callers.
+
+mod advise;
+pub mod commit;
+mod report;
+mod schedule;
+mod start;
+
+use std::sync::Arc;
+
+use marigoldpick_core::prelude::*;
+use marigoldpick_core::work::port::{Node, Order};
+use marigoldpick_core::work::{self, Phase, Task};
+
+use crate::action::Action;
+use crate::advice::Askers;
+use crate::job::{Job, Place};
+use crate::queue::Queue;
+use crate::record::Record;
+use crate::settings::Settings;
+use crate::worker::{self, Run, Worker};
+
+/// The runs that one term can number: 2^20.
+const RUN_BITS: u32 = 20;
+/// How long a worker that the registry no longer has is kept, while nothing runs there.
+const FORGET: Millis = Millis(10_000);
+
+/// `Count` is what a lead did, for metrics.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct Count {
+    /// Starts that were ordered.
+    pub starts: u64,
+    /// Ends that were read.
+    pub ends: u64,
+    /// Questions to the adviser.
+    pub questions: u64,
+    /// Holds.
+    pub holds: u64,
+    /// Commits.
+    pub commits: u64,
+    /// Runs that were stopped for more urgent work.
+    pub preemptions: u64,
+}
+
+/// `Note` is one decision, for the log.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Note {
+    /// What happened, in a word.
+    pub event: &'static str,
+    /// The job, task, step or worker that it is about.
+    pub about: String,
+    /// The inputs that decided it.
+    pub detail: String,
+}
+
+/// `Lead` is the state of the entry that leads a pool of workers.
+#[derive(Debug)]
+pub struct Lead {
+    settings: Settings,
+    term: u64,
+    /// When the term began.
+    since: Millis,
+    next_run: u64,
+    queues: Vec<Queue>,
+    workers: Vec<Worker>,
+    jobs: Vec<Box<Job>>,
+    askers: Askers,
+    commit: commit::State,
+    /// Jobs with a change that the store does not have, sorted.
+    dirty: Vec<id::Job>,
+    /// Runs that are ordered once their job's change is stored: worker, task, run, change.
+    recording: Vec<Recording>,
+    /// Whether a pass over the waiting work may place something.
+    unscheduled: bool,
+    /// When the next pass is due in any case.
+    next_pass: Millis,
+    /// Whether starts may be ordered before the store has them.
+    unrecorded: bool,
+    /// Whether another lead has given orders.
+    deposed: bool,
+    speeds: Speeds,
+    actions: Vec<Action>,
+    notes: Vec<Note>,
+    count: Count,
+}
+
+/// `Recording` is a start that waits for the store.
+#[derive(Clone, Debug)]
+struct Recording {
+    worker: id::Worker,
+    task: Task,
+    run: u64,
+    change: u64,
+}
+
+/// `Speeds` is how long tasks take on each kind of machine against their estimates.
+#[derive(Clone, Debug, Default)]
+struct Speeds {
+    /// Kind, sum of ratios in thousandths, and count; sorted by kind.
+    kinds: Vec<(Name, u64, u64)>,
+}
+
+impl Speeds {
+    /// The samples of a kind before it is told apart from others.
+    const ENOUGH: u64 = 8;
+    /// The samples after which older ones count half.
+    const MANY: u64 = 200;
+
+    fn learn(&mut self, kind: &Name, permille: u64) {
+        let at = match self.kinds.binary_search_by(|(have, _, _)| have.cmp(kind)) {
+            Ok(at) => at,
+            Err(at) => {
+                self.kinds.insert(at, (kind.clone(), 0, 0));
+                at
+            }
+        };
+        let (_, sum, count) = &mut self.kinds[at];
+        *sum += permille;
+        *count += 1;
+        if *count >= Self::MANY {
+            *sum /= 2;
+            *count /= 2;
+        }
+    }
+
+    fn permille(&self, kind: Option<&Name>) -> u64 {
+        let known = kind.and_then(|kind| {
+            let at = self.kinds.binary_search_by(|(have, _, _)| have.cmp(kind));
+            at.ok().map(|at| &self.kinds[at])
+        });
+        match known {
+            Some((_, sum, count)) if *count >= Self::ENOUGH => (sum / count).clamp(200, 5_000),
+            _ => 1_000,
+        }
+    }
+}
+
+impl Lead {
+    /// Begins a term; `term` is the fencing token and higher than that of any earlier lead.
+    #[must_use]
+    pub fn new(settings: Settings, term: u64, now: Millis) -> Self {
+        Self {
+            settings,
+            term,
+            since: now,
+            next_run: term << RUN_BITS,
+            queues: Vec::new(),
+            workers: Vec::new(),
+            jobs: Vec::new(),
+            askers: Askers::default(),
+            commit: commit::State::default(),
+            dirty: Vec::new(),
+            recording: Vec::new(),
+            unscheduled: true,
+            next_pass: now,
+            unrecorded: false,
+            deposed: false,
+            speeds: Speeds::default(),
+            actions: Vec::new(),
+            notes: Vec::new(),
+            count: Count::default(),
+        }
+    }
+
+    /// Returns the term.
+    #[must_use]
+    pub const fn term(&self) -> u64 {
+        self.term
+    }
+
+    /// Tells whether a worker has obeyed a higher term.
+    #[must_use]
+    pub const fn is_deposed(&self) -> bool {
+        self.deposed
+    }
+
+    /// Returns what it did so far.
+    #[must_use]
+    pub const fn count(&self) -> Count {
+        self.count
+    }
+
+    /// Returns the workers, sorted by id.
+    #[must_use]
+    pub fn workers(&self) -> &[Worker] {
+        &self.workers
+    }
+
+    /// Returns a job.
+    #[must_use]
+    pub fn job(&self, id: &id::Job) -> Option<&Job> {
+        self.at(id).map(|at| &*self.jobs[at])
+    }
+
+    /// Takes the decisions that were not logged yet.
+    pub fn notes(&mut self) -> Vec<Note> {
+        std::mem::take(&mut self.notes)
+    }
+
+    /// Sets the queues. Jobs of a queue that is no longer there run on as it was.
+    pub fn configure(&mut self, queues: &[Queue]) {
+        for queue in queues {
+            match self
+                .queues
+                .binary_search_by(|have| have.name.cmp(&queue.name))
+            {
+                Ok(at) => self.queues[at] = queue.clone(),
+                Err(at) => self.queues.insert(at, queue.clone()),
+            }
+        }
+        self.unscheduled = true;
+    }
+
+    /// Sets the entries that can ask the adviser, sorted.
+    pub fn set_askers(&mut self, entries: &[id::Entry]) {
+        self.askers.set(entries);
+    }
+
+    /// Allows or forbids starts that the store has not recorded.
+    pub fn allow_unrecorded(&mut self, allowed: bool) {
+        self.unrecorded = allowed;
+    }
+
+    /// Takes in a job that the store has, with what the store recorded of it.
+    ///
+    /// `wall` is the time in milliseconds since 1970 at `now`.
+    pub fn accept(
+        &mut self,
+        id: id::Job,
+        spec: Arc<work::Job>,
+        record: Option<&Record>,
+        wall: u64,
+        now: Millis,
+    ) {
+        let Err(at) = self.jobs.binary_search_by(|job| job.id.cmp(&id)) else {
+            return;
+        };
+        let mut job = Box::new(Job::new(id, spec, wall, now));
+        if let Some(record) = record {
+            job.restore(record, now);
+        }
+        let placed = if job.phase.is_over() {
+            Vec::new()
+        } else {
+            job.placed()
+        };
+        self.jobs.insert(at, job);
+        for (task, place) in placed {
+            self.expect_run(&task, &place, now);
+        }
+        self.unscheduled = true;
+    }
+
+    /// Cancels a job; its runs are stopped.
+    pub fn cancel(&mut self, id: &id::Job, now: Millis) {
+        let Some(at) = self.at(id) else { return };
+        if !self.jobs[at].phase.is_over() {
+            self.note("cancelled", id.to_string(), String::new());
+            self.finish(at, Phase::Cancelled, now);
+        }
+    }
+
+    /// Returns what callers may be told of a job: the outcome only once it is stored.
+    #[must_use]
+    pub fn phase(&self, id: &id::Job) -> Option<Phase> {
+        let job = self.job(id)?;
+        Some(match job.phase {
+            phase if phase.is_over() && !job.recorded.is_over() => Phase::Running,
+            phase => phase,
+        })
+    }
+
+    /// Returns how many accepted jobs of a queue have no task that has started.
+    #[must_use]
+    pub fn waiting(&self, queue: &Name) -> usize {
+        self.jobs
+            .iter()
+            .filter(|job| job.phase == Phase::Queued && job.spec.queue == *queue)
+            .count()
+    }
+
+    /// Takes in the registry's list, sorted by id.
+    pub fn fleet(&mut self, nodes: &[Node], now: Millis) {
+        for worker in &mut self.workers {
+            worker.present = false;
+        }
+        for node in nodes {
+            self.meet(node, now);
+        }
+        let settings = self.settings;
+        self.workers.retain(|worker| {
+            worker.present
+                || !worker.runs.is_empty()
+                || worker.holding
+                || now < worker.lapse + FORGET + settings.lease
+        });
+        self.unscheduled = true;
+    }
+
+    fn meet(&mut self, node: &Node, now: Millis) {
+        let lapse = self.unknown_lapse();
+        match self.worker_at(&node.id) {
+            Some(at) => {
+                let worker = &mut self.workers[at];
+                let reborn = node.born > worker.node.born && worker.node.born != 0;
+                if reborn {
+                    self.reborn(at, node.clone(), now);
+                    return;
+                }
+                worker.present = true;
+                worker.node = node.clone();
+            }
+            None => {
+                let found = self.workers.binary_search_by(|w| w.node.id.cmp(&node.id));
+                let at = found.unwrap_or_else(|at| at);
+                self.workers.insert(at, Worker::new(node.clone(), lapse));
+            }
+        }
+    }
+
+    /// Returns when whatever an earlier lead may have left on a silent worker has ended.
+    fn unknown_lapse(&self) -> Millis {
+        self.since + self.settings.term_grace + self.settings.stretched(self.settings.lease)
+    }
+
+    /// Notes that a worker has begun a new life; what ran in the old one has ended.
+    fn reborn(&mut self, at: usize, node: Node, now: Millis) {
+        self.note(
+            "worker-reborn",
+            node.id.to_string(),
+            format!("born={}", node.born),
+        );
+        let lost = self.workers[at].renew(node, now);
+        for run in lost {
+            match run.phase {
+                // A late order could still start it in the new life.
+                worker::Phase::Unknown(_) | worker::Phase::Stop | worker::Phase::Stopping => {
+                    let mut run = run;
+                    run.phase = worker::Phase::Stop;
+                    self.workers[at].add(run);
+                }
+                _ => self.vacate(&run, at),
+            }
+        }
+    }
+
+    /// Expects a run that an earlier lead recorded.
+    fn expect_run(&mut self, task: &Task, place: &Place, now: Millis) {
+        let lapse = self.unknown_lapse();
+        let at = match self.worker_at(&place.worker) {
+            Some(at) => at,
+            None => {
+                let node = Node {
+                    id: place.worker.clone(),
+                    born: 0,
+                    address: String::new(),
+                    service: Name::new("unknown").expect("a valid name"),
+                    domain: id::Domain::new("unknown").expect("a valid name"),
+                    kind: None,
+                    rack: None,
+                    labels: Vec::new(),
+                    capacity: Amount::default(),
+                    draining: false,
+                    remaining: None,
+                };
+                let found = self.workers.binary_search_by(|w| w.node.id.cmp(&node.id));
+                let at = found.unwrap_or_else(|at| at);
+                let mut worker = Worker::new(node, lapse);
+                worker.present = false;
+                self.workers.insert(at, worker);
+                at
+            }
+        };
+        let phase = worker::Phase::Unknown(now);
+        if let Some(run) = self.run_of(task, place.run, phase, now) {
+            self.workers[at].add(run);
+        }
+    }
+
+    /// Makes the entry of a run for a worker.
+    fn run_of(&self, task: &Task, run: u64, phase: worker::Phase, now: Millis) -> Option<Run> {
+        let job = self.job(&task.part.job)?;
+        let step = job.step(&task.part)?;
+        let priority = self
+            .queue(&job.spec.queue)
+            .map_or(0, |queue| queue.priority);
+        Some(Run {
+            task: task.clone(),
+            run,
+            claim: job.claims[task.part.step as usize].clone(),
+            phase,
+            since: now,
+            confirmed: now,
+            target: step.target,
+            fills: step.fills,
+            priority,
+            checkpoints: step.checkpoints,
+            pace: 100,
+        })
+    }
+
+    /// Frees the place of a run that has ended or never began; the task waits again.
+    fn vacate(&mut self, run: &Run, worker: usize) {
+        let id = self.workers[worker].node.id.clone();
+        self.unplace(&run.task, run.run, &id);
+    }
+
+    fn unplace(&mut self, task: &Task, run: u64, worker: &id::Worker) {
+        self.unscheduled = true;
+        let Some(at) = self.at(&task.part.job) else {
+            return;
+        };
+        let Some(state) = self.jobs[at].task_mut(task) else {
+            return;
+        };
+        let before = state.places.len();
+        state
+            .places
+            .retain(|place| place.run != run || place.worker != *worker);
+        if state.places.len() != before && !self.jobs[at].phase.is_over() {
+            self.touch(at);
+        }
+    }
+
+    /// Ends a job: its other runs are stopped.
+    fn finish(&mut self, at: usize, phase: Phase, now: Millis) {
+        let placed = self.jobs[at].placed();
+        let job = &mut self.jobs[at];
+        job.phase = phase;
+        job.over = Some(now);
+        for (task, place) in placed {
+            self.stop_run(&task, &place.worker, place.run);
+        }
+        self.touch(at);
+        self.unscheduled = true;
+    }
+
+    /// Stops a run, or forgets it if it was not ordered yet.
+    fn stop_run(&mut self, task: &Task, worker: &id::Worker, run: u64) {
+        let Some(at) = self.worker_at(worker) else {
+            return;
+        };
+        let Some(entry) = self.workers[at].run_mut(task, run) else {
+            return;
+        };
+        match entry.phase {
+            worker::Phase::Recording => {
+                self.recording
+                    .retain(|start| start.run != run || start.task != *task);
+                if let Some(gone) = self.workers[at].remove(task, run) {
+                    self.vacate(&gone, at);
+                }
+            }
+            worker::Phase::Stop | worker::Phase::Stopping | worker::Phase::Stopped(_) => {}
+            // A start under way is stopped once its answer is known to be out of the way.
+            worker::Phase::Ordered | worker::Phase::Unknown(_) | worker::Phase::Running => {
+                entry.phase = worker::Phase::Stop;
+            }
+        }
+    }
+
+    /// Counts a change of a job that the store has to have.
+    fn touch(&mut self, at: usize) {
+        let job = &mut self.jobs[at];
+        job.change += 1;
+        if let Err(at) = self.dirty.binary_search(&job.id) {
+            self.dirty.insert(at, job.id.clone());
+        }
+    }
+
+    fn at(&self, id: &id::Job) -> Option<usize> {
+        self.jobs.binary_search_by(|job| job.id.cmp(id)).ok()
+    }
+
+    fn worker_at(&self, id: &id::Worker) -> Option<usize> {
+        self.workers.binary_search_by(|w| w.node.id.cmp(id)).ok()
+    }
+
+    fn queue(&self, name: &Name) -> Option<&Queue> {
+        let at = self.queues.binary_search_by(|queue| queue.name.cmp(name));
+        at.ok().map(|at| &self.queues[at])
+    }
+
+    fn note(&mut self, event: &'static str, about: String, detail: String) {
+        self.notes.push(Note {
+            event,
+            about,
+            detail,
+        });
+    }
+
+    fn order(&mut self, worker: usize, order: Order) {
+        let target = self.workers[worker].target();
+        self.actions.push(Action::Order { target, order });
+    }
+
+    /// Decides what is to be done at `now`.
+    pub fn step(&mut self, now: Millis) -> Vec<Action> {
+        self.lapse_silent(now);
+        self.give_stops();
+        self.give_holds(now);
+        if self.unscheduled || now >= self.next_pass {
+            self.schedule(now);
+        }
+        self.give_commit(now);
+        if self.unrecorded {
+            self.start_recording(now, |_| true);
+        }
+        std::mem::take(&mut self.actions)
+    }
+}
--- /dev/null
+++ b/crates/marigoldpick-job/src/lead/advise.rs
@@ -0,0 +1,180 @@
+//! Questions to the adviser: which, when and about which workers.
+//!
+//! Load pattern: the adviser answers one question at a time for each entry, and a question of a slow
+//! queue takes as long as a short task. So few workers are named, those that have room, and a later
+//! question renews the tickets of good workers alone.
+
+use marigoldpick_core::prelude::*;
+use marigoldpick_core::work::Part;
+use marigoldpick_core::work::port::{Advice, Refusal};
+
+use super::Lead;
+use crate::action::Action;
+
+/// The least workers of a first question: fewer would save little of its time.
+const LEAST: usize = 8;
+/// The most workers of a question.
+const MOST: usize = 40;
+/// The wait after a question that brought no answer.
+const RETRY: Millis = Millis(100);
+/// The wait after a question when no worker has room.
+const FULL: Millis = Millis(60);
+/// The time beyond the adviser's own that an answer may take.
+const SLACK: Millis = Millis(1_500);
+
+impl Lead {
+    /// Asks for tickets for `missing` tasks of a step, if that helps.
+    pub(super) fn ask(&mut self, part: &Part, missing: usize, now: Millis) {
+        let Some(at) = self.at(&part.job) else { return };
+        let Some(queue) = self.queue(&self.jobs[at].spec.queue) else {
+            return;
+        };
+        let (Some(policy), service) = (queue.policy, queue.service.clone()) else {
+            return;
+        };
+        let Some(stage) = self.jobs[at].stage(part.occurrence, part.step) else {
+            return;
+        };
+        if stage.tickets.pending || now < stage.tickets.retry {
+            return;
+        }
+        let mut workers = self.ask_about(at, part, missing, &service, now);
+        if workers.is_empty() {
+            self.retry_question(at, part, now + FULL);
+            return;
+        }
+        workers.sort();
+        let span = policy.span(workers.len());
+        let Some(asker) = self.askers.book(span, now) else {
+            self.retry_question(at, part, now + FULL);
+            return;
+        };
+        if let Some(stage) = self.jobs[at].stage_mut(part.occurrence, part.step) {
+            stage.tickets.pending = true;
+        }
+        self.count.questions += 1;
+        let detail = format!("asker={asker} workers={} span={span}", workers.len());
+        self.note("advice-asked", part.to_string(), detail);
+        self.actions.push(Action::Ask {
+            asker,
+            part: part.clone(),
+            workers,
+            limit: span + SLACK,
+        });
+    }
+
+    fn retry_question(&mut self, at: usize, part: &Part, when: Millis) {
+        if let Some(stage) = self.jobs[at].stage_mut(part.occurrence, part.step) {
+            stage.tickets.retry = when;
+        }
+    }
+
+    /// Chooses the workers to ask about: those known to be good that have room, then unknown ones.
+    fn ask_about(
+        &self,
+        at: usize,
+        part: &Part,
+        missing: usize,
+        service: &Name,
+        now: Millis,
+    ) -> Vec<id::Worker> {
+        let job = &self.jobs[at];
+        let (Some(step), Some(stage)) = (job.step(part), job.stage(part.occurrence, part.step))
+        else {
+            return Vec::new();
+        };
+        let claim = &job.claims[part.step as usize];
+        let mut good: Vec<(u64, &id::Worker)> = Vec::new();
+        let mut unknown: Vec<(u64, u64, &id::Worker)> = Vec::new();
+        let mut room_of_good = 0;
+        for worker in &self.workers {
+            if worker.node.service != *service || !worker.is_open(now) || !worker.suits(step) {
+                continue;
+            }
+            let most = step.spread.map_or(u64::MAX, u64::from);
+            let fits = fits(&worker.free(), claim).min(most);
+            match stage.tickets.find(&worker.node.id) {
+                Some(known) if known.ticket.is_some() => {
+                    if now < known.expires {
+                        room_of_good += fits;
+                    } else if fits > 0 {
+                        room_of_good += fits;
+                        good.push((fits, &worker.node.id));
+                    }
+                }
+                Some(_) => {}
+                None if fits > 0 => {
+                    let speed = self.speeds.permille(worker.node.kind.as_ref());
+                    unknown.push((speed, fits, &worker.node.id));
+                }
+                None => {}
+            }
+        }
+        let mut asked: Vec<id::Worker> = good.iter().map(|(_, id)| (*id).clone()).collect();
+        if room_of_good >= missing as u64 {
+            return asked;
+        }
+        unknown.sort_by_key(|(speed, fits, _)| (*speed, u64::MAX - fits));
+        let most = MOST.min(self.settings.advice_most);
+        let mut expected = room_of_good;
+        for (_, fits, id) in unknown {
+            let enough = expected >= 3 * missing as u64 && asked.len() >= LEAST;
+            if enough || asked.len() >= most {
+                break;
+            }
+            expected += fits;
+            asked.push(id.clone());
+        }
+        asked
+    }
+
+    /// Takes in the adviser's answer to a question that was asked through `asker`.
+    pub fn advised(
+        &mut self,
+        asker: &id::Entry,
+        part: &Part,
+        asked: &[id::Worker],
+        answer: Result<Advice, Refusal>,
+        now: Millis,
+    ) {
+        self.askers
+            .release(asker, answer != Err(Refusal::Away), now);
+        let margin = self.settings.ticket_margin;
+        self.unscheduled = true;
+        let Some(at) = self.at(&part.job) else { return };
+        let detail = match &answer {
+            Ok(advice) => format!(
+                "asker={asker} good={} asked={}",
+                advice.good.len(),
+                asked.len()
+            ),
+            Err(refusal) => format!("asker={asker} refused={refusal}"),
+        };
+        self.note("advice-answered", part.to_string(), detail);
+        let Some(stage) = self.jobs[at].stage_mut(part.occurrence, part.step) else {
+            return;
+        };
+        match answer {
+            Ok(advice) => {
+                let expires = now + (advice.valid - margin);
+                stage.tickets.learn(asked, advice, expires);
+            }
+            Err(_) => {
+                stage.tickets.pending = false;
+                stage.tickets.retry = now + RETRY;
+            }
+        }
+    }
+}
+
+/// Returns how many claims fit into what is free.
+pub(super) fn fits(free: &Amount, claim: &Amount) -> u64 {
+    let share = |free: u64, claim: u64| free.checked_div(claim).unwrap_or(u64::MAX);
+    let mut count =
+        share(free.millicores, claim.millicores).min(share(free.memory_mib, claim.memory_mib));
+    for accelerators in &claim.accelerators {
+        let have = u64::from(free.accelerators_of(&accelerators.kind));
+        count = count.min(share(have, u64::from(accelerators.count)));
+    }
+    count
+}
--- /dev/null
+++ b/crates/marigoldpick-job/src/lead/schedule.rs
@@ -0,0 +1,277 @@
+//! The pass over the waiting work: places what fits, in the order of its rank.
+
+use marigoldpick_core::prelude::*;
+use marigoldpick_core::work::{Part, Step};
+
+use super::{Lead, Recording};
+use crate::job::Place;
+use crate::place::{Wish, cost};
+use crate::rank::{Rank, rank};
+use crate::worker::Phase;
+
+/// The time between two passes when nothing has changed.
+const PASS: Millis = Millis(40);
+
+/// `Open` is a step with tasks that wait for a place.
+#[derive(Clone, Debug)]
+struct Open {
+    rank: Rank,
+    part: Part,
+}
+
+/// `Spot` is a worker that may take tasks of a step.
+#[derive(Clone, Debug)]
+struct Spot {
+    worker: usize,
+    /// The tasks of the step that may still be placed there.
+    left: u32,
+}
+
+impl Lead {
+    pub(super) fn schedule(&mut self, now: Millis) {
+        self.unscheduled = false;
+        self.next_pass = now + PASS;
+        let mut open = self.open_parts(now);
+        open.sort_by_key(|open| open.rank);
+        for open in open {
+            self.serve(&open, now);
+        }
+    }
+
+    fn open_parts(&self, now: Millis) -> Vec<Open> {
+        let mut open = Vec::new();
+        for job in &self.jobs {
+            if job.phase.is_over() {
+                continue;
+            }
+            let Some(queue) = self.queue(&job.spec.queue) else {
+                continue;
+            };
+            for (number, occurrence) in (0..).zip(&job.occurrences) {
+                if now < occurrence.due || occurrence.is_done() {
+                    continue;
+                }
+                let mut known = None;
+                for (step, stage) in occurrence.stages.iter().enumerate() {
+                    if !stage.has_unplaced() || !occurrence.is_ready(&job.spec, step) {
+                        continue;
+                    }
+                    let rank = *known.get_or_insert_with(|| rank(job, occurrence, queue, now));
+                    let part = Part {
+                        job: job.id.clone(),
+                        occurrence: number,
+                        step: step as u32,
+                    };
+                    open.push(Open { rank, part });
+                }
+            }
+        }
+        open
+    }
+
+    /// Places the tasks of a step that have none, as far as there is room, and asks for advice.
+    fn serve(&mut self, open: &Open, now: Millis) {
+        let part = &open.part;
+        let Some(at) = self.at(&part.job) else { return };
+        let job = &self.jobs[at];
+        let (Some(step), Some(stage)) = (
+            job.step(part).cloned(),
+            job.stage(part.occurrence, part.step),
+        ) else {
+            return;
+        };
+        let waiting: Vec<u32> = (0..)
+            .zip(&stage.tasks)
+            .filter(|(_, task)| !task.done && task.places.is_empty())
+            .map(|(index, _)| index)
+            .collect();
+        if step.gang && waiting.len() != stage.tasks.len() {
+            // Members that are still being stopped have to be gone first.
+            return;
+        }
+        let mut spots = self.spots(part, &step, now);
+        let placed = if step.gang {
+            self.place_gang(part, &step, &waiting, &mut spots, now)
+        } else {
+            waiting
+                .iter()
+                .filter(|index| self.place_one(part, &step, **index, &mut spots, now))
+                .count()
+        };
+        let missing = waiting.len() - placed;
+        if missing > 0 {
+            self.ask(part, missing, now);
+        }
+    }
+
+    /// Returns the workers that may take tasks of the step.
+    fn spots(&self, part: &Part, step: &Step, now: Millis) -> Vec<Spot> {
+        let Some(job) = self.job(&part.job) else {
+            return Vec::new();
+        };
+        let Some(queue) = self.queue(&job.spec.queue) else {
+            return Vec::new();
+        };
+        let Some(stage) = job.stage(part.occurrence, part.step) else {
+            return Vec::new();
+        };
+        let claim = &job.claims[part.step as usize];
+        let first = part.task(0);
+        let mut spots = Vec::new();
+        for (at, worker) in self.workers.iter().enumerate() {
+            if worker.node.service != queue.service || !worker.is_open(now) || !worker.suits(step) {
+                continue;
+            }
+            if !worker.free().holds(claim) {
+                continue;
+            }
+            if queue.policy.is_some() && stage.tickets.valid(&worker.node.id, now).is_none() {
+                continue;
+            }
+            let left = step
+                .spread
+                .map_or(u32::MAX, |most| most.saturating_sub(worker.count(&first)));
+            if left > 0 {
+                spots.push(Spot { worker: at, left });
+            }
+        }
+        spots
+    }
+
+    fn best(&self, part: &Part, step: &Step, index: u32, spots: &[Spot]) -> Option<usize> {
+        let job = self.job(&part.job)?;
+        let claim = &job.claims[part.step as usize];
+        let avoid = &job.task(&part.task(index))?.avoid;
+        let wish = Wish {
+            step,
+            claim,
+            remote_permille: self.settings.remote_permille,
+        };
+        let mut best: Option<(bool, u64, usize)> = None;
+        for (at, spot) in spots.iter().enumerate() {
+            let worker = &self.workers[spot.worker];
+            let free = worker.free();
+            if spot.left == 0 || !free.holds(claim) {
+                continue;
+            }
+            let failed_here = avoid.contains(&worker.node.id);
+            let speed = self.speeds.permille(worker.node.kind.as_ref());
+            let cost = cost(&wish, worker, &free, speed);
+            let candidate = (failed_here, cost, at);
+            if best.is_none_or(|best| candidate < best) {
+                best = Some(candidate);
+            }
+        }
+        best.map(|(_, _, at)| at)
+    }
+
+    fn place_one(
+        &mut self,
+        part: &Part,
+        step: &Step,
+        index: u32,
+        spots: &mut [Spot],
+        now: Millis,
+    ) -> bool {
+        let Some(best) = self.best(part, step, index, spots) else {
+            return false;
+        };
+        spots[best].left -= 1;
+        self.next_run += 1;
+        let run = self.next_run;
+        self.claim(part, index, spots[best].worker, run, now);
+        true
+    }
+
+    /// Places all members of a gang or none; all carry the same run.
+    fn place_gang(
+        &mut self,
+        part: &Part,
+        step: &Step,
+        waiting: &[u32],
+        spots: &mut [Spot],
+        now: Millis,
+    ) -> usize {
+        self.next_run += 1;
+        let run = self.next_run;
+        let racks = self.racks(step, spots);
+        for rack in racks {
+            let mut usable: Vec<Spot> = spots
+                .iter()
+                .filter(|spot| rack.is_none() || self.workers[spot.worker].node.rack == rack)
+                .cloned()
+                .collect();
+            let mut placed = Vec::new();
+            for index in waiting {
+                let Some(best) = self.best(part, step, *index, &usable) else {
+                    break;
+                };
+                usable[best].left -= 1;
+                let worker = usable[best].worker;
+                self.claim(part, *index, worker, run, now);
+                placed.push((*index, worker));
+            }
+            if placed.len() == waiting.len() {
+                return placed.len();
+            }
+            for (index, worker) in placed {
+                self.unclaim(part, index, worker, run);
+            }
+        }
+        0
+    }
+
+    /// Returns the racks to try for a gang: one rack alone first, where that matters.
+    fn racks(&self, step: &Step, spots: &[Spot]) -> Vec<Option<Name>> {
+        if !step.one_rack {
+            return vec![None];
+        }
+        let mut racks: Vec<Option<Name>> = spots
+            .iter()
+            .map(|spot| self.workers[spot.worker].node.rack.clone())
+            .filter(Option::is_some)
+            .collect();
+        racks.sort();
+        racks.dedup();
+        racks.push(None);
+        racks
+    }
+
+    fn claim(&mut self, part: &Part, index: u32, worker: usize, run: u64, now: Millis) {
+        let task = part.task(index);
+        let Some(entry) = self.run_of(&task, run, Phase::Recording, now) else {
+            return;
+        };
+        self.workers[worker].add(entry);
+        let id = self.workers[worker].node.id.clone();
+        let Some(at) = self.at(&part.job) else { return };
+        if let Some(state) = self.jobs[at].task_mut(&task) {
+            state.places.push(Place {
+                worker: id.clone(),
+                run,
+            });
+        }
+        if let Some(stage) = self.jobs[at].stage_mut(part.occurrence, part.step) {
+            stage.started = Some(now);
+        }
+        self.touch(at);
+        let change = self.jobs[at].change;
+        self.recording.push(Recording {
+            worker: id,
+            task,
+            run,
+            change,
+        });
+    }
+
+    fn unclaim(&mut self, part: &Part, index: u32, worker: usize, run: u64) {
+        let task = part.task(index);
+        self.recording
+            .retain(|start| start.run != run || start.task != task);
+        self.workers[worker].remove(&task, run);
+        let Some(at) = self.at(&part.job) else { return };
+        if let Some(state) = self.jobs[at].task_mut(&task) {
+            state.places.retain(|place| place.run != run);
+        }
+    }
+}
--- /dev/null
+++ b/crates/marigoldpick-job/src/lead/start.rs
@@ -0,0 +1,227 @@
+//! Starts, stops and the answers to them.
+
+use marigoldpick_core::prelude::*;
+use marigoldpick_core::work::port::{Fault, Order, Reply, Start};
+use marigoldpick_core::work::{self, Task};
+
+use super::Lead;
+use crate::worker::Phase;
+
+impl Lead {
+    /// Orders the starts whose record `is_ready`, which is told whether the store has it.
+    pub(super) fn start_recording(&mut self, now: Millis, is_ready: impl Fn(bool) -> bool) {
+        let waiting = std::mem::take(&mut self.recording);
+        for start in waiting {
+            let stored = self
+                .job(&start.task.part.job)
+                .is_some_and(|job| job.stored >= start.change);
+            if is_ready(stored) {
+                self.give_start(&start.worker, &start.task, start.run, now);
+            } else {
+                self.recording.push(start);
+            }
+        }
+    }
+
+    fn give_start(&mut self, worker: &id::Worker, task: &Task, run: u64, now: Millis) {
+        let Some(at) = self.worker_at(worker) else {
+            return;
+        };
+        let Some(order) = self.start_order(at, task, run, now) else {
+            // The ticket has expired or the worker is no longer to be used.
+            if let Some(gone) = self.workers[at].remove(task, run) {
+                self.vacate(&gone, at);
+            }
+            return;
+        };
+        if let Some(entry) = self.workers[at].run_mut(task, run) {
+            entry.phase = Phase::Ordered;
+        }
+        let worker = self.workers[at].node.id.to_string();
+        let detail = format!("worker={worker} run={run} term={}", self.term);
+        self.note("start-ordered", task.to_string(), detail);
+        self.count.starts += 1;
+        self.order(at, Order::Start(Box::new(order)));
+    }
+
+    fn start_order(&mut self, at: usize, task: &Task, run: u64, now: Millis) -> Option<Start> {
+        if !self.workers[at].is_open(now) {
+            return None;
+        }
+        let settings = self.settings;
+        let job = self.job(&task.part.job)?;
+        if job.phase.is_over() {
+            return None;
+        }
+        let stage = job.stage(task.part.occurrence, task.part.step)?;
+        let state = stage.tasks.get(task.index as usize)?;
+        let has_policy = self
+            .queue(&job.spec.queue)
+            .is_some_and(|queue| queue.policy.is_some());
+        let ticket = stage.tickets.valid(&self.workers[at].node.id, now);
+        if has_policy && ticket.is_none() {
+            return None;
+        }
+        let mut start = Start {
+            task: task.clone(),
+            run,
+            payload: job.spec.payload.clone(),
+            until: Millis::ZERO,
+            checkpoint: (!state.checkpoint.is_empty()).then(|| state.checkpoint.clone()),
+            ticket: ticket.map(str::to_owned),
+        };
+        start.until = self.workers[at].extend(&settings, now)?;
+        Some(start)
+    }
+
+    pub(super) fn give_stops(&mut self) {
+        for at in 0..self.workers.len() {
+            let worker = &mut self.workers[at];
+            if worker.node.address.is_empty() {
+                continue;
+            }
+            let mut stops: Vec<(Task, u64)> = Vec::new();
+            for run in &mut worker.runs {
+                if run.phase == Phase::Stop {
+                    run.phase = Phase::Stopping;
+                    stops.push((run.task.clone(), run.run));
+                }
+            }
+            for (task, run) in stops {
+                self.note("stop-ordered", task.to_string(), format!("run={run}"));
+                self.order(at, Order::Stop { task, run });
+            }
+        }
+    }
+
+    /// Takes in the answer to an order that was given at `sent`.
+    pub fn answered(
+        &mut self,
+        worker: &id::Worker,
+        order: &Order,
+        answer: Result<Reply, Fault>,
+        sent: Millis,
+        now: Millis,
+    ) {
+        if answer == Err(Fault::Fenced) {
+            self.deposed = true;
+        }
+        let Some(at) = self.worker_at(worker) else {
+            return;
+        };
+        if let Ok(reply) = &answer
+            && reply.report.is_none()
+        {
+            let settings = self.settings;
+            self.workers[at].read_clock(reply.clock, &settings, now);
+        }
+        match order {
+            Order::Hold { seen, .. } => self.held(at, *seen, answer, sent, now),
+            Order::Start(start) => self.started(at, &start.task, start.run, answer, now),
+            Order::Stop { task, run } => self.stop_answered(at, task, *run, answer, now),
+            Order::Pace { .. } => {}
+        }
+    }
+
+    fn started(
+        &mut self,
+        at: usize,
+        task: &Task,
+        run: u64,
+        answer: Result<Reply, Fault>,
+        now: Millis,
+    ) {
+        let Some(entry) = self.workers[at].run_mut(task, run) else {
+            return;
+        };
+        let stopping = !matches!(entry.phase, Phase::Ordered);
+        match answer {
+            Ok(_) => {
+                if !stopping {
+                    entry.phase = Phase::Running;
+                    entry.confirmed = now;
+                }
+                self.note_begun(task);
+                let worker = &mut self.workers[at];
+                worker.next_hold = worker.next_hold.min(now);
+            }
+            Err(Fault::Unknown) => {
+                if !stopping {
+                    entry.phase = Phase::Unknown(now);
+                }
+                let worker = &mut self.workers[at];
+                worker.next_hold = worker.next_hold.min(now);
+                self.note("start-unanswered", task.to_string(), format!("run={run}"));
+            }
+            Err(fault) => {
+                self.note("start-refused", task.to_string(), format!("why={fault}"));
+                self.start_refused(at, task, run, fault, now);
+            }
+        }
+    }
+
+    fn start_refused(&mut self, at: usize, task: &Task, run: u64, fault: Fault, now: Millis) {
+        let worker = &mut self.workers[at];
+        match fault {
+            Fault::Unhealthy => worker.note_unhealthy(now),
+            Fault::Away => {
+                worker.silent = worker.silent.max(1);
+                worker.next_hold = now;
+            }
+            Fault::Reborn | Fault::Room => {
+                worker.listed = false;
+                worker.next_hold = now;
+            }
+            _ => {}
+        }
+        let id = worker.node.id.clone();
+        if let Some(gone) = worker.remove(task, run) {
+            self.vacate(&gone, at);
+        }
+        if fault == Fault::Ticket
+            && let Some(job) = self.at(&task.part.job)
+            && let Some(stage) = self.jobs[job].stage_mut(task.part.occurrence, task.part.step)
+        {
+            stage.tickets.expire(&id);
+        }
+    }
+
+    /// Notes that a task of the job has started.
+    pub(super) fn note_begun(&mut self, task: &Task) {
+        if let Some(at) = self.at(&task.part.job)
+            && self.jobs[at].phase == work::Phase::Queued
+        {
+            self.jobs[at].phase = work::Phase::Running;
+        }
+    }
+
+    fn stop_answered(
+        &mut self,
+        at: usize,
+        task: &Task,
+        run: u64,
+        answer: Result<Reply, Fault>,
+        now: Millis,
+    ) {
+        let Some(entry) = self.workers[at].run_mut(task, run) else {
+            return;
+        };
+        if entry.phase != Phase::Stopping {
+            return;
+        }
+        match answer {
+            Ok(_) => {
+                entry.phase = Phase::Stopped(now);
+                let worker = &mut self.workers[at];
+                worker.next_hold = worker.next_hold.min(now);
+            }
+            // No life that the run could be part of is there any more.
+            Err(Fault::Reborn) => {
+                if let Some(gone) = self.workers[at].remove(task, run) {
+                    self.vacate(&gone, at);
+                }
+            }
+            Err(_) => entry.phase = Phase::Stop,
+        }
+    }
+}
--- /dev/null
+++ b/crates/marigoldpick-job/src/place.rs
@@ -0,0 +1,40 @@
+//! The choice of a worker for a task.
+
+use marigoldpick_core::prelude::*;
+use marigoldpick_core::work::Step;
+
+use crate::worker::Worker;
+
+/// The weight of a full worker against an empty one, in milliseconds of a task's time.
+const PACKING: u64 = 120;
+/// The cost of a filling task beside a serving one, or the reverse, in milliseconds.
+const DISTURBANCE: u64 = 1_000_000;
+
+/// `Wish` is what a task is looking for.
+#[derive(Clone, Copy, Debug)]
+pub struct Wish<'a> {
+    /// The task's step.
+    pub step: &'a Step,
+    /// What it takes.
+    pub claim: &'a Amount,
+    /// How much slower it is away from its data, in thousandths.
+    pub remote_permille: u64,
+}
+
+/// Returns the cost of a worker that has room for the task, in milliseconds; less is better.
+///
+/// `speed_permille` is how long tasks take on its kind of machine against the average.
+#[must_use]
+pub fn cost(wish: &Wish<'_>, worker: &Worker, free: &Amount, speed_permille: u64) -> u64 {
+    let mut work = wish.step.estimate.0 * speed_permille / 1_000;
+    if wish.step.rack.is_some() && wish.step.rack != worker.node.rack {
+        work = work * wish.remote_permille / 1_000;
+    }
+    let capacity = worker.node.capacity.millicores.max(1);
+    let left = free.millicores.saturating_sub(wish.claim.millicores);
+    let packing = PACKING * left / capacity;
+    let disturbed = worker.runs.iter().any(|run| {
+        (wish.step.fills && run.target.is_some()) || (wish.step.target.is_some() && run.fills)
+    });
+    work + packing + if disturbed { DISTURBANCE } else { 0 }
+}
--- /dev/null
+++ b/crates/marigoldpick-job/src/settings.rs
@@ -0,0 +1,64 @@
+//! Spans and limits of the scheduler of jobs.
+
+use marigoldpick_core::prelude::*;
+use serde::{Deserialize, Serialize};
+
+/// `Settings` holds the spans and limits of a lead.
+#[derive(Clone, Copy, Debug, PartialEq, Serialize, Deserialize)]
+#[serde(default, deny_unknown_fields)]
+pub struct Settings {
+    /// The longest lease of a worker, by the platform's contract.
+    pub lease: Millis,
+    /// The longest time that a stop takes on a worker, by the platform's contract.
+    pub stop: Millis,
+    /// How much slower a task is away from its data, in thousandths, by the platform's contract.
+    pub remote_permille: u64,
+    /// The longest wait of a hold for the next end, by the platform's contract.
+    pub hold_wait: Millis,
+    /// The least time between two holds of a worker, so that ends are read in groups.
+    pub hold_gap: Millis,
+    /// The wait after a hold that was not answered.
+    pub hold_retry: Millis,
+    /// The least time between two commits, so that changes are written in groups.
+    pub commit_gap: Millis,
+    /// The wait before a commit without an answer is tried again.
+    pub commit_retry: Millis,
+    /// How long a lead may renew leases after it last confirmed its term with the store.
+    pub term_grace: Millis,
+    /// How long before a ticket's end it is no longer used: the way of a start to the worker.
+    pub ticket_margin: Millis,
+    /// How long the record of a job that is over is kept.
+    pub retention: Millis,
+    /// The most worker names in one question to the adviser, by the platform's contract.
+    pub advice_most: usize,
+    /// The slowest rate of a worker's clock, in thousandths of the true rate.
+    pub clock_permille: u64,
+}
+
+impl Default for Settings {
+    fn default() -> Self {
+        Self {
+            lease: Millis(6_000),
+            stop: Millis(900),
+            remote_permille: 2_000,
+            hold_wait: Millis(2_000),
+            hold_gap: Millis(100),
+            hold_retry: Millis(250),
+            commit_gap: Millis(20),
+            commit_retry: Millis(100),
+            term_grace: Millis(8_000),
+            ticket_margin: Millis(250),
+            retention: Millis(150_000),
+            advice_most: 100,
+            clock_permille: 980,
+        }
+    }
+}
+
+impl Settings {
+    /// Returns the longest true time in which a worker's clock advances by `span`.
+    #[must_use]
+    pub const fn stretched(&self, span: Millis) -> Millis {
+        Millis(span.0.saturating_mul(1_000) / self.clock_permille + 1)
+    }
+}
--- /dev/null
+++ b/crates/marigoldpick-job/src/worker.rs
@@ -0,0 +1,263 @@
+//! A worker in the hands of a lead: its lease, what it runs and how far it can be trusted.
+
+use std::collections::VecDeque;
+
+use marigoldpick_core::prelude::*;
+use marigoldpick_core::work::port::{Node, Target};
+use marigoldpick_core::work::{Step, Task};
+
+use crate::settings::Settings;
+
+/// Failures in a row after which a worker gets no work for a while.
+const FAILURES: u32 = 3;
+/// How long a worker gets no work after failures in a row.
+const QUARANTINE: Millis = Millis(4_000);
+/// How long a worker that refused an order as unhealthy gets no work.
+const UNHEALTHY: Millis = Millis(1_000);
+
+/// `Phase` is how far a run is.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Phase {
+    /// Its place is being recorded; it has not been ordered.
+    Recording,
+    /// Its start is under way.
+    Ordered,
+    /// The worker confirmed it.
+    Running,
+    /// Its start was not answered at this time; it may run, also later.
+    Unknown(Millis),
+    /// It has to be stopped; the order is not under way.
+    Stop,
+    /// A stop is under way.
+    Stopping,
+    /// The stop was answered at this time.
+    Stopped(Millis),
+}
+
+/// `Run` is a run that takes room on a worker.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Run {
+    /// The task.
+    pub task: Task,
+    /// The run.
+    pub run: u64,
+    /// What it takes.
+    pub claim: Amount,
+    /// How far it is.
+    pub phase: Phase,
+    /// When it was placed.
+    pub since: Millis,
+    /// When it was confirmed to run.
+    pub confirmed: Millis,
+    /// The bound on its response time, for a serving task.
+    pub target: Option<Millis>,
+    /// Whether it fills the processors that others leave.
+    pub fills: bool,
+    /// Its priority; zero goes first.
+    pub priority: u32,
+    /// Whether it can be stopped with little loss.
+    pub checkpoints: bool,
+    /// The share it was last told to work at, in percent.
+    pub pace: u32,
+}
+
+/// `Worker` is the state of one worker.
+#[derive(Clone, Debug)]
+pub struct Worker {
+    /// What the registry says of it.
+    pub node: Node,
+    /// Whether the registry has it now.
+    pub present: bool,
+    /// Whether it has reported in this term.
+    pub listed: bool,
+    /// A reading of its clock and when it came.
+    pub clock: Option<(Millis, Millis)>,
+    /// The latest end of its lease, by its clock, that an order may have set.
+    pub until: Millis,
+    /// When all that it ran has ended, if no order reaches it any more.
+    pub lapse: Millis,
+    /// What its runs take.
+    pub used: Amount,
+    /// Its runs, sorted by task and run.
+    pub runs: Vec<Run>,
+    /// The number of the last end that was read.
+    pub seen: u64,
+    /// Ends that the store does not have yet: number, job and the job's change.
+    pub unsettled: VecDeque<(u64, id::Job, u64)>,
+    /// Whether a hold is under way.
+    pub holding: bool,
+    /// When the next hold is due.
+    pub next_hold: Millis,
+    /// The number that the last answered hold said is forgotten.
+    pub acknowledged: u64,
+    /// Holds in a row that were not answered.
+    pub silent: u32,
+    /// Failures of tasks in a row.
+    failures: u32,
+    /// Until when it gets no work.
+    pub shunned: Millis,
+}
+
+impl Worker {
+    /// Makes the state of a worker that has not reported yet.
+    #[must_use]
+    pub fn new(node: Node, lapse: Millis) -> Self {
+        Self {
+            node,
+            present: true,
+            listed: false,
+            clock: None,
+            until: Millis::ZERO,
+            lapse,
+            used: Amount::default(),
+            runs: Vec::new(),
+            seen: 0,
+            unsettled: VecDeque::new(),
+            holding: false,
+            next_hold: Millis::ZERO,
+            acknowledged: 0,
+            silent: 0,
+            failures: 0,
+            shunned: Millis::ZERO,
+        }
+    }
+
+    /// Returns the target of orders.
+    #[must_use]
+    pub fn target(&self) -> Target {
+        Target {
+            id: self.node.id.clone(),
+            address: self.node.address.clone(),
+        }
+    }
+
+    /// Returns its clock now, as far as is known.
+    #[must_use]
+    pub fn clock_at(&self, now: Millis) -> Option<Millis> {
+        let (clock, at) = self.clock?;
+        Some(clock + now.since(at))
+    }
+
+    /// Returns the end of a lease that begins now, by the worker's clock, and notes it.
+    pub fn extend(&mut self, settings: &Settings, now: Millis) -> Option<Millis> {
+        let until = self.clock_at(now)? + settings.lease;
+        self.until = self.until.max(until);
+        self.note_lapse(settings);
+        Some(until)
+    }
+
+    /// Takes in a reading of its clock.
+    pub fn read_clock(&mut self, clock: Millis, settings: &Settings, now: Millis) {
+        self.clock = Some((clock, now));
+        self.note_lapse(settings);
+    }
+
+    fn note_lapse(&mut self, settings: &Settings) {
+        if let Some((clock, at)) = self.clock {
+            self.lapse = at + settings.stretched(self.until.since(clock));
+        }
+    }
+
+    /// Returns what is free.
+    #[must_use]
+    pub fn free(&self) -> Amount {
+        let mut free = self.node.capacity.clone();
+        free.subtract(&self.used);
+        free
+    }
+
+    /// Tells whether it may get new work.
+    #[must_use]
+    pub fn is_open(&self, now: Millis) -> bool {
+        self.present
+            && self.listed
+            && !self.node.draining
+            && self.silent == 0
+            && self.shunned <= now
+            && self.clock.is_some()
+    }
+
+    /// Tells whether it suits a step apart from room.
+    #[must_use]
+    pub fn suits(&self, step: &Step) -> bool {
+        step.label
+            .as_ref()
+            .is_none_or(|label| self.node.labels.binary_search(label).is_ok())
+    }
+
+    /// Returns the position of a run.
+    pub fn find(&self, task: &Task, run: u64) -> Result<usize, usize> {
+        self.runs
+            .binary_search_by(|have| have.task.cmp(task).then(have.run.cmp(&run)))
+    }
+
+    /// Returns a run.
+    pub fn run_mut(&mut self, task: &Task, run: u64) -> Option<&mut Run> {
+        let at = self.find(task, run).ok()?;
+        Some(&mut self.runs[at])
+    }
+
+    /// Adds a run and takes its room.
+    pub fn add(&mut self, run: Run) {
+        if let Err(at) = self.find(&run.task, run.run) {
+            self.used.add(&run.claim);
+            self.runs.insert(at, run);
+        }
+    }
+
+    /// Removes a run and gives back its room.
+    pub fn remove(&mut self, task: &Task, run: u64) -> Option<Run> {
+        let at = self.find(task, run).ok()?;
+        let run = self.runs.remove(at);
+        self.used.subtract(&run.claim);
+        Some(run)
+    }
+
+    /// Returns how many tasks of a step it runs.
+    #[must_use]
+    pub fn count(&self, task: &Task) -> u32 {
+        let of_step = |run: &&Run| run.task.part == task.part;
+        self.runs.iter().filter(of_step).count() as u32
+    }
+
+    /// Notes how a task ended by its own: a worker on which all fail gets no work for a while.
+    pub fn judge(&mut self, failed: bool, now: Millis) {
+        if !failed {
+            self.failures = 0;
+            return;
+        }
+        self.failures += 1;
+        if self.failures >= FAILURES {
+            self.shunned = self.shunned.max(now + QUARANTINE);
+        }
+    }
+
+    /// Notes that it refused an order as unhealthy.
+    pub fn note_unhealthy(&mut self, now: Millis) {
+        self.shunned = self.shunned.max(now + UNHEALTHY);
+    }
+
+    /// Returns the number up to which ends may be forgotten, given the stored change of each job.
+    pub fn settle(&mut self, stored: impl Fn(&id::Job) -> Option<u64>) -> u64 {
+        while let Some((_, job, change)) = self.unsettled.front() {
+            if stored(job).is_some_and(|stored| stored < *change) {
+                break;
+            }
+            self.unsettled.pop_front();
+        }
+        self.unsettled
+            .front()
+            .map_or(self.seen, |(number, _, _)| number - 1)
+    }
+
+    /// Forgets all that belongs to an earlier life, and returns the runs of it.
+    pub fn renew(&mut self, node: Node, lapse: Millis) -> Vec<Run> {
+        let runs = std::mem::take(&mut self.runs);
+        let holding = self.holding;
+        let shunned = self.shunned;
+        *self = Self::new(node, lapse);
+        self.holding = holding;
+        self.shunned = shunned;
+        runs
+    }
+}
--- /dev/null
+++ b/crates/marigoldpick-node/src/desk.rs
@@ -0,0 +1,238 @@
+//! Requests: storing jobs and cancels, and telling how jobs stand.
+
+use std::rc::Rc;
+use std::sync::Arc;
+
+use async_std::future::timeout;
+use futures::channel::oneshot;
+use marigoldpick_core::control::Known;
+use marigoldpick_core::prelude::*;
+use marigoldpick_core::store::{Answer, Call, Condition, Expect, Fault, Write};
+use marigoldpick_core::work::peer::{self, Receipt};
+use marigoldpick_core::work::port::{Adviser, Refusal};
+use marigoldpick_core::work::{Job, Phase};
+use marigoldpick_job::record::Record;
+use rand::seq::IndexedRandom;
+
+use crate::control::Control;
+use crate::face::Ask;
+use crate::keys;
+use crate::platform::Platform;
+
+impl<P: Platform> Control<P> {
+    pub(crate) async fn serve(self: Rc<Self>, ask: Ask) {
+        // A caller that has gone needs no answer.
+        match ask {
+            Ask::Submit(id, job, reply) => {
+                let receipt = self.submit(&id, &job, true).await;
+                log::info!(target: "node", "event=job-handed-in id={id} queue={} outcome=\"{receipt}\"", job.queue);
+                send(reply, receipt);
+            }
+            Ask::Cancel(id, reply) => {
+                let receipt = self.cancel(&id, true).await;
+                log::info!(target: "node", "event=job-cancel id={id} outcome=\"{receipt}\"");
+                send(reply, receipt);
+            }
+            Ask::Phase(id, reply) => send(reply, self.phase(&id).await),
+            Ask::Waiting(queue, reply) => send(reply, self.waiting(queue).await),
+            Ask::Peer(call, reply) => send(reply, self.peer_call(call).await),
+            Ask::Drain => {
+                log::info!(target: "node", "event=draining");
+                if let Some(leading) = self.leads() {
+                    leading.depose("draining");
+                }
+            }
+        }
+    }
+
+    async fn peer_call(&self, call: peer::Call) -> Result<peer::Answer, Code> {
+        Ok(match call {
+            peer::Call::Advise {
+                part,
+                workers,
+                limit,
+            } => {
+                let adviser = self.platform.adviser();
+                match adviser.advise(&part, &workers, limit).await {
+                    Ok(advice) => peer::Answer::Advice(advice),
+                    Err(Refusal::Busy) => peer::Answer::Busy,
+                    Err(Refusal::Away) => return Err(Code::PeerAway),
+                }
+            }
+            peer::Call::Phase(id) => {
+                let leading = self.leads().ok_or(Code::NotLead)?;
+                peer::Answer::Phase(leading.look(|lead| lead.phase(&id)))
+            }
+            peer::Call::Waiting(queue) => {
+                let leading = self.leads().ok_or(Code::NotLead)?;
+                peer::Answer::Waiting(leading.look(|lead| lead.waiting(&queue)) as u64)
+            }
+            peer::Call::Submit { job, spec, .. } => {
+                peer::Answer::Receipt(self.submit(&job, &spec, false).await)
+            }
+            peer::Call::Cancel { job, .. } => peer::Answer::Receipt(self.cancel(&job, false).await),
+            peer::Call::Ping => peer::Answer::Pong {
+                term: self.leads().map_or(0, |leading| leading.term()),
+                store: self.reaches_store(),
+            },
+        })
+    }
+
+    /// Stores a job; where the store is not reached, through another entry if that is allowed.
+    async fn submit(&self, id: &id::Job, job: &Arc<Job>, relay: bool) -> Receipt {
+        let value = serde_json::to_string(&**job).expect("a job is plain JSON");
+        let own = self.store_once(keys::job(id), value).await;
+        if !relay || matches!(own, Receipt::Stored) {
+            return own;
+        }
+        let call = peer::Call::Submit {
+            job: id.clone(),
+            spec: Arc::clone(job),
+            limit: self.settings.store_limit,
+        };
+        merge(own, self.relay(call).await)
+    }
+
+    async fn cancel(&self, id: &id::Job, relay: bool) -> Receipt {
+        match self.phase(id).await {
+            Ok(None) => return Receipt::Absent,
+            Ok(Some(phase)) if phase.is_over() => return Receipt::Stored,
+            Ok(Some(_)) => {}
+            Err(_) if !relay => return Receipt::Refused,
+            Err(_) => {}
+        }
+        let own = self.store_once(keys::cancel(id), String::from("1")).await;
+        if !relay || matches!(own, Receipt::Stored) {
+            return own;
+        }
+        let call = peer::Call::Cancel {
+            job: id.clone(),
+            limit: self.settings.store_limit,
+        };
+        merge(own, self.relay(call).await)
+    }
+
+    /// Has another entry store something.
+    async fn relay(&self, call: peer::Call) -> Receipt {
+        let Some(peer) = self.other_entry() else {
+            return Receipt::Refused;
+        };
+        let limit = self.settings.store_limit + self.settings.lead_limit;
+        match self.call(&peer, call, limit).await {
+            Ok(peer::Answer::Receipt(receipt)) => receipt,
+            Err(marigoldpick_wire::Error::Away) => Receipt::Refused,
+            Ok(_) | Err(_) => Receipt::Unknown,
+        }
+    }
+
+    /// Returns the lead, or else any other entry.
+    fn other_entry(&self) -> Option<Known> {
+        let lead = self.lead.borrow().clone();
+        let is_other = |known: &Known| known.entry != self.settings.entry;
+        lead.filter(is_other)
+            .or_else(|| self.peers.borrow().choose(&mut rand::rng()).cloned())
+    }
+
+    /// Writes a key that is not there yet; one that is there counts as written.
+    async fn store_once(&self, key: String, value: String) -> Receipt {
+        let call = Call::Commit {
+            expect: vec![Condition {
+                key: key.clone(),
+                expect: Expect::Absent,
+            }],
+            puts: vec![Write {
+                key,
+                value,
+                lease: None,
+            }],
+            deletes: Vec::new(),
+        };
+        let mut lost = false;
+        let limit = self.settings.store_limit;
+        let end = self.now() + limit;
+        loop {
+            let left = end.since(self.now());
+            let answer = timeout(left.duration(), self.store(call.clone())).await;
+            match answer.unwrap_or(Err(Fault::Unknown)) {
+                Ok(Answer::Written(_) | Answer::Rivals(_)) => return Receipt::Stored,
+                Ok(_) | Err(Fault::Unknown) => lost = true,
+                Err(Fault::Away | Fault::Overloaded | Fault::Invalid) => {}
+            }
+            if self.now() + Millis(50) >= end {
+                return if lost {
+                    Receipt::Unknown
+                } else {
+                    Receipt::Refused
+                };
+            }
+            async_std::task::sleep(Millis(30).duration()).await;
+        }
+    }
+
+    /// Asks the lead how a job stands, or reads the store.
+    async fn phase(&self, id: &id::Job) -> Result<Option<Phase>, Code> {
+        let told = match self.leads() {
+            Some(leading) => leading.look(|lead| lead.phase(id)),
+            None => match self.ask_lead(peer::Call::Phase(id.clone())).await {
+                Some(peer::Answer::Phase(phase)) => phase,
+                _ => None,
+            },
+        };
+        match told {
+            Some(phase) => Ok(Some(phase)),
+            None => self.read_phase(id).await.map_err(|_fault| Code::StoreAway),
+        }
+    }
+
+    /// Reads from the store how a job stands.
+    async fn read_phase(&self, id: &id::Job) -> Result<Option<Phase>, Fault> {
+        let key = keys::record(id);
+        if let Answer::Item(Some(item)) = self.store(Call::Get { key }).await? {
+            return match Record::parse(&item.value) {
+                Ok(record) => Ok(Some(record.phase)),
+                Err(error) => {
+                    log::error!(target: "node", "event=record-unread key={} why={error}", item.key);
+                    Err(Fault::Unknown)
+                }
+            };
+        }
+        let key = keys::job(id);
+        match self.store(Call::Get { key }).await? {
+            Answer::Item(item) => Ok(item.map(|_| Phase::Queued)),
+            _ => Err(Fault::Unknown),
+        }
+    }
+
+    async fn waiting(&self, queue: Name) -> Result<u64, Code> {
+        if let Some(leading) = self.leads() {
+            return Ok(leading.look(|lead| lead.waiting(&queue)) as u64);
+        }
+        match self.ask_lead(peer::Call::Waiting(queue)).await {
+            Some(peer::Answer::Waiting(jobs)) => Ok(jobs),
+            _ => Err(Code::NoLead),
+        }
+    }
+
+    async fn ask_lead(&self, call: peer::Call) -> Option<peer::Answer> {
+        let lead = self.lead.borrow().clone()?;
+        if lead.entry == self.settings.entry {
+            return None;
+        }
+        self.call(&lead, call, self.settings.lead_limit).await.ok()
+    }
+}
+
+/// Joins the outcomes of two tries of the same write.
+const fn merge(first: Receipt, second: Receipt) -> Receipt {
+    match (first, second) {
+        (_, Receipt::Stored) | (Receipt::Stored, _) => Receipt::Stored,
+        (Receipt::Unknown, _) | (_, Receipt::Unknown) => Receipt::Unknown,
+        (Receipt::Refused, other) => other,
+        (first, _) => first,
+    }
+}
+
+/// Sends an answer; a caller that has gone needs none.
+fn send<T>(reply: oneshot::Sender<T>, answer: T) {
+    let _is_gone = reply.send(answer);
+}
--- /dev/null
+++ b/crates/marigoldpick-node/src/election.rs
@@ -0,0 +1,238 @@
+//! Who leads: the entry whose key the store holds, for as long as its lease lives.
+
+use std::rc::Rc;
+
+use async_std::task;
+use marigoldpick_core::control::Known;
+use marigoldpick_core::prelude::*;
+use marigoldpick_core::store::{Answer, Call, Change, Condition, Expect, Fault, Item, Write};
+use rand::Rng;
+use serde::{Deserialize, Serialize};
+
+use crate::control::Control;
+use crate::driver::Leading;
+use crate::keys;
+use crate::platform::Platform;
+
+/// The longest wait for news of the lead.
+const WAIT: Millis = Millis(25_000);
+/// The wait after a call that failed.
+const RETRY: Millis = Millis(150);
+/// The most that an entry waits before it stands for the lead, so that not all do at once.
+const JITTER: u64 = 60;
+/// Renewals of the lead's lease in its time.
+const RENEWALS: u64 = 4;
+
+/// `Head` is the value of the chain's key: who wrote last, and which of its writes it was.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub(crate) struct Head {
+    /// The writer's claim of the lead; no two claims have the same.
+    pub(crate) holder: String,
+    /// The number of the write under that claim.
+    pub(crate) number: u64,
+}
+
+/// `Claim` is the value of the lead's key.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+struct Claim {
+    holder: String,
+    known: Known,
+}
+
+impl<P: Platform> Control<P> {
+    /// Stands for the lead whenever there is none, and leads when it wins.
+    pub(crate) async fn elect(self: Rc<Self>) {
+        loop {
+            if let Err(fault) = self.elect_once().await {
+                log::debug!(target: "node", "event=election-retry why={fault}");
+                task::sleep(RETRY.duration()).await;
+            }
+        }
+    }
+
+    async fn elect_once(self: &Rc<Self>) -> Result<(), Fault> {
+        let key = keys::LEAD.to_owned();
+        let Answer::Item(item) = self.store(Call::Get { key }).await? else {
+            return Err(Fault::Unknown);
+        };
+        if let Some(item) = item {
+            self.note_lead(Some(&item));
+            return self.await_vacancy(item.revision).await;
+        }
+        self.note_lead(None);
+        if self.is_draining() {
+            task::sleep(RETRY.duration()).await;
+            return Ok(());
+        }
+        if self.now() > self.settings.lead_lease {
+            let jitter = rand::rng().random_range(0..=JITTER);
+            task::sleep(Millis(jitter).duration()).await;
+        }
+        self.stand().await
+    }
+
+    fn is_draining(&self) -> bool {
+        let draining = &self.shared.draining;
+        draining.load(std::sync::atomic::Ordering::SeqCst)
+    }
+
+    /// Waits until the lead's key changes after `revision`.
+    async fn await_vacancy(&self, mut revision: u64) -> Result<(), Fault> {
+        loop {
+            let follow = Call::Follow {
+                prefix: keys::LEAD.to_owned(),
+                revision,
+                wait: WAIT,
+            };
+            match self.store(follow).await? {
+                Answer::Changes {
+                    changes,
+                    revision: now,
+                } => {
+                    revision = now;
+                    match changes.last() {
+                        Some(Change::Removed { .. }) => return Ok(()),
+                        Some(Change::Written(item)) => self.note_lead(Some(item)),
+                        None => {}
+                    }
+                }
+                _ => return Ok(()),
+            }
+        }
+    }
+
+    fn note_lead(&self, item: Option<&Item>) {
+        let known = item.and_then(|item| match serde_json::from_str::<Claim>(&item.value) {
+            Ok(claim) => Some(claim.known),
+            Err(error) => {
+                log::warn!(target: "node", "event=lead-unread why={error}");
+                None
+            }
+        });
+        let mut lead = self.lead.borrow_mut();
+        if *lead != known {
+            let name = known.as_ref().map_or("none", |known| known.entry.as_str());
+            let revision = item.map_or(0, |item| item.revision);
+            log::info!(target: "node", "event=lead-seen lead={name} term={revision}");
+            *lead = known;
+        }
+    }
+
+    /// Tries to become the lead, and leads until the term ends.
+    async fn stand(self: &Rc<Self>) -> Result<(), Fault> {
+        let key = keys::CHAIN.to_owned();
+        let Answer::Item(chain) = self.store(Call::Get { key }).await? else {
+            return Err(Fault::Unknown);
+        };
+        let span = self.settings.lead_lease;
+        let Answer::Lease(lease) = self.store(Call::Grant { span }).await? else {
+            return Err(Fault::Unknown);
+        };
+        let confirmed = self.now();
+        let holder = format!(
+            "{}/{:016x}",
+            self.settings.entry,
+            rand::rng().random::<u64>()
+        );
+        let commit = self.claim(&holder, chain.as_ref(), lease);
+        let term = match self.store(commit).await {
+            Ok(Answer::Written(term)) => term,
+            Ok(_) => return Ok(()),
+            Err(Fault::Unknown) => match self.find_claim(&holder).await? {
+                Some(term) => term,
+                None => return Ok(()),
+            },
+            Err(fault) => return Err(fault),
+        };
+        log::info!(target: "node", "event=lead-taken term={term}");
+        *self.lead.borrow_mut() = Some(self.own());
+        let leading = Leading::new(&self.settings, term, holder, lease, confirmed, self.now());
+        let leading = Rc::new(leading);
+        task::spawn_local(Rc::clone(self).renew_term(Rc::clone(&leading)));
+        let outcome = self.drive(&leading).await;
+        leading.end();
+        *self.leading.borrow_mut() = None;
+        *self.lead.borrow_mut() = None;
+        log::info!(target: "node", "event=lead-ended term={term} why={outcome:?}");
+        Ok(())
+    }
+
+    fn claim(&self, holder: &str, chain: Option<&Item>, lease: u64) -> Call {
+        let claim = Claim {
+            holder: holder.to_owned(),
+            known: self.own(),
+        };
+        let head = Head {
+            holder: holder.to_owned(),
+            number: 0,
+        };
+        Call::Commit {
+            expect: vec![
+                Condition {
+                    key: keys::LEAD.to_owned(),
+                    expect: Expect::Absent,
+                },
+                Condition {
+                    key: keys::CHAIN.to_owned(),
+                    expect: chain.map_or(Expect::Absent, |item| Expect::Revision(item.revision)),
+                },
+            ],
+            puts: vec![
+                Write {
+                    key: keys::LEAD.to_owned(),
+                    value: serde_json::to_string(&claim).expect("a claim is plain JSON"),
+                    lease: Some(lease),
+                },
+                Write {
+                    key: keys::CHAIN.to_owned(),
+                    value: serde_json::to_string(&head).expect("a head is plain JSON"),
+                    lease: None,
+                },
+            ],
+            deletes: Vec::new(),
+        }
+    }
+
+    /// Looks whether a claim whose answer was lost has been stored.
+    async fn find_claim(&self, holder: &str) -> Result<Option<u64>, Fault> {
+        let key = keys::LEAD.to_owned();
+        let Answer::Item(item) = self.store(Call::Get { key }).await? else {
+            return Err(Fault::Unknown);
+        };
+        Ok(item.and_then(|item| {
+            let claim: Claim = serde_json::from_str(&item.value).ok()?;
+            (claim.holder == holder).then_some(item.revision)
+        }))
+    }
+
+    /// Renews the lead's lease and notes when the term was last confirmed.
+    async fn renew_term(self: Rc<Self>, leading: Rc<Leading>) {
+        let pause = Millis(self.settings.lead_lease.0 / RENEWALS);
+        while !leading.is_over() {
+            let sent = self.now();
+            match self
+                .store(Call::Renew {
+                    lease: leading.lease,
+                })
+                .await
+            {
+                Ok(Answer::Lease(_)) => leading.confirm(sent),
+                Ok(_) => leading.depose("lease-gone"),
+                Err(_) => {}
+            }
+            if self.now().since(leading.confirmed()) > self.settings.job.term_grace {
+                leading.depose("term-unconfirmed");
+            }
+            task::sleep(pause.duration()).await;
+        }
+        // Others need not wait for the lease's end.
+        if let Err(fault) = self
+            .store(Call::Revoke {
+                lease: leading.lease,
+            })
+            .await
+        {
+            log::debug!(target: "node", "event=lead-key-left why={fault}");
+        }
+    }
+}
--- /dev/null
+++ b/crates/marigoldpick-node/src/face.rs
@@ -0,0 +1,186 @@
+//! The way from callers and other entries to the control thread.
+
+use std::io;
+use std::net::TcpListener;
+use std::sync::Arc;
+use std::sync::atomic::{AtomicBool, Ordering};
+use std::thread;
+
+use arc_swap::ArcSwapOption;
+use async_channel::Sender;
+use futures::channel::oneshot;
+use marigoldpick_core::prelude::*;
+use marigoldpick_core::work::peer::{Answer, Call, Receipt};
+use marigoldpick_core::work::{Job, Phase};
+use marigoldpick_wire as wire;
+
+use crate::config::Config;
+use crate::control::Control;
+use crate::platform::Platform;
+use crate::settings::Settings;
+
+/// Requests that may wait for the control thread; more are refused.
+const WAITING: usize = 2_048;
+
+/// `Ask` is a request to the control thread.
+#[derive(Debug)]
+pub(crate) enum Ask {
+    Submit(id::Job, Arc<Job>, oneshot::Sender<Receipt>),
+    Cancel(id::Job, oneshot::Sender<Receipt>),
+    Phase(id::Job, oneshot::Sender<Result<Option<Phase>, Code>>),
+    Waiting(Name, oneshot::Sender<Result<u64, Code>>),
+    Peer(Call, oneshot::Sender<Result<Answer, Code>>),
+    /// The process will end: a lead gives its term up.
+    Drain,
+}
+
+/// `Shared` is what the control thread tells the others.
+#[derive(Debug, Default)]
+pub(crate) struct Shared {
+    pub(crate) config: ArcSwapOption<Config>,
+    pub(crate) draining: AtomicBool,
+    /// Whether the store or an entry that reaches it answers.
+    pub(crate) connected: AtomicBool,
+}
+
+/// `Face` takes callers' requests to the control thread.
+#[derive(Clone, Debug)]
+pub struct Face {
+    asks: Sender<Ask>,
+    shared: Arc<Shared>,
+}
+
+impl Face {
+    /// Returns the configuration in force, if there is one.
+    #[must_use]
+    pub fn config(&self) -> Option<Arc<Config>> {
+        self.shared.config.load_full()
+    }
+
+    /// Tells whether callers should be sent here.
+    #[must_use]
+    pub fn is_ready(&self) -> bool {
+        !self.shared.draining.load(Ordering::SeqCst)
+            && self.shared.connected.load(Ordering::SeqCst)
+            && self.shared.config.load().is_some()
+    }
+
+    /// Tells whether the process is about to end.
+    #[must_use]
+    pub fn is_draining(&self) -> bool {
+        self.shared.draining.load(Ordering::SeqCst)
+    }
+
+    /// Begins the end of the process: callers are sent elsewhere, a lead gives up its term.
+    pub fn drain(&self) {
+        self.shared.draining.store(true, Ordering::SeqCst);
+        if self.asks.try_send(Ask::Drain).is_err() {
+            log::warn!(target: "node", "event=drain-lost reason=queue-full");
+        }
+    }
+
+    /// Stores a job.
+    pub async fn submit(&self, id: id::Job, job: Arc<Job>) -> Receipt {
+        let asked = self.ask(|reply| Ask::Submit(id, job, reply)).await;
+        asked.unwrap_or(Receipt::Refused)
+    }
+
+    /// Cancels a job.
+    pub async fn cancel(&self, id: id::Job) -> Receipt {
+        let asked = self.ask(|reply| Ask::Cancel(id, reply)).await;
+        asked.unwrap_or(Receipt::Refused)
+    }
+
+    /// Returns how a job stands; nothing when there is no such job.
+    ///
+    /// # Errors
+    /// Fails when neither the lead nor the store answers.
+    pub async fn phase(&self, id: id::Job) -> Result<Option<Phase>, Code> {
+        let asked = self.ask(|reply| Ask::Phase(id, reply)).await;
+        asked.unwrap_or(Err(Code::Internal))
+    }
+
+    /// Returns how many jobs of a queue wait.
+    ///
+    /// # Errors
+    /// Fails when the lead does not answer.
+    pub async fn waiting(&self, queue: Name) -> Result<u64, Code> {
+        let asked = self.ask(|reply| Ask::Waiting(queue, reply)).await;
+        asked.unwrap_or(Err(Code::Internal))
+    }
+
+    /// Returns nothing when the control thread can't take the request, which then was not begun.
+    async fn ask<T>(&self, make: impl FnOnce(oneshot::Sender<T>) -> Ask) -> Option<T> {
+        let (reply, answer) = oneshot::channel();
+        self.asks.try_send(make(reply)).ok()?;
+        answer.await.ok()
+    }
+}
+
+impl wire::Handler for Face {
+    async fn handle(&self, call: wire::Call) -> Result<wire::Answer, Code> {
+        match call {
+            wire::Call::Jobs(call) => {
+                let answer = self.ask(|reply| Ask::Peer(call, reply)).await;
+                answer
+                    .unwrap_or(Err(Code::PeerAway))
+                    .map(wire::Answer::Jobs)
+            }
+            wire::Call::Control(_) | wire::Call::Traffic(_) => Err(Code::BadRequest),
+        }
+    }
+}
+
+/// `Node` is a running node: its control thread and its inner protocol.
+#[derive(Debug)]
+pub struct Node {
+    face: Face,
+    _server: wire::Server,
+    _control: thread::JoinHandle<()>,
+}
+
+impl Node {
+    /// Starts a node on a platform.
+    ///
+    /// # Errors
+    /// Fails when the inner address can't be listened at or no thread can be made.
+    pub fn start<P: Platform>(platform: P, settings: Settings) -> io::Result<Self> {
+        let (asks, queue) = async_channel::bounded(WAITING);
+        let shared = Arc::new(Shared::default());
+        let face = Face {
+            asks,
+            shared: Arc::clone(&shared),
+        };
+        let listener = TcpListener::bind(&settings.inner)?;
+        let server = wire::Server::start(listener, face.clone())?;
+        let local = wire::Local {
+            entry: settings.entry.clone(),
+            domain: settings.domain.clone(),
+        };
+        let client = wire::Client::start(
+            local,
+            wire::Settings {
+                connect: Millis(500),
+                backoff_most: Millis(500),
+                ..wire::Settings::default()
+            },
+        )?;
+        let control = thread::Builder::new()
+            .name("control".to_owned())
+            .spawn(move || {
+                let control = Control::new(platform, settings, client, shared);
+                async_std::task::block_on(control.run(queue));
+            })?;
+        Ok(Self {
+            face,
+            _server: server,
+            _control: control,
+        })
+    }
+
+    /// Returns the way for callers' requests.
+    #[must_use]
+    pub const fn face(&self) -> &Face {
+        &self.face
+    }
+}
--- /dev/null
+++ b/crates/marigoldpick-node/src/lib.rs
@@ -0,0 +1,20 @@
+//! The process that accepts jobs of steps and runs them on a platform's workers.
+//!
+//! All processes are equal. Each accepts jobs and writes them to the platform's store; each can put
+//! questions to the adviser; one of them leads, which the store settles.
+
+pub mod config;
+mod control;
+mod desk;
+mod driver;
+mod election;
+mod face;
+pub mod keys;
+mod members;
+pub mod platform;
+pub mod settings;
+
+pub use config::Config;
+pub use face::{Face, Node};
+pub use platform::Platform;
+pub use settings::Settings;
--- /dev/null
+++ b/crates/marigoldpick-node/src/members.rs
@@ -0,0 +1,122 @@
+//! Which entries live: each keeps a key in the store under a lease.
+
+use std::rc::Rc;
+
+use async_std::task;
+use marigoldpick_core::control::Known;
+use marigoldpick_core::prelude::*;
+use marigoldpick_core::store::{Answer, Call, Expect};
+
+use crate::control::Control;
+use crate::keys;
+use crate::platform::Platform;
+
+/// The wait after a registration that failed.
+const RETRY: Millis = Millis(300);
+/// Renewals in the time of a lease.
+const RENEWALS: u64 = 3;
+/// How long an entry that the store no longer lists is kept: its lease may have lapsed in an outage.
+const KEPT: Millis = Millis(12_000);
+
+impl<P: Platform> Control<P> {
+    /// Returns how this entry is reached.
+    pub(crate) fn own(&self) -> Known {
+        Known {
+            entry: self.settings.entry.clone(),
+            domain: self.settings.domain.clone(),
+            address: self.settings.inner.clone(),
+        }
+    }
+
+    /// Keeps this entry's key in the store.
+    pub(crate) async fn register(self: Rc<Self>) {
+        let pause = Millis(self.settings.entry_lease.0 / RENEWALS);
+        let mut lease = None;
+        loop {
+            let held = match lease {
+                Some(lease) => self.store(Call::Renew { lease }).await,
+                None => self.write_registration().await,
+            };
+            lease = match held {
+                Ok(Answer::Lease(number)) => Some(number),
+                Ok(_) => None,
+                Err(_) => lease,
+            };
+            let wait = if matches!(held, Ok(Answer::Lease(_))) {
+                pause
+            } else {
+                RETRY
+            };
+            task::sleep(wait.duration()).await;
+        }
+    }
+
+    async fn write_registration(&self) -> Result<Answer, marigoldpick_core::store::Fault> {
+        let span = self.settings.entry_lease;
+        let Answer::Lease(lease) = self.store(Call::Grant { span }).await? else {
+            return Ok(Answer::Gone);
+        };
+        let value = serde_json::to_string(&self.own()).expect("a known entry is plain JSON");
+        let put = Call::Put {
+            key: format!("{}{}", keys::ENTRIES, self.settings.entry),
+            value,
+            expect: Expect::Any,
+            lease: Some(lease),
+        };
+        match self.store(put).await? {
+            Answer::Written(_) => Ok(Answer::Lease(lease)),
+            other => Ok(other),
+        }
+    }
+
+    /// Keeps the list of the other entries.
+    pub(crate) async fn follow_members(self: Rc<Self>) {
+        let mut seen: Vec<(Known, Millis)> = Vec::new();
+        loop {
+            let page = Call::Range {
+                prefix: keys::ENTRIES.to_owned(),
+                after: String::new(),
+                stale: true,
+            };
+            let mut wait = RETRY;
+            if let Ok(Answer::Page { items, .. }) = self.store(page).await {
+                wait = self.settings.members_gap;
+                let now = self.now();
+                for item in items {
+                    match serde_json::from_str::<Known>(&item.value) {
+                        Ok(known) => {
+                            seen.retain(|(have, _)| have.entry != known.entry);
+                            seen.push((known, now));
+                        }
+                        Err(error) => {
+                            log::warn!(target: "node", "event=entry-unread key={} why={error}", item.key);
+                        }
+                    }
+                }
+                seen.retain(|(_, at)| now.since(*at) < KEPT);
+                seen.sort();
+                let others = seen
+                    .iter()
+                    .map(|(known, _)| known)
+                    .filter(|known| known.entry != self.settings.entry);
+                *self.peers.borrow_mut() = others.cloned().collect();
+                if let Some(leading) = self.leads() {
+                    leading.set_askers(&self.askers());
+                }
+                if seen.len() < 2 {
+                    wait = RETRY;
+                }
+            }
+            task::sleep(wait.duration()).await;
+        }
+    }
+
+    /// Returns all entries that can ask the adviser, sorted.
+    pub(crate) fn askers(&self) -> Vec<id::Entry> {
+        let peers = self.peers.borrow();
+        let mut askers: Vec<id::Entry> = peers.iter().map(|known| known.entry.clone()).collect();
+        askers.push(self.settings.entry.clone());
+        askers.sort();
+        askers
+    }
+}
--- a/crates/marigoldpick-platform/src/exchange.rs
+++ b/crates/marigoldpick-platform/src/exchange.rs
@@ -1,4 +1,6 @@
 //! One HTTP request and its whole answer.
+//!
+//! [`Client`] is also what adapters to other platforms make their calls with.
 
 use std::sync::Arc;
 use std::sync::atomic::{AtomicBool, Ordering};
@@ -20,7 +22,7 @@
 
 /// `Failure` is why an exchange brought no answer.
 #[derive(Clone, Copy, Debug, Display, PartialEq, Eq)]
-pub(crate) enum Failure {
+pub enum Failure {
     /// nothing was carried out
     Away,
     /// it may have been carried out
@@ -31,10 +33,20 @@
     Invalid,
 }
 
+/// `Reply` is a whole answer.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Reply {
+    /// The status.
+    pub status: StatusCode,
+    /// The body.
+    pub body: Vec<u8>,
+}
+
 /// `Client` makes exchanges for one caller.
 #[derive(Clone, Debug)]
-pub(crate) struct Client {
-    caller: Arc<Caller>,
+pub struct Client {
+    /// Who calls, where the other side wants to be told.
+    caller: Option<Arc<Caller>>,
     settings: Settings,
     pool: Pool,
     meter: Meter,
@@ -44,13 +56,34 @@
     /// Makes a client without connections; its bytes count for `target`.
     pub(crate) fn new(target: &'static str, caller: Caller, settings: Settings) -> Self {
         Self {
-            caller: Arc::new(caller),
+            caller: Some(Arc::new(caller)),
+            ..Self::anonymous(target, settings)
+        }
+    }
+
+    /// Makes a client that does not tell who calls; its bytes count for `target`.
+    #[must_use]
+    pub fn anonymous(target: &'static str, settings: Settings) -> Self {
+        Self {
+            caller: None,
             settings,
             pool: Pool::new(settings.idle),
             meter: Meter::new(target),
         }
     }
 
+    /// Sends a request and returns the whole answer, whatever its status.
+    ///
+    /// `extra` is the time that the other side may take on purpose.
+    ///
+    /// # Errors
+    /// Fails when no whole answer came in time; [`Failure::Away`] if no byte of it has left.
+    pub async fn send(&self, request: Request, extra: Millis) -> Result<Reply, Failure> {
+        let address = address_of(request.url()).ok_or(Failure::Invalid)?;
+        let (status, _, body) = self.answer(&address, request, extra).await?;
+        Ok(Reply { status, body })
+    }
+
     /// Sends `body` to `url` and returns the whole body of the answer.
     ///
     /// `extra` is the time that the other side may take on purpose.
@@ -64,27 +97,37 @@
         let url = Url::parse(url).map_err(|_source| Failure::Invalid)?;
         let address = address_of(&url).ok_or(Failure::Invalid)?;
         let request = self.request(method, url, body);
+        let (status, refused, body) = self.answer(&address, request, extra).await?;
+        settle(status, refused, body)
+    }
+
+    async fn answer(
+        &self,
+        address: &str,
+        request: Request,
+        extra: Millis,
+    ) -> Result<(StatusCode, bool, Vec<u8>), Failure> {
         let sent = Arc::new(AtomicBool::new(false));
         let limit = self.settings.call + extra;
-        let answer = timeout(
-            limit.duration(),
-            self.converse(&address, request, Arc::clone(&sent)),
-        )
-        .await;
-        match answer {
-            Ok(Some((status, refused, body))) => settle(status, refused, body),
-            Ok(None) | Err(_) if sent.load(Ordering::SeqCst) => Err(Failure::Unknown),
-            Ok(None) | Err(_) => {
-                self.pool.forget(&address);
-                Err(Failure::Away)
-            }
+        let converse = self.converse(address, request, Arc::clone(&sent));
+        if let Ok(Some(answer)) = timeout(limit.duration(), converse).await {
+            return Ok(answer);
+        }
+        // Connections can go silent for good, the idle ones with the one in use.
+        self.pool.forget(address);
+        if sent.load(Ordering::SeqCst) {
+            Err(Failure::Unknown)
+        } else {
+            Err(Failure::Away)
         }
     }
 
     fn request(&self, method: Method, url: Url, body: Vec<u8>) -> Request {
         let mut request = Request::new(method, url);
-        request.insert_header(DOMAIN_HEADER, self.caller.domain.as_str());
-        request.insert_header(ENTRY_HEADER, self.caller.entry.as_str());
+        if let Some(caller) = &self.caller {
+            request.insert_header(DOMAIN_HEADER, caller.domain.as_str());
+            request.insert_header(ENTRY_HEADER, caller.entry.as_str());
+        }
         if !body.is_empty() {
             request.set_body(body);
             // All bodies are JSON, and most are shorter than the header that would say so.
--- a/crates/marigoldpick-platform/src/lib.rs
+++ b/crates/marigoldpick-platform/src/lib.rs
@@ -5,7 +5,7 @@
 //! of it.
 
 pub mod caller;
-mod exchange;
+pub mod exchange;
 mod link;
 mod pool;
 pub mod store;
--- a/crates/marigoldpick-platform/src/store.rs
+++ b/crates/marigoldpick-platform/src/store.rs
@@ -33,7 +33,7 @@
         }
         let body = serde_json::to_vec(call).map_err(|_source| Fault::Invalid)?;
         let (client, extra) = match call {
-            Call::Watch { wait, .. } => (&self.watches, *wait),
+            Call::Watch { wait, .. } | Call::Follow { wait, .. } => (&self.watches, *wait),
             _ => (&self.calls, Millis::ZERO),
         };
         let answer = client
--- a/crates/marigoldpick-shard/tests/support/store.rs
+++ b/crates/marigoldpick-shard/tests/support/store.rs
@@ -51,7 +51,12 @@
                 self.items.remove(key);
                 Answer::Written(self.revision)
             }
-            Call::Grant { .. } | Call::Renew { .. } | Call::Revoke { .. } => Answer::Gone,
+            Call::Grant { .. }
+            | Call::Renew { .. }
+            | Call::Revoke { .. }
+            | Call::Range { .. }
+            | Call::Commit { .. }
+            | Call::Follow { .. } => Answer::Gone,
         }
     }
 
--- a/crates/marigoldpick-standin/src/store/serve.rs
+++ b/crates/marigoldpick-standin/src/store/serve.rs
@@ -114,6 +114,11 @@
             prefix,
             revision,
             wait,
+        }
+        | Call::Follow {
+            prefix,
+            revision,
+            wait,
         } = &call
         {
             self.watch(prefix, *revision, *wait).await;
--- a/crates/marigoldpick-standin/src/store/state.rs
+++ b/crates/marigoldpick-standin/src/store/state.rs
@@ -4,12 +4,14 @@
 
 use async_channel::Sender;
 use marigoldpick_core::prelude::*;
-use marigoldpick_core::store::{Answer, Call, Expect, Item};
+use marigoldpick_core::store::{Answer, Call, Change, Condition, Expect, Item, Write};
 
 use crate::truth::Configs;
 
 /// Deletions that are remembered to wake watches.
 const DELETED_KEPT: usize = 10_000;
+/// The most items of a page.
+const PAGE: usize = 500;
 /// The most items of one answer.
 const MAX_ITEMS: u32 = 10_000;
 
@@ -66,6 +68,15 @@
             Call::Watch {
                 prefix, revision, ..
             } => self.changed(&prefix, revision),
+            Call::Range { prefix, after, .. } => self.page(&prefix, &after),
+            Call::Commit {
+                expect,
+                puts,
+                deletes,
+            } => self.commit(&expect, puts, &deletes),
+            Call::Follow {
+                prefix, revision, ..
+            } => self.changes(&prefix, revision),
             Call::Grant { span } => self.grant(span, now),
             Call::Renew { lease } => self.renew(lease, now),
             Call::Revoke { lease } => {
@@ -146,6 +157,81 @@
         Answer::Items { items, revision }
     }
 
+    fn page(&self, prefix: &str, after: &str) -> Answer {
+        let mut items: Vec<Item> = self
+            .range(prefix)
+            .filter(|(key, _)| key.as_str() > after)
+            .take(PAGE + 1)
+            .map(|(key, stored)| item(key, stored))
+            .collect();
+        let more = items.len() > PAGE;
+        items.truncate(PAGE);
+        Answer::Page {
+            items,
+            more,
+            revision: self.revision,
+        }
+    }
+
+    fn commit(&mut self, expect: &[Condition], puts: Vec<Write>, deletes: &[String]) -> Answer {
+        let holds = expect
+            .iter()
+            .all(|condition| self.holds(&condition.key, condition.expect));
+        if !holds {
+            let rivals = expect
+                .iter()
+                .filter_map(|condition| self.item(&condition.key));
+            return Answer::Rivals(rivals.collect());
+        }
+        let missing = |write: &Write| write.lease.is_some_and(|l| !self.leases.contains_key(&l));
+        if puts.iter().any(missing) {
+            return Answer::Gone;
+        }
+        deletes.iter().for_each(|key| self.remove(key));
+        self.revision += 1;
+        let revision = self.revision;
+        for write in puts {
+            self.configs.written(&write.key, &write.value);
+            self.wake(&write.key);
+            let stored = Stored {
+                value: write.value,
+                revision,
+                lease: write.lease,
+            };
+            self.items.insert(write.key, stored);
+        }
+        Answer::Written(revision)
+    }
+
+    fn changes(&self, prefix: &str, after: u64) -> Answer {
+        let forgotten = self.deleted.len() >= DELETED_KEPT / 2
+            && self
+                .deleted
+                .first()
+                .is_some_and(|(first, _)| *first > after);
+        if forgotten {
+            return Answer::Compacted;
+        }
+        let written = self
+            .range(prefix)
+            .filter(|(_, stored)| stored.revision > after)
+            .map(|(key, stored)| (stored.revision, Change::Written(item(key, stored))));
+        let removed = self
+            .deleted
+            .iter()
+            .filter(|(at, key)| *at > after && key.starts_with(prefix))
+            .map(|(at, key)| {
+                let (key, revision) = (key.clone(), *at);
+                (*at, Change::Removed { key, revision })
+            });
+        let mut changes: Vec<(u64, Change)> = written.chain(removed).collect();
+        changes.sort_by_key(|(at, _)| *at);
+        Answer::Changes {
+            changes: changes.into_iter().map(|(_, change)| change).collect(),
+            revision: self.revision,
+        }
+    }
+
     fn put(&mut self, key: String, value: String, expect: Expect, lease: Option<u64>) -> Answer {
         if !self.holds(&key, expect) {
             return Answer::Conflict(self.item(&key));
--- a/crates/marigoldpick-wire/schema/peer.capnp
+++ b/crates/marigoldpick-wire/schema/peer.capnp
@@ -14,6 +14,7 @@
 interface Session {
   control @0 (call :ControlCall) -> (code :Code, answer :ControlAnswer);
   traffic @1 (call :TrafficCall) -> (code :Code, answer :TrafficAnswer);
+  jobs @2 (call :JobsCall) -> (code :Code, answer :JobsAnswer);
 }
 
 struct Epoch {
@@ -213,3 +214,66 @@
   body @3 :Data;
   retry @4 :Millis;  # The largest number when no retry makes sense.
 }
+
+# Calls about jobs of steps.
+struct JobsCall {
+  union {
+    advise :group {
+      job @0 :Text;
+      occurrence @1 :UInt32;
+      step @2 :UInt32;
+      workers @3 :List(Text);
+      limit @4 :Millis;
+    }
+    phase @5 :Text;
+    waiting @6 :Text;
+    submit :group {
+      job @7 :Text;
+      spec @8 :Json;
+      limit @9 :Millis;
+    }
+    cancel :group {
+      job @10 :Text;
+      limit @11 :Millis;
+    }
+    ping @12 :Void;
+  }
+}
+
+struct JobsAnswer {
+  union {
+    advice :group {
+      good @0 :List(Ticket);
+      valid @1 :Millis;
+    }
+    phase @2 :JobPhase;
+    waiting @3 :UInt64;
+    receipt @4 :JobReceipt;
+    pong :group {
+      term @5 :UInt64;  # Zero when it does not lead.
+      store @6 :Bool;
+    }
+    busy @7 :Void;
+  }
+}
+
+struct Ticket {
+  worker @0 :Text;
+  ticket @1 :Text;
+}
+
+enum JobPhase {
+  unknown @0;
+  queued @1;
+  running @2;
+  completed @3;
+  failed @4;
+  cancelled @5;
+}
+
+enum JobReceipt {
+  stored @0;
+  absent @1;
+  refused @2;
+  unknown @3;
+}
--- a/crates/marigoldpick-wire/src/call.rs
+++ b/crates/marigoldpick-wire/src/call.rs
@@ -2,7 +2,7 @@
 
 use displaydoc::Display;
 use marigoldpick_core::prelude::*;
-use marigoldpick_core::{control, peer};
+use marigoldpick_core::{control, peer, work};
 
 /// `Call` is one call to another entry.
 #[derive(Clone, Debug, PartialEq)]
@@ -11,6 +11,8 @@
     Control(control::Call),
     /// A call of traffic threads.
     Traffic(peer::Call),
+    /// A call about jobs of steps.
+    Jobs(work::peer::Call),
 }
 
 /// `Answer` answers a call of the same name.
@@ -20,6 +22,8 @@
     Control(control::Answer),
     /// To a call of traffic threads.
     Traffic(peer::Answer),
+    /// To a call about jobs of steps.
+    Jobs(work::peer::Answer),
 }
 
 /// `Error` is why a call brought no answer.
--- a/crates/marigoldpick-wire/src/convert.rs
+++ b/crates/marigoldpick-wire/src/convert.rs
@@ -1,6 +1,7 @@
 //! Conversion between the types of the core and the generated types of the schema.
 
 pub(crate) mod control;
+pub(crate) mod jobs;
 pub(crate) mod traffic;
 
 use marigoldpick_core::prelude::*;
--- /dev/null
+++ b/crates/marigoldpick-wire/src/convert/jobs.rs
@@ -0,0 +1,155 @@
+//! The calls about jobs of steps.
+
+use std::sync::Arc;
+
+use marigoldpick_core::prelude::*;
+use marigoldpick_core::work::peer::{Answer, Call, Receipt};
+use marigoldpick_core::work::port::{Advice, Ticket};
+use marigoldpick_core::work::{Part, Phase};
+
+use super::{Read, count, from_json, name, text, to_json};
+use crate::peer_capnp as schema;
+
+/// Writes a call.
+pub(crate) fn write_call(call: &Call, mut to: schema::jobs_call::Builder<'_>) -> Read<()> {
+    match call {
+        Call::Advise {
+            part,
+            workers,
+            limit,
+        } => {
+            let mut to = to.init_advise();
+            to.set_job(part.job.as_str());
+            to.set_occurrence(part.occurrence);
+            to.set_step(part.step);
+            to.set_limit(limit.0);
+            let mut list = to.init_workers(count(workers)?);
+            for (at, worker) in (0..).zip(workers) {
+                list.set(at, worker.as_str());
+            }
+        }
+        Call::Phase(job) => to.set_phase(job.as_str()),
+        Call::Waiting(queue) => to.set_waiting(queue.as_str()),
+        Call::Submit { job, spec, limit } => {
+            let mut to = to.init_submit();
+            to.set_job(job.as_str());
+            to.set_spec(&to_json(&**spec)?);
+            to.set_limit(limit.0);
+        }
+        Call::Cancel { job, limit } => {
+            let mut to = to.init_cancel();
+            to.set_job(job.as_str());
+            to.set_limit(limit.0);
+        }
+        Call::Ping => to.set_ping(()),
+    }
+    Ok(())
+}
+
+/// Reads a call.
+pub(crate) fn read_call(from: schema::jobs_call::Reader<'_>) -> Read<Call> {
+    use schema::jobs_call::Which;
+    Ok(match from.which()? {
+        Which::Advise(from) => {
+            let workers = from.get_workers()?.iter();
+            Call::Advise {
+                part: Part {
+                    job: name(from.get_job())?,
+                    occurrence: from.get_occurrence(),
+                    step: from.get_step(),
+                },
+                workers: workers.map(name).collect::<Read<_>>()?,
+                limit: Millis(from.get_limit()),
+            }
+        }
+        Which::Phase(job) => Call::Phase(name(job)?),
+        Which::Waiting(queue) => Call::Waiting(name(queue)?),
+        Which::Submit(from) => Call::Submit {
+            job: name(from.get_job())?,
+            spec: Arc::new(from_json(from.get_spec())?),
+            limit: Millis(from.get_limit()),
+        },
+        Which::Cancel(from) => Call::Cancel {
+            job: name(from.get_job())?,
+            limit: Millis(from.get_limit()),
+        },
+        Which::Ping(()) => Call::Ping,
+    })
+}
+
+/// Writes an answer.
+pub(crate) fn write_answer(answer: &Answer, mut to: schema::jobs_answer::Builder<'_>) -> Read<()> {
+    match answer {
+        Answer::Advice(advice) => {
+            let mut to = to.init_advice();
+            to.set_valid(advice.valid.0);
+            let mut list = to.init_good(count(&advice.good)?);
+            for (at, ticket) in (0..).zip(&advice.good) {
+                let mut to = list.reborrow().get(at);
+                to.set_worker(ticket.worker.as_str());
+                to.set_ticket(&ticket.ticket);
+            }
+        }
+        Answer::Busy => to.set_busy(()),
+        Answer::Phase(phase) => to.set_phase(match phase {
+            None => schema::JobPhase::Unknown,
+            Some(Phase::Queued) => schema::JobPhase::Queued,
+            Some(Phase::Running) => schema::JobPhase::Running,
+            Some(Phase::Completed) => schema::JobPhase::Completed,
+            Some(Phase::Failed) => schema::JobPhase::Failed,
+            Some(Phase::Cancelled) => schema::JobPhase::Cancelled,
+        }),
+        Answer::Waiting(jobs) => to.set_waiting(*jobs),
+        Answer::Receipt(receipt) => to.set_receipt(match receipt {
+            Receipt::Stored => schema::JobReceipt::Stored,
+            Receipt::Absent => schema::JobReceipt::Absent,
+            Receipt::Refused => schema::JobReceipt::Refused,
+            Receipt::Unknown => schema::JobReceipt::Unknown,
+        }),
+        Answer::Pong { term, store } => {
+            let mut to = to.init_pong();
+            to.set_term(*term);
+            to.set_store(*store);
+        }
+    }
+    Ok(())
+}
+
+/// Reads an answer.
+pub(crate) fn read_answer(from: schema::jobs_answer::Reader<'_>) -> Read<Answer> {
+    use schema::jobs_answer::Which;
+    Ok(match from.which()? {
+        Which::Advice(from) => {
+            let good = from.get_good()?.iter().map(|from| {
+                Ok(Ticket {
+                    worker: name(from.get_worker())?,
+                    ticket: text(from.get_ticket())?.to_owned(),
+                })
+            });
+            Answer::Advice(Advice {
+                good: good.collect::<Read<_>>()?,
+                valid: Millis(from.get_valid()),
+            })
+        }
+        Which::Busy(()) => Answer::Busy,
+        Which::Phase(phase) => Answer::Phase(match phase? {
+            schema::JobPhase::Unknown => None,
+            schema::JobPhase::Queued => Some(Phase::Queued),
+            schema::JobPhase::Running => Some(Phase::Running),
+            schema::JobPhase::Completed => Some(Phase::Completed),
+            schema::JobPhase::Failed => Some(Phase::Failed),
+            schema::JobPhase::Cancelled => Some(Phase::Cancelled),
+        }),
+        Which::Waiting(jobs) => Answer::Waiting(jobs),
+        Which::Receipt(receipt) => Answer::Receipt(match receipt? {
+            schema::JobReceipt::Stored => Receipt::Stored,
+            schema::JobReceipt::Absent => Receipt::Absent,
+            schema::JobReceipt::Refused => Receipt::Refused,
+            schema::JobReceipt::Unknown => Receipt::Unknown,
+        }),
+        Which::Pong(from) => Answer::Pong {
+            term: from.get_term(),
+            store: from.get_store(),
+        },
+    })
+}
--- a/crates/marigoldpick-wire/src/link.rs
+++ b/crates/marigoldpick-wire/src/link.rs
@@ -11,7 +11,7 @@
 use capnp_rpc::rpc_twoparty_capnp::Side;
 use futures::channel::oneshot;
 use marigoldpick_core::prelude::*;
-use marigoldpick_core::{control, peer as traffic};
+use marigoldpick_core::{control, peer as traffic, work};
 use rand::Rng;
 use rand_chacha::ChaCha8Rng;
 
@@ -254,6 +254,7 @@
         match call {
             Call::Control(call) => self.control(call).await.map(Answer::Control),
             Call::Traffic(call) => self.traffic(call).await.map(Answer::Traffic),
+            Call::Jobs(call) => self.jobs(call).await.map(Answer::Jobs),
         }
     }
 
@@ -277,6 +278,16 @@
         convert::traffic::read_answer(answer).map_err(|Malformed| Error::Unknown)
     }
 
+    async fn jobs(&self, call: &work::peer::Call) -> Result<work::peer::Answer, Error> {
+        let mut request = self.session.jobs_request();
+        convert::jobs::write_call(call, request.get().init_call()).map_err(unwritable)?;
+        let response = request.send().promise.await.map_err(lost)?;
+        let results = response.get().map_err(lost)?;
+        check(results.get_code())?;
+        let answer = results.get_answer().map_err(lost)?;
+        convert::jobs::read_answer(answer).map_err(|Malformed| Error::Unknown)
+    }
+
     /// Notes a call that stayed unanswered; a connection on which all do is closed.
     fn note_silence(&self, address: &str) {
         self.silent.set(self.silent.get() + 1);
