Begin watches at the store's revision

Cause: a watch that begins at its key's own revision is answered at once as compacted when that is older than the history kept, then read and watched again: 13,000 calls in 22 s. A page of the prefix tells the store's revision, so watches begin there.

--- a/crates/marigoldpick-node/src/election.rs
+++ b/crates/marigoldpick-node/src/election.rs
@@ -51,13 +51,21 @@
     }
 
     async fn elect_once(self: &Rc<Self>) -> Result<(), Fault> {
-        let key = keys::LEAD.to_owned();
-        let Answer::Item(item) = self.store(Call::Get { key }).await? else {
+        // A page tells the store's revision too; the key's own may be older than the history kept.
+        let page = Call::Range {
+            prefix: keys::LEAD.to_owned(),
+            after: String::new(),
+            stale: false,
+        };
+        let Answer::Page {
+            items, revision, ..
+        } = self.store(page).await?
+        else {
             return Err(Fault::Unknown);
         };
-        if let Some(item) = item {
-            self.note_lead(Some(&item));
-            return self.await_vacancy(item.revision).await;
+        if let Some(item) = items.first() {
+            self.note_lead(Some(item));
+            return self.await_vacancy(revision).await;
         }
         self.note_lead(None);
         if self.is_draining() {
