Apply cancels after their jobs at a take-over; let a silent worker's lease end

Cause 2: each hold to a silent worker moved the end of the lease that it might have, so what ran there was never freed (LOST).

--- a/crates/marigoldpick-job/src/lead/report.rs
+++ b/crates/marigoldpick-job/src/lead/report.rs
@@ -44,8 +44,10 @@
         let settings = self.settings;
         let worker = &mut self.workers[at];
         let seen = worker.settle(stored);
-        // The first hold of a term renews nothing, so that it can't prolong what is not ours.
-        let until = if worker.listed && !worker.runs.is_empty() {
+        // The first hold of a term renews nothing, so that it can't prolong what is not ours. Nor
+        // does one to a silent worker: it might arrive, and the lease would never be known to end.
+        let renews = worker.listed && worker.silent == 0 && !worker.runs.is_empty();
+        let until = if renews {
             worker.extend(&settings, now)
         } else {
             None
@@ -90,14 +92,12 @@
                 }
                 let worker = &mut self.workers[at];
                 worker.read_clock(reply.clock, &settings, now);
-                if worker.silent > 0 || !worker.listed {
-                    self.unscheduled = true;
-                }
-                let first = !worker.listed;
+                let is_back = worker.silent > 0 || !worker.listed;
+                self.unscheduled |= is_back;
                 worker.silent = 0;
                 worker.listed = true;
                 worker.acknowledged = worker.acknowledged.max(seen);
-                worker.next_hold = if first { now } else { now + settings.hold_gap };
+                worker.next_hold = if is_back { now } else { now + settings.hold_gap };
                 if let Some(report) = reply.report {
                     self.read(at, report, sent, now);
                 }
--- a/crates/marigoldpick-node/src/driver.rs
+++ b/crates/marigoldpick-node/src/driver.rs
@@ -304,15 +304,7 @@
         let (inbox, revision) = self.range(keys::INBOX).await?;
         let (records, _) = self.range(keys::RECORDS).await?;
         let count = inbox.len();
-        for item in inbox {
-            let id = item.key.strip_prefix(keys::JOBS);
-            let record = id.and_then(|id| {
-                let key = format!("{}{id}", keys::RECORDS);
-                let at = records.binary_search_by(|have| have.key.cmp(&key)).ok()?;
-                read_record(&records[at])
-            });
-            self.take_in(leading, &item, record.as_ref());
-        }
+        self.take_in_all(leading, &inbox, &records);
         log::info!(target: "node", "event=lead-loaded term={} items={count} records={}", leading.term, records.len());
         Ok(revision)
     }
@@ -343,6 +335,23 @@
         }
     }
 
+    /// Takes in the whole inbox: jobs go before their cancels, whose keys come first.
+    fn take_in_all(&self, leading: &Leading, inbox: &[Item], records: &[Item]) {
+        let is_cancel = |item: &&Item| item.key.starts_with(keys::CANCELS);
+        for item in inbox.iter().filter(|item| !is_cancel(item)) {
+            let id = item.key.strip_prefix(keys::JOBS);
+            let record = id.and_then(|id| {
+                let key = format!("{}{id}", keys::RECORDS);
+                let at = records.binary_search_by(|have| have.key.cmp(&key)).ok()?;
+                read_record(&records[at])
+            });
+            self.take_in(leading, item, record.as_ref());
+        }
+        for item in inbox.iter().filter(is_cancel) {
+            self.take_in(leading, item, None);
+        }
+    }
+
     /// Takes in a key of the inbox.
     fn take_in(&self, leading: &Leading, item: &Item, record: Option<&Record>) {
         let (now, wall) = (self.now(), self.wall());
@@ -383,7 +392,6 @@
                     revision: now,
                 }) => {
                     revision = now;
-                    // Jobs go before their cancels, which have other keys.
                     for change in &changes {
                         if let Change::Written(item) = change {
                             self.take_in(&leading, item, None);
@@ -395,13 +403,7 @@
                     Ok((items, now)) => {
                         log::info!(target: "node", "event=inbox-reread items={}", items.len());
                         revision = now;
-                        let cancels = |item: &&Item| item.key.starts_with(keys::CANCELS);
-                        for item in items.iter().filter(|item| !cancels(item)) {
-                            self.take_in(&leading, item, None);
-                        }
-                        for item in items.iter().filter(cancels) {
-                            self.take_in(&leading, item, None);
-                        }
+                        self.take_in_all(&leading, &items, &[]);
                     }
                     Err(_) => task::sleep(RETRY.duration()).await,
                 },
