--- /dev/null
+++ b/crates/marigoldpick-job/tests/lead/faults.rs
@@ -0,0 +1,159 @@
+//! Faults: take-overs, cuts, lost answers, late orders, rebirths, outages of the store.
+
+use googletest::prelude::*;
+use marigoldpick_core::prelude::*;
+use marigoldpick_core::work::{Phase, Step};
+
+use crate::world::{World, job, step};
+
+/// Hands in a job of several steps each 50 ms.
+fn busy(world: &mut World, jobs: u32) {
+    for number in 0..jobs {
+        let second = Step {
+            after: vec![0],
+            ..step(3, 4_000, 250)
+        };
+        world.submit(1_000 + number, job(vec![step(4, 4_000, 400), second]));
+        world.run(50);
+    }
+}
+
+#[googletest::test]
+fn take_over_runs_nothing_twice_and_loses_nothing() {
+    let mut world = World::new(6);
+    busy(&mut world, 20);
+    world.take_over();
+    busy(&mut world, 1);
+    world.run(50);
+    world.take_over();
+    world.run(8_000);
+    expect_that!(world.done.len(), eq(20 * 7));
+    expect_that!(world.broken, is_empty());
+}
+
+#[googletest::test]
+fn take_over_keeps_cancelled_jobs_cancelled() {
+    let mut world = World::new(2);
+    let id = world.submit(1, job(vec![step(40, 11_000, 400)]));
+    world.run(100);
+    world.store_up = false;
+    world.cancel(&id);
+    world.run(20);
+    world.take_over();
+    world.run(1_000);
+    let after: Vec<_> = world.started.iter().filter(|s| s.3 > Millis(400)).collect();
+    expect_that!(after.len(), eq(0));
+    expect_that!(world.phase(&id), some(eq(Phase::Cancelled)));
+}
+
+#[googletest::test]
+fn lost_worker_gives_its_tasks_back_once_its_lease_has_lapsed() {
+    let mut world = World::new(2);
+    let lasting = Step {
+        lasting: true,
+        ..step(4, 1_000, 300)
+    };
+    world.submit(1, job(vec![lasting]));
+    world.run(300);
+    let lost = (0..2).find(|at| world.runs_on(*at) > 0).expect("a worker in use");
+    world.workers[lost].up = false;
+    world.run(12_000);
+    expect_that!(world.running().len(), eq(4));
+    expect_that!(world.broken, is_empty());
+}
+
+#[googletest::test]
+fn cut_worker_that_runs_on_has_no_twin() {
+    let mut world = World::new(3);
+    let lasting = Step {
+        lasting: true,
+        ..step(6, 20_000, 300)
+    };
+    world.submit(1, job(vec![lasting]));
+    world.run(300);
+    world.workers[0].cut = true;
+    world.run(5_000);
+    world.workers[0].cut = false;
+    world.run(5_000);
+    world.workers[1].cut = true;
+    world.run(12_000);
+    world.workers[1].cut = false;
+    world.run(3_000);
+    expect_that!(world.running().len(), eq(6));
+    expect_that!(world.broken, is_empty());
+}
+
+#[googletest::test]
+fn take_over_waits_for_a_cut_worker_that_may_run_a_task() {
+    let mut world = World::new(3);
+    world.submit(1, job(vec![step(9, 20_000, 4_000)]));
+    world.run(300);
+    world.workers[0].cut = true;
+    world.run(200);
+    world.take_over();
+    world.run(3_000);
+    world.workers[0].cut = false;
+    world.run(8_000);
+    expect_that!(world.done.len(), eq(9));
+    expect_that!(world.broken, is_empty());
+}
+
+#[googletest::test]
+fn late_orders_are_settled_before_the_task_is_started_again() {
+    let mut world = World::new(6);
+    world.late_percent = 20;
+    busy(&mut world, 30);
+    world.run(10_000);
+    expect_that!(world.done.len(), eq(30 * 7));
+    expect_that!(world.broken, is_empty());
+}
+
+#[googletest::test]
+fn late_orders_of_an_earlier_lead_are_settled_too() {
+    let mut world = World::new(6);
+    world.late_percent = 20;
+    busy(&mut world, 15);
+    world.take_over();
+    busy(&mut world, 1);
+    world.run(12_000);
+    expect_that!(world.done.len(), eq(15 * 7));
+    expect_that!(world.broken, is_empty());
+}
+
+#[googletest::test]
+fn reborn_worker_runs_its_tasks_anew() {
+    let mut world = World::new(2);
+    world.submit(1, job(vec![step(10, 10_000, 1_000)]));
+    world.run(300);
+    world.rebirth(0);
+    world.run(5_000);
+    expect_that!(world.done.len(), eq(10));
+    expect_that!(world.broken, is_empty());
+}
+
+#[googletest::test]
+fn outage_of_the_store_forgets_no_end() {
+    let mut world = World::new(4);
+    busy(&mut world, 6);
+    world.store_up = false;
+    world.run(4_000);
+    world.take_over();
+    world.run(6_000);
+    expect_that!(world.done.len(), eq(6 * 7));
+    expect_that!(world.broken, is_empty());
+}
+
+#[googletest::test]
+fn worker_that_fails_all_spoils_no_job() {
+    let mut world = World::new(6);
+    world.workers[2].failing = true;
+    let mut ids = Vec::new();
+    for number in 0..40 {
+        ids.push(world.submit(number, job(vec![step(4, 6_000, 300)])));
+        world.run(60);
+    }
+    world.run(6_000);
+    for id in ids {
+        expect_that!(world.phase(&id), some(eq(Phase::Completed)));
+    }
+}
--- /dev/null
+++ b/crates/marigoldpick-job/tests/lead/work.rs
@@ -0,0 +1,226 @@
+//! Jobs of each form, without faults.
+
+use googletest::prelude::*;
+use marigoldpick_core::prelude::*;
+use marigoldpick_core::work::{Phase, Step};
+
+use crate::world::{Fate, World, advised, due, job, queue, step};
+
+#[googletest::test]
+fn job_of_one_step_completes() {
+    let mut world = World::new(3);
+    let id = world.submit(1, job(vec![step(6, 5_000, 800)]));
+    world.run(400);
+    expect_that!(world.phase(&id), some(eq(Phase::Running)));
+    world.run(1_000);
+    expect_that!(world.phase(&id), some(eq(Phase::Completed)));
+    expect_that!(world.broken, is_empty());
+}
+
+#[googletest::test]
+fn steps_run_after_those_they_depend_on() {
+    let mut world = World::new(3);
+    let second = Step {
+        after: vec![0],
+        ..step(4, 5_000, 300)
+    };
+    let last = Step {
+        after: vec![0, 1],
+        ..step(2, 5_000, 300)
+    };
+    let id = world.submit(1, job(vec![step(6, 5_000, 300), second, last]));
+    world.run(2_500);
+    expect_that!(world.phase(&id), some(eq(Phase::Completed)));
+    expect_that!(world.broken, is_empty());
+}
+
+#[googletest::test]
+fn capacity_is_never_passed_under_a_backlog() {
+    let mut world = World::new(2);
+    for number in 0..30 {
+        world.submit(number, job(vec![step(8, 11_000, 400)]));
+    }
+    world.run(15_000);
+    expect_that!(world.done.len(), eq(240));
+    expect_that!(world.broken, is_empty());
+}
+
+#[googletest::test]
+fn spread_bounds_the_tasks_of_a_step_on_a_worker() {
+    let mut world = World::new(4);
+    let spread = Step {
+        spread: Some(1),
+        ..step(4, 1_000, 500)
+    };
+    world.submit(1, job(vec![spread]));
+    world.run(300);
+    let counts: Vec<usize> = (0..4).map(|at| world.runs_on(at)).collect();
+    expect_that!(counts, eq(&vec![1, 1, 1, 1]));
+}
+
+#[googletest::test]
+fn label_keeps_a_task_to_its_workers() {
+    let mut world = World::new(8);
+    let labelled = Step {
+        label: Some(Name::new("r1").expect("a name")),
+        ..step(6, 1_000, 300)
+    };
+    world.submit(1, job(vec![labelled]));
+    world.run(200);
+    expect_that!(world.started.len(), eq(6));
+    for (_, _, worker, _) in &world.started {
+        expect_that!(*worker, ge(4));
+    }
+}
+
+#[googletest::test]
+fn gang_starts_whole_and_with_one_run() {
+    let mut world = World::new(2);
+    let gang = Step {
+        gang: true,
+        ..step(8, 10_000, 400)
+    };
+    let id = world.submit(1, job(vec![gang]));
+    world.run(300);
+    let runs: Vec<u64> = world.started.iter().map(|start| start.1).collect();
+    expect_that!(runs.len(), eq(8));
+    expect_true!(runs.iter().all(|run| *run == runs[0]));
+    world.run(1_000);
+    expect_that!(world.phase(&id), some(eq(Phase::Completed)));
+}
+
+#[googletest::test]
+fn gang_that_does_not_fit_whole_starts_not_at_all() {
+    let mut world = World::new(2);
+    world.submit(1, job(vec![step(8, 12_000, 2_000)]));
+    world.run(200);
+    let before = world.started.len();
+    let gang = Step {
+        gang: true,
+        ..step(6, 12_000, 400)
+    };
+    world.submit(2, job(vec![gang]));
+    world.run(1_000);
+    expect_that!(world.started.len(), eq(before));
+    world.run(2_500);
+    expect_that!(world.started.len(), eq(before + 6));
+    expect_that!(world.broken, is_empty());
+}
+
+#[googletest::test]
+fn poison_fails_after_its_attempts() {
+    let mut world = World::new(4);
+    let id = world.submit(1, job(vec![step(1, 1_000, 300)]));
+    world.fates.insert(id.clone(), Fate::Fails);
+    world.run(3_000);
+    expect_that!(world.phase(&id), some(eq(Phase::Failed)));
+    expect_that!(world.started.len(), eq(3));
+}
+
+#[googletest::test]
+fn cancel_stops_what_runs_and_starts_nothing_more() {
+    let mut world = World::new(2);
+    let id = world.submit(1, job(vec![step(40, 11_000, 5_000)]));
+    world.run(300);
+    let before = world.started.len();
+    world.cancel(&id);
+    world.run(400);
+    expect_that!(world.phase(&id), some(eq(Phase::Cancelled)));
+    expect_that!(world.running(), is_empty());
+    expect_that!(world.started.len(), eq(before));
+}
+
+#[googletest::test]
+fn outcome_is_told_only_once_it_is_stored() {
+    let mut world = World::new(2);
+    let id = world.submit(1, job(vec![step(1, 1_000, 300)]));
+    world.run(200);
+    world.store_up = false;
+    world.run(1_000);
+    expect_that!(world.phase(&id), some(eq(Phase::Running)));
+    world.store_up = true;
+    world.run(1_500);
+    expect_that!(world.phase(&id), some(eq(Phase::Completed)));
+}
+
+#[googletest::test]
+fn waiting_counts_jobs_without_a_start() {
+    let mut world = World::new(1);
+    for number in 0..5 {
+        world.submit(number, job(vec![step(1, 40_000, 3_000)]));
+    }
+    world.run(300);
+    let queue = Name::new("fast").expect("a name");
+    expect_that!(world.lead.waiting(&queue), eq(4));
+}
+
+#[googletest::test]
+fn repeated_job_runs_each_occurrence_when_it_is_due() {
+    let mut world = World::new(2);
+    let mut repeated = job(vec![step(2, 1_000, 100)]);
+    repeated.schedule = Some(due(1_000, 500, 3));
+    let id = world.submit(1, repeated);
+    world.run(900);
+    expect_that!(world.started, is_empty());
+    world.run(2_000);
+    let times: Vec<u64> = world.started.iter().map(|start| start.3.0).collect();
+    expect_that!(times.len(), eq(6));
+    expect_that!(times[0], ge(1_000));
+    expect_that!(times[2], ge(1_500));
+    expect_that!(times[4], ge(2_000));
+    expect_that!(world.phase(&id), some(eq(Phase::Completed)));
+}
+
+#[googletest::test]
+fn lasting_task_is_started_again_however_it_ends() {
+    let mut world = World::new(2);
+    let lasting = Step {
+        lasting: true,
+        ..step(2, 1_000, 300)
+    };
+    let id = world.submit(1, job(vec![lasting]));
+    world.fates.insert(id.clone(), Fate::Fails);
+    world.run(3_000);
+    expect_that!(world.started.len(), gt(6));
+    expect_that!(world.phase(&id), some(eq(Phase::Running)));
+}
+
+#[googletest::test]
+fn tasks_run_only_where_the_adviser_allows() {
+    let mut world = World::new(9);
+    world.queues = vec![advised(queue("fast", 0), 24.0, 0.34)];
+    world.take_over();
+    let id = world.submit(1, job(vec![step(12, 5_000, 300)]));
+    world.run(1_000);
+    expect_that!(world.phase(&id), some(eq(Phase::Completed)));
+    let starts = world.started.clone();
+    for (task, _, worker, _) in starts {
+        let worker = world.workers[worker].node.id.clone();
+        expect_true!(world.is_good(&task.part, &worker));
+    }
+}
+
+#[googletest::test]
+fn questions_name_few_workers_when_there_is_room() {
+    let mut world = World::new(48);
+    world.queues = vec![advised(queue("fast", 0), 24.0, 0.34)];
+    world.take_over();
+    for number in 0..10 {
+        world.submit(number, job(vec![step(6, 5_000, 300)]));
+    }
+    world.run(1_000);
+    expect_that!(world.done.len(), eq(60));
+    expect_that!(world.lead.count().questions, le(12));
+}
+
+#[googletest::test]
+fn urgent_work_goes_before_work_that_came_earlier() {
+    let mut world = World::new(1);
+    let mut slow = job(vec![step(20, 30_000, 500)]);
+    slow.queue = Name::new("slow").expect("a name");
+    world.submit(1, slow);
+    world.run(100);
+    let fast = world.submit(2, job(vec![step(2, 30_000, 300)]));
+    world.run(1_200);
+    expect_that!(world.phase(&fast), some(eq(Phase::Completed)));
+}
