Keep an earlier lead's leases in mind; work on through outages of the store

A lead that alone lost it offers the lead to such an entry; where most entries lost it, it starts tasks without records. A lead whose key lapsed claims it again while the chain has not moved.

--- a/crates/marigoldpick-core/src/work/peer.rs
+++ b/crates/marigoldpick-core/src/work/peer.rs
@@ -45,6 +45,9 @@
     },
     /// Asks whether the entry leads and reaches the store; answered by [`Answer::Pong`].
     Ping,
+    /// Asks the entry to take the lead over from the asking one, which does not reach the store;
+    /// answered by [`Answer::Pong`].
+    Succeed,
 }
 
 /// `Answer` answers a [`Call`].
--- a/crates/marigoldpick-job/src/job.rs
+++ b/crates/marigoldpick-job/src/job.rs
@@ -123,6 +123,8 @@
     pub stored: u64,
     /// When it was over.
     pub over: Option<Millis>,
+    /// Whether it was there before the lead's term began.
+    pub loaded: bool,
     /// The occurrences by number.
     pub occurrences: Vec<Occurrence>,
 }
@@ -155,6 +157,7 @@
             change: 0,
             stored: 0,
             over: None,
+            loaded: false,
             occurrences,
             spec,
         }
--- a/crates/marigoldpick-job/src/lead.rs
+++ b/crates/marigoldpick-job/src/lead.rs
@@ -29,6 +29,9 @@
 /// How long a worker that the registry no longer has is kept, while nothing runs there.
 const FORGET: Millis = Millis(10_000);
 
+/// Workers whose registration lapsed with the store are back within this time of its return.
+const REGISTRY_RETURN: Millis = Millis(2_500);
+
 /// `Count` is what a lead did, for metrics.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
 pub struct Count {
@@ -46,6 +49,15 @@
     pub preemptions: u64,
 }
 
+/// `Origin` tells where a job comes from.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Origin<'a> {
+    /// It was handed in during the term.
+    New,
+    /// It was there before the term, with what the store recorded of it.
+    Loaded(Option<&'a Record>),
+}
+
 /// `Note` is one decision, for the log.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct Note {
@@ -80,6 +92,8 @@
     next_pass: Millis,
     /// Whether starts may be ordered before the store has them.
     unrecorded: bool,
+    /// Whether an earlier lead may have given starts that the store does not have.
+    doubtful: bool,
     /// Whether another lead has given orders.
     deposed: bool,
     speeds: Speeds,
@@ -158,6 +172,7 @@
             unscheduled: true,
             next_pass: now,
             unrecorded: false,
+            doubtful: false,
             deposed: false,
             speeds: Speeds::default(),
             actions: Vec::new(),
@@ -225,14 +240,35 @@
         self.unrecorded = allowed;
     }
 
-    /// Takes in a job that the store has, with what the store recorded of it.
+    /// Notes that an earlier lead may have given starts that the store does not have.
+    ///
+    /// Tasks of the jobs of that time are then started only once all workers have reported, or have
+    /// been silent for so long that nothing runs there any more.
+    pub fn doubt_records(&mut self) {
+        self.doubtful = true;
+    }
+
+    /// Tells whether a task of the earlier lead's time may run where it is not recorded.
+    fn is_doubtful(&self, job: &Job, now: Millis) -> bool {
+        self.doubtful && job.loaded && now < self.unknown_lapse() && !self.all_have_reported(now)
+    }
+
+    fn all_have_reported(&self, now: Millis) -> bool {
+        now.since(self.since) >= REGISTRY_RETURN
+            && self
+                .workers
+                .iter()
+                .all(|worker| worker.listed || (!worker.present && worker.runs.is_empty()))
+    }
+
+    /// Takes in a job that the store has.
     ///
     /// `wall` is the time in milliseconds since 1970 at `now`.
     pub fn accept(
         &mut self,
         id: id::Job,
         spec: Arc<work::Job>,
-        record: Option<&Record>,
+        origin: Origin<'_>,
         wall: u64,
         now: Millis,
     ) {
@@ -240,8 +276,11 @@
             return;
         };
         let mut job = Box::new(Job::new(id, spec, wall, now));
-        if let Some(record) = record {
-            job.restore(record, now);
+        if let Origin::Loaded(record) = origin {
+            job.loaded = true;
+            if let Some(record) = record {
+                job.restore(record, now);
+            }
         }
         let placed = if job.phase.is_over() {
             Vec::new()
--- a/crates/marigoldpick-job/src/lead/report.rs
+++ b/crates/marigoldpick-job/src/lead/report.rs
@@ -94,10 +94,17 @@
                 worker.read_clock(reply.clock, &settings, now);
                 let is_back = worker.silent > 0 || !worker.listed;
                 self.unscheduled |= is_back;
+                if !worker.listed {
+                    worker.note_fenced(&settings, now);
+                }
                 worker.silent = 0;
                 worker.listed = true;
                 worker.acknowledged = worker.acknowledged.max(seen);
-                worker.next_hold = if is_back { now } else { now + settings.hold_gap };
+                worker.next_hold = if is_back {
+                    now
+                } else {
+                    now + settings.hold_gap
+                };
                 if let Some(report) = reply.report {
                     self.read(at, report, sent, now);
                 }
--- a/crates/marigoldpick-job/src/lead/schedule.rs
+++ b/crates/marigoldpick-job/src/lead/schedule.rs
@@ -41,7 +41,7 @@
     fn open_parts(&self, now: Millis) -> Vec<Open> {
         let mut open = Vec::new();
         for job in &self.jobs {
-            if job.phase.is_over() {
+            if job.phase.is_over() || self.is_doubtful(job, now) {
                 continue;
             }
             let Some(queue) = self.queue(&job.spec.queue) else {
--- a/crates/marigoldpick-job/src/worker.rs
+++ b/crates/marigoldpick-job/src/worker.rs
@@ -76,6 +76,8 @@
     pub until: Millis,
     /// When all that it ran has ended, if no order reaches it any more.
     pub lapse: Millis,
+    /// When what an earlier lead's lease kept alive has ended.
+    inherited: Millis,
     /// What its runs take.
     pub used: Amount,
     /// Its runs, sorted by task and run.
@@ -109,6 +111,7 @@
             clock: None,
             until: Millis::ZERO,
             lapse,
+            inherited: lapse,
             used: Amount::default(),
             runs: Vec::new(),
             seen: 0,
@@ -152,9 +155,17 @@
         self.note_lapse(settings);
     }
 
+    /// Notes its first report of a term: no earlier lead can renew its lease any more.
+    pub fn note_fenced(&mut self, settings: &Settings, now: Millis) {
+        let longest = now + settings.stretched(settings.lease);
+        self.inherited = self.inherited.min(longest);
+        self.note_lapse(settings);
+    }
+
     fn note_lapse(&mut self, settings: &Settings) {
         if let Some((clock, at)) = self.clock {
-            self.lapse = at + settings.stretched(self.until.since(clock));
+            let own = at + settings.stretched(self.until.since(clock));
+            self.lapse = own.max(self.inherited);
         }
     }
 
--- a/crates/marigoldpick-job/tests/lead/faults.rs
+++ b/crates/marigoldpick-job/tests/lead/faults.rs
@@ -55,7 +55,9 @@
     };
     world.submit(1, job(vec![lasting]));
     world.run(300);
-    let lost = (0..2).find(|at| world.runs_on(*at) > 0).expect("a worker in use");
+    let lost = (0..2)
+        .find(|at| world.runs_on(*at) > 0)
+        .expect("a worker in use");
     world.workers[lost].up = false;
     world.run(12_000);
     expect_that!(world.running().len(), eq(4));
@@ -157,3 +159,22 @@
         expect_that!(world.phase(&id), some(eq(Phase::Completed)));
     }
 }
+
+#[googletest::test]
+fn take_over_frees_nothing_while_only_holds_are_lost() {
+    let mut world = World::new(2);
+    world.submit(1, job(vec![step(4, 20_000, 3_000)]));
+    world.run(300);
+    let cancelled = world.submit(2, job(vec![step(1, 1_000, 3_000)]));
+    world.run(300);
+    world.take_over();
+    world.run(5);
+    world.holds_lost = true;
+    // The answer to the stop tells the worker's clock before any report does.
+    world.cancel(&cancelled);
+    world.run(2_000);
+    world.holds_lost = false;
+    world.run(6_000);
+    expect_that!(world.done.len(), eq(4));
+    expect_that!(world.broken, is_empty());
+}
--- a/crates/marigoldpick-job/tests/lead/world.rs
+++ b/crates/marigoldpick-job/tests/lead/world.rs
@@ -11,6 +11,7 @@
 };
 use marigoldpick_core::work::{Job, Part, Phase, Schedule, Step, Task};
 use marigoldpick_job::action::Action;
+use marigoldpick_job::lead::Origin;
 use marigoldpick_job::lead::commit::Outcome;
 use marigoldpick_job::queue::Policy;
 use marigoldpick_job::record::Record;
@@ -143,6 +144,8 @@
     pub store_up: bool,
     /// The share of starts in a hundred that get no answer and are carried out late.
     pub late_percent: u32,
+    /// Whether holds get no answer and are never carried out.
+    pub holds_lost: bool,
     /// Runs that were really started: task, run, worker, when.
     pub started: Vec<(Task, u64, usize, Millis)>,
     pub done: BTreeSet<Task>,
@@ -172,6 +175,7 @@
             fates: BTreeMap::new(),
             store_up: true,
             late_percent: 0,
+            holds_lost: false,
             started: Vec::new(),
             done: BTreeSet::new(),
             noted: BTreeSet::new(),
@@ -202,8 +206,9 @@
             let record = self.records.get(id);
             let record = record.map(|text| Record::parse(text).expect("a record"));
             let wall = WALL + self.now.0;
+            let origin = Origin::Loaded(record.as_ref());
             self.lead
-                .accept(id.clone(), Arc::clone(job), record.as_ref(), wall, self.now);
+                .accept(id.clone(), Arc::clone(job), origin, wall, self.now);
         }
         for id in &self.cancels {
             self.lead.cancel(id, self.now);
@@ -218,7 +223,7 @@
         let job = Arc::new(job);
         self.jobs.insert(id.clone(), Arc::clone(&job));
         self.lead
-            .accept(id.clone(), job, None, WALL + self.now.0, self.now);
+            .accept(id.clone(), job, Origin::New, WALL + self.now.0, self.now);
         id
     }
 
@@ -267,7 +272,10 @@
     }
 
     fn draw(&mut self) -> u32 {
-        self.draws = self.draws.wrapping_mul(6_364_136_223_846_793_005).wrapping_add(1);
+        self.draws = self
+            .draws
+            .wrapping_mul(6_364_136_223_846_793_005)
+            .wrapping_add(1);
         (self.draws >> 33) as u32 % 100
     }
 
@@ -277,12 +285,17 @@
                 let at = self.workers.iter().position(|w| w.node.id == target.id);
                 let Some(at) = at else { return };
                 let is_start = matches!(order, Order::Start(_));
-                let unheard = Message::Answer(target.id, order.clone(), Err(Fault::Unknown), self.now);
-                if self.workers[at].cut || !self.workers[at].up {
+                let unheard =
+                    Message::Answer(target.id, order.clone(), Err(Fault::Unknown), self.now);
+                let lost = self.holds_lost && matches!(order, Order::Hold { .. });
+                if self.workers[at].cut || !self.workers[at].up || lost {
                     self.send(PATIENCE, unheard);
                 } else if is_start && self.draw() < self.late_percent {
                     self.send(PATIENCE, unheard);
-                    self.send(Millis(3_000), Message::Order(at, self.lead.term(), order, Millis::ZERO));
+                    self.send(
+                        Millis(3_000),
+                        Message::Order(at, self.lead.term(), order, Millis::ZERO),
+                    );
                 } else {
                     self.send(WAY, Message::Order(at, self.lead.term(), order, self.now));
                 }
@@ -415,7 +428,10 @@
                 let worker = &mut self.workers[at];
                 let floor = worker.floor.entry(task.clone()).or_default();
                 *floor = (*floor).max(*run);
-                let live = worker.live.iter_mut().find(|l| l.task == *task && l.run == *run);
+                let live = worker
+                    .live
+                    .iter_mut()
+                    .find(|l| l.task == *task && l.run == *run);
                 if let Some(live) = live
                     && !live.stopping
                 {
@@ -453,22 +469,38 @@
 
     fn start(&mut self, at: usize, start: &Start) -> Result<(), Fault> {
         let task = &start.task;
-        let job = Arc::clone(self.jobs.get(&task.part.job).expect("a job that was handed in"));
+        let job = Arc::clone(
+            self.jobs
+                .get(&task.part.job)
+                .expect("a job that was handed in"),
+        );
         let step = job.steps[task.part.step as usize].clone();
         let fate = self.fates.get(&task.part.job).copied();
         let worker = &self.workers[at];
-        if worker.floor.get(task).is_some_and(|floor| *floor >= start.run) {
+        if worker
+            .floor
+            .get(task)
+            .is_some_and(|floor| *floor >= start.run)
+        {
             return Err(Fault::Old);
         }
         if start.until < self.now {
             return Err(Fault::Late);
         }
-        if worker.live.iter().any(|l| l.task == *task && l.run == start.run) {
+        if worker
+            .live
+            .iter()
+            .any(|l| l.task == *task && l.run == start.run)
+        {
             return Ok(());
         }
         self.judge_start(at, start, &job, &step);
         let failing = fate == Some(Fate::Fails) || self.workers[at].failing;
-        let span = if step.lasting { Millis(1 << 40) } else { step.estimate };
+        let span = if step.lasting {
+            Millis(1 << 40)
+        } else {
+            step.estimate
+        };
         let most = self.now + self.settings.lease;
         let worker = &mut self.workers[at];
         worker.lease = worker.lease.max(start.until.min(most));
@@ -488,7 +520,10 @@
     fn judge_start(&mut self, at: usize, start: &Start, job: &Job, step: &Step) {
         let task = &start.task;
         let mut used = step.claim();
-        self.workers[at].live.iter().for_each(|live| used.add(&live.claim));
+        self.workers[at]
+            .live
+            .iter()
+            .for_each(|live| used.add(&live.claim));
         if !self.workers[at].node.capacity.holds(&used) {
             self.broken.push(format!("{task}: no room on {at}"));
         }
@@ -500,7 +535,8 @@
             self.broken.push(format!("{task}: runs twice"));
         }
         if self.noted.contains(task) {
-            self.broken.push(format!("{task}: started after its end was noted"));
+            self.broken
+                .push(format!("{task}: started after its end was noted"));
         }
         for before in &step.after {
             let part = Part {
--- a/crates/marigoldpick-node/src/control.rs
+++ b/crates/marigoldpick-node/src/control.rs
@@ -6,7 +6,7 @@
 use std::sync::atomic::Ordering;
 use std::time::{SystemTime, UNIX_EPOCH};
 
-use async_channel::Receiver;
+use async_channel::{Receiver, Sender};
 use async_std::task;
 use marigoldpick_core::clock::System;
 use marigoldpick_core::control::Known;
@@ -17,6 +17,7 @@
 
 use crate::driver::Leading;
 use crate::face::{Ask, Shared};
+use crate::health::Others;
 use crate::platform::{Platform, Source};
 use crate::settings::Settings;
 
@@ -24,8 +25,6 @@
 const CONFIG_WAIT: Millis = Millis(20_000);
 /// The wait after a look at the configuration that failed.
 const CONFIG_RETRY: Millis = Millis(200);
-/// How long the store counts as reached after its last answer.
-const STORE_FRESH: Millis = Millis(1_500);
 
 /// `Control` is the state of the control thread.
 pub(crate) struct Control<P: Platform> {
@@ -40,9 +39,15 @@
     pub(crate) leading: RefCell<Option<Rc<Leading>>>,
     /// The other entries that were seen last.
     pub(crate) peers: RefCell<Vec<Known>>,
-    /// When the store answered last, and when it failed to.
-    store_answered: Cell<Millis>,
-    store_failed: Cell<Millis>,
+    /// What the other entries said while this one did not reach the store.
+    pub(crate) others: RefCell<Others>,
+    /// Whether the store answered last time it was called.
+    store_answers: Cell<bool>,
+    /// When that changed.
+    store_changed: Cell<Option<Millis>>,
+    /// Asks the election to stand although there is a lead, which wants to be succeeded.
+    pub(crate) succeed: Sender<()>,
+    pub(crate) succession: Receiver<()>,
 }
 
 impl<P: Platform> Control<P> {
@@ -52,6 +57,7 @@
         client: wire::Client,
         shared: Arc<Shared>,
     ) -> Rc<Self> {
+        let (succeed, succession) = async_channel::bounded(1);
         Rc::new(Self {
             platform,
             settings,
@@ -61,8 +67,11 @@
             lead: RefCell::default(),
             leading: RefCell::default(),
             peers: RefCell::default(),
-            store_answered: Cell::default(),
-            store_failed: Cell::default(),
+            others: RefCell::default(),
+            store_answers: Cell::new(true),
+            store_changed: Cell::default(),
+            succeed,
+            succession,
         })
     }
 
@@ -91,34 +100,44 @@
     }
 
     /// Calls the store and notes whether it answers.
-    pub(crate) async fn store(&self, call: Call) -> Result<Answer, Fault> {
+    pub(crate) async fn store(self: &Rc<Self>, call: Call) -> Result<Answer, Fault> {
         let answer = self.platform.store().call(call).await;
-        self.note_store(answer.is_ok());
+        self.note_store(answer.as_ref().err().copied());
         answer
     }
 
-    fn note_store(&self, answered: bool) {
-        let before = self.reaches_store();
-        if answered {
-            self.store_answered.set(self.now());
-        } else {
-            self.store_failed.set(self.now());
+    fn note_store(self: &Rc<Self>, fault: Option<Fault>) {
+        // A rate that is used up for a moment is no outage.
+        let answers = match fault {
+            None | Some(Fault::Overloaded | Fault::Invalid) => true,
+            Some(Fault::Away | Fault::Unknown) => false,
+        };
+        if answers {
+            self.shared.connected.store(true, Ordering::SeqCst);
         }
-        let after = self.reaches_store();
-        if before != after {
-            log::info!(target: "store", "event=store-{}", if after { "regained" } else { "lost" });
+        if answers == self.store_answers.get() {
+            return;
         }
-        if answered {
-            self.shared.connected.store(true, Ordering::SeqCst);
+        self.store_answers.set(answers);
+        let before = self.store_age();
+        self.store_changed.set(Some(self.now()));
+        if answers {
+            log::info!(target: "store", "event=store-regained after_ms={}", before.0);
+        } else {
+            log::warn!(target: "store", "event=store-lost after_ms={}", before.0);
+            task::spawn_local(Rc::clone(self).probe());
         }
     }
 
-    /// Tells whether the store answered after it last failed to.
+    /// Tells whether the store answered last time.
     pub(crate) fn reaches_store(&self) -> bool {
-        let answered = self.store_answered.get();
-        answered > Millis::ZERO
-            && (self.store_failed.get() <= answered
-                || self.store_failed.get().since(answered) < STORE_FRESH)
+        self.store_answers.get()
+    }
+
+    /// Returns how long the store has answered, or has not.
+    pub(crate) fn store_age(&self) -> Millis {
+        let changed = self.store_changed.get();
+        changed.map_or(Millis::MAX, |at| self.now().since(at))
     }
 
     /// Tells whether this entry leads.
@@ -149,14 +168,14 @@
             };
             match self.platform.source().follow(revision, wait).await {
                 Ok(news) => {
-                    self.note_store(true);
+                    self.note_store(None);
                     revision = news.revision;
                     if let Some(config) = news.config {
                         self.adopt(config);
                     }
                 }
                 Err(fault) => {
-                    self.note_store(false);
+                    self.note_store(Some(fault));
                     log::debug!(target: "node", "event=config-unread why={fault}");
                     task::sleep(CONFIG_RETRY.duration()).await;
                 }
--- a/crates/marigoldpick-node/src/desk.rs
+++ b/crates/marigoldpick-node/src/desk.rs
@@ -19,6 +19,9 @@
 use crate::keys;
 use crate::platform::Platform;
 
+/// The wait before a write that was not carried out is tried again.
+const RETRY: Millis = Millis(30);
+
 impl<P: Platform> Control<P> {
     pub(crate) async fn serve(self: Rc<Self>, ask: Ask) {
         // A caller that has gone needs no answer.
@@ -45,7 +48,7 @@
         }
     }
 
-    async fn peer_call(&self, call: peer::Call) -> Result<peer::Answer, Code> {
+    async fn peer_call(self: &Rc<Self>, call: peer::Call) -> Result<peer::Answer, Code> {
         Ok(match call {
             peer::Call::Advise {
                 part,
@@ -71,6 +74,15 @@
                 peer::Answer::Receipt(self.submit(&job, &spec, false).await)
             }
             peer::Call::Cancel { job, .. } => peer::Answer::Receipt(self.cancel(&job, false).await),
+            peer::Call::Succeed => {
+                log::info!(target: "node", "event=succession-asked");
+                // A full channel means that it was asked already.
+                let _is_asked = self.succeed.try_send(());
+                peer::Answer::Pong {
+                    term: 0,
+                    store: self.reaches_store(),
+                }
+            }
             peer::Call::Ping => peer::Answer::Pong {
                 term: self.leads().map_or(0, |leading| leading.term()),
                 store: self.reaches_store(),
@@ -79,7 +91,7 @@
     }
 
     /// Stores a job; where the store is not reached, through another entry if that is allowed.
-    async fn submit(&self, id: &id::Job, job: &Arc<Job>, relay: bool) -> Receipt {
+    async fn submit(self: &Rc<Self>, id: &id::Job, job: &Arc<Job>, relay: bool) -> Receipt {
         let value = serde_json::to_string(&**job).expect("a job is plain JSON");
         let own = self.store_once(keys::job(id), value).await;
         if !relay || matches!(own, Receipt::Stored) {
@@ -93,7 +105,7 @@
         merge(own, self.relay(call).await)
     }
 
-    async fn cancel(&self, id: &id::Job, relay: bool) -> Receipt {
+    async fn cancel(self: &Rc<Self>, id: &id::Job, relay: bool) -> Receipt {
         match self.phase(id).await {
             Ok(None) => return Receipt::Absent,
             Ok(Some(phase)) if phase.is_over() => return Receipt::Stored,
@@ -114,7 +126,7 @@
 
     /// Has another entry store something.
     async fn relay(&self, call: peer::Call) -> Receipt {
-        let Some(peer) = self.other_entry() else {
+        let Some(peer) = self.relay_entry() else {
             return Receipt::Refused;
         };
         let limit = self.settings.store_limit + self.settings.lead_limit;
@@ -125,16 +137,14 @@
         }
     }
 
-    /// Returns the lead, or else any other entry.
-    fn other_entry(&self) -> Option<Known> {
-        let lead = self.lead.borrow().clone();
-        let is_other = |known: &Known| known.entry != self.settings.entry;
-        lead.filter(is_other)
-            .or_else(|| self.peers.borrow().choose(&mut rand::rng()).cloned())
+    /// Returns an entry that reaches the store.
+    fn relay_entry(&self) -> Option<Known> {
+        let others = self.others.borrow();
+        others.reaching.choose(&mut rand::rng()).cloned()
     }
 
     /// Writes a key that is not there yet; one that is there counts as written.
-    async fn store_once(&self, key: String, value: String) -> Receipt {
+    async fn store_once(self: &Rc<Self>, key: String, value: String) -> Receipt {
         let call = Call::Commit {
             expect: vec![Condition {
                 key: key.clone(),
@@ -147,30 +157,25 @@
             }],
             deletes: Vec::new(),
         };
-        let mut lost = false;
+        let mut receipt = Receipt::Refused;
         let limit = self.settings.store_limit;
         let end = self.now() + limit;
-        loop {
+        // A store that is known to be away is not tried: the caller is told at once.
+        while self.reaches_store() && self.now() + RETRY < end {
             let left = end.since(self.now());
             let answer = timeout(left.duration(), self.store(call.clone())).await;
             match answer.unwrap_or(Err(Fault::Unknown)) {
                 Ok(Answer::Written(_) | Answer::Rivals(_)) => return Receipt::Stored,
-                Ok(_) | Err(Fault::Unknown) => lost = true,
+                Ok(_) | Err(Fault::Unknown) => receipt = Receipt::Unknown,
                 Err(Fault::Away | Fault::Overloaded | Fault::Invalid) => {}
             }
-            if self.now() + Millis(50) >= end {
-                return if lost {
-                    Receipt::Unknown
-                } else {
-                    Receipt::Refused
-                };
-            }
-            async_std::task::sleep(Millis(30).duration()).await;
+            async_std::task::sleep(RETRY.duration()).await;
         }
+        receipt
     }
 
     /// Asks the lead how a job stands, or reads the store.
-    async fn phase(&self, id: &id::Job) -> Result<Option<Phase>, Code> {
+    async fn phase(self: &Rc<Self>, id: &id::Job) -> Result<Option<Phase>, Code> {
         let told = match self.leads() {
             Some(leading) => leading.look(|lead| lead.phase(id)),
             None => match self.ask_lead(peer::Call::Phase(id.clone())).await {
@@ -185,7 +190,7 @@
     }
 
     /// Reads from the store how a job stands.
-    async fn read_phase(&self, id: &id::Job) -> Result<Option<Phase>, Fault> {
+    async fn read_phase(self: &Rc<Self>, id: &id::Job) -> Result<Option<Phase>, Fault> {
         let key = keys::record(id);
         if let Answer::Item(Some(item)) = self.store(Call::Get { key }).await? {
             return match Record::parse(&item.value) {
--- a/crates/marigoldpick-node/src/driver.rs
+++ b/crates/marigoldpick-node/src/driver.rs
@@ -14,12 +14,14 @@
 use marigoldpick_core::work::{self, Part, peer};
 use marigoldpick_job::Lead;
 use marigoldpick_job::action::{Action, Batch};
+use marigoldpick_job::lead::Origin;
 use marigoldpick_job::lead::commit::Outcome;
 use marigoldpick_job::record::Record;
 
 use crate::config::Config;
 use crate::control::Control;
 use crate::election::Head;
+use crate::health::Others;
 use crate::keys;
 use crate::platform::{Platform, Registry};
 use crate::settings::Settings;
@@ -32,6 +34,10 @@
 const INBOX_GAP: Millis = Millis(15);
 /// The wait after a call to the store that failed.
 const RETRY: Millis = Millis(150);
+/// How long the store has to be lost before a lead draws a conclusion.
+const PATIENCE: Millis = Millis(300);
+/// The longest time for the question to succeed.
+const SUCCEED: Millis = Millis(300);
 /// How long a worker that the registry lost in an outage of the store is kept: entries of living
 /// workers are back within two seconds of its return.
 const REGISTRY_GRACE: Millis = Millis(2_500);
@@ -40,8 +46,8 @@
 pub(crate) struct Leading {
     lead: RefCell<Lead>,
     term: u64,
-    holder: String,
-    pub(crate) lease: u64,
+    pub(crate) holder: String,
+    pub(crate) lease: Cell<u64>,
     /// When the term was last confirmed.
     confirmed: Cell<Millis>,
     /// The revision of the chain's key after this lead's last write.
@@ -66,7 +72,7 @@
             lead: RefCell::new(Lead::new(settings.job, term, now)),
             term,
             holder,
-            lease,
+            lease: Cell::new(lease),
             confirmed: Cell::new(confirmed),
             chain: Cell::new(term),
             number: Cell::new(0),
@@ -80,6 +86,15 @@
         self.term
     }
 
+    /// Returns the revision of the chain's key after this lead's last write.
+    pub(crate) fn chain(&self) -> u64 {
+        self.chain.get()
+    }
+
+    pub(crate) fn set_chain(&self, revision: u64) {
+        self.chain.set(self.chain.get().max(revision));
+    }
+
     pub(crate) fn is_over(&self) -> bool {
         self.over.get().is_some()
     }
@@ -235,6 +250,37 @@
         }
     }
 
+    /// Lets the lead act on what the other entries say while it does not reach the store.
+    ///
+    /// Where others reach it, one of them leads from now on. Where most entries live and none
+    /// reaches it, nobody can take over, and work goes on without records.
+    pub(crate) fn advise_lead(self: &Rc<Self>, leading: &Rc<Leading>, others: &Others) {
+        if self.store_age() < PATIENCE {
+            return;
+        }
+        if let Some(successor) = others.reaching.first() {
+            let (this, leading, successor) =
+                (Rc::clone(self), Rc::clone(leading), successor.clone());
+            task::spawn_local(async move {
+                let asked = this.call(&successor, peer::Call::Succeed, SUCCEED).await;
+                log::info!(
+                    target: "node",
+                    "event=lead-offered term={} to={} answered={}",
+                    leading.term, successor.entry, asked.is_ok()
+                );
+                if asked.is_ok() {
+                    leading.depose("store-lost-here");
+                }
+            });
+            return;
+        }
+        let alone = others.most_are_cut_off();
+        if alone {
+            leading.confirm(self.now());
+        }
+        leading.change(|lead| lead.allow_unrecorded(alone));
+    }
+
     /// Returns how another entry is reached.
     pub(crate) fn peer(&self, entry: &id::Entry) -> Option<Known> {
         let peers = self.peers.borrow();
@@ -273,7 +319,7 @@
         let sent = self.now();
         let outcome = match self.store(call).await {
             Ok(Answer::Written(revision)) => {
-                leading.chain.set(revision);
+                leading.set_chain(revision);
                 leading.confirm(sent);
                 Outcome::Stored
             }
@@ -285,7 +331,7 @@
     }
 
     /// Reads all that was handed in and what became of it; returns the revision to go on from.
-    async fn load(&self, leading: &Leading) -> Option<u64> {
+    async fn load(self: &Rc<Self>, leading: &Leading) -> Option<u64> {
         loop {
             if leading.is_over() {
                 return None;
@@ -300,7 +346,7 @@
         }
     }
 
-    async fn load_once(&self, leading: &Leading) -> Result<u64, Fault> {
+    async fn load_once(self: &Rc<Self>, leading: &Leading) -> Result<u64, Fault> {
         let (inbox, revision) = self.range(keys::INBOX).await?;
         let (records, _) = self.range(keys::RECORDS).await?;
         let count = inbox.len();
@@ -310,7 +356,7 @@
     }
 
     /// Reads all keys with a prefix, sorted, and the revision before the first page.
-    async fn range(&self, prefix: &str) -> Result<(Vec<Item>, u64), Fault> {
+    async fn range(self: &Rc<Self>, prefix: &str) -> Result<(Vec<Item>, u64), Fault> {
         let mut all: Vec<Item> = Vec::new();
         let mut first = None;
         loop {
@@ -345,15 +391,15 @@
                 let at = records.binary_search_by(|have| have.key.cmp(&key)).ok()?;
                 read_record(&records[at])
             });
-            self.take_in(leading, item, record.as_ref());
+            self.take_in(leading, item, Origin::Loaded(record.as_ref()));
         }
         for item in inbox.iter().filter(is_cancel) {
-            self.take_in(leading, item, None);
+            self.take_in(leading, item, Origin::New);
         }
     }
 
     /// Takes in a key of the inbox.
-    fn take_in(&self, leading: &Leading, item: &Item, record: Option<&Record>) {
+    fn take_in(&self, leading: &Leading, item: &Item, origin: Origin<'_>) {
         let (now, wall) = (self.now(), self.wall());
         if let Some(id) = item.key.strip_prefix(keys::JOBS) {
             match (
@@ -362,7 +408,7 @@
             ) {
                 (Ok(id), Ok(job)) => {
                     let job = Arc::new(job);
-                    leading.change(|lead| lead.accept(id, job, record, wall, now));
+                    leading.change(|lead| lead.accept(id, job, origin, wall, now));
                 }
                 (_, Err(error)) => {
                     log::error!(target: "node", "event=job-unread key={} why={error}", item.key);
@@ -394,7 +440,7 @@
                     revision = now;
                     for change in &changes {
                         if let Change::Written(item) = change {
-                            self.take_in(&leading, item, None);
+                            self.take_in(&leading, item, Origin::New);
                         }
                     }
                     task::sleep(INBOX_GAP.duration()).await;
@@ -452,7 +498,7 @@
     match own {
         // An earlier commit whose answer was lost was carried out.
         Some(item) => {
-            leading.chain.set(item.revision);
+            leading.set_chain(item.revision);
             Outcome::Retry
         }
         None => Outcome::Deposed,
--- a/crates/marigoldpick-node/src/election.rs
+++ b/crates/marigoldpick-node/src/election.rs
@@ -3,9 +3,11 @@
 use std::rc::Rc;
 
 use async_std::task;
+use futures::future::{Either, select};
 use marigoldpick_core::control::Known;
 use marigoldpick_core::prelude::*;
 use marigoldpick_core::store::{Answer, Call, Change, Condition, Expect, Fault, Item, Write};
+use marigoldpick_core::work::peer;
 use rand::Rng;
 use serde::{Deserialize, Serialize};
 
@@ -20,6 +22,13 @@
 const RETRY: Millis = Millis(150);
 /// The most that an entry waits before it stands for the lead, so that not all do at once.
 const JITTER: u64 = 60;
+/// After an outage of the store, an earlier lead may for this long have starts that it has not
+/// recorded yet.
+const OUTAGE_MEMORY: Millis = Millis(10_000);
+/// The longest time for a probe of the earlier lead.
+const PING: Millis = Millis(200);
+/// How long a living lead has to claim its key again.
+const YIELD: Millis = Millis(600);
 /// Renewals of the lead's lease in its time.
 const RENEWALS: u64 = 4;
 
@@ -67,6 +76,7 @@
             self.note_lead(Some(item));
             return self.await_vacancy(revision).await;
         }
+        self.yield_to_earlier_lead().await;
         self.note_lead(None);
         if self.is_draining() {
             task::sleep(RETRY.duration()).await;
@@ -76,7 +86,21 @@
             let jitter = rand::rng().random_range(0..=JITTER);
             task::sleep(Millis(jitter).duration()).await;
         }
-        self.stand().await
+        self.stand(false).await
+    }
+
+    /// Gives a lead whose lease lapsed with the store the time to claim it again.
+    async fn yield_to_earlier_lead(&self) {
+        let Some(lead) = self.lead.borrow().clone() else {
+            return;
+        };
+        if lead.entry == self.settings.entry {
+            return;
+        }
+        let pong = self.call(&lead, peer::Call::Ping, PING).await;
+        if matches!(pong, Ok(peer::Answer::Pong { term, store: true }) if term > 0) {
+            task::sleep(YIELD.duration()).await;
+        }
     }
 
     fn is_draining(&self) -> bool {
@@ -84,15 +108,20 @@
         draining.load(std::sync::atomic::Ordering::SeqCst)
     }
 
-    /// Waits until the lead's key changes after `revision`.
-    async fn await_vacancy(&self, mut revision: u64) -> Result<(), Fault> {
+    /// Waits until the lead's key changes after `revision`, or this entry is asked to succeed.
+    async fn await_vacancy(self: &Rc<Self>, mut revision: u64) -> Result<(), Fault> {
         loop {
             let follow = Call::Follow {
                 prefix: keys::LEAD.to_owned(),
                 revision,
                 wait: WAIT,
             };
-            match self.store(follow).await? {
+            let asked = std::pin::pin!(self.succession.recv());
+            let news = match select(std::pin::pin!(self.store(follow)), asked).await {
+                Either::Left((news, _)) => news?,
+                Either::Right(_) => return self.stand(true).await,
+            };
+            match news {
                 Answer::Changes {
                     changes,
                     revision: now,
@@ -127,11 +156,18 @@
     }
 
     /// Tries to become the lead, and leads until the term ends.
-    async fn stand(self: &Rc<Self>) -> Result<(), Fault> {
+    ///
+    /// With `succeeds` also while the earlier lead's key is there, since that lead asked for it.
+    async fn stand(self: &Rc<Self>, succeeds: bool) -> Result<(), Fault> {
         let key = keys::CHAIN.to_owned();
         let Answer::Item(chain) = self.store(Call::Get { key }).await? else {
             return Err(Fault::Unknown);
         };
+        let expect = if succeeds {
+            Expect::Any
+        } else {
+            Expect::Absent
+        };
         let span = self.settings.lead_lease;
         let Answer::Lease(lease) = self.store(Call::Grant { span }).await? else {
             return Err(Fault::Unknown);
@@ -142,7 +178,8 @@
             self.settings.entry,
             rand::rng().random::<u64>()
         );
-        let commit = self.claim(&holder, chain.as_ref(), lease);
+        let chain = chain.map_or(Expect::Absent, |item| Expect::Revision(item.revision));
+        let commit = self.claim(&holder, expect, chain, lease);
         let term = match self.store(commit).await {
             Ok(Answer::Written(term)) => term,
             Ok(_) => return Ok(()),
@@ -154,7 +191,12 @@
         };
         log::info!(target: "node", "event=lead-taken term={term}");
         *self.lead.borrow_mut() = Some(self.own());
-        let leading = Leading::new(&self.settings, term, holder, lease, confirmed, self.now());
+        let now = self.now();
+        let unsure = self.store_age() < OUTAGE_MEMORY;
+        let leading = Leading::new(&self.settings, term, holder, lease, confirmed, now);
+        if unsure {
+            leading.change(|lead| lead.doubt_records());
+        }
         let leading = Rc::new(leading);
         task::spawn_local(Rc::clone(self).renew_term(Rc::clone(&leading)));
         let outcome = self.drive(&leading).await;
@@ -165,7 +207,7 @@
         Ok(())
     }
 
-    fn claim(&self, holder: &str, chain: Option<&Item>, lease: u64) -> Call {
+    fn claim(&self, holder: &str, lead: Expect, chain: Expect, lease: u64) -> Call {
         let claim = Claim {
             holder: holder.to_owned(),
             known: self.own(),
@@ -178,11 +220,11 @@
             expect: vec![
                 Condition {
                     key: keys::LEAD.to_owned(),
-                    expect: Expect::Absent,
+                    expect: lead,
                 },
                 Condition {
                     key: keys::CHAIN.to_owned(),
-                    expect: chain.map_or(Expect::Absent, |item| Expect::Revision(item.revision)),
+                    expect: chain,
                 },
             ],
             puts: vec![
@@ -202,7 +244,7 @@
     }
 
     /// Looks whether a claim whose answer was lost has been stored.
-    async fn find_claim(&self, holder: &str) -> Result<Option<u64>, Fault> {
+    async fn find_claim(self: &Rc<Self>, holder: &str) -> Result<Option<u64>, Fault> {
         let key = keys::LEAD.to_owned();
         let Answer::Item(item) = self.store(Call::Get { key }).await? else {
             return Err(Fault::Unknown);
@@ -213,19 +255,47 @@
         }))
     }
 
+    /// Claims the lead's key again after its lease has ended, unless another has led since.
+    ///
+    /// The term and the state go on: the chain has not moved.
+    async fn reclaim(self: &Rc<Self>, leading: &Rc<Leading>) {
+        let span = self.settings.lead_lease;
+        let sent = self.now();
+        let Ok(Answer::Lease(lease)) = self.store(Call::Grant { span }).await else {
+            return;
+        };
+        let chain = Expect::Revision(leading.chain());
+        let commit = self.claim(&leading.holder, Expect::Absent, chain, lease);
+        match self.store(commit).await {
+            Ok(Answer::Written(revision)) => {
+                log::info!(target: "node", "event=lead-reclaimed term={}", leading.term());
+                leading.set_chain(revision);
+                leading.lease.set(lease);
+                leading.confirm(sent);
+            }
+            Ok(Answer::Rivals(items)) => {
+                let other = items.iter().any(|item| match item.key.as_str() {
+                    keys::LEAD => !item.value.contains(&leading.holder),
+                    keys::CHAIN => !item.value.contains(&leading.holder),
+                    _ => false,
+                });
+                if other {
+                    leading.depose("another-leads");
+                }
+            }
+            Ok(_) | Err(_) => {}
+        }
+    }
+
     /// Renews the lead's lease and notes when the term was last confirmed.
     async fn renew_term(self: Rc<Self>, leading: Rc<Leading>) {
         let pause = Millis(self.settings.lead_lease.0 / RENEWALS);
         while !leading.is_over() {
             let sent = self.now();
-            match self
-                .store(Call::Renew {
-                    lease: leading.lease,
-                })
-                .await
-            {
+            let lease = leading.lease.get();
+            match self.store(Call::Renew { lease }).await {
                 Ok(Answer::Lease(_)) => leading.confirm(sent),
-                Ok(_) => leading.depose("lease-gone"),
+                Ok(_) => self.reclaim(&leading).await,
                 Err(_) => {}
             }
             if self.now().since(leading.confirmed()) > self.settings.job.term_grace {
@@ -234,12 +304,8 @@
             task::sleep(pause.duration()).await;
         }
         // Others need not wait for the lease's end.
-        if let Err(fault) = self
-            .store(Call::Revoke {
-                lease: leading.lease,
-            })
-            .await
-        {
+        let lease = leading.lease.get();
+        if let Err(fault) = self.store(Call::Revoke { lease }).await {
             log::debug!(target: "node", "event=lead-key-left why={fault}");
         }
     }
--- /dev/null
+++ b/crates/marigoldpick-node/src/health.rs
@@ -0,0 +1,87 @@
+//! Whether the store answers this entry, and which other entries it answers.
+//!
+//! A request must not wait for a store that is known to be away: it is refused at once, or passed
+//! to an entry that reaches the store.
+
+use std::rc::Rc;
+
+use async_std::task;
+use futures::future::join_all;
+use marigoldpick_core::control::Known;
+use marigoldpick_core::prelude::*;
+use marigoldpick_core::store::Call;
+use marigoldpick_core::work::peer;
+use marigoldpick_wire as wire;
+
+use crate::control::Control;
+use crate::keys;
+use crate::platform::Platform;
+
+/// The pause between two probes of a store that does not answer.
+const PROBE: Millis = Millis(150);
+/// The longest time for a probe of another entry.
+const PING: Millis = Millis(300);
+
+/// `Others` is what the other entries say while this one does not reach the store.
+#[derive(Clone, Debug, Default)]
+pub(crate) struct Others {
+    /// Those that reach the store.
+    pub(crate) reaching: Vec<Known>,
+    /// How many answered that they don't.
+    pub(crate) cut_off: usize,
+    /// How many are known.
+    pub(crate) known: usize,
+}
+
+impl Others {
+    /// Tells whether most entries, this one counted, live and do not reach the store.
+    pub(crate) const fn most_are_cut_off(&self) -> bool {
+        self.reaching.is_empty() && 2 * (self.cut_off + 1) > self.known + 1
+    }
+}
+
+impl<P: Platform> Control<P> {
+    /// Probes the store until it answers again, and asks the other entries meanwhile.
+    pub(crate) async fn probe(self: Rc<Self>) {
+        while !self.reaches_store() {
+            let others = self.ask_others().await;
+            if let Some(leading) = self.leads() {
+                self.advise_lead(&leading, &others);
+            }
+            *self.others.borrow_mut() = others;
+            let call = Call::Range {
+                prefix: keys::LEAD.to_owned(),
+                after: String::new(),
+                stale: true,
+            };
+            // The outcome is noted by the call itself.
+            let _is_noted = self.store(call).await;
+            task::sleep(PROBE.duration()).await;
+        }
+        *self.others.borrow_mut() = Others::default();
+        if let Some(leading) = self.leads() {
+            leading.change(|lead| lead.allow_unrecorded(false));
+        }
+    }
+
+    async fn ask_others(&self) -> Others {
+        let peers = self.peers.borrow().clone();
+        let asked = peers
+            .iter()
+            .map(|known| self.call(known, peer::Call::Ping, PING));
+        let answers = join_all(asked).await;
+        let mut others = Others {
+            known: peers.len(),
+            ..Others::default()
+        };
+        for (known, answer) in peers.into_iter().zip(answers) {
+            match answer {
+                Ok(peer::Answer::Pong { store: true, .. }) => others.reaching.push(known),
+                Ok(peer::Answer::Pong { store: false, .. }) => others.cut_off += 1,
+                Ok(_) | Err(wire::Error::Away | wire::Error::Unknown | wire::Error::Refused(_)) => {
+                }
+            }
+        }
+        others
+    }
+}
--- a/crates/marigoldpick-node/src/lib.rs
+++ b/crates/marigoldpick-node/src/lib.rs
@@ -9,6 +9,7 @@
 mod driver;
 mod election;
 mod face;
+mod health;
 pub mod keys;
 mod members;
 pub mod platform;
--- a/crates/marigoldpick-node/src/members.rs
+++ b/crates/marigoldpick-node/src/members.rs
@@ -51,7 +51,9 @@
         }
     }
 
-    async fn write_registration(&self) -> Result<Answer, marigoldpick_core::store::Fault> {
+    async fn write_registration(
+        self: &Rc<Self>,
+    ) -> Result<Answer, marigoldpick_core::store::Fault> {
         let span = self.settings.entry_lease;
         let Answer::Lease(lease) = self.store(Call::Grant { span }).await? else {
             return Ok(Answer::Gone);
--- a/crates/marigoldpick-wire/schema/peer.capnp
+++ b/crates/marigoldpick-wire/schema/peer.capnp
@@ -237,6 +237,7 @@
       limit @11 :Millis;
     }
     ping @12 :Void;
+    succeed @13 :Void;
   }
 }
 
--- a/crates/marigoldpick-wire/src/convert/jobs.rs
+++ b/crates/marigoldpick-wire/src/convert/jobs.rs
@@ -42,6 +42,7 @@
             to.set_limit(limit.0);
         }
         Call::Ping => to.set_ping(()),
+        Call::Succeed => to.set_succeed(()),
     }
     Ok(())
 }
@@ -74,6 +75,7 @@
             limit: Millis(from.get_limit()),
         },
         Which::Ping(()) => Call::Ping,
+        Which::Succeed(()) => Call::Succeed,
     })
 }
 
--- a/crates/marigoldpick-wire/src/peer_capnp.rs
+++ b/crates/marigoldpick-wire/src/peer_capnp.rs
@@ -14144,7 +14144,7 @@
 }
 
 pub mod jobs_call {
-    pub use self::Which::{Advise, Cancel, Phase, Ping, Submit, Waiting};
+    pub use self::Which::{Advise, Cancel, Phase, Ping, Submit, Succeed, Waiting};
 
     #[derive(Copy, Clone)]
     pub struct Owned(());
@@ -14281,6 +14281,7 @@
                 3 => ::core::result::Result::Ok(Submit(self.reader.into())),
                 4 => ::core::result::Result::Ok(Cancel(self.reader.into())),
                 5 => ::core::result::Result::Ok(Ping(())),
+                6 => ::core::result::Result::Ok(Succeed(())),
                 x => ::core::result::Result::Err(::capnp::NotInSchema(x)),
             }
         }
@@ -14455,6 +14456,10 @@
             self.builder.set_data_field::<u16>(8, 5);
         }
         #[inline]
+        pub fn set_succeed(&mut self, _value: ()) {
+            self.builder.set_data_field::<u16>(8, 6);
+        }
+        #[inline]
         pub fn which(self) -> ::core::result::Result<WhichBuilder<'a>, ::capnp::NotInSchema> {
             match self.builder.get_data_field::<u16>(8) {
                 0 => ::core::result::Result::Ok(Advise(self.builder.into())),
@@ -14473,6 +14478,7 @@
                 3 => ::core::result::Result::Ok(Submit(self.builder.into())),
                 4 => ::core::result::Result::Ok(Cancel(self.builder.into())),
                 5 => ::core::result::Result::Ok(Ping(())),
+                6 => ::core::result::Result::Ok(Succeed(())),
                 x => ::core::result::Result::Err(::capnp::NotInSchema(x)),
             }
         }
@@ -14490,66 +14496,73 @@
     }
     impl Pipeline {}
     mod _private {
-        pub(crate) static ENCODED_NODE: [::capnp::Word; 86] = [
+        pub(crate) static ENCODED_NODE: [::capnp::Word; 101] = [
             ::capnp::word(0, 0, 0, 0, 5, 0, 6, 0),
             ::capnp::word(29, 5, 136, 184, 33, 162, 167, 202),
             ::capnp::word(11, 0, 0, 0, 1, 0, 3, 0),
             ::capnp::word(60, 53, 128, 185, 120, 25, 102, 144),
-            ::capnp::word(2, 0, 7, 0, 0, 0, 6, 0),
+            ::capnp::word(2, 0, 7, 0, 0, 0, 7, 0),
             ::capnp::word(8, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(21, 0, 0, 0, 162, 0, 0, 0),
             ::capnp::word(29, 0, 0, 0, 7, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(25, 0, 0, 0, 87, 1, 0, 0),
+            ::capnp::word(25, 0, 0, 0, 143, 1, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(112, 101, 101, 114, 46, 99, 97, 112),
             ::capnp::word(110, 112, 58, 74, 111, 98, 115, 67),
             ::capnp::word(97, 108, 108, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 1, 0, 1, 0),
-            ::capnp::word(24, 0, 0, 0, 3, 0, 4, 0),
+            ::capnp::word(28, 0, 0, 0, 3, 0, 4, 0),
             ::capnp::word(0, 0, 255, 255, 0, 0, 0, 0),
             ::capnp::word(1, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(188, 98, 161, 223, 79, 86, 211, 136),
-            ::capnp::word(153, 0, 0, 0, 58, 0, 0, 0),
+            ::capnp::word(181, 0, 0, 0, 58, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(1, 0, 254, 255, 0, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 5, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(129, 0, 0, 0, 50, 0, 0, 0),
+            ::capnp::word(157, 0, 0, 0, 50, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(124, 0, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(136, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(152, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(164, 0, 0, 0, 2, 0, 1, 0),
             ::capnp::word(2, 0, 253, 255, 0, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 6, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(133, 0, 0, 0, 66, 0, 0, 0),
+            ::capnp::word(161, 0, 0, 0, 66, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(128, 0, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(140, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(156, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(168, 0, 0, 0, 2, 0, 1, 0),
             ::capnp::word(3, 0, 252, 255, 0, 0, 0, 0),
             ::capnp::word(1, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(19, 2, 12, 178, 125, 159, 218, 171),
-            ::capnp::word(137, 0, 0, 0, 58, 0, 0, 0),
+            ::capnp::word(165, 0, 0, 0, 58, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(4, 0, 251, 255, 0, 0, 0, 0),
             ::capnp::word(1, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(139, 76, 104, 78, 113, 254, 216, 189),
-            ::capnp::word(113, 0, 0, 0, 58, 0, 0, 0),
+            ::capnp::word(141, 0, 0, 0, 58, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(5, 0, 250, 255, 0, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 12, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(89, 0, 0, 0, 42, 0, 0, 0),
+            ::capnp::word(117, 0, 0, 0, 42, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(112, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(124, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(6, 0, 249, 255, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 1, 0, 13, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(121, 0, 0, 0, 66, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(84, 0, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(96, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(116, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(128, 0, 0, 0, 2, 0, 1, 0),
             ::capnp::word(97, 100, 118, 105, 115, 101, 0, 0),
             ::capnp::word(112, 104, 97, 115, 101, 0, 0, 0),
             ::capnp::word(12, 0, 0, 0, 0, 0, 0, 0),
@@ -14577,6 +14590,14 @@
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(115, 117, 99, 99, 101, 101, 100, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
         ];
         pub(crate) fn get_field_types(index: u16) -> ::capnp::introspect::Type {
             match index {
@@ -14586,6 +14607,7 @@
                 3 => <crate::peer_capnp::jobs_call::submit::Owned as ::capnp::introspect::Introspect>::introspect(),
                 4 => <crate::peer_capnp::jobs_call::cancel::Owned as ::capnp::introspect::Introspect>::introspect(),
                 5 => <() as ::capnp::introspect::Introspect>::introspect(),
+                6 => <() as ::capnp::introspect::Introspect>::introspect(),
                 _ => ::capnp::introspect::panic_invalid_field_index(index),
             }
         }
@@ -14605,8 +14627,8 @@
                 MEMBERS_BY_NAME,
             );
         pub(crate) static NONUNION_MEMBERS: &[u16] = &[];
-        pub(crate) static MEMBERS_BY_DISCRIMINANT: &[u16] = &[0, 1, 2, 3, 4, 5];
-        pub(crate) static MEMBERS_BY_NAME: &[u16] = &[0, 4, 1, 5, 3, 2];
+        pub(crate) static MEMBERS_BY_DISCRIMINANT: &[u16] = &[0, 1, 2, 3, 4, 5, 6];
+        pub(crate) static MEMBERS_BY_NAME: &[u16] = &[0, 4, 1, 5, 3, 6, 2];
         pub(crate) const TYPE_ID: u64 = 0xcaa7_a221_b888_051d;
     }
     pub enum Which<A0, A1, A2, A3, A4> {
@@ -14616,6 +14638,7 @@
         Submit(A3),
         Cancel(A4),
         Ping(()),
+        Succeed(()),
     }
     pub type WhichReader<'a> = Which<
         crate::peer_capnp::jobs_call::advise::Reader<'a>,
