Check the store before saying that it is reached; cut-off entries are not ready

Cause: in an outage for all, a lead that noticed it first offered the lead to an entry that had not noticed yet, gave its term up, and nobody led for six seconds. Entries now ask the store before they answer. An entry that reaches neither the store nor most others tells the balancer.

--- a/crates/marigoldpick-node/src/control.rs
+++ b/crates/marigoldpick-node/src/control.rs
@@ -7,6 +7,7 @@
 use std::time::{SystemTime, UNIX_EPOCH};
 
 use async_channel::{Receiver, Sender};
+use async_std::future::timeout;
 use async_std::task;
 use marigoldpick_core::clock::System;
 use marigoldpick_core::control::Known;
@@ -18,11 +19,18 @@
 use crate::driver::Leading;
 use crate::face::{Ask, Shared};
 use crate::health::Others;
+use crate::keys;
 use crate::platform::{Platform, Source};
 use crate::settings::Settings;
 
 /// The longest wait of a look at the configuration.
 const CONFIG_WAIT: Millis = Millis(20_000);
+/// A store that answered a call sent within this time needs no check.
+const STORE_FRESH: Millis = Millis(100);
+/// The longest time of a check of the store: a slow one takes some hundred milliseconds.
+const STORE_CHECK: Millis = Millis(500);
+/// Calls in a row that the store may refuse for its rate before it counts as lost.
+const REFUSALS: u32 = 3;
 /// The wait after a look at the configuration that failed.
 const CONFIG_RETRY: Millis = Millis(200);
 
@@ -41,10 +49,14 @@
     pub(crate) peers: RefCell<Vec<Known>>,
     /// What the other entries said while this one did not reach the store.
     pub(crate) others: RefCell<Others>,
+    /// Calls in a row that the store refused for its rate.
+    store_refusals: Cell<u32>,
     /// Whether the store answered last time it was called.
     store_answers: Cell<bool>,
     /// When that changed.
     store_changed: Cell<Option<Millis>>,
+    /// When a call that it answered was sent last.
+    store_seen: Cell<Millis>,
     /// Asks the election to stand although there is a lead, which wants to be succeeded.
     pub(crate) succeed: Sender<()>,
     pub(crate) succession: Receiver<()>,
@@ -69,7 +81,9 @@
             peers: RefCell::default(),
             others: RefCell::default(),
             store_answers: Cell::new(true),
+            store_refusals: Cell::default(),
             store_changed: Cell::default(),
+            store_seen: Cell::default(),
             succeed,
             succession,
         })
@@ -77,6 +91,7 @@
 
     /// Runs until no one can ask any more.
     pub(crate) async fn run(self: Rc<Self>, asks: Receiver<Ask>) {
+        self.tell_retry(None);
         task::spawn_local(Rc::clone(&self).follow_config());
         task::spawn_local(Rc::clone(&self).register());
         task::spawn_local(Rc::clone(&self).follow_members());
@@ -101,16 +116,43 @@
 
     /// Calls the store and notes whether it answers.
     pub(crate) async fn store(self: &Rc<Self>, call: Call) -> Result<Answer, Fault> {
+        let sent = self.now();
         let answer = self.platform.store().call(call).await;
+        if answer.is_ok() {
+            self.store_seen.set(self.store_seen.get().max(sent));
+        }
         self.note_store(answer.as_ref().err().copied());
         answer
     }
 
+    /// Tells whether the store answers now; asks it unless it has answered just before.
+    pub(crate) async fn check_store(self: &Rc<Self>) -> bool {
+        if self.reaches_store() && self.now().since(self.store_seen.get()) < STORE_FRESH {
+            return true;
+        }
+        let call = Call::Range {
+            prefix: keys::LEAD.to_owned(),
+            after: String::new(),
+            stale: true,
+        };
+        let answer = timeout(STORE_CHECK.duration(), self.store(call)).await;
+        matches!(answer, Ok(Ok(_)))
+    }
+
     fn note_store(self: &Rc<Self>, fault: Option<Fault>) {
-        // A rate that is used up for a moment is no outage.
+        let refused = fault == Some(Fault::Overloaded);
+        let in_a_row = if refused {
+            self.store_refusals.get() + 1
+        } else {
+            0
+        };
+        self.store_refusals.set(in_a_row);
         let answers = match fault {
-            None | Some(Fault::Overloaded | Fault::Invalid) => true,
+            None | Some(Fault::Invalid) => true,
             Some(Fault::Away | Fault::Unknown) => false,
+            // A rate that is used up for a moment is no outage; refusing all calls is one.
+            Some(Fault::Overloaded) if in_a_row < REFUSALS => return,
+            Some(Fault::Overloaded) => false,
         };
         if answers {
             self.shared.connected.store(true, Ordering::SeqCst);
--- a/crates/marigoldpick-node/src/desk.rs
+++ b/crates/marigoldpick-node/src/desk.rs
@@ -75,21 +75,25 @@
             }
             peer::Call::Cancel { job, .. } => peer::Answer::Receipt(self.cancel(&job, false).await),
             peer::Call::Succeed => {
+                if !self.check_store().await {
+                    return Err(Code::StoreAway);
+                }
                 log::info!(target: "node", "event=succession-asked");
                 // A full channel means that it was asked already.
                 let _is_asked = self.succeed.try_send(());
-                peer::Answer::Pong {
-                    term: 0,
-                    store: self.reaches_store(),
-                }
+                self.pong(true)
             }
-            peer::Call::Ping => peer::Answer::Pong {
-                term: self.leads().map_or(0, |leading| leading.term()),
-                store: self.reaches_store(),
-            },
+            peer::Call::Ping => self.pong(self.check_store().await),
         })
     }
 
+    fn pong(&self, store: bool) -> peer::Answer {
+        peer::Answer::Pong {
+            term: self.leads().map_or(0, |leading| leading.term()),
+            store,
+        }
+    }
+
     /// Stores a job; where the store is not reached, through another entry if that is allowed.
     async fn submit(self: &Rc<Self>, id: &id::Job, job: &Arc<Job>, relay: bool) -> Receipt {
         let value = serde_json::to_string(&**job).expect("a job is plain JSON");
--- a/crates/marigoldpick-node/src/driver.rs
+++ b/crates/marigoldpick-node/src/driver.rs
@@ -36,8 +36,8 @@
 const RETRY: Millis = Millis(150);
 /// How long the store has to be lost before a lead draws a conclusion.
 const PATIENCE: Millis = Millis(300);
-/// The longest time for the question to succeed.
-const SUCCEED: Millis = Millis(300);
+/// The longest time for the question to succeed, whose receiver checks the store first.
+const SUCCEED: Millis = Millis(800);
 /// How long a worker that the registry lost in an outage of the store is kept: entries of living
 /// workers are back within two seconds of its return.
 const REGISTRY_GRACE: Millis = Millis(2_500);
--- a/crates/marigoldpick-node/src/election.rs
+++ b/crates/marigoldpick-node/src/election.rs
@@ -26,7 +26,7 @@
 /// recorded yet.
 const OUTAGE_MEMORY: Millis = Millis(10_000);
 /// The longest time for a probe of the earlier lead.
-const PING: Millis = Millis(200);
+const PING: Millis = Millis(600);
 /// How long a living lead has to claim its key again.
 const YIELD: Millis = Millis(600);
 /// Renewals of the lead's lease in its time.
--- a/crates/marigoldpick-node/src/face.rs
+++ b/crates/marigoldpick-node/src/face.rs
@@ -3,7 +3,7 @@
 use std::io;
 use std::net::TcpListener;
 use std::sync::Arc;
-use std::sync::atomic::{AtomicBool, Ordering};
+use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
 use std::thread;
 
 use arc_swap::ArcSwapOption;
@@ -39,8 +39,10 @@
 pub(crate) struct Shared {
     pub(crate) config: ArcSwapOption<Config>,
     pub(crate) draining: AtomicBool,
-    /// Whether the store or an entry that reaches it answers.
+    /// Whether the store has answered since the start.
     pub(crate) connected: AtomicBool,
+    /// When a caller that is refused now should come again, in milliseconds.
+    pub(crate) retry_after: AtomicU64,
 }
 
 /// `Face` takes callers' requests to the control thread.
@@ -71,6 +73,12 @@
         self.shared.draining.load(Ordering::SeqCst)
     }
 
+    /// Returns when a caller that is refused now should come again.
+    #[must_use]
+    pub fn retry_after(&self) -> Millis {
+        Millis(self.shared.retry_after.load(Ordering::SeqCst))
+    }
+
     /// Begins the end of the process: callers are sent elsewhere, a lead gives up its term.
     pub fn drain(&self) {
         self.shared.draining.store(true, Ordering::SeqCst);
--- a/crates/marigoldpick-node/src/health.rs
+++ b/crates/marigoldpick-node/src/health.rs
@@ -4,6 +4,7 @@
 //! to an entry that reaches the store.
 
 use std::rc::Rc;
+use std::sync::atomic::Ordering;
 
 use async_std::task;
 use futures::future::join_all;
@@ -16,11 +17,12 @@
 use crate::control::Control;
 use crate::keys;
 use crate::platform::Platform;
+use crate::retry;
 
 /// The pause between two probes of a store that does not answer.
 const PROBE: Millis = Millis(150);
-/// The longest time for a probe of another entry.
-const PING: Millis = Millis(300);
+/// The longest time for a probe of another entry, which then checks the store itself.
+const PING: Millis = Millis(700);
 
 /// `Others` is what the other entries say while this one does not reach the store.
 #[derive(Clone, Debug, Default)]
@@ -44,10 +46,12 @@
     /// Probes the store until it answers again, and asks the other entries meanwhile.
     pub(crate) async fn probe(self: Rc<Self>) {
         while !self.reaches_store() {
+            self.tell_retry(Some(self.store_age()));
             let others = self.ask_others().await;
             if let Some(leading) = self.leads() {
                 self.advise_lead(&leading, &others);
             }
+            self.tell_connection(&others);
             *self.others.borrow_mut() = others;
             let call = Call::Range {
                 prefix: keys::LEAD.to_owned(),
@@ -58,12 +62,34 @@
             let _is_noted = self.store(call).await;
             task::sleep(PROBE.duration()).await;
         }
+        self.tell_retry(None);
         *self.others.borrow_mut() = Others::default();
         if let Some(leading) = self.leads() {
             leading.change(|lead| lead.allow_unrecorded(false));
         }
     }
 
+    /// Tells the front whether callers should be sent here.
+    ///
+    /// An entry that reaches neither the store nor most of the other entries is cut off: callers
+    /// are better served elsewhere. In an outage of the store for all, that would help no one.
+    fn tell_connection(&self, others: &Others) {
+        let connected = !others.reaching.is_empty() || 2 * others.cut_off >= others.known;
+        if self.shared.connected.swap(connected, Ordering::SeqCst) != connected {
+            log::warn!(
+                target: "node",
+                "event=connection connected={connected} others_cut_off={} others_known={}",
+                others.cut_off, others.known
+            );
+        }
+    }
+
+    /// Tells the front when callers that are refused should come again.
+    pub(crate) fn tell_retry(&self, outage: Option<Millis>) {
+        let wait = retry::after(outage);
+        self.shared.retry_after.store(wait.0, Ordering::SeqCst);
+    }
+
     async fn ask_others(&self) -> Others {
         let peers = self.peers.borrow().clone();
         let asked = peers
--- a/crates/marigoldpick-node/src/lib.rs
+++ b/crates/marigoldpick-node/src/lib.rs
@@ -13,6 +13,7 @@
 pub mod keys;
 mod members;
 pub mod platform;
+pub mod retry;
 pub mod settings;
 
 pub use config::Config;
