--- a/crates/marigoldpick-job/src/lead/advise.rs
+++ b/crates/marigoldpick-job/src/lead/advise.rs
@@ -5,11 +5,12 @@
 //! question renews the tickets of good workers alone.
 
 use marigoldpick_core::prelude::*;
-use marigoldpick_core::work::Part;
 use marigoldpick_core::work::port::{Advice, Refusal};
+use marigoldpick_core::work::{Part, Step, Task};
 
 use super::Lead;
 use crate::action::Action;
+use crate::worker::Worker;
 
 /// The least workers of a first question: fewer would save little of its time.
 const LEAST: usize = 8;
@@ -91,7 +92,7 @@
             if worker.node.service != *service || !worker.is_open(now) || !worker.suits(step) {
                 continue;
             }
-            let most = step.spread.map_or(u64::MAX, u64::from);
+            let most = spread_left(step, worker, &part.task(0));
             let fits = fits(&worker.free(), claim).min(most);
             match stage.tickets.find(&worker.node.id) {
                 Some(known) if known.ticket.is_some() => {
@@ -167,6 +168,13 @@
     }
 }
 
+/// Returns how many more tasks of a step a worker may run.
+pub(super) fn spread_left(step: &Step, worker: &Worker, task: &Task) -> u64 {
+    step.spread.map_or(u64::MAX, |most| {
+        u64::from(most.saturating_sub(worker.count(task)))
+    })
+}
+
 /// Returns how many claims fit into what is free.
 pub(super) fn fits(free: &Amount, claim: &Amount) -> u64 {
     let share = |free: u64, claim: u64| free.checked_div(claim).unwrap_or(u64::MAX);
--- a/crates/marigoldpick-job/src/lead/schedule.rs
+++ b/crates/marigoldpick-job/src/lead/schedule.rs
@@ -3,6 +3,7 @@
 use marigoldpick_core::prelude::*;
 use marigoldpick_core::work::{Part, Step};
 
+use super::advise::spread_left;
 use super::{Lead, Recording};
 use crate::job::Place;
 use crate::place::{Wish, cost};
@@ -24,7 +25,7 @@
 struct Spot {
     worker: usize,
     /// The tasks of the step that may still be placed there.
-    left: u32,
+    left: u64,
 }
 
 impl Lead {
@@ -128,9 +129,7 @@
             if queue.policy.is_some() && stage.tickets.valid(&worker.node.id, now).is_none() {
                 continue;
             }
-            let left = step
-                .spread
-                .map_or(u32::MAX, |most| most.saturating_sub(worker.count(&first)));
+            let left = spread_left(step, worker, &first);
             if left > 0 {
                 spots.push(Spot { worker: at, left });
             }
--- a/crates/marigoldpick-job/tests/lead/work.rs
+++ b/crates/marigoldpick-job/tests/lead/work.rs
@@ -224,3 +224,18 @@
     world.run(1_200);
     expect_that!(world.phase(&fast), some(eq(Phase::Completed)));
 }
+
+#[googletest::test]
+fn questions_go_on_when_the_good_workers_have_their_share_of_a_spread_step() {
+    let mut world = World::new(60);
+    world.queues = vec![advised(queue("fast", 0), 24.0, 0.34)];
+    world.good_percent = 25;
+    world.take_over();
+    let spread = Step {
+        spread: Some(1),
+        ..step(8, 5_000, 4_000)
+    };
+    world.submit(1, job(vec![spread]));
+    world.run(3_000);
+    expect_that!(world.running().len(), eq(8));
+}
--- a/crates/marigoldpick-job/tests/lead/world.rs
+++ b/crates/marigoldpick-job/tests/lead/world.rs
@@ -144,6 +144,8 @@
     pub store_up: bool,
     /// The share of starts in a hundred that get no answer and are carried out late.
     pub late_percent: u32,
+    /// The share of workers in a hundred that are good for a step.
+    pub good_percent: u32,
     /// Whether holds get no answer and are never carried out.
     pub holds_lost: bool,
     /// Runs that were really started: task, run, worker, when.
@@ -176,6 +178,7 @@
             store_up: true,
             late_percent: 0,
             holds_lost: false,
+            good_percent: 67,
             started: Vec::new(),
             done: BTreeSet::new(),
             noted: BTreeSet::new(),
@@ -334,10 +337,12 @@
         }
     }
 
-    /// The adviser's policy: one worker in three is no good for a step.
+    /// The adviser's policy.
     pub fn is_good(&self, part: &Part, worker: &id::Worker) -> bool {
-        let sum: u32 = format!("{part}{worker}").bytes().map(u32::from).sum();
-        !sum.is_multiple_of(3)
+        let hash = format!("{part}{worker}").bytes().fold(0_u64, |hash, byte| {
+            (hash ^ u64::from(byte)).wrapping_mul(0x9e37_79b9_7f4a_7c15)
+        });
+        (hash >> 40) % 100 < u64::from(self.good_percent)
     }
 
     fn deliver(&mut self) {
