--- a/crates/marigoldpick-node/src/driver.rs
+++ b/crates/marigoldpick-node/src/driver.rs
@@ -14,8 +14,8 @@
 use marigoldpick_core::work::{self, Part, peer};
 use marigoldpick_job::Lead;
 use marigoldpick_job::action::{Action, Batch};
-use marigoldpick_job::lead::Origin;
 use marigoldpick_job::lead::commit::Outcome;
+use marigoldpick_job::lead::{Count, Origin};
 use marigoldpick_job::record::Record;
 
 use crate::config::Config;
@@ -157,6 +157,7 @@
         *self.leading.borrow_mut() = Some(Rc::clone(leading));
         task::spawn_local(Rc::clone(self).follow_inbox(Rc::clone(leading), revision));
         task::spawn_local(Rc::clone(self).follow_registry(Rc::clone(leading)));
+        let mut counted = Count::default();
         loop {
             if leading.look(Lead::is_deposed) {
                 leading.depose("fenced");
@@ -169,6 +170,7 @@
                 self.act(leading, action);
             }
             self.log_notes(leading);
+            counted = publish(leading, counted);
             // The time-out is the next tick.
             let _is_tick = timeout(TICK.duration(), leading.woken.recv()).await;
         }
@@ -488,6 +490,33 @@
     }
 }
 
+/// Adds what the lead did since `before` to the metrics.
+fn publish(leading: &Leading, before: Count) -> Count {
+    let now = leading.look(Lead::count);
+    let counts = [
+        ("marigold_task_starts_total", now.starts, before.starts),
+        ("marigold_run_ends_total", now.ends, before.ends),
+        (
+            "marigold_advice_questions_total",
+            now.questions,
+            before.questions,
+        ),
+        ("marigold_worker_holds_total", now.holds, before.holds),
+        ("marigold_record_commits_total", now.commits, before.commits),
+        (
+            "marigold_preemptions_total",
+            now.preemptions,
+            before.preemptions,
+        ),
+    ];
+    for (name, now, before) in counts {
+        if now > before {
+            metrics::counter!(name).increment(now - before);
+        }
+    }
+    now
+}
+
 /// Tells what a commit whose condition did not hold means.
 fn settle(leading: &Leading, items: &[Item]) -> Outcome {
     let chain = items.iter().find(|item| item.key == keys::CHAIN);
