--- a/crates/marigoldpick-job/src/lead.rs
+++ b/crates/marigoldpick-job/src/lead.rs
@@ -363,7 +363,7 @@
 
     /// Returns when whatever an earlier lead may have left on a silent worker has ended.
     fn unknown_lapse(&self) -> Millis {
-        self.since + self.settings.term_grace + self.settings.stretched(self.settings.lease)
+        self.since + self.settings.term_grace + self.settings.stretched(self.settings.longest_lease)
     }
 
     /// Notes that a worker has begun a new life; what ran in the old one has ended.
@@ -438,6 +438,7 @@
             fills: step.fills,
             priority,
             checkpoints: step.checkpoints,
+            lasting: step.lasting,
             pace: 100,
         })
     }
--- a/crates/marigoldpick-job/src/lead/report.rs
+++ b/crates/marigoldpick-job/src/lead/report.rs
@@ -177,6 +177,7 @@
             fills: false,
             priority: 0,
             checkpoints: false,
+            lasting: false,
             pace: 100,
         });
         self.workers[at].add(run);
--- a/crates/marigoldpick-job/src/settings.rs
+++ b/crates/marigoldpick-job/src/settings.rs
@@ -7,8 +7,13 @@
 #[derive(Clone, Copy, Debug, PartialEq, Serialize, Deserialize)]
 #[serde(default, deny_unknown_fields)]
 pub struct Settings {
-    /// The longest lease of a worker, by the platform's contract.
+    /// The lease of a worker: at most the platform's, and longer than most cuts.
     pub lease: Millis,
+    /// The longest lease that an earlier lead may have given, by the platform's contract.
+    pub longest_lease: Millis,
+    /// The lease of a worker with lasting tasks, which have to run again within six seconds of its
+    /// loss, the time for advice and start included.
+    pub lasting_lease: Millis,
     /// The longest time that a stop takes on a worker, by the platform's contract.
     pub stop: Millis,
     /// How much slower a task is away from its data, in thousandths, by the platform's contract.
@@ -39,6 +44,8 @@
     fn default() -> Self {
         Self {
             lease: Millis(6_000),
+            longest_lease: Millis(6_000),
+            lasting_lease: Millis(4_500),
             stop: Millis(900),
             remote_permille: 2_000,
             hold_wait: Millis(2_000),
--- a/crates/marigoldpick-job/src/worker.rs
+++ b/crates/marigoldpick-job/src/worker.rs
@@ -57,6 +57,8 @@
     pub priority: u32,
     /// Whether it can be stopped with little loss.
     pub checkpoints: bool,
+    /// Whether it runs until its job is cancelled.
+    pub lasting: bool,
     /// The share it was last told to work at, in percent.
     pub pace: u32,
 }
@@ -143,7 +145,13 @@
 
     /// Returns the end of a lease that begins now, by the worker's clock, and notes it.
     pub fn extend(&mut self, settings: &Settings, now: Millis) -> Option<Millis> {
-        let until = self.clock_at(now)? + settings.lease;
+        let lasting = self.runs.iter().any(|run| run.lasting);
+        let lease = if lasting {
+            settings.lease.min(settings.lasting_lease)
+        } else {
+            settings.lease
+        };
+        let until = self.clock_at(now)? + lease;
         self.until = self.until.max(until);
         self.note_lapse(settings);
         Some(until)
@@ -157,7 +165,7 @@
 
     /// Notes its first report of a term: no earlier lead can renew its lease any more.
     pub fn note_fenced(&mut self, settings: &Settings, now: Millis) {
-        let longest = now + settings.stretched(settings.lease);
+        let longest = now + settings.stretched(settings.longest_lease);
         self.inherited = self.inherited.min(longest);
         self.note_lapse(settings);
     }
--- a/crates/marigoldpick-job/tests/lead/faults.rs
+++ b/crates/marigoldpick-job/tests/lead/faults.rs
@@ -178,3 +178,25 @@
     expect_that!(world.done.len(), eq(4));
     expect_that!(world.broken, is_empty());
 }
+
+#[googletest::test]
+fn lasting_task_of_a_lost_worker_runs_again_within_six_seconds() {
+    let mut world = World::new(2);
+    // The platform would allow longer leases than the users want to wait.
+    world.settings.longest_lease = Millis(10_000);
+    world.settings.lease = Millis(10_000);
+    world.take_over();
+    let lasting = Step {
+        lasting: true,
+        ..step(4, 1_000, 300)
+    };
+    world.submit(1, job(vec![lasting]));
+    world.run(7_000);
+    let lost = (0..2)
+        .find(|at| world.runs_on(*at) > 0)
+        .expect("a worker in use");
+    world.workers[lost].up = false;
+    world.run(6_000);
+    expect_that!(world.running().len(), eq(4));
+    expect_that!(world.broken, is_empty());
+}
