--- a/crates/marigoldpick-job/src/lead.rs
+++ b/crates/marigoldpick-job/src/lead.rs
@@ -79,7 +79,7 @@
     next_run: u64,
     queues: Vec<Queue>,
     workers: Vec<Worker>,
-    jobs: Vec<Box<Job>>,
+    jobs: Vec<Job>,
     askers: Askers,
     commit: commit::State,
     /// Jobs with a change that the store does not have, sorted.
@@ -208,7 +208,7 @@
     /// Returns a job.
     #[must_use]
     pub fn job(&self, id: &id::Job) -> Option<&Job> {
-        self.at(id).map(|at| &*self.jobs[at])
+        self.at(id).map(|at| &self.jobs[at])
     }
 
     /// Takes the decisions that were not logged yet.
@@ -275,7 +275,7 @@
         let Err(at) = self.jobs.binary_search_by(|job| job.id.cmp(&id)) else {
             return;
         };
-        let mut job = Box::new(Job::new(id, spec, wall, now));
+        let mut job = Job::new(id, spec, wall, now);
         if let Origin::Loaded(record) = origin {
             job.loaded = true;
             if let Some(record) = record {
--- a/crates/marigoldpick-job/tests/lead/world.rs
+++ b/crates/marigoldpick-job/tests/lead/world.rs
@@ -82,9 +82,7 @@
 /// How a task behaves.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Fate {
-    /// It ends as done after its time.
-    Done,
-    /// Each run fails at once.
+    /// Each run fails at once; without a fate it ends as done after its time.
     Fails,
 }
 
--- /dev/null
+++ b/crates/marigoldpick-node/tests/node/site.rs
@@ -0,0 +1,377 @@
+//! A site: the stand-in's store, fake workers in memory, and nodes on loopback.
+
+use std::net::TcpListener;
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
+use std::time::{Duration, Instant};
+
+use async_std::task;
+use marigoldpick_core::prelude::*;
+use marigoldpick_core::store;
+use marigoldpick_core::work::peer::Receipt;
+use marigoldpick_core::work::port::Node as Listed;
+use marigoldpick_core::work::port::{
+    Advice, Adviser, Ended, Fault, How, Order, Refusal, Reply, Report, Running, Target, Ticket,
+    Workers,
+};
+use marigoldpick_core::work::{Job, Part, Phase, Step, Task};
+use marigoldpick_job::Queue;
+use marigoldpick_job::queue::Policy;
+use marigoldpick_node::config::{Config, Route};
+use marigoldpick_node::platform::{News, Platform, Registry, Source};
+use marigoldpick_node::{Node, Settings};
+use marigoldpick_platform::{Caller, Store};
+use marigoldpick_standin::settings;
+
+/// How long a test waits for what has to come.
+const PATIENCE: Duration = Duration::from_secs(30);
+
+pub fn name(text: &str) -> Name {
+    Name::new(text).expect("a name")
+}
+
+/// `Fake` is the workers' truth, shared by all nodes.
+#[derive(Debug)]
+pub struct Fake {
+    since: Instant,
+    workers: Vec<Worker>,
+    /// Starts that broke a promise.
+    pub broken: Vec<String>,
+    /// All starts.
+    pub starts: Vec<(Task, u64)>,
+}
+
+#[derive(Debug)]
+struct Worker {
+    term: u64,
+    live: Vec<(Task, u64, Instant)>,
+    ended: Vec<Ended>,
+    next: u64,
+}
+
+impl Fake {
+    fn new(workers: usize) -> Self {
+        let worker = || Worker {
+            term: 0,
+            live: Vec::new(),
+            ended: Vec::new(),
+            next: 0,
+        };
+        Self {
+            since: Instant::now(),
+            workers: (0..workers).map(|_| worker()).collect(),
+            broken: Vec::new(),
+            starts: Vec::new(),
+        }
+    }
+
+    fn live(&mut self, at: usize) {
+        let worker = &mut self.workers[at];
+        let now = Instant::now();
+        let (over, live) = std::mem::take(&mut worker.live)
+            .into_iter()
+            .partition(|(_, _, end)| *end <= now);
+        worker.live = live;
+        for (task, run, _) in over {
+            worker.end(task, run, How::Done);
+        }
+    }
+
+    fn order(&mut self, at: usize, term: u64, order: &Order) -> Result<Option<Report>, Fault> {
+        self.live(at);
+        if term < self.workers[at].term {
+            return Err(Fault::Fenced);
+        }
+        self.workers[at].term = term;
+        match order {
+            Order::Start(start) => {
+                let twin =
+                    |worker: &Worker| worker.live.iter().any(|(task, ..)| *task == start.task);
+                if self.workers.iter().any(twin) {
+                    self.broken.push(format!("{} runs twice", start.task));
+                }
+                let span: u64 = start.payload.parse().expect("the payload tells the time");
+                let end = Instant::now() + Duration::from_millis(span);
+                self.starts.push((start.task.clone(), start.run));
+                let worker = &mut self.workers[at];
+                worker.live.push((start.task.clone(), start.run, end));
+                Ok(None)
+            }
+            Order::Stop { task, run } => {
+                let worker = &mut self.workers[at];
+                let before = worker.live.len();
+                worker
+                    .live
+                    .retain(|(have, number, _)| have != task || number != run);
+                if worker.live.len() != before {
+                    worker.end(task.clone(), *run, How::Stopped);
+                }
+                Ok(None)
+            }
+            Order::Pace { .. } => Ok(None),
+            Order::Hold { seen, .. } => {
+                let worker = &mut self.workers[at];
+                worker.ended.retain(|end| end.number > *seen);
+                Ok(Some(worker.report()))
+            }
+        }
+    }
+}
+
+impl Worker {
+    fn end(&mut self, task: Task, run: u64, how: How) {
+        self.next += 1;
+        self.ended.push(Ended {
+            number: self.next,
+            task,
+            run,
+            how,
+            checkpoint: String::new(),
+        });
+    }
+
+    fn report(&self) -> Report {
+        let running = self.live.iter().map(|(task, run, _)| Running {
+            task: task.clone(),
+            run: *run,
+            checkpoint: String::new(),
+            percent: 50,
+            figure: 0,
+        });
+        Report {
+            running: running.collect(),
+            ended: self.ended.clone(),
+        }
+    }
+}
+
+/// `Services` is what a node reaches.
+#[derive(Clone, Debug)]
+pub struct Services {
+    store: Store,
+    fake: Arc<Mutex<Fake>>,
+}
+
+pub fn lock(fake: &Mutex<Fake>) -> MutexGuard<'_, Fake> {
+    fake.lock().unwrap_or_else(PoisonError::into_inner)
+}
+
+impl Workers for Services {
+    async fn order(&self, node: &Target, term: u64, order: Order) -> Result<Reply, Fault> {
+        let at: usize = node.address.parse().expect("a number");
+        let report = lock(&self.fake).order(at, term, &order)?;
+        let has_news = |report: &Report| !report.ended.is_empty();
+        if let (Order::Hold { wait, .. }, Some(report)) = (&order, &report)
+            && !has_news(report)
+        {
+            task::sleep(wait.min(&Millis(30)).duration()).await;
+        }
+        let report = match &order {
+            Order::Hold { .. } => lock(&self.fake).order(at, term, &order)?,
+            _ => report,
+        };
+        let clock = lock(&self.fake).since.elapsed();
+        Ok(Reply {
+            clock: Millis(u64::try_from(clock.as_millis()).expect("a short test")),
+            born: 1,
+            report,
+        })
+    }
+}
+
+impl Adviser for Services {
+    async fn advise(
+        &self,
+        _part: &Part,
+        workers: &[id::Worker],
+        _limit: Millis,
+    ) -> Result<Advice, Refusal> {
+        let good = workers.iter().map(|worker| Ticket {
+            worker: worker.clone(),
+            ticket: "t".to_owned(),
+        });
+        Ok(Advice {
+            good: good.collect(),
+            valid: Millis(2_500),
+        })
+    }
+}
+
+impl Registry for Services {
+    async fn nodes(&self) -> Result<Vec<Listed>, store::Fault> {
+        let count = lock(&self.fake).workers.len();
+        let node = |number: usize| Listed {
+            id: id::Worker::new(&format!("w{number}")).expect("a name"),
+            born: 1,
+            address: number.to_string(),
+            service: name("s"),
+            domain: id::Domain::new("a").expect("a name"),
+            kind: None,
+            rack: None,
+            labels: Vec::new(),
+            capacity: Amount::new(8_000, 8_000),
+            draining: false,
+            remaining: None,
+        };
+        Ok((0..count).map(node).collect())
+    }
+}
+
+impl Source for Services {
+    async fn follow(&self, revision: u64, wait: Millis) -> Result<News, store::Fault> {
+        if revision > 0 {
+            task::sleep(wait.duration()).await;
+            return Ok(News {
+                config: None,
+                revision,
+            });
+        }
+        let queue = Queue {
+            name: name("q"),
+            service: name("s"),
+            priority: 0,
+            attempts: 3,
+            stretch: 1.5,
+            target: Millis(250),
+            policy: Some(Policy {
+                base_ms: 1.0,
+                each_ms: 0.1,
+                valid: Millis(2_500),
+            }),
+        };
+        Ok(News {
+            config: Some(Config {
+                version: 1,
+                routes: vec![Route {
+                    queue: name("q"),
+                    host: "h".to_owned(),
+                    prefix: "/q/".to_owned(),
+                }],
+                queues: vec![queue],
+                body_limit: 10_000,
+            }),
+            revision: 1,
+        })
+    }
+}
+
+impl Platform for Services {
+    type Store = Store;
+    type Workers = Self;
+    type Adviser = Self;
+    type Registry = Self;
+    type Source = Self;
+
+    fn store(&self) -> &Store {
+        &self.store
+    }
+    fn workers(&self) -> &Self {
+        self
+    }
+    fn adviser(&self) -> &Self {
+        self
+    }
+    fn registry(&self) -> &Self {
+        self
+    }
+    fn source(&self) -> &Self {
+        self
+    }
+}
+
+/// `Site` is all of it.
+pub struct Site {
+    pub platform: marigoldpick_standin::Platform,
+    pub fake: Arc<Mutex<Fake>>,
+    pub nodes: Vec<Node>,
+}
+
+impl Site {
+    /// Starts a site, and waits until its entries know each other.
+    pub fn start(entries: usize, workers: usize) -> Self {
+        let text = "seed = 1\n[[domain]]\nname = \"a\"\nrack = []\n";
+        let settings = settings::Settings::parse("standin.toml", text).expect("settings");
+        let platform = marigoldpick_standin::Platform::start(&settings).expect("a stand-in");
+        let fake = Arc::new(Mutex::new(Fake::new(workers)));
+        let mut site = Self {
+            platform,
+            fake,
+            nodes: Vec::new(),
+        };
+        site.nodes = (0..entries).map(|number| site.node(number)).collect();
+        wait_until("all entries are ready", || {
+            site.nodes.iter().all(|node| node.face().is_ready())
+        });
+        wait_until("an entry leads", || {
+            let waiting = site.nodes[0].face().waiting(name("q"));
+            task::block_on(waiting).is_ok()
+        });
+        site
+    }
+
+    fn node(&self, number: usize) -> Node {
+        let entry = id::Entry::new(&format!("e{number}")).expect("a name");
+        let domain = id::Domain::new("a").expect("a name");
+        let caller = Caller {
+            domain: domain.clone(),
+            entry: entry.clone(),
+        };
+        let services = Services {
+            store: Store::new(
+                &self.platform.address(),
+                caller,
+                marigoldpick_platform::Settings::default(),
+            ),
+            fake: Arc::clone(&self.fake),
+        };
+        // The port is free again at once, and the node takes it.
+        let free = TcpListener::bind("127.0.0.1:0").expect("a free port");
+        let inner = free.local_addr().expect("an address").to_string();
+        drop(free);
+        Node::start(services, Settings::new(entry, domain, inner)).expect("a node")
+    }
+
+    pub fn submit(&self, at: usize, number: u32, tasks: u32, span: u64) -> (id::Job, Receipt) {
+        let step = Step {
+            count: tasks,
+            needs: Amount::new(1_000, 100),
+            estimate: Millis(span),
+            ..Step::default()
+        };
+        let job = Job {
+            queue: name("q"),
+            payload: span.to_string(),
+            steps: vec![
+                step.clone(),
+                Step {
+                    after: vec![0],
+                    ..step
+                },
+            ],
+            schedule: None,
+            accepted: 0,
+        };
+        let id = id::Job::new(&format!("{number:016x}")).expect("a name");
+        let receipt = task::block_on(self.nodes[at].face().submit(id.clone(), Arc::new(job)));
+        (id, receipt)
+    }
+
+    pub fn phase(&self, at: usize, id: &id::Job) -> Option<Phase> {
+        task::block_on(self.nodes[at].face().phase(id.clone()))
+            .ok()
+            .flatten()
+    }
+
+    pub fn wait_for(&self, at: usize, id: &id::Job, phase: Phase) {
+        wait_until(&format!("{id} is {phase:?}"), || {
+            self.phase(at, id) == Some(phase)
+        });
+    }
+}
+
+pub fn wait_until(what: &str, mut holds: impl FnMut() -> bool) {
+    let start = Instant::now();
+    while !holds() {
+        assert!(start.elapsed() < PATIENCE, "{what}: it never came");
+        std::thread::sleep(Duration::from_millis(10));
+    }
+}
