Let large entries lead first

Entries tell their processors; small ones wait before they stand, and a lead that hands over picks the largest entry that reaches the store.

--- a/crates/marigoldpick-node/src/control.rs
+++ b/crates/marigoldpick-node/src/control.rs
@@ -20,6 +20,7 @@
 use crate::face::{Ask, Shared};
 use crate::health::Others;
 use crate::keys;
+use crate::members::Member;
 use crate::platform::{Platform, Source};
 use crate::settings::Settings;
 
@@ -46,7 +47,7 @@
     /// The lead's state when this entry leads.
     pub(crate) leading: RefCell<Option<Rc<Leading>>>,
     /// The other entries that were seen last.
-    pub(crate) peers: RefCell<Vec<Known>>,
+    pub(crate) peers: RefCell<Vec<Member>>,
     /// What the other entries said while this one did not reach the store.
     pub(crate) others: RefCell<Others>,
     /// Calls in a row that the store refused for its rate.
--- a/crates/marigoldpick-node/src/driver.rs
+++ b/crates/marigoldpick-node/src/driver.rs
@@ -286,7 +286,8 @@
     /// Returns how another entry is reached.
     pub(crate) fn peer(&self, entry: &id::Entry) -> Option<Known> {
         let peers = self.peers.borrow();
-        peers.iter().find(|known| known.entry == *entry).cloned()
+        let found = peers.iter().find(|member| member.known.entry == *entry);
+        found.map(|member| member.known.clone())
     }
 
     async fn commit(self: Rc<Self>, leading: Rc<Leading>, batch: Batch) {
--- a/crates/marigoldpick-node/src/election.rs
+++ b/crates/marigoldpick-node/src/election.rs
@@ -29,9 +29,26 @@
 const PING: Millis = Millis(600);
 /// How long a living lead has to claim its key again.
 const YIELD: Millis = Millis(600);
+/// An entry with this many thousandths of a core can lead any site of today.
+const LARGE: u32 = 250;
+/// How long the smallest entries leave the lead to larger ones.
+const SMALL_WAIT: Millis = Millis(700);
 /// Renewals of the lead's lease in its time.
 const RENEWALS: u64 = 4;
 
+/// Returns how long an entry waits before it stands for the lead, so that larger ones go first.
+///
+/// `largest` is the most processors of another entry, in thousandths of a core, where one is known.
+#[must_use]
+pub fn hesitation(millicores: u32, largest: Option<u32>) -> Millis {
+    let most = largest.unwrap_or(LARGE).max(1);
+    if millicores >= most / 2 {
+        return Millis::ZERO;
+    }
+    let missing = most - millicores;
+    Millis(SMALL_WAIT.0 * u64::from(missing) / u64::from(most))
+}
+
 /// `Head` is the value of the chain's key: who wrote last, and which of its writes it was.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub(crate) struct Head {
@@ -82,10 +99,19 @@
             task::sleep(RETRY.duration()).await;
             return Ok(());
         }
-        if self.now() > self.settings.lead_lease {
-            let jitter = rand::rng().random_range(0..=JITTER);
-            task::sleep(Millis(jitter).duration()).await;
-        }
+        let largest = self
+            .peers
+            .borrow()
+            .iter()
+            .map(|member| member.millicores)
+            .max();
+        let wait = hesitation(self.settings.millicores, largest);
+        let jitter = if self.now() > self.settings.lead_lease {
+            rand::rng().random_range(0..=JITTER)
+        } else {
+            0
+        };
+        task::sleep((wait + Millis(jitter)).duration()).await;
         self.stand(false).await
     }
 
--- a/crates/marigoldpick-node/src/health.rs
+++ b/crates/marigoldpick-node/src/health.rs
@@ -91,18 +91,20 @@
     }
 
     async fn ask_others(&self) -> Others {
-        let peers = self.peers.borrow().clone();
+        let mut peers = self.peers.borrow().clone();
+        // The first of those that reach the store is asked to lead: the largest goes first.
+        peers.sort_by_key(|member| u32::MAX - member.millicores);
         let asked = peers
             .iter()
-            .map(|known| self.call(known, peer::Call::Ping, PING));
+            .map(|member| self.call(&member.known, peer::Call::Ping, PING));
         let answers = join_all(asked).await;
         let mut others = Others {
             known: peers.len(),
             ..Others::default()
         };
-        for (known, answer) in peers.into_iter().zip(answers) {
+        for (member, answer) in peers.into_iter().zip(answers) {
             match answer {
-                Ok(peer::Answer::Pong { store: true, .. }) => others.reaching.push(known),
+                Ok(peer::Answer::Pong { store: true, .. }) => others.reaching.push(member.known),
                 Ok(peer::Answer::Pong { store: false, .. }) => others.cut_off += 1,
                 Ok(_) | Err(wire::Error::Away | wire::Error::Unknown | wire::Error::Refused(_)) => {
                 }
--- a/crates/marigoldpick-node/src/lib.rs
+++ b/crates/marigoldpick-node/src/lib.rs
@@ -7,7 +7,7 @@
 mod control;
 mod desk;
 mod driver;
-mod election;
+pub mod election;
 mod face;
 mod health;
 pub mod keys;
--- a/crates/marigoldpick-node/src/members.rs
+++ b/crates/marigoldpick-node/src/members.rs
@@ -6,6 +6,7 @@
 use marigoldpick_core::control::Known;
 use marigoldpick_core::prelude::*;
 use marigoldpick_core::store::{Answer, Call, Expect};
+use serde::{Deserialize, Serialize};
 
 use crate::control::Control;
 use crate::keys;
@@ -18,6 +19,15 @@
 /// How long an entry that the store no longer lists is kept: its lease may have lapsed in an outage.
 const KEPT: Millis = Millis(12_000);
 
+/// `Member` is an entry as its key in the store tells of it.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub(crate) struct Member {
+    /// How it is reached.
+    pub(crate) known: Known,
+    /// Its processors, in thousandths of a core.
+    pub(crate) millicores: u32,
+}
+
 impl<P: Platform> Control<P> {
     /// Returns how this entry is reached.
     pub(crate) fn own(&self) -> Known {
@@ -58,7 +68,11 @@
         let Answer::Lease(lease) = self.store(Call::Grant { span }).await? else {
             return Ok(Answer::Gone);
         };
-        let value = serde_json::to_string(&self.own()).expect("a known entry is plain JSON");
+        let member = Member {
+            known: self.own(),
+            millicores: self.settings.millicores,
+        };
+        let value = serde_json::to_string(&member).expect("a member is plain JSON");
         let put = Call::Put {
             key: format!("{}{}", keys::ENTRIES, self.settings.entry),
             value,
@@ -73,7 +87,7 @@
 
     /// Keeps the list of the other entries.
     pub(crate) async fn follow_members(self: Rc<Self>) {
-        let mut seen: Vec<(Known, Millis)> = Vec::new();
+        let mut seen: Vec<(Member, Millis)> = Vec::new();
         loop {
             let page = Call::Range {
                 prefix: keys::ENTRIES.to_owned(),
@@ -85,10 +99,10 @@
                 wait = self.settings.members_gap;
                 let now = self.now();
                 for item in items {
-                    match serde_json::from_str::<Known>(&item.value) {
-                        Ok(known) => {
-                            seen.retain(|(have, _)| have.entry != known.entry);
-                            seen.push((known, now));
+                    match serde_json::from_str::<Member>(&item.value) {
+                        Ok(member) => {
+                            seen.retain(|(have, _)| have.known.entry != member.known.entry);
+                            seen.push((member, now));
                         }
                         Err(error) => {
                             log::warn!(target: "node", "event=entry-unread key={} why={error}", item.key);
@@ -96,11 +110,11 @@
                     }
                 }
                 seen.retain(|(_, at)| now.since(*at) < KEPT);
-                seen.sort();
+                seen.sort_by(|(a, _), (b, _)| a.known.cmp(&b.known));
                 let others = seen
                     .iter()
-                    .map(|(known, _)| known)
-                    .filter(|known| known.entry != self.settings.entry);
+                    .map(|(member, _)| member)
+                    .filter(|member| member.known.entry != self.settings.entry);
                 *self.peers.borrow_mut() = others.cloned().collect();
                 if let Some(leading) = self.leads() {
                     leading.set_askers(&self.askers());
@@ -116,7 +130,10 @@
     /// Returns all entries that can ask the adviser, sorted.
     pub(crate) fn askers(&self) -> Vec<id::Entry> {
         let peers = self.peers.borrow();
-        let mut askers: Vec<id::Entry> = peers.iter().map(|known| known.entry.clone()).collect();
+        let mut askers: Vec<id::Entry> = peers
+            .iter()
+            .map(|member| member.known.entry.clone())
+            .collect();
         askers.push(self.settings.entry.clone());
         askers.sort();
         askers
--- a/crates/marigoldpick-node/src/settings.rs
+++ b/crates/marigoldpick-node/src/settings.rs
@@ -11,6 +11,8 @@
     pub domain: id::Domain,
     /// The address of the inner protocol: IP number and port.
     pub inner: String,
+    /// The processors it may use, in thousandths of a core.
+    pub millicores: u32,
     /// The scheduler's spans and limits.
     pub job: marigoldpick_job::Settings,
     /// The lease of the lead: how long a dead lead is not replaced.
@@ -35,6 +37,7 @@
             entry,
             domain,
             inner,
+            millicores: 1_000,
             job: marigoldpick_job::Settings::default(),
             lead_lease: Millis(1_500),
             entry_lease: Millis(10_000),
