Ask the adviser only for the room that is or will soon be free

All waiting steps asked for the same room. Now questions are given out in the order of rank until they cover twice the free room and a quarter of that in use.

--- a/crates/marigoldpick-job/src/lead/schedule.rs
+++ b/crates/marigoldpick-job/src/lead/schedule.rs
@@ -13,6 +13,11 @@
 /// The time between two passes when nothing has changed.
 const PASS: Millis = Millis(40);
 
+/// The share of the free room that questions may be about: not all workers asked are good.
+const FREE_PERCENT: u64 = 200;
+/// The share of the room in use that is expected to be free within a long question's time.
+const USED_PERCENT: u64 = 25;
+
 /// `Open` is a step with tasks that wait for a place.
 #[derive(Clone, Debug)]
 struct Open {
@@ -34,9 +39,24 @@
         self.next_pass = now + PASS;
         let mut open = self.open_parts(now);
         open.sort_by_key(|open| open.rank);
+        let mut budget = self.question_budget();
         for open in open {
-            self.serve(&open, now);
+            self.serve(&open, &mut budget, now);
+        }
+    }
+
+    /// Returns how much work, in millicores, questions may be about.
+    ///
+    /// Load pattern: far more work waits than there is room for. Were all of it asked about, the
+    /// adviser would spend its time on steps that can't start before their tickets expire. So only
+    /// the front of the queue asks, for the room that is free and that will be free soon.
+    fn question_budget(&self) -> u64 {
+        let (mut free, mut used) = (0, 0);
+        for worker in self.workers.iter().filter(|worker| worker.present) {
+            used += worker.used.millicores;
+            free += worker.free().millicores;
         }
+        free * FREE_PERCENT / 100 + used * USED_PERCENT / 100
     }
 
     fn open_parts(&self, now: Millis) -> Vec<Open> {
@@ -71,7 +91,7 @@
     }
 
     /// Places the tasks of a step that have none, as far as there is room, and asks for advice.
-    fn serve(&mut self, open: &Open, now: Millis) {
+    fn serve(&mut self, open: &Open, budget: &mut u64, now: Millis) {
         let part = &open.part;
         let Some(at) = self.at(&part.job) else { return };
         let job = &self.jobs[at];
@@ -100,8 +120,10 @@
                 .count()
         };
         let missing = waiting.len() - placed;
-        if missing > 0 {
+        if missing > 0 && *budget > 0 {
             self.ask(part, missing, now);
+            let work = step.needs.millicores * missing as u64;
+            *budget = budget.saturating_sub(work);
         }
     }
 
--- a/crates/marigoldpick-job/tests/lead/work.rs
+++ b/crates/marigoldpick-job/tests/lead/work.rs
@@ -239,3 +239,20 @@
     world.run(3_000);
     expect_that!(world.running().len(), eq(8));
 }
+
+/// Ten times as much work waits as there is room for, and a question takes as long as a short task.
+#[googletest::test]
+fn questions_stay_within_the_room_under_a_backlog() {
+    let mut world = World::new(4);
+    world.queues = vec![advised(queue("fast", 0), 24.0, 0.34)];
+    world.take_over();
+    for number in 0..80 {
+        world.submit(number, job(vec![step(4, 8_000, 2_000)]));
+    }
+    world.run(8_000);
+    // Four workers of 64 cores run 32 such tasks at once, in four rounds: 32 steps, and no more
+    // than two questions for each.
+    expect_that!(world.done.len(), ge(80));
+    expect_that!(world.lead.count().questions, le(64));
+    expect_that!(world.broken, is_empty());
+}
--- a/crates/marigoldpick-node/src/election.rs
+++ b/crates/marigoldpick-node/src/election.rs
@@ -29,7 +29,7 @@
 const PING: Millis = Millis(600);
 /// How long a living lead has to claim its key again.
 const YIELD: Millis = Millis(600);
-/// An entry with this many thousandths of a core can lead any site of today.
+/// The strength that can lead any site of today.
 const LARGE: u32 = 250;
 /// How long the smallest entries leave the lead to larger ones.
 const SMALL_WAIT: Millis = Millis(700);
@@ -38,14 +38,14 @@
 
 /// Returns how long an entry waits before it stands for the lead, so that larger ones go first.
 ///
-/// `largest` is the most processors of another entry, in thousandths of a core, where one is known.
+/// `largest` is the greatest strength of another entry, where one is known.
 #[must_use]
-pub fn hesitation(millicores: u32, largest: Option<u32>) -> Millis {
+pub fn hesitation(strength: u32, largest: Option<u32>) -> Millis {
     let most = largest.unwrap_or(LARGE).max(1);
-    if millicores >= most / 2 {
+    if strength >= most / 2 {
         return Millis::ZERO;
     }
-    let missing = most - millicores;
+    let missing = most - strength;
     Millis(SMALL_WAIT.0 * u64::from(missing) / u64::from(most))
 }
 
@@ -103,9 +103,9 @@
             .peers
             .borrow()
             .iter()
-            .map(|member| member.millicores)
+            .map(|member| member.strength)
             .max();
-        let wait = hesitation(self.settings.millicores, largest);
+        let wait = hesitation(self.settings.strength, largest);
         let jitter = if self.now() > self.settings.lead_lease {
             rand::rng().random_range(0..=JITTER)
         } else {
--- a/crates/marigoldpick-node/src/health.rs
+++ b/crates/marigoldpick-node/src/health.rs
@@ -93,7 +93,7 @@
     async fn ask_others(&self) -> Others {
         let mut peers = self.peers.borrow().clone();
         // The first of those that reach the store is asked to lead: the largest goes first.
-        peers.sort_by_key(|member| u32::MAX - member.millicores);
+        peers.sort_by_key(|member| u32::MAX - member.strength);
         let asked = peers
             .iter()
             .map(|member| self.call(&member.known, peer::Call::Ping, PING));
--- a/crates/marigoldpick-node/src/members.rs
+++ b/crates/marigoldpick-node/src/members.rs
@@ -24,8 +24,8 @@
 pub(crate) struct Member {
     /// How it is reached.
     pub(crate) known: Known,
-    /// Its processors, in thousandths of a core.
-    pub(crate) millicores: u32,
+    /// How much of a lead's work it can carry.
+    pub(crate) strength: u32,
 }
 
 impl<P: Platform> Control<P> {
@@ -70,7 +70,7 @@
         };
         let member = Member {
             known: self.own(),
-            millicores: self.settings.millicores,
+            strength: self.settings.strength,
         };
         let value = serde_json::to_string(&member).expect("a member is plain JSON");
         let put = Call::Put {
--- a/crates/marigoldpick-node/src/settings.rs
+++ b/crates/marigoldpick-node/src/settings.rs
@@ -11,8 +11,9 @@
     pub domain: id::Domain,
     /// The address of the inner protocol: IP number and port.
     pub inner: String,
-    /// The processors it may use, in thousandths of a core.
-    pub millicores: u32,
+    /// How much of a lead's work it can carry: its processors in thousandths of a core, less where
+    /// its link is thin.
+    pub strength: u32,
     /// The scheduler's spans and limits.
     pub job: marigoldpick_job::Settings,
     /// The lease of the lead: how long a dead lead is not replaced.
@@ -37,7 +38,7 @@
             entry,
             domain,
             inner,
-            millicores: 1_000,
+            strength: 1_000,
             job: marigoldpick_job::Settings::default(),
             lead_lease: Millis(1_500),
             entry_lease: Millis(10_000),
