Suspect a worker at its first unanswered order, its domain at the third

Cause: in a cut of a domain starts went to its workers until their holds timed out after 2.8 s, and each waited six seconds for a lease to lapse. Tasks that allow copies get one while their worker is silent.

--- a/crates/marigoldpick-job/src/job.rs
+++ b/crates/marigoldpick-job/src/job.rs
@@ -32,6 +32,14 @@
     pub avoid: Vec<id::Worker>,
 }
 
+impl Task {
+    /// Tells whether it is neither done nor has a place.
+    #[must_use]
+    pub const fn is_unplaced(&self) -> bool {
+        !self.done && self.places.is_empty()
+    }
+}
+
 /// `Stage` is the state of a step of one occurrence.
 #[derive(Clone, Debug)]
 pub struct Stage {
@@ -61,11 +69,7 @@
     /// Tells whether a task is neither done nor has a place.
     #[must_use]
     pub fn has_unplaced(&self) -> bool {
-        self.left > 0
-            && self
-                .tasks
-                .iter()
-                .any(|task| !task.done && task.places.is_empty())
+        self.left > 0 && self.tasks.iter().any(Task::is_unplaced)
     }
 
     /// Returns the run that failed most often counts against: a gang fails as one.
--- a/crates/marigoldpick-job/src/lead/schedule.rs
+++ b/crates/marigoldpick-job/src/lead/schedule.rs
@@ -5,7 +5,7 @@
 
 use super::advise::spread_left;
 use super::{Lead, Recording};
-use crate::job::Place;
+use crate::job::{Place, Stage, Task};
 use crate::place::{Wish, cost};
 use crate::rank::{Rank, rank};
 use crate::worker::Phase;
@@ -74,7 +74,9 @@
                 }
                 let mut known = None;
                 for (step, stage) in occurrence.stages.iter().enumerate() {
-                    if !stage.has_unplaced() || !occurrence.is_ready(&job.spec, step) {
+                    let wants = stage.has_unplaced()
+                        || (job.spec.steps[step].copies && self.wants_copy(stage));
+                    if !wants || !occurrence.is_ready(&job.spec, step) {
                         continue;
                     }
                     let rank = *known.get_or_insert_with(|| rank(job, occurrence, queue, now));
@@ -103,7 +105,7 @@
         };
         let waiting: Vec<u32> = (0..)
             .zip(&stage.tasks)
-            .filter(|(_, task)| !task.done && task.places.is_empty())
+            .filter(|(_, task)| task.is_unplaced() || (step.copies && self.is_stranded(task)))
             .map(|(index, _)| index)
             .collect();
         if step.gang && waiting.len() != stage.tasks.len() {
@@ -127,6 +129,20 @@
         }
     }
 
+    /// Tells whether a copy of a task of the step would help.
+    fn wants_copy(&self, stage: &Stage) -> bool {
+        stage.left > 0 && stage.tasks.iter().any(|task| self.is_stranded(task))
+    }
+
+    /// Tells whether a task runs once, on a worker that does not answer.
+    fn is_stranded(&self, task: &Task) -> bool {
+        let [place] = task.places.as_slice() else {
+            return false;
+        };
+        let worker = self.worker_at(&place.worker);
+        !task.done && worker.is_some_and(|at| !self.workers[at].answers())
+    }
+
     /// Returns the workers that may take tasks of the step.
     fn spots(&self, part: &Part, step: &Step, now: Millis) -> Vec<Spot> {
         let Some(job) = self.job(&part.job) else {
--- a/crates/marigoldpick-job/src/lead/start.rs
+++ b/crates/marigoldpick-job/src/lead/start.rs
@@ -116,7 +116,7 @@
             self.workers[at].read_clock(reply.clock, &settings, now);
         }
         match order {
-            Order::Hold { seen, .. } => self.held(at, *seen, answer, sent, now),
+            Order::Hold { seen, wait, .. } => self.held(at, (*seen, *wait), answer, sent, now),
             Order::Start(start) => self.started(at, &start.task, start.run, answer, now),
             Order::Stop { task, run } => self.stop_answered(at, task, *run, answer, now),
             Order::Pace { .. } => {}
@@ -152,6 +152,7 @@
                 let worker = &mut self.workers[at];
                 worker.next_hold = worker.next_hold.min(now);
                 self.note("start-unanswered", task.to_string(), format!("run={run}"));
+                self.suspect(at);
             }
             Err(fault) => {
                 self.note("start-refused", task.to_string(), format!("why={fault}"));
@@ -164,10 +165,7 @@
         let worker = &mut self.workers[at];
         match fault {
             Fault::Unhealthy => worker.note_unhealthy(now),
-            Fault::Away => {
-                worker.silent = worker.silent.max(1);
-                worker.next_hold = now;
-            }
+            Fault::Away => worker.suspect = true,
             Fault::Reborn | Fault::Room => {
                 worker.listed = false;
                 worker.next_hold = now;
--- a/crates/marigoldpick-job/src/worker.rs
+++ b/crates/marigoldpick-job/src/worker.rs
@@ -88,8 +88,14 @@
     pub seen: u64,
     /// Ends that the store does not have yet: number, job and the job's change.
     pub unsettled: VecDeque<(u64, id::Job, u64)>,
+    /// Whether an order was not answered, so that nothing is placed there until a report comes.
+    pub suspect: bool,
+    /// Whether a probe is under way: a hold that does not wait, beside one that does.
+    pub probing: bool,
     /// Whether a hold is under way.
     pub holding: bool,
+    /// How long the hold under way waits.
+    pub hold_wait: Millis,
     /// When the next hold is due.
     pub next_hold: Millis,
     /// The number that the last answered hold said is forgotten.
@@ -118,7 +124,10 @@
             runs: Vec::new(),
             seen: 0,
             unsettled: VecDeque::new(),
+            suspect: false,
+            probing: false,
             holding: false,
+            hold_wait: Millis::ZERO,
             next_hold: Millis::ZERO,
             acknowledged: 0,
             silent: 0,
@@ -191,11 +200,17 @@
         self.present
             && self.listed
             && !self.node.draining
-            && self.silent == 0
+            && self.answers()
             && self.shunned <= now
             && self.clock.is_some()
     }
 
+    /// Tells whether the last that was sent to it was answered.
+    #[must_use]
+    pub const fn answers(&self) -> bool {
+        self.silent == 0 && !self.suspect
+    }
+
     /// Tells whether it suits a step apart from room.
     #[must_use]
     pub fn suits(&self, step: &Step) -> bool {
@@ -272,10 +287,12 @@
     /// Forgets all that belongs to an earlier life, and returns the runs of it.
     pub fn renew(&mut self, node: Node, lapse: Millis) -> Vec<Run> {
         let runs = std::mem::take(&mut self.runs);
-        let holding = self.holding;
+        let (holding, hold_wait, probing) = (self.holding, self.hold_wait, self.probing);
         let shunned = self.shunned;
         *self = Self::new(node, lapse);
         self.holding = holding;
+        self.hold_wait = hold_wait;
+        self.probing = probing;
         self.shunned = shunned;
         runs
     }
--- a/crates/marigoldpick-job/tests/lead/faults.rs
+++ b/crates/marigoldpick-job/tests/lead/faults.rs
@@ -200,3 +200,50 @@
     expect_that!(world.running().len(), eq(4));
     expect_that!(world.broken, is_empty());
 }
+
+/// A failure domain of eight workers is cut off while jobs come every 50 ms.
+#[googletest::test]
+fn starts_soon_leave_out_a_domain_that_is_cut_off() {
+    let mut world = World::new(24);
+    for at in 0..8 {
+        world.workers[at].node.domain = id::Domain::new("south").expect("a name");
+    }
+    busy(&mut world, 20);
+    let cut = world.now;
+    (0..8).for_each(|at| world.workers[at].cut = true);
+    busy(&mut world, 100);
+    let lost = |starts: &[(Millis, usize)]| {
+        let late = starts.iter().filter(|(at, _)| *at > cut + Millis(700));
+        late.filter(|(_, worker)| *worker < 8).count()
+    };
+    let sent = world.sent_starts.clone();
+    expect_that!(lost(&sent), eq(0));
+    (0..8).for_each(|at| world.workers[at].cut = false);
+    let healed = world.now;
+    busy(&mut world, 20);
+    let again = |(at, worker): &&(Millis, usize)| *at > healed && *worker < 8;
+    expect_that!(world.sent_starts.iter().filter(again).count(), gt(0));
+    world.run(8_000);
+    expect_that!(world.broken, is_empty());
+}
+
+#[googletest::test]
+fn copies_run_elsewhere_while_a_worker_does_not_answer() {
+    let mut world = World::new(4);
+    let copied = Step {
+        copies: true,
+        ..step(8, 20_000, 600)
+    };
+    let id = world.submit(1, job(vec![copied]));
+    world.run(200);
+    let cut = (0..4)
+        .find(|at| world.runs_on(*at) > 0)
+        .expect("a worker in use");
+    world.workers[cut].cut = true;
+    world.run(4_000);
+    expect_that!(world.phase(&id), some(eq(Phase::Completed)));
+    world.workers[cut].cut = false;
+    world.run(3_000);
+    expect_that!(world.running(), is_empty());
+    expect_that!(world.broken, is_empty());
+}
--- a/crates/marigoldpick-job/tests/lead/world.rs
+++ b/crates/marigoldpick-job/tests/lead/world.rs
@@ -22,7 +22,7 @@
 /// How long the store takes.
 const STORE: Millis = Millis(4);
 /// How long an order waits for an answer.
-const PATIENCE: Millis = Millis(800);
+const PATIENCE: Millis = Millis(500);
 /// The time of day at the start.
 pub const WALL: u64 = 1_780_000_000_000;
 
@@ -148,6 +148,8 @@
     pub holds_lost: bool,
     /// Runs that were really started: task, run, worker, when.
     pub started: Vec<(Task, u64, usize, Millis)>,
+    /// Starts that the lead sent, whether they arrived or not: when, and to which worker.
+    pub sent_starts: Vec<(Millis, usize)>,
     pub done: BTreeSet<Task>,
     /// Ends as done that a lead has taken note of.
     noted: BTreeSet<Task>,
@@ -178,6 +180,7 @@
             holds_lost: false,
             good_percent: 67,
             started: Vec::new(),
+            sent_starts: Vec::new(),
             done: BTreeSet::new(),
             noted: BTreeSet::new(),
             broken: Vec::new(),
@@ -286,6 +289,9 @@
                 let at = self.workers.iter().position(|w| w.node.id == target.id);
                 let Some(at) = at else { return };
                 let is_start = matches!(order, Order::Start(_));
+                if is_start {
+                    self.sent_starts.push((self.now, at));
+                }
                 let unheard =
                     Message::Answer(target.id, order.clone(), Err(Fault::Unknown), self.now);
                 let lost = self.holds_lost && matches!(order, Order::Hold { .. });
