--- a/crates/marigoldpick-job/src/advice.rs
+++ b/crates/marigoldpick-job/src/advice.rs
@@ -114,11 +114,11 @@
 
     /// Chooses the entry that answers a question of `span` first, and books it.
     ///
-    /// Long questions leave a quarter of the entries to short ones.
+    /// Long questions leave half of the entries to short ones, which come in bursts.
     pub fn book(&mut self, span: Millis, now: Millis) -> Option<id::Entry> {
         let many = self.list.len();
         let usable = if span > LONG && many > 1 {
-            many - (many / 4).max(1)
+            many - (many / 2).max(1)
         } else {
             many
         };
--- /dev/null
+++ b/crates/marigoldpick-job/tests/askers.rs
@@ -0,0 +1,65 @@
+//! The entries that ask the adviser, under the loads that they answer.
+
+use googletest::prelude::*;
+use marigoldpick_core::prelude::*;
+use marigoldpick_job::advice::Askers;
+
+fn askers(count: usize) -> Askers {
+    let names = (0..count).map(|number| id::Entry::new(&format!("e{number}")).expect("a name"));
+    let mut askers = Askers::default();
+    askers.set(&names.collect::<Vec<_>>());
+    askers
+}
+
+/// A burst of short urgent questions, 75 a second of 35 ms each, while long ones of 600 ms wait all
+/// the time. Urgent work that waits for over 250 ms is late.
+#[googletest::test]
+fn book_keeps_short_questions_from_waiting_behind_long_ones() {
+    let mut askers = askers(9);
+    let (short, long) = (Millis(35), Millis(600));
+    let mut ends: Vec<(Millis, id::Entry)> = Vec::new();
+    let mut busy: Vec<(id::Entry, Millis)> = Vec::new();
+    let mut longest = Millis::ZERO;
+    let mut refused = 0;
+    for now in (0..4_000).map(Millis) {
+        ends.sort();
+        while ends.first().is_some_and(|(end, _)| *end <= now) {
+            let (_, entry) = ends.remove(0);
+            askers.release(&entry, true, now);
+        }
+        let mut ask = |askers: &mut Askers, span| {
+            let entry = askers.book(span, now)?;
+            let at = busy.iter().position(|(have, _)| *have == entry);
+            let at = at.unwrap_or_else(|| {
+                busy.push((entry.clone(), Millis::ZERO));
+                busy.len() - 1
+            });
+            let start = busy[at].1.max(now);
+            busy[at].1 = start + span;
+            ends.push((start + span, entry));
+            Some(start.since(now))
+        };
+        while ask(&mut askers, long).is_some() {}
+        if now.0 * 75 / 1_000 != (now.0 + 1) * 75 / 1_000 {
+            match ask(&mut askers, short) {
+                Some(wait) => longest = longest.max(wait),
+                None => refused += 1,
+            }
+        }
+    }
+    expect_that!(refused, eq(0));
+    expect_that!(longest, le(Millis(250)));
+}
+
+#[googletest::test]
+fn book_leaves_out_an_entry_that_does_not_answer() {
+    let mut askers = askers(2);
+    let entry = askers.book(Millis(30), Millis(0)).expect("an entry");
+    askers.release(&entry, false, Millis(30));
+    for _ in 0..3 {
+        let other = askers.book(Millis(30), Millis(40)).expect("an entry");
+        expect_that!(other, not(eq(&entry)));
+        askers.release(&other, true, Millis(70));
+    }
+    expect_true!((0..2).any(|_| askers.book(Millis(30), Millis(2_000)) == Some(entry.clone())));
+}
