--- a/crates/marigoldpick-job/src/job.rs
+++ b/crates/marigoldpick-job/src/job.rs
@@ -49,10 +49,6 @@
     pub left: u32,
     /// What the adviser said.
     pub tickets: Tickets,
-    /// When the last of its tasks was started.
-    pub started: Option<Millis>,
-    /// When its last task was done.
-    pub ended: Option<Millis>,
 }
 
 impl Stage {
@@ -61,8 +57,6 @@
             tasks: vec![Task::default(); step.count as usize],
             left: step.count,
             tickets: Tickets::default(),
-            started: None,
-            ended: None,
         }
     }
 
@@ -71,13 +65,6 @@
     pub fn has_unplaced(&self) -> bool {
         self.left > 0 && self.tasks.iter().any(Task::is_unplaced)
     }
-
-    /// Returns the run that failed most often counts against: a gang fails as one.
-    #[must_use]
-    pub fn failures(&self, index: u32, gang: bool) -> usize {
-        let at = if gang { 0 } else { index as usize };
-        self.tasks.get(at).map_or(0, |task| task.failed.len())
-    }
 }
 
 /// `Occurrence` is one of the times that a job runs.
--- a/crates/marigoldpick-job/src/lead.rs
+++ b/crates/marigoldpick-job/src/lead.rs
@@ -45,8 +45,6 @@
     pub holds: u64,
     /// Commits.
     pub commits: u64,
-    /// Runs that were stopped for more urgent work.
-    pub preemptions: u64,
 }
 
 /// `Origin` tells where a job comes from.
--- a/crates/marigoldpick-job/src/lead/commit.rs
+++ b/crates/marigoldpick-job/src/lead/commit.rs
@@ -61,12 +61,6 @@
         }
     }
 
-    /// Tells whether nothing waits for the store.
-    #[must_use]
-    pub fn is_stored(&self) -> bool {
-        self.dirty.is_empty() && !self.commit.busy
-    }
-
     fn note_stored(&mut self, id: &id::Job, change: u64) {
         let Some(at) = self.at(id) else { return };
         let job = &mut self.jobs[at];
--- a/crates/marigoldpick-job/src/lead/report.rs
+++ b/crates/marigoldpick-job/src/lead/report.rs
@@ -342,9 +342,6 @@
                 } else {
                     stage.finish(end.task.index);
                 }
-                if stage.left == 0 {
-                    stage.ended = Some(now);
-                }
                 self.touch(at);
                 self.stop_copies(at, &end.task, gang);
                 if self.jobs[at].is_done() {
--- a/crates/marigoldpick-job/src/lead/schedule.rs
+++ b/crates/marigoldpick-job/src/lead/schedule.rs
@@ -288,9 +288,6 @@
                 run,
             });
         }
-        if let Some(stage) = self.jobs[at].stage_mut(part.occurrence, part.step) {
-            stage.started = Some(now);
-        }
         self.touch(at);
         let change = self.jobs[at].change;
         self.recording.push(Recording {
--- a/crates/marigoldpick-job/src/settings.rs
+++ b/crates/marigoldpick-job/src/settings.rs
@@ -14,8 +14,6 @@
     /// The lease of a worker with lasting tasks, which have to run again within six seconds of its
     /// loss, the time for advice and start included.
     pub lasting_lease: Millis,
-    /// The longest time that a stop takes on a worker, by the platform's contract.
-    pub stop: Millis,
     /// How much slower a task is away from its data, in thousandths, by the platform's contract.
     pub remote_permille: u64,
     /// The longest wait of a hold for the next end, by the platform's contract.
@@ -46,7 +44,6 @@
             lease: Millis(6_000),
             longest_lease: Millis(6_000),
             lasting_lease: Millis(4_500),
-            stop: Millis(900),
             remote_permille: 2_000,
             hold_wait: Millis(2_000),
             hold_gap: Millis(100),
--- a/crates/marigoldpick-node/src/driver.rs
+++ b/crates/marigoldpick-node/src/driver.rs
@@ -504,11 +504,6 @@
         ),
         ("marigold_worker_holds_total", now.holds, before.holds),
         ("marigold_record_commits_total", now.commits, before.commits),
-        (
-            "marigold_preemptions_total",
-            now.preemptions,
-            before.preemptions,
-        ),
     ];
     for (name, now, before) in counts {
         if now > before {
--- a/crates/marigoldpick-platform/src/store.rs
+++ b/crates/marigoldpick-platform/src/store.rs
@@ -39,7 +39,7 @@
         let answer = client
             .exchange(Method::Post, &self.url, body, extra)
             .await
-            .map_err(fault)?;
+            .map_err(Fault::from)?;
         serde_json::from_slice(&answer).map_err(|_source| Fault::Unknown)
     }
 }
@@ -55,12 +55,14 @@
     }
 }
 
-const fn fault(failure: Failure) -> Fault {
-    match failure {
-        Failure::Away => Fault::Away,
-        Failure::Unknown => Fault::Unknown,
-        Failure::Overloaded => Fault::Overloaded,
-        Failure::Invalid => Fault::Invalid,
+impl From<Failure> for Fault {
+    fn from(failure: Failure) -> Self {
+        match failure {
+            Failure::Away => Self::Away,
+            Failure::Unknown => Self::Unknown,
+            Failure::Overloaded => Self::Overloaded,
+            Failure::Invalid => Self::Invalid,
+        }
     }
 }
 
