Move tasks that stand still

A run whose percentage has not moved for 1.5 s is stopped and placed elsewhere, and its worker gets no work for three seconds. Gangs, lasting and filling tasks are left alone, since they wait for others or are paced.

--- a/crates/marigoldpick-job/src/lead.rs
+++ b/crates/marigoldpick-job/src/lead.rs
@@ -437,7 +437,10 @@
             priority,
             checkpoints: step.checkpoints,
             lasting: step.lasting,
+            gang: step.gang,
             pace: 100,
+            percent: 0,
+            moved: now,
         })
     }
 
--- a/crates/marigoldpick-job/src/lead/report.rs
+++ b/crates/marigoldpick-job/src/lead/report.rs
@@ -11,6 +11,8 @@
 const IDLE: Millis = Millis(5_000);
 /// The wait of a hold on a worker where serving and filling tasks meet.
 const CLOSE_WATCH: Millis = Millis(400);
+/// A task that has not moved for this long stands still.
+const STALL: Millis = Millis(1_500);
 /// Workers of a failure domain that do not answer before all of it is suspected.
 const QUIET_DOMAIN: usize = 3;
 /// A serving task above this share of its target is disturbed, in percent.
@@ -206,11 +208,16 @@
             self.found(at, running, now);
             return;
         };
+        if run.percent != running.percent {
+            run.percent = running.percent;
+            run.moved = now;
+        }
         if matches!(run.phase, Phase::Ordered | Phase::Unknown(_)) {
             run.phase = Phase::Running;
             run.confirmed = now;
             self.note_begun(&running.task);
         }
+        self.check_stall(at, &running.task, running.run, now);
         if !running.checkpoint.is_empty()
             && let Some(job) = self.at(&running.task.part.job)
             && let Some(task) = self.jobs[job].task_mut(&running.task)
@@ -220,6 +227,26 @@
         }
     }
 
+    /// Stops a run that stands still; its task is placed elsewhere.
+    ///
+    /// Load pattern: tasks on some workers stand still for seconds while the workers answer all that
+    /// they are asked. A task of half a minute moves by a percent in 300 ms.
+    fn check_stall(&mut self, at: usize, task: &Task, run: u64, now: Millis) {
+        let worker = &mut self.workers[at];
+        let Some(entry) = worker.run_mut(task, run) else {
+            return;
+        };
+        let works_alone = !entry.lasting && !entry.fills && !entry.gang;
+        let stalls = now.since(entry.moved) >= STALL && now.since(entry.confirmed) >= STALL;
+        if works_alone && stalls && entry.phase == Phase::Running && entry.percent < 100 {
+            entry.phase = Phase::Stop;
+            let percent = entry.percent;
+            let detail = format!("worker={} run={run} percent={percent}", worker.node.id);
+            worker.note_stall(now);
+            self.note("run-stalled", task.to_string(), detail);
+        }
+    }
+
     /// Takes in a run that was not expected: it is adopted if its task runs nowhere else.
     fn found(&mut self, at: usize, running: &Running, now: Millis) {
         let task = &running.task;
@@ -240,7 +267,10 @@
             priority: 0,
             checkpoints: false,
             lasting: false,
+            gang: false,
             pace: 100,
+            percent: 0,
+            moved: now,
         });
         self.workers[at].add(run);
         let detail = format!("run={} adopted={wanted}", running.run);
--- a/crates/marigoldpick-job/src/worker.rs
+++ b/crates/marigoldpick-job/src/worker.rs
@@ -12,6 +12,8 @@
 const FAILURES: u32 = 3;
 /// How long a worker gets no work after failures in a row.
 const QUARANTINE: Millis = Millis(4_000);
+/// How long a worker on which a task stands still gets no work.
+const STALLED: Millis = Millis(3_000);
 /// How long a worker that refused an order as unhealthy gets no work.
 const UNHEALTHY: Millis = Millis(1_000);
 
@@ -59,8 +61,14 @@
     pub checkpoints: bool,
     /// Whether it runs until its job is cancelled.
     pub lasting: bool,
+    /// Whether it works only while all members of its gang are there.
+    pub gang: bool,
     /// The share it was last told to work at, in percent.
     pub pace: u32,
+    /// How far it was at the last report, in percent.
+    pub percent: u32,
+    /// When it was first reported to be that far.
+    pub moved: Millis,
 }
 
 /// `Worker` is the state of one worker.
@@ -266,6 +274,11 @@
         }
     }
 
+    /// Notes that a task on it stands still.
+    pub fn note_stall(&mut self, now: Millis) {
+        self.shunned = self.shunned.max(now + STALLED);
+    }
+
     /// Notes that it refused an order as unhealthy.
     pub fn note_unhealthy(&mut self, now: Millis) {
         self.shunned = self.shunned.max(now + UNHEALTHY);
--- a/crates/marigoldpick-job/tests/lead/faults.rs
+++ b/crates/marigoldpick-job/tests/lead/faults.rs
@@ -247,3 +247,29 @@
     expect_that!(world.running(), is_empty());
     expect_that!(world.broken, is_empty());
 }
+
+/// Tasks on one worker stand still while it answers all that it is asked.
+#[googletest::test]
+fn tasks_that_stand_still_are_moved() {
+    let mut world = World::new(3);
+    let id = world.submit(1, job(vec![step(6, 20_000, 4_000)]));
+    world.run(500);
+    let hung = (0..3).find(|at| world.runs_on(*at) > 0).expect("a worker in use");
+    world.workers[hung].hung = true;
+    let other = world.submit(2, job(vec![step(2, 8_000, 500)]));
+    // Two rounds of four seconds, and the time to see that tasks stand still.
+    world.run(12_000);
+    expect_that!(world.phase(&id), some(eq(Phase::Completed)));
+    expect_that!(world.phase(&other), some(eq(Phase::Completed)));
+    expect_that!(world.broken, is_empty());
+}
+
+#[googletest::test]
+fn tasks_that_are_only_slow_run_on() {
+    let mut world = World::new(2);
+    // A task of half a minute moves by a percent in 300 ms.
+    let id = world.submit(1, job(vec![step(4, 20_000, 30_000)]));
+    world.run(32_000);
+    expect_that!(world.phase(&id), some(eq(Phase::Completed)));
+    expect_that!(world.started.len(), eq(4));
+}
--- a/crates/marigoldpick-job/tests/lead/world.rs
+++ b/crates/marigoldpick-job/tests/lead/world.rs
@@ -91,6 +91,9 @@
     task: Task,
     run: u64,
     claim: Amount,
+    /// How long it has worked, and how long it has to.
+    worked: u64,
+    work: u64,
     end: Millis,
     how: How,
     stopping: bool,
@@ -113,6 +116,8 @@
     pub up: bool,
     /// Whether its tasks all fail.
     pub failing: bool,
+    /// Whether its tasks stand still.
+    pub hung: bool,
     /// Runs of ends that were forgotten, by the lead's word.
     acknowledged: u64,
 }
@@ -461,7 +466,7 @@
                             task: live.task.clone(),
                             run: live.run,
                             checkpoint: String::new(),
-                            percent: 50,
+                            percent: (live.worked * 100 / live.work.max(1)).min(99) as u32,
                             figure: live.claim.millicores,
                         })
                         .collect(),
@@ -517,6 +522,8 @@
             task: task.clone(),
             run: start.run,
             claim: step.claim(),
+            worked: 0,
+            work: span.0,
             end: self.now + if failing { Millis(20) } else { span },
             how: if failing { How::Failed } else { How::Done },
             stopping: false,
@@ -566,6 +573,11 @@
             let lapsed = worker.lease < now;
             let live = std::mem::take(&mut worker.live);
             for mut run in live {
+                if worker.hung && !run.stopping {
+                    run.end += Millis(1);
+                } else {
+                    run.worked += 1;
+                }
                 if lapsed {
                     run.how = How::Lapsed;
                 } else if now < run.end {
@@ -625,6 +637,7 @@
         cut: false,
         up: true,
         failing: false,
+        hung: false,
         acknowledged: 0,
     }
 }
