--- a/crates/marigoldpick-job/src/lead/report.rs
+++ b/crates/marigoldpick-job/src/lead/report.rs
@@ -296,6 +296,7 @@
                 .any(|there| there.run == run.run && there.task == run.task)
         };
         let mut gone: Vec<(Task, u64)> = Vec::new();
+        let mut lost: Vec<(Task, u64)> = Vec::new();
         for run in &mut self.workers[at].runs {
             match run.phase {
                 Phase::Stopped(since) if since <= sent && !is_there(run) => {
@@ -304,9 +305,11 @@
                 // It has not arrived: the stop makes sure that it never will.
                 Phase::Unknown(since) if since <= sent && !is_there(run) => {
                     run.phase = Phase::Stop;
+                    lost.push((run.task.clone(), run.run));
                 }
                 Phase::Running if run.confirmed < sent && !is_there(run) => {
                     run.phase = Phase::Stop;
+                    lost.push((run.task.clone(), run.run));
                 }
                 _ => {}
             }
@@ -316,6 +319,9 @@
                 self.vacate(&run, at);
             }
         }
+        for (task, run) in lost {
+            self.stop_gang(&task, run);
+        }
     }
 
     /// Takes in an end.
--- a/crates/marigoldpick-job/src/lead/start.rs
+++ b/crates/marigoldpick-job/src/lead/start.rs
@@ -32,6 +32,7 @@
             if let Some(gone) = self.workers[at].remove(task, run) {
                 self.vacate(&gone, at);
             }
+            self.stop_gang(task, run);
             return;
         };
         if let Some(entry) = self.workers[at].run_mut(task, run) {
@@ -176,6 +177,7 @@
         if let Some(gone) = worker.remove(task, run) {
             self.vacate(&gone, at);
         }
+        self.stop_gang(task, run);
         if fault == Fault::Ticket
             && let Some(job) = self.at(&task.part.job)
             && let Some(stage) = self.jobs[job].stage_mut(task.part.occurrence, task.part.step)
@@ -184,6 +186,38 @@
         }
     }
 
+    /// Stops the other members of a gang of which one does not run: alone they would only wait.
+    pub(super) fn stop_gang(&mut self, task: &Task, run: u64) {
+        let Some(job) = self.job(&task.part.job) else {
+            return;
+        };
+        if !job.step(&task.part).is_some_and(|step| step.gang) {
+            return;
+        }
+        let Some(stage) = job.stage(task.part.occurrence, task.part.step) else {
+            return;
+        };
+        let members: Vec<(Task, id::Worker)> = (0..)
+            .zip(&stage.tasks)
+            .flat_map(|(index, state)| {
+                let places = state.places.iter().filter(|place| place.run == run);
+                let member = task.part.task(index);
+                places.map(move |place| (member.clone(), place.worker.clone()))
+            })
+            .collect();
+        if members.is_empty() {
+            return;
+        }
+        self.note(
+            "gang-stopped",
+            task.to_string(),
+            format!("run={run} members={}", members.len()),
+        );
+        for (member, worker) in members {
+            self.stop_run(&member, &worker, run);
+        }
+    }
+
     /// Notes that a task of the job has started.
     pub(super) fn note_begun(&mut self, task: &Task) {
         if let Some(at) = self.at(&task.part.job)
--- a/crates/marigoldpick-job/tests/lead/faults.rs
+++ b/crates/marigoldpick-job/tests/lead/faults.rs
@@ -254,7 +254,9 @@
     let mut world = World::new(3);
     let id = world.submit(1, job(vec![step(6, 20_000, 4_000)]));
     world.run(500);
-    let hung = (0..3).find(|at| world.runs_on(*at) > 0).expect("a worker in use");
+    let hung = (0..3)
+        .find(|at| world.runs_on(*at) > 0)
+        .expect("a worker in use");
     world.workers[hung].hung = true;
     let other = world.submit(2, job(vec![step(2, 8_000, 500)]));
     // Two rounds of four seconds, and the time to see that tasks stand still.
@@ -273,3 +275,23 @@
     expect_that!(world.phase(&id), some(eq(Phase::Completed)));
     expect_that!(world.started.len(), eq(4));
 }
+
+/// Members that wait for the others longer than the platform allows end alone.
+#[googletest::test]
+fn gang_of_which_a_member_does_not_start_is_stopped_whole() {
+    let mut world = World::new(2);
+    let gang = Step {
+        gang: true,
+        ..step(8, 10_000, 5_000)
+    };
+    world.workers[1].refusing = true;
+    let id = world.submit(1, job(vec![gang]));
+    for _ in 0..40 {
+        world.run(50);
+        expect_that!(world.longest_partial(8), le(Millis(1_000)));
+    }
+    world.workers[1].refusing = false;
+    world.run(9_000);
+    expect_that!(world.phase(&id), some(eq(Phase::Completed)));
+    expect_that!(world.broken, is_empty());
+}
--- a/crates/marigoldpick-job/tests/lead/world.rs
+++ b/crates/marigoldpick-job/tests/lead/world.rs
@@ -118,6 +118,8 @@
     pub failing: bool,
     /// Whether its tasks stand still.
     pub hung: bool,
+    /// Whether it refuses all starts as unhealthy.
+    pub refusing: bool,
     /// Runs of ends that were forgotten, by the lead's word.
     acknowledged: u64,
 }
@@ -490,6 +492,9 @@
         );
         let step = job.steps[task.part.step as usize].clone();
         let fate = self.fates.get(&task.part.job).copied();
+        if self.workers[at].refusing {
+            return Err(Fault::Unhealthy);
+        }
         let worker = &self.workers[at];
         if worker
             .floor
@@ -607,6 +612,16 @@
         live.map(|live| live.task.clone()).collect()
     }
 
+    /// Returns how long the oldest run has been there while fewer than `whole` runs are.
+    pub fn longest_partial(&self, whole: usize) -> Millis {
+        let live = self.workers.iter().filter(|w| w.up).flat_map(|w| &w.live);
+        let ages: Vec<u64> = live.map(|live| live.worked).collect();
+        if ages.len() >= whole {
+            return Millis::ZERO;
+        }
+        Millis(ages.into_iter().max().unwrap_or(0))
+    }
+
     /// Returns how many runs a worker has.
     pub fn runs_on(&self, at: usize) -> usize {
         self.workers[at].live.len()
@@ -638,6 +653,7 @@
         up: true,
         failing: false,
         hung: false,
+        refusing: false,
         acknowledged: 0,
     }
 }
