Keep the product's own adapters as they were where a call has no answer

Giving up an address's idle connections after a call without an answer is for platforms on which connections go silent; the product's own stand-ins do not need it, and two tests of theirs have failed beside load since.

--- a/crates/marigoldpick-platform/src/caller.rs
+++ b/crates/marigoldpick-platform/src/caller.rs
@@ -27,6 +27,9 @@
     pub call: Millis,
     /// Idle connections kept for an address.
     pub idle: usize,
+    /// Whether the idle connections to an address are given up when a call there has no answer, as
+    /// where connections go silent for good.
+    pub forgets: bool,
 }
 
 impl Default for Settings {
@@ -35,6 +38,7 @@
             connect: CONNECT,
             call: CALL,
             idle: IDLE,
+            forgets: false,
         }
     }
 }
--- a/crates/marigoldpick-platform/src/exchange.rs
+++ b/crates/marigoldpick-platform/src/exchange.rs
@@ -113,13 +113,15 @@
         if let Ok(Some(answer)) = timeout(limit.duration(), converse).await {
             return Ok(answer);
         }
-        // Connections can go silent for good, the idle ones with the one in use.
-        self.pool.forget(address);
-        if sent.load(Ordering::SeqCst) {
-            Err(Failure::Unknown)
-        } else {
-            Err(Failure::Away)
+        let is_away = !sent.load(Ordering::SeqCst);
+        if is_away || self.settings.forgets {
+            self.pool.forget(address);
         }
+        Err(if is_away {
+            Failure::Away
+        } else {
+            Failure::Unknown
+        })
     }
 
     fn request(&self, method: Method, url: Url, body: Vec<u8>) -> Request {
