Keep a stopped run's room until its end is listed or the longest stop is over

Seen in a small world that leaves out what is being stopped: runs twice and past the room before, neither after.

--- a/crates/marigoldpick-job/src/lead/report.rs
+++ b/crates/marigoldpick-job/src/lead/report.rs
@@ -91,6 +91,13 @@
         } else {
             settings.hold_wait
         };
+        // A report that is asked for once a stop is over frees the room.
+        let stopping = settings.stopping();
+        let stops = worker.runs.iter().filter_map(|run| match run.phase {
+            Phase::Stopped(since) => Some((since + stopping).since(now)),
+            _ => None,
+        });
+        let wait = stops.fold(wait, Millis::min);
         worker.holding = true;
         worker.hold_wait = wait;
         self.count.holds += 1;
@@ -290,6 +297,7 @@
 
     /// Looks for runs that should go on but are not in a report that was asked for at `sent`.
     fn missing(&mut self, at: usize, running: &[Running], sent: Millis) {
+        let stopping = self.settings.stopping();
         let is_there = |run: &Run| {
             running
                 .iter()
@@ -299,7 +307,8 @@
         let mut lost: Vec<(Task, u64)> = Vec::new();
         for run in &mut self.workers[at].runs {
             match run.phase {
-                Phase::Stopped(since) if since <= sent && !is_there(run) => {
+                // While a stop goes on the run may be in neither list, and still takes room.
+                Phase::Stopped(since) if since + stopping <= sent && !is_there(run) => {
                     gone.push((run.task.clone(), run.run));
                 }
                 // It has not arrived: the stop makes sure that it never will.
--- a/crates/marigoldpick-job/src/settings.rs
+++ b/crates/marigoldpick-job/src/settings.rs
@@ -3,6 +3,9 @@
 use marigoldpick_core::prelude::*;
 use serde::{Deserialize, Serialize};
 
+/// What a worker may need beyond the longest stop until it has freed the room.
+const STOP_MARGIN: Millis = Millis(100);
+
 /// `Settings` holds the spans and limits of a lead.
 #[derive(Clone, Copy, Debug, PartialEq, Serialize, Deserialize)]
 #[serde(default, deny_unknown_fields)]
@@ -14,6 +17,8 @@
     /// The lease of a worker with lasting tasks, which have to run again within six seconds of its
     /// loss, the time for advice and start included.
     pub lasting_lease: Millis,
+    /// The longest time that a stop takes on a worker, by the platform's contract.
+    pub stop: Millis,
     /// How much slower a task is away from its data, in thousandths, by the platform's contract.
     pub remote_permille: u64,
     /// The longest wait of a hold for the next end, by the platform's contract.
@@ -44,6 +49,7 @@
             lease: Millis(6_000),
             longest_lease: Millis(6_000),
             lasting_lease: Millis(4_500),
+            stop: Millis(900),
             remote_permille: 2_000,
             hold_wait: Millis(2_000),
             hold_gap: Millis(100),
@@ -60,6 +66,12 @@
 }
 
 impl Settings {
+    /// Returns how long after its answer a stopped run may still take room.
+    #[must_use]
+    pub const fn stopping(&self) -> Millis {
+        Millis(self.stretched(self.stop).0 + STOP_MARGIN.0)
+    }
+
     /// Returns the longest true time in which a worker's clock advances by `span`.
     #[must_use]
     pub const fn stretched(&self, span: Millis) -> Millis {
--- a/crates/marigoldpick-job/tests/lead/faults.rs
+++ b/crates/marigoldpick-job/tests/lead/faults.rs
@@ -295,3 +295,24 @@
     expect_that!(world.phase(&id), some(eq(Phase::Completed)));
     expect_that!(world.broken, is_empty());
 }
+
+/// A start is not answered in time but runs: its stop takes a while, and it takes room until its end.
+#[googletest::test]
+fn stopped_run_takes_room_until_its_end_is_listed() {
+    let mut world = World::new(1);
+    world.answers_lost = true;
+    world.submit(1, job(vec![step(2, 20_000, 4_000)]));
+    world.run(100);
+    world.answers_lost = false;
+    // Other ends bring reports while the stop goes on.
+    let short: Vec<Step> = (0..10_u32)
+        .map(|number| Step {
+            after: (0..number).collect(),
+            ..step(1, 1_000, 100)
+        })
+        .collect();
+    world.submit(2, job(short));
+    world.run(9_000);
+    expect_that!(world.done.len(), eq(12));
+    expect_that!(world.broken, is_empty());
+}
