--- a/crates/marigoldpick-job/src/lead/start.rs
+++ b/crates/marigoldpick-job/src/lead/start.rs
@@ -27,6 +27,11 @@
         let Some(at) = self.worker_at(worker) else {
             return;
         };
+        // Its place may have been freed meanwhile, as when the worker was born again.
+        let waits = self.workers[at].run_mut(task, run);
+        if waits.is_none_or(|entry| entry.phase != Phase::Recording) {
+            return;
+        }
         let Some(order) = self.start_order(at, task, run, now) else {
             // The ticket has expired or the worker is no longer to be used.
             if let Some(gone) = self.workers[at].remove(task, run) {
--- a/crates/marigoldpick-job/tests/lead/faults.rs
+++ b/crates/marigoldpick-job/tests/lead/faults.rs
@@ -3,6 +3,7 @@
 use googletest::prelude::*;
 use marigoldpick_core::prelude::*;
 use marigoldpick_core::work::{Phase, Step};
+use marigoldpick_job::worker;
 
 use crate::world::{World, job, step};
 
@@ -316,3 +317,25 @@
     expect_that!(world.done.len(), eq(12));
     expect_that!(world.broken, is_empty());
 }
+
+/// A worker is born again just while the starts that are meant for it are being recorded.
+#[googletest::test]
+fn start_that_was_being_recorded_for_an_earlier_life_is_not_given() {
+    let mut world = World::new(1);
+    world.run(50);
+    world.submit(1, job(vec![step(3, 20_000, 500)]));
+    let is_recording = |world: &World| {
+        let runs = &world.lead.workers()[0].runs;
+        runs.iter().any(|run| run.phase == worker::Phase::Recording)
+    };
+    while !is_recording(&world) {
+        world.run(1);
+    }
+    world.rebirth(0);
+    let node = world.workers[0].node.clone();
+    world.lead.fleet(&[node], world.now);
+    world.run(3_000);
+    expect_that!(world.started.len(), eq(3));
+    expect_that!(world.done.len(), eq(3));
+    expect_that!(world.broken, is_empty());
+}
