--- a/crates/marigoldpick-job/src/settings.rs
+++ b/crates/marigoldpick-job/src/settings.rs
@@ -56,7 +56,7 @@
             hold_retry: Millis(250),
             commit_gap: Millis(20),
             commit_retry: Millis(100),
-            term_grace: Millis(8_000),
+            term_grace: Millis(3_000),
             ticket_margin: Millis(250),
             retention: Millis(150_000),
             advice_most: 100,
