Count dropped log lines since the start, and by the project's clock

It only grows now, and the writer keeps what it has told. The bound on the lines of a second was taken from the machine's clock; it uses the project's Clock, which the tests move by hand.

--- a/crates/marigoldpick-log/src/lib.rs
+++ b/crates/marigoldpick-log/src/lib.rs
@@ -11,7 +11,6 @@
 use std::sync::mpsc::{Receiver, SyncSender, TrySendError, sync_channel};
 use std::sync::{Arc, Mutex, PoisonError};
 use std::thread;
-use std::time::{Duration, Instant};
 
 use displaydoc::Display;
 use log::{Level, LevelFilter, Record};
@@ -20,9 +19,13 @@
 use log4rs::encode::Encode;
 use log4rs::encode::pattern::PatternEncoder;
 use log4rs::encode::writer::simple::SimpleWriter;
+use marigoldpick_core::clock::System;
+use marigoldpick_core::prelude::*;
 
 /// The form of a line.
 const LINE: &str = "{d(%Y-%m-%dT%H:%M:%S%.3f)(utc)} level={l} part={t} {m}{n}";
+/// The time in which lines are counted.
+const SECOND: Millis = Millis::from_secs(1);
 /// The most bytes that are written at once.
 const CHUNK: usize = 1 << 16;
 
@@ -59,29 +62,32 @@
 impl std::error::Error for Error {}
 
 /// `Queue` takes lines without ever waiting.
-pub struct Queue {
+pub struct Queue<C> {
     encoder: PatternEncoder,
     lines: SyncSender<Vec<u8>>,
     shared: Arc<Shared>,
     settings: Settings,
+    clock: C,
     rate: Mutex<Rate>,
 }
 
 /// `Shared` is what the queue and its writer count.
 #[derive(Debug, Default)]
 struct Shared {
+    /// Lines that were taken and are not written yet.
     waiting: AtomicU64,
+    /// Lines that were dropped since the start.
     dropped: AtomicU64,
 }
 
 /// `Rate` counts the lines of the current second.
 #[derive(Debug)]
 struct Rate {
-    since: Instant,
+    since: Millis,
     lines: u64,
 }
 
-impl fmt::Debug for Queue {
+impl<C> fmt::Debug for Queue<C> {
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
         f.debug_struct("Queue")
             .field("settings", &self.settings)
@@ -89,17 +95,21 @@
     }
 }
 
-impl Queue {
+impl<C: Clock> Queue<C> {
     /// Makes a queue whose lines a new thread writes to `out`.
     ///
     /// # Errors
     /// Fails when no thread can be made.
-    pub fn start<W: Write + Send + 'static>(settings: Settings, out: W) -> io::Result<Self> {
+    pub fn start<W>(settings: Settings, clock: C, out: W) -> io::Result<Self>
+    where
+        W: Write + Send + 'static,
+    {
         let (lines, queue) = sync_channel(settings.buffer.max(1));
         let shared = Arc::new(Shared::default());
         let writer = Writer {
             queue,
             shared: Arc::clone(&shared),
+            told: 0,
         };
         thread::Builder::new()
             .name("log".to_owned())
@@ -110,13 +120,14 @@
             shared,
             settings,
             rate: Mutex::new(Rate {
-                since: Instant::now(),
+                since: clock.now(),
                 lines: 0,
             }),
+            clock,
         })
     }
 
-    /// Returns how many lines were dropped and not yet told.
+    /// Returns how many lines were dropped since the start.
     #[must_use]
     pub fn dropped(&self) -> u64 {
         self.shared.dropped.load(Ordering::SeqCst)
@@ -129,8 +140,9 @@
     /// Tells whether a line that is no warning may still be written in this second.
     fn is_within_rate(&self) -> bool {
         let mut rate = self.rate.lock().unwrap_or_else(PoisonError::into_inner);
-        if rate.since.elapsed() >= Duration::from_secs(1) {
-            rate.since = Instant::now();
+        let now = self.clock.now();
+        if now.since(rate.since) >= SECOND {
+            rate.since = now;
             rate.lines = 0;
         }
         rate.lines += 1;
@@ -146,7 +158,7 @@
     }
 }
 
-impl Append for Queue {
+impl<C: Clock> Append for Queue<C> {
     fn append(&self, record: &Record<'_>) -> anyhow::Result<()> {
         if !self.has_room(record.level()) {
             self.drop_line();
@@ -171,10 +183,12 @@
 struct Writer {
     queue: Receiver<Vec<u8>>,
     shared: Arc<Shared>,
+    /// The dropped lines that were told of.
+    told: u64,
 }
 
 impl Writer {
-    fn run<W: Write>(self, mut out: W) {
+    fn run<W: Write>(mut self, mut out: W) {
         while let Ok(first) = self.queue.recv() {
             let mut chunk = first;
             let mut lines = 1;
@@ -185,10 +199,12 @@
                 chunk.extend_from_slice(&line);
                 lines += 1;
             }
-            let dropped = self.shared.dropped.swap(0, Ordering::SeqCst);
-            if dropped > 0 {
-                let note = format!("level=WARN part=log event=lines-dropped count={dropped}\n");
+            let dropped = self.shared.dropped.load(Ordering::SeqCst);
+            if dropped > self.told {
+                let count = dropped - self.told;
+                let note = format!("level=WARN part=log event=lines-dropped count={count}\n");
                 chunk.extend_from_slice(note.as_bytes());
+                self.told = dropped;
             }
             // There is no other place to tell that standard output is gone.
             let _is_gone = out.write_all(&chunk).and_then(|()| out.flush());
@@ -206,7 +222,8 @@
         .parse()
         .map_err(|_source| Error::Level(level.to_owned()))?;
     let setup = |error: &dyn fmt::Display| Error::Setup(error.to_string());
-    let queue = Queue::start(settings, io::stdout()).map_err(|error| setup(&error))?;
+    let queue =
+        Queue::start(settings, System::new(), io::stdout()).map_err(|error| setup(&error))?;
     let config = Config::builder()
         .appender(Appender::builder().build("stdout", Box::new(queue)))
         .build(Root::builder().appender("stdout").build(filter))
--- a/crates/marigoldpick-log/tests/queue.rs
+++ b/crates/marigoldpick-log/tests/queue.rs
@@ -8,6 +8,8 @@
 use googletest::prelude::*;
 use log::{Level, Record};
 use log4rs::append::Append;
+use marigoldpick_core::clock::Manual;
+use marigoldpick_core::prelude::*;
 use marigoldpick_log::{Queue, Settings};
 
 /// A writer that has nothing to write for this long never will.
@@ -37,7 +39,7 @@
     (Gate { leave, written }, open, read)
 }
 
-fn line(queue: &Queue, level: Level, text: &str) {
+fn line(queue: &Queue<Manual>, level: Level, text: &str) {
     let mut record = Record::builder();
     record.level(level).target("lead");
     let appended = queue.append(&record.args(format_args!("event={text}")).build());
@@ -66,7 +68,7 @@
 #[googletest::test]
 fn append_with_a_blocked_reader_drops_and_counts_and_never_waits() {
     let (gate, open, read) = gate();
-    let queue = Queue::start(settings(8), gate).expect("a queue");
+    let queue = Queue::start(settings(8), Manual::default(), gate).expect("a queue");
     for _ in 0..100 {
         line(&queue, Level::Info, "started");
     }
@@ -80,7 +82,7 @@
 #[googletest::test]
 fn append_with_a_full_buffer_still_takes_failures() {
     let (gate, open, read) = gate();
-    let queue = Queue::start(settings(8), gate).expect("a queue");
+    let queue = Queue::start(settings(8), Manual::default(), gate).expect("a queue");
     for _ in 0..100 {
         line(&queue, Level::Info, "started");
     }
@@ -98,7 +100,7 @@
         per_second: 5,
         ..settings(1_000)
     };
-    let queue = Queue::start(bounds, gate).expect("a queue");
+    let queue = Queue::start(bounds, Manual::default(), gate).expect("a queue");
     for _ in 0..50 {
         line(&queue, Level::Info, "started");
     }
@@ -107,3 +109,22 @@
     let text = read_until(&open, &read, "event=slow");
     expect_that!(text.matches("event=started").count(), eq(5));
 }
+
+#[googletest::test]
+fn append_takes_lines_again_in_the_next_second() {
+    let (gate, open, read) = gate();
+    let bounds = Settings {
+        per_second: 5,
+        ..settings(1_000)
+    };
+    let clock = Manual::default();
+    let queue = Queue::start(bounds, clock.clone(), gate).expect("a queue");
+    for _ in 0..8 {
+        line(&queue, Level::Info, "started");
+    }
+    expect_that!(queue.dropped(), eq(3));
+    clock.advance(Millis(1_000));
+    line(&queue, Level::Info, "later");
+    expect_that!(queue.dropped(), eq(3));
+    read_until(&open, &read, "event=later");
+}
