Simplify the lead: one way to free a run, one guard for recorded starts

No change of behaviour. Five places removed a run and freed its task's place by hand; they call one function. Three scans of the waiting starts went: a start is given only to a run that still waits for it, which covers them. A worker's new life is told in one place for registry and reports. Priority, checkpoints and the time of placing were kept for each run and read by nothing. Doubts about records are looked at once in a pass, not once a job, and a step's tasks are no longer tried one by one when there is no room for the first. Speeds of kinds have a file of their own.

--- a/crates/marigoldpick-job/src/lead.rs
+++ b/crates/marigoldpick-job/src/lead.rs
@@ -22,6 +22,7 @@
 use crate::queue::Queue;
 use crate::record::Record;
 use crate::settings::Settings;
+use crate::speed::Speeds;
 use crate::worker::{self, Run, Worker};
 
 /// The runs that one term can number: 2^20.
@@ -109,48 +110,6 @@
     change: u64,
 }
 
-/// `Speeds` is how long tasks take on each kind of machine against their estimates.
-#[derive(Clone, Debug, Default)]
-struct Speeds {
-    /// Kind, sum of ratios in thousandths, and count; sorted by kind.
-    kinds: Vec<(Name, u64, u64)>,
-}
-
-impl Speeds {
-    /// The samples of a kind before it is told apart from others.
-    const ENOUGH: u64 = 8;
-    /// The samples after which older ones count half.
-    const MANY: u64 = 200;
-
-    fn learn(&mut self, kind: &Name, permille: u64) {
-        let at = match self.kinds.binary_search_by(|(have, _, _)| have.cmp(kind)) {
-            Ok(at) => at,
-            Err(at) => {
-                self.kinds.insert(at, (kind.clone(), 0, 0));
-                at
-            }
-        };
-        let (_, sum, count) = &mut self.kinds[at];
-        *sum += permille;
-        *count += 1;
-        if *count >= Self::MANY {
-            *sum /= 2;
-            *count /= 2;
-        }
-    }
-
-    fn permille(&self, kind: Option<&Name>) -> u64 {
-        let known = kind.and_then(|kind| {
-            let at = self.kinds.binary_search_by(|(have, _, _)| have.cmp(kind));
-            at.ok().map(|at| &self.kinds[at])
-        });
-        match known {
-            Some((_, sum, count)) if *count >= Self::ENOUGH => (sum / count).clamp(200, 5_000),
-            _ => 1_000,
-        }
-    }
-}
-
 impl Lead {
     /// Begins a term; `term` is the fencing token and higher than that of any earlier lead.
     #[must_use]
@@ -246,9 +205,9 @@
         self.doubtful = true;
     }
 
-    /// Tells whether a task of the earlier lead's time may run where it is not recorded.
-    fn is_doubtful(&self, job: &Job, now: Millis) -> bool {
-        self.doubtful && job.loaded && now < self.unknown_lapse() && !self.all_have_reported(now)
+    /// Tells whether tasks of the earlier lead's time may run where they are not recorded.
+    fn doubts_records(&self, now: Millis) -> bool {
+        self.doubtful && now < self.unknown_lapse() && !self.all_have_reported(now)
     }
 
     fn all_have_reported(&self, now: Millis) -> bool {
@@ -339,26 +298,28 @@
     }
 
     fn meet(&mut self, node: &Node, now: Millis) {
-        let lapse = self.unknown_lapse();
-        match self.worker_at(&node.id) {
-            Some(at) => {
-                let worker = &mut self.workers[at];
-                let reborn = node.born > worker.node.born && worker.node.born != 0;
-                if reborn {
-                    self.reborn(at, node.clone(), now);
-                    return;
-                }
-                worker.present = true;
-                worker.node = node.clone();
+        match self.search_worker(&node.id) {
+            Ok(at) => {
+                self.renew_node(at, node.clone(), now);
+                self.workers[at].present = true;
             }
-            None => {
-                let found = self.workers.binary_search_by(|w| w.node.id.cmp(&node.id));
-                let at = found.unwrap_or_else(|at| at);
-                self.workers.insert(at, Worker::new(node.clone(), lapse));
+            Err(at) => {
+                let worker = Worker::new(node.clone(), self.unknown_lapse());
+                self.workers.insert(at, worker);
             }
         }
     }
 
+    /// Takes in what is now known of a worker, which may be in a new life.
+    fn renew_node(&mut self, at: usize, node: Node, now: Millis) {
+        let known = self.workers[at].node.born;
+        if known != 0 && node.born > known {
+            self.reborn(at, node, now);
+        } else {
+            self.workers[at].node = node;
+        }
+    }
+
     /// Returns when whatever an earlier lead may have left on a silent worker has ended.
     fn unknown_lapse(&self) -> Millis {
         self.since + self.settings.term_grace + self.settings.stretched(self.settings.longest_lease)
@@ -371,47 +332,27 @@
             node.id.to_string(),
             format!("born={}", node.born),
         );
-        let lost = self.workers[at].renew(node, now);
-        for run in lost {
+        let id = node.id.clone();
+        for mut run in self.workers[at].renew(node, now) {
             match run.phase {
                 // A late order could still start it in the new life.
                 worker::Phase::Unknown(_) | worker::Phase::Stop | worker::Phase::Stopping => {
-                    let mut run = run;
                     run.phase = worker::Phase::Stop;
                     self.workers[at].add(run);
                 }
-                _ => self.vacate(&run, at),
+                _ => self.unplace(&run.task, run.run, &id),
             }
         }
     }
 
     /// Expects a run that an earlier lead recorded.
     fn expect_run(&mut self, task: &Task, place: &Place, now: Millis) {
-        let lapse = self.unknown_lapse();
-        let at = match self.worker_at(&place.worker) {
-            Some(at) => at,
-            None => {
-                let node = Node {
-                    id: place.worker.clone(),
-                    born: 0,
-                    address: String::new(),
-                    service: Name::new("unknown").expect("a valid name"),
-                    domain: id::Domain::new("unknown").expect("a valid name"),
-                    kind: None,
-                    rack: None,
-                    labels: Vec::new(),
-                    capacity: Amount::default(),
-                    draining: false,
-                    remaining: None,
-                };
-                let found = self.workers.binary_search_by(|w| w.node.id.cmp(&node.id));
-                let at = found.unwrap_or_else(|at| at);
-                let mut worker = Worker::new(node, lapse);
-                worker.present = false;
-                self.workers.insert(at, worker);
-                at
-            }
-        };
+        let at = self.search_worker(&place.worker).unwrap_or_else(|at| {
+            let mut worker = Worker::new(unlisted(place.worker.clone()), self.unknown_lapse());
+            worker.present = false;
+            self.workers.insert(at, worker);
+            at
+        });
         let phase = worker::Phase::Unknown(now);
         if let Some(run) = self.run_of(task, place.run, phase, now) {
             self.workers[at].add(run);
@@ -422,34 +363,25 @@
     fn run_of(&self, task: &Task, run: u64, phase: worker::Phase, now: Millis) -> Option<Run> {
         let job = self.job(&task.part.job)?;
         let step = job.step(&task.part)?;
-        let priority = self
-            .queue(&job.spec.queue)
-            .map_or(0, |queue| queue.priority);
         Some(Run {
-            task: task.clone(),
-            run,
             claim: job.claims[task.part.step as usize].clone(),
-            phase,
-            since: now,
-            confirmed: now,
             target: step.target,
             fills: step.fills,
-            priority,
-            checkpoints: step.checkpoints,
             lasting: step.lasting,
             gang: step.gang,
-            pace: 100,
-            percent: 0,
-            moved: now,
+            ..Run::new(task.clone(), run, phase, now)
         })
     }
 
-    /// Frees the place of a run that has ended or never began; the task waits again.
-    fn vacate(&mut self, run: &Run, worker: usize) {
-        let id = self.workers[worker].node.id.clone();
-        self.unplace(&run.task, run.run, &id);
+    /// Frees the room and the place of a run that has ended or never began.
+    fn release(&mut self, at: usize, task: &Task, run: u64) {
+        if self.workers[at].remove(task, run).is_some() {
+            let id = self.workers[at].node.id.clone();
+            self.unplace(task, run, &id);
+        }
     }
 
+    /// Frees the place of a run; its task waits again.
     fn unplace(&mut self, task: &Task, run: u64, worker: &id::Worker) {
         self.unscheduled = true;
         let Some(at) = self.at(&task.part.job) else {
@@ -489,13 +421,7 @@
             return;
         };
         match entry.phase {
-            worker::Phase::Recording => {
-                self.recording
-                    .retain(|start| start.run != run || start.task != *task);
-                if let Some(gone) = self.workers[at].remove(task, run) {
-                    self.vacate(&gone, at);
-                }
-            }
+            worker::Phase::Recording => self.release(at, task, run),
             worker::Phase::Stop | worker::Phase::Stopping | worker::Phase::Stopped(_) => {}
             // A start under way is stopped once its answer is known to be out of the way.
             worker::Phase::Ordered | worker::Phase::Unknown(_) | worker::Phase::Running => {
@@ -518,7 +444,12 @@
     }
 
     fn worker_at(&self, id: &id::Worker) -> Option<usize> {
-        self.workers.binary_search_by(|w| w.node.id.cmp(id)).ok()
+        self.search_worker(id).ok()
+    }
+
+    /// Returns the position of a worker, or where it would stand.
+    fn search_worker(&self, id: &id::Worker) -> Result<usize, usize> {
+        self.workers.binary_search_by(|w| w.node.id.cmp(id))
     }
 
     fn queue(&self, name: &Name) -> Option<&Queue> {
@@ -549,8 +480,25 @@
         }
         self.give_commit(now);
         if self.unrecorded {
-            self.start_recording(now, |_| true);
+            self.start_recorded(now);
         }
         std::mem::take(&mut self.actions)
     }
 }
+
+/// Returns what is known of a worker that only a record names.
+fn unlisted(id: id::Worker) -> Node {
+    Node {
+        id,
+        born: 0,
+        address: String::new(),
+        service: Name::new("unknown").expect("a valid name"),
+        domain: id::Domain::new("unknown").expect("a valid name"),
+        kind: None,
+        rack: None,
+        labels: Vec::new(),
+        capacity: Amount::default(),
+        draining: false,
+        remaining: None,
+    }
+}
--- a/crates/marigoldpick-job/src/lead/commit.rs
+++ b/crates/marigoldpick-job/src/lead/commit.rs
@@ -47,7 +47,7 @@
                         self.jobs.remove(at);
                     }
                 }
-                self.start_recording(now, |stored| stored);
+                self.start_recorded(now);
             }
             Outcome::Retry => {
                 self.commit.next = now + self.settings.commit_retry;
--- a/crates/marigoldpick-job/src/lead/report.rs
+++ b/crates/marigoldpick-job/src/lead/report.rs
@@ -123,13 +123,8 @@
             Ok(reply) => {
                 if reply.born > worker.node.born {
                     let mut node = worker.node.clone();
-                    let is_new_life = node.born != 0;
                     node.born = reply.born;
-                    if is_new_life {
-                        self.reborn(at, node, now);
-                    } else {
-                        worker.node = node;
-                    }
+                    self.renew_node(at, node, now);
                 }
                 let worker = &mut self.workers[at];
                 worker.read_clock(reply.clock, &settings, now);
@@ -262,23 +257,10 @@
             !job.phase.is_over() && state.is_some_and(|t| !t.done && t.places.is_empty())
         });
         let phase = if wanted { Phase::Running } else { Phase::Stop };
-        let run = self.run_of(task, running.run, phase, now).unwrap_or(Run {
-            task: task.clone(),
-            run: running.run,
-            claim: Amount::default(),
-            phase: Phase::Stop,
-            since: now,
-            confirmed: now,
-            target: None,
-            fills: false,
-            priority: 0,
-            checkpoints: false,
-            lasting: false,
-            gang: false,
-            pace: 100,
-            percent: 0,
-            moved: now,
-        });
+        let unknown = || Run::new(task.clone(), running.run, Phase::Stop, now);
+        let run = self
+            .run_of(task, running.run, phase, now)
+            .unwrap_or_else(unknown);
         self.workers[at].add(run);
         let detail = format!("run={} adopted={wanted}", running.run);
         self.note("run-found", task.to_string(), detail);
@@ -324,9 +306,7 @@
             }
         }
         for (task, run) in gone {
-            if let Some(run) = self.workers[at].remove(&task, run) {
-                self.vacate(&run, at);
-            }
+            self.release(at, &task, run);
         }
         for (task, run) in lost {
             self.stop_gang(&task, run);
@@ -494,14 +474,10 @@
                 continue;
             }
             let id = worker.node.id.to_string();
-            let runs: Vec<Run> = self.workers[at].runs.clone();
+            let runs = self.workers[at].runs.clone();
             self.note("worker-lapsed", id, format!("runs={}", runs.len()));
             for run in runs {
-                // Its start was never ordered: the record of it alone has to go.
-                self.recording
-                    .retain(|start| start.run != run.run || start.task != run.task);
-                self.workers[at].remove(&run.task, run.run);
-                self.vacate(&run, at);
+                self.release(at, &run.task, run.run);
             }
         }
     }
--- a/crates/marigoldpick-job/src/lead/schedule.rs
+++ b/crates/marigoldpick-job/src/lead/schedule.rs
@@ -60,9 +60,10 @@
     }
 
     fn open_parts(&self, now: Millis) -> Vec<Open> {
+        let doubts = self.doubts_records(now);
         let mut open = Vec::new();
         for job in &self.jobs {
-            if job.phase.is_over() || self.is_doubtful(job, now) {
+            if job.phase.is_over() || (doubts && job.loaded) {
                 continue;
             }
             let Some(queue) = self.queue(&job.spec.queue) else {
@@ -114,12 +115,9 @@
         }
         let mut spots = self.spots(part, &step, now);
         let placed = if step.gang {
-            self.place_gang(part, &step, &waiting, &mut spots, now)
+            self.place_gang(part, &step, &waiting, &spots, now)
         } else {
-            waiting
-                .iter()
-                .filter(|index| self.place_one(part, &step, **index, &mut spots, now))
-                .count()
+            self.place_each(part, &step, &waiting, &mut spots, now)
         };
         let missing = waiting.len() - placed;
         if missing > 0 && *budget > 0 {
@@ -202,22 +200,25 @@
         best.map(|(_, _, at)| at)
     }
 
-    fn place_one(
+    /// Places tasks until one finds no room, since all of a step need the same.
+    fn place_each(
         &mut self,
         part: &Part,
         step: &Step,
-        index: u32,
+        waiting: &[u32],
         spots: &mut [Spot],
         now: Millis,
-    ) -> bool {
-        let Some(best) = self.best(part, step, index, spots) else {
-            return false;
-        };
-        spots[best].left -= 1;
-        self.next_run += 1;
-        let run = self.next_run;
-        self.claim(part, index, spots[best].worker, run, now);
-        true
+    ) -> usize {
+        for (placed, index) in waiting.iter().enumerate() {
+            let Some(best) = self.best(part, step, *index, spots) else {
+                return placed;
+            };
+            spots[best].left -= 1;
+            self.next_run += 1;
+            let run = self.next_run;
+            self.claim(part, *index, spots[best].worker, run, now);
+        }
+        waiting.len()
     }
 
     /// Places all members of a gang or none; all carry the same run.
@@ -226,7 +227,7 @@
         part: &Part,
         step: &Step,
         waiting: &[u32],
-        spots: &mut [Spot],
+        spots: &[Spot],
         now: Millis,
     ) -> usize {
         self.next_run += 1;
@@ -300,8 +301,6 @@
 
     fn unclaim(&mut self, part: &Part, index: u32, worker: usize, run: u64) {
         let task = part.task(index);
-        self.recording
-            .retain(|start| start.run != run || start.task != task);
         self.workers[worker].remove(&task, run);
         let Some(at) = self.at(&part.job) else { return };
         if let Some(state) = self.jobs[at].task_mut(&task) {
--- a/crates/marigoldpick-job/src/lead/start.rs
+++ b/crates/marigoldpick-job/src/lead/start.rs
@@ -8,14 +8,14 @@
 use crate::worker::Phase;
 
 impl Lead {
-    /// Orders the starts whose record `is_ready`, which is told whether the store has it.
-    pub(super) fn start_recording(&mut self, now: Millis, is_ready: impl Fn(bool) -> bool) {
+    /// Orders the starts that the store has recorded, or all where that is allowed.
+    pub(super) fn start_recorded(&mut self, now: Millis) {
         let waiting = std::mem::take(&mut self.recording);
         for start in waiting {
             let stored = self
                 .job(&start.task.part.job)
                 .is_some_and(|job| job.stored >= start.change);
-            if is_ready(stored) {
+            if stored || self.unrecorded {
                 self.give_start(&start.worker, &start.task, start.run, now);
             } else {
                 self.recording.push(start);
@@ -34,9 +34,7 @@
         }
         let Some(order) = self.start_order(at, task, run, now) else {
             // The ticket has expired or the worker is no longer to be used.
-            if let Some(gone) = self.workers[at].remove(task, run) {
-                self.vacate(&gone, at);
-            }
+            self.release(at, task, run);
             self.stop_gang(task, run);
             return;
         };
@@ -179,9 +177,7 @@
             _ => {}
         }
         let id = worker.node.id.clone();
-        if let Some(gone) = worker.remove(task, run) {
-            self.vacate(&gone, at);
-        }
+        self.release(at, task, run);
         self.stop_gang(task, run);
         if fault == Fault::Ticket
             && let Some(job) = self.at(&task.part.job)
@@ -254,9 +250,7 @@
             }
             // No life that the run could be part of is there any more.
             Err(Fault::Reborn) => {
-                if let Some(gone) = self.workers[at].remove(task, run) {
-                    self.vacate(&gone, at);
-                }
+                self.release(at, task, run);
             }
             Err(_) => entry.phase = Phase::Stop,
         }
--- a/crates/marigoldpick-job/src/lib.rs
+++ b/crates/marigoldpick-job/src/lib.rs
@@ -14,6 +14,7 @@
 pub mod rank;
 pub mod record;
 pub mod settings;
+mod speed;
 pub mod worker;
 
 pub use action::Action;
--- a/crates/marigoldpick-job/src/worker.rs
+++ b/crates/marigoldpick-job/src/worker.rs
@@ -47,18 +47,12 @@
     pub claim: Amount,
     /// How far it is.
     pub phase: Phase,
-    /// When it was placed.
-    pub since: Millis,
     /// When it was confirmed to run.
     pub confirmed: Millis,
     /// The bound on its response time, for a serving task.
     pub target: Option<Millis>,
     /// Whether it fills the processors that others leave.
     pub fills: bool,
-    /// Its priority; zero goes first.
-    pub priority: u32,
-    /// Whether it can be stopped with little loss.
-    pub checkpoints: bool,
     /// Whether it runs until its job is cancelled.
     pub lasting: bool,
     /// Whether it works only while all members of its gang are there.
@@ -71,6 +65,27 @@
     pub moved: Millis,
 }
 
+impl Run {
+    /// Makes the state of a run of which nothing but its name is known; it takes no room.
+    #[must_use]
+    pub fn new(task: Task, run: u64, phase: Phase, now: Millis) -> Self {
+        Self {
+            task,
+            run,
+            claim: Amount::default(),
+            phase,
+            confirmed: now,
+            target: None,
+            fills: false,
+            lasting: false,
+            gang: false,
+            pace: 100,
+            percent: 0,
+            moved: now,
+        }
+    }
+}
+
 /// `Worker` is the state of one worker.
 #[derive(Clone, Debug)]
 pub struct Worker {
