--- a/crates/marigoldpick-core/src/clock.rs
+++ b/crates/marigoldpick-core/src/clock.rs
@@ -4,7 +4,7 @@
 use std::ops::{Add, AddAssign, Sub};
 use std::sync::Arc;
 use std::sync::atomic::{AtomicU64, Ordering};
-use std::time::{Duration, Instant};
+use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
 
 use serde::{Deserialize, Serialize};
 
@@ -80,6 +80,15 @@
     fn now(&self) -> Millis;
 }
 
+/// Returns the time of day in milliseconds since 1970; zero where the machine's clock is before that.
+#[must_use]
+pub fn time_of_day() -> u64 {
+    let since = SystemTime::now().duration_since(UNIX_EPOCH);
+    since.map_or(0, |span| {
+        u64::try_from(span.as_millis()).unwrap_or(u64::MAX)
+    })
+}
+
 /// `System` is the machine's monotonic clock, counted from its creation.
 #[derive(Clone, Copy, Debug)]
 pub struct System {
--- a/crates/marigoldpick-core/src/document.rs
+++ b/crates/marigoldpick-core/src/document.rs
@@ -1,6 +1,7 @@
 //! Reading TOML documents with errors that name file, line and field.
 
 use std::fmt;
+use std::net::SocketAddr;
 
 use serde::de::DeserializeOwned;
 
@@ -91,6 +92,20 @@
     Ok(())
 }
 
+/// Checks that a text is an IP number and a port.
+///
+/// # Errors
+/// Fails with `BadValue`, naming the field.
+pub fn address(field: &str, text: &str) -> Result<(), Error> {
+    match text.parse::<SocketAddr>() {
+        Ok(_) => Ok(()),
+        Err(_) => Err(Error::value(
+            field,
+            "must be an IP number and a port, such as 127.0.0.1:7400",
+        )),
+    }
+}
+
 /// Checks that no name stands twice.
 ///
 /// # Errors
--- a/crates/marigoldpick-core/src/work/peer.rs
+++ b/crates/marigoldpick-core/src/work/peer.rs
@@ -33,16 +33,9 @@
         job: id::Job,
         /// The job.
         spec: Arc<Job>,
-        /// How long the answer may take.
-        limit: Millis,
     },
     /// Cancels a job for an entry that does not reach the store; answered by [`Answer::Receipt`].
-    Cancel {
-        /// The job.
-        job: id::Job,
-        /// How long the answer may take.
-        limit: Millis,
-    },
+    Cancel(id::Job),
     /// Asks whether the entry leads and reaches the store; answered by [`Answer::Pong`].
     Ping,
     /// Asks the entry to take the lead over from the asking one, which does not reach the store;
--- a/crates/marigoldpick-entry/src/settings.rs
+++ b/crates/marigoldpick-entry/src/settings.rs
@@ -1,6 +1,6 @@
 //! The settings of an entry, in TOML.
 
-use marigoldpick_core::document::{self, Error};
+use marigoldpick_core::document::{self, Error, address};
 use marigoldpick_core::prelude::*;
 use serde::{Deserialize, Serialize};
 
@@ -164,13 +164,3 @@
     let message = format!("must be from 1 to {MOST_EVENTS}");
     Err(Error::value(field, &message))
 }
-
-fn address(field: &str, text: &str) -> Result<(), Error> {
-    match text.parse::<std::net::SocketAddr>() {
-        Ok(_) => Ok(()),
-        Err(_) => Err(Error::value(
-            field,
-            "must be an IP number and a port, such as 127.0.0.1:7400",
-        )),
-    }
-}
--- a/crates/marigoldpick-job/src/lead.rs
+++ b/crates/marigoldpick-job/src/lead.rs
@@ -6,6 +6,7 @@
 
 mod advise;
 pub mod commit;
+mod hold;
 mod report;
 mod schedule;
 mod start;
@@ -285,7 +286,7 @@
             worker.present = false;
         }
         for node in nodes {
-            self.meet(node, now);
+            self.update_node(node, now);
         }
         let settings = self.settings;
         self.workers.retain(|worker| {
@@ -297,10 +298,10 @@
         self.unscheduled = true;
     }
 
-    fn meet(&mut self, node: &Node, now: Millis) {
+    fn update_node(&mut self, node: &Node, now: Millis) {
         match self.search_worker(&node.id) {
             Ok(at) => {
-                self.renew_node(at, node.clone(), now);
+                self.replace_node(at, node.clone(), now);
                 self.workers[at].present = true;
             }
             Err(at) => {
@@ -311,7 +312,7 @@
     }
 
     /// Takes in what is now known of a worker, which may be in a new life.
-    fn renew_node(&mut self, at: usize, node: Node, now: Millis) {
+    fn replace_node(&mut self, at: usize, node: Node, now: Millis) {
         let known = self.workers[at].node.born;
         if known != 0 && node.born > known {
             self.reborn(at, node, now);
--- a/crates/marigoldpick-job/src/lead/report.rs
+++ b/crates/marigoldpick-job/src/lead/report.rs
@@ -1,20 +1,14 @@
-//! Holds: renewing leases, and reading what runs and what ended.
+//! Workers' reports: what runs and what ended.
 
 use marigoldpick_core::prelude::*;
-use marigoldpick_core::work::port::{Ended, Fault, How, Order, Reply, Report, Running};
+use marigoldpick_core::work::port::{Ended, How, Order, Report, Running};
 use marigoldpick_core::work::{self, Task};
 
 use super::Lead;
-use crate::worker::{Phase, Run, Worker};
+use crate::worker::{Phase, Run};
 
-/// The longest wait between holds of a worker on which nothing runs.
-const IDLE: Millis = Millis(5_000);
-/// The wait of a hold on a worker where serving and filling tasks meet.
-const CLOSE_WATCH: Millis = Millis(400);
 /// A task that has not moved for this long stands still.
 const STALL: Millis = Millis(1_500);
-/// Workers of a failure domain that do not answer before all of it is suspected.
-const QUIET_DOMAIN: usize = 3;
 /// A serving task above this share of its target is disturbed, in percent.
 const TENSE: u64 = 80;
 /// A serving task below this share of its target has room for filling tasks, in percent.
@@ -23,171 +17,8 @@
 const EASE: u32 = 20;
 
 impl Lead {
-    pub(super) fn give_holds(&mut self, now: Millis) {
-        for at in 0..self.workers.len() {
-            let worker = &self.workers[at];
-            if worker.node.address.is_empty() {
-                continue;
-            }
-            if worker.holding {
-                if worker.suspect && !worker.probing && worker.hold_wait > Millis::ZERO {
-                    self.probe(at);
-                }
-                continue;
-            }
-            if now < worker.next_hold && !worker.suspect {
-                continue;
-            }
-            if worker.listed && worker.runs.is_empty() && worker.unsettled.is_empty() {
-                let recent = worker.clock.is_some_and(|(_, read)| now.since(read) < IDLE);
-                if recent && worker.acknowledged == worker.seen && worker.answers() {
-                    continue;
-                }
-            }
-            self.hold(at, now);
-        }
-    }
-
-    /// Asks a worker for a report at once, beside a hold that waits.
-    fn probe(&mut self, at: usize) {
-        let worker = &mut self.workers[at];
-        worker.probing = true;
-        let seen = worker.acknowledged;
-        self.count.holds += 1;
-        self.order(
-            at,
-            Order::Hold {
-                until: None,
-                seen,
-                wait: Millis::ZERO,
-            },
-        );
-    }
-
-    fn hold(&mut self, at: usize, now: Millis) {
-        let jobs = &self.jobs;
-        let stored = |id: &id::Job| {
-            let found = jobs.binary_search_by(|job| job.id.cmp(id));
-            found.ok().map(|at| jobs[at].stored)
-        };
-        let settings = self.settings;
-        let worker = &mut self.workers[at];
-        let seen = worker.settle(stored);
-        // The first hold of a term renews nothing, so that it can't prolong what is not ours. Nor
-        // does one to a silent worker: it might arrive, and the lease would never be known to end.
-        let renews = worker.listed && worker.answers() && !worker.runs.is_empty();
-        let until = if renews {
-            worker.extend(&settings, now)
-        } else {
-            None
-        };
-        let quiet = worker.runs.is_empty() || !worker.listed || !worker.answers();
-        let wait = if quiet || seen < worker.seen {
-            Millis::ZERO
-        } else if worker.runs.iter().any(|run| run.fills)
-            && worker.runs.iter().any(|run| run.target.is_some())
-        {
-            CLOSE_WATCH
-        } else {
-            settings.hold_wait
-        };
-        // A report that is asked for once a stop is over frees the room.
-        let stopping = settings.stopping();
-        let stops = worker.runs.iter().filter_map(|run| match run.phase {
-            Phase::Stopped(since) => Some((since + stopping).since(now)),
-            _ => None,
-        });
-        let wait = stops.fold(wait, Millis::min);
-        worker.holding = true;
-        worker.hold_wait = wait;
-        self.count.holds += 1;
-        self.order(at, Order::Hold { until, seen, wait });
-    }
-
-    pub(super) fn held(
-        &mut self,
-        at: usize,
-        (seen, wait): (u64, Millis),
-        answer: Result<Reply, Fault>,
-        sent: Millis,
-        now: Millis,
-    ) {
-        let settings = self.settings;
-        let worker = &mut self.workers[at];
-        if worker.probing && wait == Millis::ZERO {
-            worker.probing = false;
-        } else {
-            worker.holding = false;
-        }
-        match answer {
-            Ok(reply) => {
-                if reply.born > worker.node.born {
-                    let mut node = worker.node.clone();
-                    node.born = reply.born;
-                    self.renew_node(at, node, now);
-                }
-                let worker = &mut self.workers[at];
-                worker.read_clock(reply.clock, &settings, now);
-                let is_back = !worker.answers() || !worker.listed;
-                self.unscheduled |= is_back;
-                if !worker.listed {
-                    worker.note_fenced(&settings, now);
-                }
-                worker.silent = 0;
-                worker.suspect = false;
-                worker.listed = true;
-                worker.acknowledged = worker.acknowledged.max(seen);
-                worker.next_hold = if is_back {
-                    now
-                } else {
-                    now + settings.hold_gap
-                };
-                if let Some(report) = reply.report {
-                    self.read(at, report, sent, now);
-                }
-            }
-            Err(fault) => {
-                worker.silent = worker.silent.saturating_add(1);
-                worker.suspect = false;
-                worker.next_hold = now + settings.hold_retry;
-                let detail = format!("why={fault} silent={}", worker.silent);
-                if worker.silent == 1 {
-                    let about = worker.node.id.to_string();
-                    self.note("worker-silent", about, detail);
-                    self.suspect_domain(at);
-                }
-            }
-        }
-    }
-
-    /// Notes that an order to a worker was not answered.
-    pub(super) fn suspect(&mut self, at: usize) {
-        let worker = &mut self.workers[at];
-        if worker.answers() {
-            worker.suspect = true;
-            self.suspect_domain(at);
-        }
-    }
-
-    /// Suspects all workers of a failure domain in which several do not answer at the same time.
-    ///
-    /// Load pattern: a domain is cut off while starts go on. Each start that is sent there waits for
-    /// a lease to lapse, so the others are probed before they get more.
-    fn suspect_domain(&mut self, at: usize) {
-        let domain = self.workers[at].node.domain.clone();
-        let of_domain = |worker: &Worker| worker.node.domain == domain && worker.present;
-        let quiet = self.workers.iter().filter(|w| of_domain(w) && !w.answers());
-        if quiet.count() < QUIET_DOMAIN {
-            return;
-        }
-        for worker in &mut self.workers {
-            if of_domain(worker) && worker.answers() && worker.listed {
-                worker.suspect = true;
-            }
-        }
-    }
-
-    fn read(&mut self, at: usize, report: Report, sent: Millis, now: Millis) {
+    /// Takes in a report that was asked for at `sent`.
+    pub(super) fn read(&mut self, at: usize, report: Report, sent: Millis, now: Millis) {
         let mut ended = report.ended;
         ended.sort_by_key(|end| end.number);
         for end in ended {
@@ -464,21 +295,4 @@
             self.order(at, Order::Pace { task, run, percent });
         }
     }
-
-    /// Frees what ran on workers whose lease has lapsed while they were silent.
-    pub(super) fn lapse_silent(&mut self, now: Millis) {
-        for at in 0..self.workers.len() {
-            let worker = &self.workers[at];
-            let silent = !worker.answers() || !worker.listed;
-            if !silent || now < worker.lapse || worker.runs.is_empty() {
-                continue;
-            }
-            let id = worker.node.id.to_string();
-            let runs = self.workers[at].runs.clone();
-            self.note("worker-lapsed", id, format!("runs={}", runs.len()));
-            for run in runs {
-                self.release(at, &run.task, run.run);
-            }
-        }
-    }
 }
--- a/crates/marigoldpick-job/src/worker.rs
+++ b/crates/marigoldpick-job/src/worker.rs
@@ -128,7 +128,7 @@
     /// Failures of tasks in a row.
     failures: u32,
     /// Until when it gets no work.
-    pub shunned: Millis,
+    pub quarantined: Millis,
 }
 
 impl Worker {
@@ -155,7 +155,7 @@
             acknowledged: 0,
             silent: 0,
             failures: 0,
-            shunned: Millis::ZERO,
+            quarantined: Millis::ZERO,
         }
     }
 
@@ -224,7 +224,7 @@
             && self.listed
             && !self.node.draining
             && self.answers()
-            && self.shunned <= now
+            && self.quarantined <= now
             && self.clock.is_some()
     }
 
@@ -285,18 +285,18 @@
         }
         self.failures += 1;
         if self.failures >= FAILURES {
-            self.shunned = self.shunned.max(now + QUARANTINE);
+            self.quarantined = self.quarantined.max(now + QUARANTINE);
         }
     }
 
     /// Notes that a task on it stands still.
     pub fn note_stall(&mut self, now: Millis) {
-        self.shunned = self.shunned.max(now + STALLED);
+        self.quarantined = self.quarantined.max(now + STALLED);
     }
 
     /// Notes that it refused an order as unhealthy.
     pub fn note_unhealthy(&mut self, now: Millis) {
-        self.shunned = self.shunned.max(now + UNHEALTHY);
+        self.quarantined = self.quarantined.max(now + UNHEALTHY);
     }
 
     /// Returns the number up to which ends may be forgotten, given the stored change of each job.
@@ -316,12 +316,12 @@
     pub fn renew(&mut self, node: Node, lapse: Millis) -> Vec<Run> {
         let runs = std::mem::take(&mut self.runs);
         let (holding, hold_wait, probing) = (self.holding, self.hold_wait, self.probing);
-        let shunned = self.shunned;
+        let quarantined = self.quarantined;
         *self = Self::new(node, lapse);
         self.holding = holding;
         self.hold_wait = hold_wait;
         self.probing = probing;
-        self.shunned = shunned;
+        self.quarantined = quarantined;
         runs
     }
 }
--- a/crates/marigoldpick-node/src/control.rs
+++ b/crates/marigoldpick-node/src/control.rs
@@ -4,7 +4,6 @@
 use std::rc::Rc;
 use std::sync::Arc;
 use std::sync::atomic::Ordering;
-use std::time::{SystemTime, UNIX_EPOCH};
 
 use async_channel::{Receiver, Sender};
 use async_std::future::timeout;
@@ -16,16 +15,16 @@
 use marigoldpick_core::work::peer;
 use marigoldpick_wire as wire;
 
-use crate::driver::Leading;
 use crate::face::{Ask, Shared};
 use crate::health::Others;
 use crate::keys;
+use crate::leading::Leading;
 use crate::members::Member;
 use crate::platform::{Platform, Source};
 use crate::settings::Settings;
 
-/// The longest wait of a look at the configuration. A connection that went silent is noticed only at
-/// its end, and a change has to be in force two seconds after an entry is in touch again.
+/// The longest wait for a change of the configuration. A connection that went silent is noticed only
+/// at its end, and a change has to be in force two seconds after an entry's links work again.
 const CONFIG_WAIT: Millis = Millis(3_000);
 /// A store that answered a call sent within this time needs no check.
 const STORE_FRESH: Millis = Millis(100);
@@ -108,14 +107,6 @@
         self.clock.now()
     }
 
-    /// Returns the time of day in milliseconds since 1970.
-    pub(crate) fn wall(&self) -> u64 {
-        let since = SystemTime::now().duration_since(UNIX_EPOCH);
-        since.map_or(0, |span| {
-            u64::try_from(span.as_millis()).unwrap_or(u64::MAX)
-        })
-    }
-
     /// Calls the store and notes whether it answers.
     pub(crate) async fn store(self: &Rc<Self>, call: Call) -> Result<Answer, Fault> {
         let sent = self.now();
@@ -132,13 +123,18 @@
         if self.reaches_store() && self.now().since(self.store_seen.get()) < STORE_FRESH {
             return true;
         }
+        let answer = timeout(STORE_CHECK.duration(), self.probe_store()).await;
+        matches!(answer, Ok(Ok(_)))
+    }
+
+    /// Makes the cheapest call that tells whether the store answers.
+    pub(crate) async fn probe_store(self: &Rc<Self>) -> Result<Answer, Fault> {
         let call = Call::Range {
             prefix: keys::LEAD.to_owned(),
             after: String::new(),
             stale: true,
         };
-        let answer = timeout(STORE_CHECK.duration(), self.store(call)).await;
-        matches!(answer, Ok(Ok(_)))
+        self.store(call).await
     }
 
     fn note_store(self: &Rc<Self>, fault: Option<Fault>) {
--- a/crates/marigoldpick-node/src/desk.rs
+++ b/crates/marigoldpick-node/src/desk.rs
@@ -70,10 +70,10 @@
                 let leading = self.leads().ok_or(Code::NotLead)?;
                 peer::Answer::Waiting(leading.look(|lead| lead.waiting(&queue)) as u64)
             }
-            peer::Call::Submit { job, spec, .. } => {
+            peer::Call::Submit { job, spec } => {
                 peer::Answer::Receipt(self.submit(&job, &spec, false).await)
             }
-            peer::Call::Cancel { job, .. } => peer::Answer::Receipt(self.cancel(&job, false).await),
+            peer::Call::Cancel(job) => peer::Answer::Receipt(self.cancel(&job, false).await),
             peer::Call::Succeed => {
                 if !self.check_store().await {
                     return Err(Code::StoreAway);
@@ -94,21 +94,17 @@
         }
     }
 
-    /// Stores a job; where the store is not reached, through another entry if that is allowed.
+    /// Stores a job; with `relay` through another entry where the store is not reached.
     async fn submit(self: &Rc<Self>, id: &id::Job, job: &Arc<Job>, relay: bool) -> Receipt {
         let value = serde_json::to_string(&**job).expect("a job is plain JSON");
-        let own = self.store_once(keys::job(id), value).await;
-        if !relay || matches!(own, Receipt::Stored) {
-            return own;
-        }
-        let call = peer::Call::Submit {
+        let call = relay.then(|| peer::Call::Submit {
             job: id.clone(),
             spec: Arc::clone(job),
-            limit: self.settings.store_limit,
-        };
-        merge(own, self.relay(call).await)
+        });
+        self.store_or_relay(keys::job(id), value, call).await
     }
 
+    /// Cancels a job; with `relay` through another entry where the store is not reached.
     async fn cancel(self: &Rc<Self>, id: &id::Job, relay: bool) -> Receipt {
         match self.phase(id).await {
             Ok(None) => return Receipt::Absent,
@@ -117,15 +113,23 @@
             Err(_) if !relay => return Receipt::Refused,
             Err(_) => {}
         }
-        let own = self.store_once(keys::cancel(id), String::from("1")).await;
-        if !relay || matches!(own, Receipt::Stored) {
-            return own;
+        let call = relay.then(|| peer::Call::Cancel(id.clone()));
+        let value = String::from("1");
+        self.store_or_relay(keys::cancel(id), value, call).await
+    }
+
+    /// Writes a key, or makes a call that has another entry write it, if there is one.
+    async fn store_or_relay(
+        self: &Rc<Self>,
+        key: String,
+        value: String,
+        call: Option<peer::Call>,
+    ) -> Receipt {
+        let own = self.store_once(key, value).await;
+        match call {
+            Some(call) if own != Receipt::Stored => merge(own, self.relay(call).await),
+            _ => own,
         }
-        let call = peer::Call::Cancel {
-            job: id.clone(),
-            limit: self.settings.store_limit,
-        };
-        merge(own, self.relay(call).await)
     }
 
     /// Has another entry store something.
--- a/crates/marigoldpick-node/src/election.rs
+++ b/crates/marigoldpick-node/src/election.rs
@@ -12,8 +12,8 @@
 use serde::{Deserialize, Serialize};
 
 use crate::control::Control;
-use crate::driver::Leading;
 use crate::keys;
+use crate::leading::Leading;
 use crate::platform::Platform;
 
 /// The longest wait for news of the lead; a connection that went silent is noticed only at its end.
@@ -65,6 +65,18 @@
     known: Known,
 }
 
+/// `Holder` is what the values of both keys tell: whose claim they belong to.
+#[derive(Deserialize)]
+struct Holder {
+    holder: String,
+}
+
+/// Tells whether the value of the lead's or the chain's key belongs to a claim.
+pub(crate) fn is_held_by(item: &Item, holder: &str) -> bool {
+    let held: Result<Holder, _> = serde_json::from_str(&item.value);
+    held.is_ok_and(|held| held.holder == holder)
+}
+
 impl<P: Platform> Control<P> {
     /// Stands for the lead whenever there is none, and leads when it wins.
     pub(crate) async fn elect(self: Rc<Self>) {
@@ -229,7 +241,7 @@
         let leading = Rc::new(leading);
         task::spawn_local(Rc::clone(self).renew_term(Rc::clone(&leading)));
         let outcome = self.drive(&leading).await;
-        leading.end();
+        leading.depose("ended");
         *self.leading.borrow_mut() = None;
         *self.lead.borrow_mut() = None;
         log::info!(target: "node", "event=lead-ended term={term} why={outcome:?}");
@@ -278,10 +290,8 @@
         let Answer::Item(item) = self.store(Call::Get { key }).await? else {
             return Err(Fault::Unknown);
         };
-        Ok(item.and_then(|item| {
-            let claim: Claim = serde_json::from_str(&item.value).ok()?;
-            (claim.holder == holder).then_some(item.revision)
-        }))
+        let own = item.filter(|item| is_held_by(item, holder));
+        Ok(own.map(|item| item.revision))
     }
 
     /// Claims the lead's key again after its lease has ended, unless another has led since.
@@ -303,11 +313,7 @@
                 leading.confirm(sent);
             }
             Ok(Answer::Rivals(items)) => {
-                let other = items.iter().any(|item| match item.key.as_str() {
-                    keys::LEAD => !item.value.contains(&leading.holder),
-                    keys::CHAIN => !item.value.contains(&leading.holder),
-                    _ => false,
-                });
+                let other = items.iter().any(|item| !is_held_by(item, &leading.holder));
                 if other {
                     leading.depose("another-leads");
                 }
--- a/crates/marigoldpick-node/src/health.rs
+++ b/crates/marigoldpick-node/src/health.rs
@@ -10,12 +10,10 @@
 use futures::future::join_all;
 use marigoldpick_core::control::Known;
 use marigoldpick_core::prelude::*;
-use marigoldpick_core::store::Call;
 use marigoldpick_core::work::peer;
 use marigoldpick_wire as wire;
 
 use crate::control::Control;
-use crate::keys;
 use crate::platform::Platform;
 use crate::retry;
 
@@ -53,13 +51,8 @@
             }
             self.tell_connection(&others);
             *self.others.borrow_mut() = others;
-            let call = Call::Range {
-                prefix: keys::LEAD.to_owned(),
-                after: String::new(),
-                stale: true,
-            };
             // The outcome is noted by the call itself.
-            let _is_noted = self.store(call).await;
+            let _is_noted = self.probe_store().await;
             task::sleep(PROBE.duration()).await;
         }
         self.tell_retry(None);
--- /dev/null
+++ b/crates/marigoldpick-node/src/inbox.rs
@@ -0,0 +1,167 @@
+//! What callers handed in: read as a whole by a new lead, and followed from then on.
+
+use std::rc::Rc;
+use std::sync::Arc;
+
+use async_std::task;
+use futures::future::join;
+use marigoldpick_core::clock::time_of_day;
+use marigoldpick_core::prelude::*;
+use marigoldpick_core::store::{Answer, Call, Change, Fault, Item};
+use marigoldpick_core::work;
+use marigoldpick_job::lead::Origin;
+use marigoldpick_job::record::Record;
+
+use crate::control::Control;
+use crate::keys;
+use crate::leading::Leading;
+use crate::platform::Platform;
+
+/// The longest wait for a change of the inbox.
+const INBOX_WAIT: Millis = Millis(3_000);
+/// The pause between two reads of the inbox, so that new jobs are read in batches.
+const INBOX_GAP: Millis = Millis(15);
+/// The wait after a call to the store that failed.
+const RETRY: Millis = Millis(150);
+
+impl<P: Platform> Control<P> {
+    /// Reads all that was handed in and what became of it; returns the revision to go on from.
+    pub(crate) async fn load(self: &Rc<Self>, leading: &Leading) -> Option<u64> {
+        loop {
+            if leading.is_over() {
+                return None;
+            }
+            match self.load_once(leading).await {
+                Ok(revision) => return Some(revision),
+                Err(fault) => {
+                    log::warn!(target: "node", "event=load-retry why={fault}");
+                    task::sleep(RETRY.duration()).await;
+                }
+            }
+        }
+    }
+
+    async fn load_once(self: &Rc<Self>, leading: &Leading) -> Result<u64, Fault> {
+        let (inbox, records) = join(self.range(keys::INBOX), self.range(keys::RECORDS)).await;
+        let ((inbox, revision), (records, _)) = (inbox?, records?);
+        let count = inbox.len();
+        self.take_in_all(leading, &inbox, &records);
+        log::info!(target: "node", "event=lead-loaded term={} items={count} records={}", leading.term(), records.len());
+        Ok(revision)
+    }
+
+    /// Reads all keys with a prefix, sorted, and the revision before the first page.
+    async fn range(self: &Rc<Self>, prefix: &str) -> Result<(Vec<Item>, u64), Fault> {
+        let mut all: Vec<Item> = Vec::new();
+        let mut first = None;
+        loop {
+            let call = Call::Range {
+                prefix: prefix.to_owned(),
+                after: all.last().map(|item| item.key.clone()).unwrap_or_default(),
+                stale: false,
+            };
+            let Answer::Page {
+                items,
+                more,
+                revision,
+            } = self.store(call).await?
+            else {
+                return Err(Fault::Unknown);
+            };
+            let first = *first.get_or_insert(revision);
+            all.extend(items);
+            if !more {
+                return Ok((all, first));
+            }
+        }
+    }
+
+    /// Takes in the whole inbox: jobs go before their cancels, whose keys come first.
+    fn take_in_all(&self, leading: &Leading, inbox: &[Item], records: &[Item]) {
+        let is_cancel = |item: &&Item| item.key.starts_with(keys::CANCELS);
+        for item in inbox.iter().filter(|item| !is_cancel(item)) {
+            let id = item.key.strip_prefix(keys::JOBS);
+            let record = id.and_then(|id| {
+                let key = keys::record(&id::Job::new(id).ok()?);
+                let at = records.binary_search_by(|have| have.key.cmp(&key)).ok()?;
+                read_record(&records[at])
+            });
+            self.take_in(leading, item, Origin::Loaded(record.as_ref()));
+        }
+        for item in inbox.iter().filter(is_cancel) {
+            self.take_in(leading, item, Origin::New);
+        }
+    }
+
+    /// Takes in a key of the inbox.
+    fn take_in(&self, leading: &Leading, item: &Item, origin: Origin<'_>) {
+        let now = self.now();
+        if item.key.starts_with(keys::JOBS) {
+            match read_job(item) {
+                Ok((id, job)) => {
+                    let wall = time_of_day();
+                    leading.change(|lead| lead.accept(id, Arc::new(job), origin, wall, now));
+                }
+                Err(why) => {
+                    log::error!(target: "node", "event=job-unread key={} why={why}", item.key);
+                }
+            }
+        } else if let Some(id) = item.key.strip_prefix(keys::CANCELS)
+            && let Ok(id) = id::Job::new(id)
+        {
+            leading.change(|lead| lead.cancel(&id, now));
+        }
+    }
+
+    /// Takes in what entries write to the inbox.
+    pub(crate) async fn follow_inbox(self: Rc<Self>, leading: Rc<Leading>, mut revision: u64) {
+        while !leading.is_over() {
+            let follow = Call::Follow {
+                prefix: keys::INBOX.to_owned(),
+                revision,
+                wait: INBOX_WAIT,
+            };
+            match self.store(follow).await {
+                Ok(Answer::Changes {
+                    changes,
+                    revision: now,
+                }) => {
+                    revision = now;
+                    for change in &changes {
+                        if let Change::Written(item) = change {
+                            self.take_in(&leading, item, Origin::New);
+                        }
+                    }
+                    task::sleep(INBOX_GAP.duration()).await;
+                }
+                Ok(_) => match self.range(keys::INBOX).await {
+                    Ok((items, now)) => {
+                        log::info!(target: "node", "event=inbox-reread items={}", items.len());
+                        revision = now;
+                        self.take_in_all(&leading, &items, &[]);
+                    }
+                    Err(_) => task::sleep(RETRY.duration()).await,
+                },
+                Err(_) => task::sleep(RETRY.duration()).await,
+            }
+        }
+    }
+}
+
+/// Reads a job and its id.
+fn read_job(item: &Item) -> Result<(id::Job, work::Job), String> {
+    let id = item.key.strip_prefix(keys::JOBS).unwrap_or_default();
+    let id = id::Job::new(id).map_err(|error| error.to_string())?;
+    let job = serde_json::from_str(&item.value).map_err(|error| error.to_string())?;
+    Ok((id, job))
+}
+
+fn read_record(item: &Item) -> Option<Record> {
+    match Record::parse(&item.value) {
+        Ok(record) => Some(record),
+        Err(error) => {
+            log::error!(target: "node", "event=record-unread key={} why={error}", item.key);
+            None
+        }
+    }
+}
--- /dev/null
+++ b/crates/marigoldpick-node/src/leading.rs
@@ -0,0 +1,130 @@
+//! The state of a term: the lead, and what ties it to the store.
+
+use std::cell::{Cell, RefCell};
+
+use async_channel::{Receiver, Sender};
+use marigoldpick_core::prelude::*;
+use marigoldpick_job::Lead;
+
+use crate::config::Config;
+use crate::settings::Settings;
+
+/// `Leading` is the state of a term.
+pub(crate) struct Leading {
+    lead: RefCell<Lead>,
+    term: u64,
+    pub(crate) holder: String,
+    pub(crate) lease: Cell<u64>,
+    /// When the term was last confirmed.
+    confirmed: Cell<Millis>,
+    /// The revision of the chain's key after this lead's last write.
+    chain: Cell<u64>,
+    number: Cell<u64>,
+    over: Cell<Option<&'static str>>,
+    wake: Sender<()>,
+    woken: Receiver<()>,
+}
+
+impl Leading {
+    pub(crate) fn new(
+        settings: &Settings,
+        term: u64,
+        holder: String,
+        lease: u64,
+        confirmed: Millis,
+        now: Millis,
+    ) -> Self {
+        let (wake, woken) = async_channel::bounded(1);
+        Self {
+            lead: RefCell::new(Lead::new(settings.job, term, now)),
+            term,
+            holder,
+            lease: Cell::new(lease),
+            confirmed: Cell::new(confirmed),
+            chain: Cell::new(term),
+            number: Cell::new(0),
+            over: Cell::new(None),
+            wake,
+            woken,
+        }
+    }
+
+    pub(crate) const fn term(&self) -> u64 {
+        self.term
+    }
+
+    /// Returns the revision of the chain's key after this lead's last write.
+    pub(crate) fn chain(&self) -> u64 {
+        self.chain.get()
+    }
+
+    pub(crate) fn set_chain(&self, revision: u64) {
+        self.chain.set(self.chain.get().max(revision));
+    }
+
+    pub(crate) fn is_over(&self) -> bool {
+        self.over.get().is_some()
+    }
+
+    /// Returns why the term is over, if it is.
+    pub(crate) const fn over(&self) -> Option<&'static str> {
+        self.over.get()
+    }
+
+    /// Returns the number of the next write under this claim of the lead.
+    pub(crate) fn next_number(&self) -> u64 {
+        self.number.set(self.number.get() + 1);
+        self.number.get()
+    }
+
+    /// Waits until the lead's state was changed.
+    pub(crate) async fn woken(&self) {
+        // The channel is closed only together with this term.
+        let _is_over = self.woken.recv().await;
+    }
+
+    pub(crate) fn depose(&self, why: &'static str) {
+        if self.over.get().is_none() {
+            self.over.set(Some(why));
+        }
+        self.nudge();
+    }
+
+    pub(crate) fn confirm(&self, at: Millis) {
+        self.confirmed.set(self.confirmed.get().max(at));
+    }
+
+    pub(crate) fn confirmed(&self) -> Millis {
+        self.confirmed.get()
+    }
+
+    /// Changes the lead's state and lets it decide anew.
+    pub(crate) fn change<T>(&self, change: impl FnOnce(&mut Lead) -> T) -> T {
+        let result = change(&mut self.lead.borrow_mut());
+        self.nudge();
+        result
+    }
+
+    /// Lets the lead decide, or hand out what it has decided.
+    pub(crate) fn decide<T>(&self, decide: impl FnOnce(&mut Lead) -> T) -> T {
+        decide(&mut self.lead.borrow_mut())
+    }
+
+    /// Looks at the lead's state.
+    pub(crate) fn look<T>(&self, look: impl FnOnce(&Lead) -> T) -> T {
+        look(&self.lead.borrow())
+    }
+
+    pub(crate) fn configure(&self, config: &Config) {
+        self.change(|lead| lead.configure(&config.queues));
+    }
+
+    pub(crate) fn set_askers(&self, entries: &[id::Entry]) {
+        self.change(|lead| lead.set_askers(entries));
+    }
+
+    fn nudge(&self) {
+        // A full channel means that it is woken already.
+        let _is_woken = self.wake.try_send(());
+    }
+}
--- a/crates/marigoldpick-standin/src/settings.rs
+++ b/crates/marigoldpick-standin/src/settings.rs
@@ -1,6 +1,6 @@
 //! What the stand-ins are: failure domains, racks, workers, rates and lags.
 
-use marigoldpick_core::document::{self, Error, positive, unique};
+use marigoldpick_core::document::{self, Error, address, positive, unique};
 use marigoldpick_core::prelude::*;
 use serde::{Deserialize, Serialize};
 
@@ -191,9 +191,7 @@
     /// # Errors
     /// Names the first field that is out of its bounds.
     pub fn check(&self) -> Result<(), Error> {
-        if self.listen.parse::<std::net::SocketAddr>().is_err() {
-            return Err(Error::value("listen", "must be an IP number and a port"));
-        }
+        address("listen", &self.listen)?;
         positive("store.writes_per_second", self.store.writes_per_second)?;
         positive("store.reads_per_second", self.store.reads_per_second)?;
         positive("endpoint.slots", self.endpoint.slots)?;
--- a/crates/marigoldpick-wire/schema/peer.capnp
+++ b/crates/marigoldpick-wire/schema/peer.capnp
@@ -230,14 +230,10 @@
     submit :group {
       job @7 :Text;
       spec @8 :Json;
-      limit @9 :Millis;
     }
-    cancel :group {
-      job @10 :Text;
-      limit @11 :Millis;
-    }
-    ping @12 :Void;
-    succeed @13 :Void;
+    cancel @9 :Text;
+    ping @10 :Void;
+    succeed @11 :Void;
   }
 }
 
--- a/crates/marigoldpick-wire/src/convert/jobs.rs
+++ b/crates/marigoldpick-wire/src/convert/jobs.rs
@@ -30,17 +30,12 @@
         }
         Call::Phase(job) => to.set_phase(job.as_str()),
         Call::Waiting(queue) => to.set_waiting(queue.as_str()),
-        Call::Submit { job, spec, limit } => {
+        Call::Submit { job, spec } => {
             let mut to = to.init_submit();
             to.set_job(job.as_str());
             to.set_spec(&to_json(&**spec)?);
-            to.set_limit(limit.0);
-        }
-        Call::Cancel { job, limit } => {
-            let mut to = to.init_cancel();
-            to.set_job(job.as_str());
-            to.set_limit(limit.0);
         }
+        Call::Cancel(job) => to.set_cancel(job.as_str()),
         Call::Ping => to.set_ping(()),
         Call::Succeed => to.set_succeed(()),
     }
@@ -68,12 +63,8 @@
         Which::Submit(from) => Call::Submit {
             job: name(from.get_job())?,
             spec: Arc::new(from_json(from.get_spec())?),
-            limit: Millis(from.get_limit()),
-        },
-        Which::Cancel(from) => Call::Cancel {
-            job: name(from.get_job())?,
-            limit: Millis(from.get_limit()),
         },
+        Which::Cancel(job) => Call::Cancel(name(job)?),
         Which::Ping(()) => Call::Ping,
         Which::Succeed(()) => Call::Succeed,
     })
--- a/crates/marigoldpick-wire/src/peer_capnp.rs
+++ b/crates/marigoldpick-wire/src/peer_capnp.rs
@@ -14263,6 +14263,13 @@
             !self.reader.get_pointer_field(0).is_null()
         }
         #[inline]
+        pub fn has_cancel(&self) -> bool {
+            if self.reader.get_data_field::<u16>(8) != 4 {
+                return false;
+            }
+            !self.reader.get_pointer_field(0).is_null()
+        }
+        #[inline]
         pub fn which(self) -> ::core::result::Result<WhichReader<'a>, ::capnp::NotInSchema> {
             match self.reader.get_data_field::<u16>(8) {
                 0 => ::core::result::Result::Ok(Advise(self.reader.into())),
@@ -14279,7 +14286,12 @@
                     ),
                 )),
                 3 => ::core::result::Result::Ok(Submit(self.reader.into())),
-                4 => ::core::result::Result::Ok(Cancel(self.reader.into())),
+                4 => ::core::result::Result::Ok(Cancel(
+                    ::capnp::traits::FromPointerReader::get_from_pointer(
+                        &self.reader.get_pointer_field(0),
+                        ::core::option::Option::None,
+                    ),
+                )),
                 5 => ::core::result::Result::Ok(Ping(())),
                 6 => ::core::result::Result::Ok(Succeed(())),
                 x => ::core::result::Result::Err(::capnp::NotInSchema(x)),
@@ -14441,15 +14453,32 @@
             self.builder.set_data_field::<u16>(8, 3);
             self.builder.reborrow().get_pointer_field(0).clear();
             self.builder.reborrow().get_pointer_field(1).clear();
-            self.builder.set_data_field::<u64>(0, 0u64);
             self.builder.into()
         }
         #[inline]
-        pub fn init_cancel(mut self) -> crate::peer_capnp::jobs_call::cancel::Builder<'a> {
+        pub fn set_cancel(
+            &mut self,
+            value: impl ::capnp::traits::SetterInput<::capnp::text::Owned>,
+        ) {
+            self.builder.set_data_field::<u16>(8, 4);
+            ::capnp::traits::SetterInput::set_pointer_builder(
+                self.builder.reborrow().get_pointer_field(0),
+                value,
+                false,
+            )
+            .unwrap()
+        }
+        #[inline]
+        pub fn init_cancel(self, size: u32) -> ::capnp::text::Builder<'a> {
             self.builder.set_data_field::<u16>(8, 4);
-            self.builder.reborrow().get_pointer_field(0).clear();
-            self.builder.set_data_field::<u64>(0, 0u64);
-            self.builder.into()
+            self.builder.get_pointer_field(0).init_text(size)
+        }
+        #[inline]
+        pub fn has_cancel(&self) -> bool {
+            if self.builder.get_data_field::<u16>(8) != 4 {
+                return false;
+            }
+            !self.builder.is_pointer_field_null(0)
         }
         #[inline]
         pub fn set_ping(&mut self, _value: ()) {
@@ -14476,7 +14505,12 @@
                     ),
                 )),
                 3 => ::core::result::Result::Ok(Submit(self.builder.into())),
-                4 => ::core::result::Result::Ok(Cancel(self.builder.into())),
+                4 => ::core::result::Result::Ok(Cancel(
+                    ::capnp::traits::FromPointerBuilder::get_from_pointer(
+                        self.builder.get_pointer_field(0),
+                        ::core::option::Option::None,
+                    ),
+                )),
                 5 => ::core::result::Result::Ok(Ping(())),
                 6 => ::core::result::Result::Ok(Succeed(())),
                 x => ::core::result::Result::Err(::capnp::NotInSchema(x)),
@@ -14496,7 +14530,7 @@
     }
     impl Pipeline {}
     mod _private {
-        pub(crate) static ENCODED_NODE: [::capnp::Word; 101] = [
+        pub(crate) static ENCODED_NODE: [::capnp::Word; 108] = [
             ::capnp::word(0, 0, 0, 0, 5, 0, 6, 0),
             ::capnp::word(29, 5, 136, 184, 33, 162, 167, 202),
             ::capnp::word(11, 0, 0, 0, 1, 0, 3, 0),
@@ -14543,26 +14577,26 @@
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(4, 0, 251, 255, 0, 0, 0, 0),
-            ::capnp::word(1, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(139, 76, 104, 78, 113, 254, 216, 189),
-            ::capnp::word(141, 0, 0, 0, 58, 0, 0, 0),
-            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 1, 0, 9, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(141, 0, 0, 0, 58, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(136, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(148, 0, 0, 0, 2, 0, 1, 0),
             ::capnp::word(5, 0, 250, 255, 0, 0, 0, 0),
-            ::capnp::word(0, 0, 1, 0, 12, 0, 0, 0),
+            ::capnp::word(0, 0, 1, 0, 10, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(117, 0, 0, 0, 42, 0, 0, 0),
+            ::capnp::word(145, 0, 0, 0, 42, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(112, 0, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(124, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(140, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(152, 0, 0, 0, 2, 0, 1, 0),
             ::capnp::word(6, 0, 249, 255, 0, 0, 0, 0),
-            ::capnp::word(0, 0, 1, 0, 13, 0, 0, 0),
+            ::capnp::word(0, 0, 1, 0, 11, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(121, 0, 0, 0, 66, 0, 0, 0),
+            ::capnp::word(149, 0, 0, 0, 66, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(116, 0, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(128, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(144, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(156, 0, 0, 0, 2, 0, 1, 0),
             ::capnp::word(97, 100, 118, 105, 115, 101, 0, 0),
             ::capnp::word(112, 104, 97, 115, 101, 0, 0, 0),
             ::capnp::word(12, 0, 0, 0, 0, 0, 0, 0),
@@ -14582,6 +14616,13 @@
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(115, 117, 98, 109, 105, 116, 0, 0),
             ::capnp::word(99, 97, 110, 99, 101, 108, 0, 0),
+            ::capnp::word(12, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(12, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(112, 105, 110, 103, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
@@ -14605,7 +14646,7 @@
                 1 => <::capnp::text::Owned as ::capnp::introspect::Introspect>::introspect(),
                 2 => <::capnp::text::Owned as ::capnp::introspect::Introspect>::introspect(),
                 3 => <crate::peer_capnp::jobs_call::submit::Owned as ::capnp::introspect::Introspect>::introspect(),
-                4 => <crate::peer_capnp::jobs_call::cancel::Owned as ::capnp::introspect::Introspect>::introspect(),
+                4 => <::capnp::text::Owned as ::capnp::introspect::Introspect>::introspect(),
                 5 => <() as ::capnp::introspect::Introspect>::introspect(),
                 6 => <() as ::capnp::introspect::Introspect>::introspect(),
                 _ => ::capnp::introspect::panic_invalid_field_index(index),
@@ -14645,14 +14686,14 @@
         ::capnp::Result<::capnp::text::Reader<'a>>,
         ::capnp::Result<::capnp::text::Reader<'a>>,
         crate::peer_capnp::jobs_call::submit::Reader<'a>,
-        crate::peer_capnp::jobs_call::cancel::Reader<'a>,
+        ::capnp::Result<::capnp::text::Reader<'a>>,
     >;
     pub type WhichBuilder<'a> = Which<
         crate::peer_capnp::jobs_call::advise::Builder<'a>,
         ::capnp::Result<::capnp::text::Builder<'a>>,
         ::capnp::Result<::capnp::text::Builder<'a>>,
         crate::peer_capnp::jobs_call::submit::Builder<'a>,
-        crate::peer_capnp::jobs_call::cancel::Builder<'a>,
+        ::capnp::Result<::capnp::text::Builder<'a>>,
     >;
 
     pub mod advise {
@@ -15248,10 +15289,6 @@
             pub fn has_spec(&self) -> bool {
                 !self.reader.get_pointer_field(1).is_null()
             }
-            #[inline]
-            pub fn get_limit(self) -> u64 {
-                self.reader.get_data_field::<u64>(0)
-            }
         }
 
         pub struct Builder<'a> {
@@ -15394,14 +15431,6 @@
             pub fn has_spec(&self) -> bool {
                 !self.builder.is_pointer_field_null(1)
             }
-            #[inline]
-            pub fn get_limit(self) -> u64 {
-                self.builder.get_data_field::<u64>(0)
-            }
-            #[inline]
-            pub fn set_limit(&mut self, value: u64) {
-                self.builder.set_data_field::<u64>(0, value);
-            }
         }
 
         pub struct Pipeline {
@@ -15416,7 +15445,7 @@
         }
         impl Pipeline {}
         mod _private {
-            pub(crate) static ENCODED_NODE: [::capnp::Word; 62] = [
+            pub(crate) static ENCODED_NODE: [::capnp::Word; 47] = [
                 ::capnp::word(0, 0, 0, 0, 5, 0, 6, 0),
                 ::capnp::word(19, 2, 12, 178, 125, 159, 218, 171),
                 ::capnp::word(20, 0, 0, 0, 1, 0, 3, 0),
@@ -15426,35 +15455,28 @@
                 ::capnp::word(21, 0, 0, 0, 218, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(25, 0, 0, 0, 175, 0, 0, 0),
+                ::capnp::word(25, 0, 0, 0, 119, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(112, 101, 101, 114, 46, 99, 97, 112),
                 ::capnp::word(110, 112, 58, 74, 111, 98, 115, 67),
                 ::capnp::word(97, 108, 108, 46, 115, 117, 98, 109),
                 ::capnp::word(105, 116, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(12, 0, 0, 0, 3, 0, 4, 0),
+                ::capnp::word(8, 0, 0, 0, 3, 0, 4, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 1, 0, 7, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(69, 0, 0, 0, 34, 0, 0, 0),
+                ::capnp::word(41, 0, 0, 0, 34, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(64, 0, 0, 0, 3, 0, 1, 0),
-                ::capnp::word(76, 0, 0, 0, 2, 0, 1, 0),
+                ::capnp::word(36, 0, 0, 0, 3, 0, 1, 0),
+                ::capnp::word(48, 0, 0, 0, 2, 0, 1, 0),
                 ::capnp::word(1, 0, 0, 0, 1, 0, 0, 0),
                 ::capnp::word(0, 0, 1, 0, 8, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(73, 0, 0, 0, 42, 0, 0, 0),
-                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(68, 0, 0, 0, 3, 0, 1, 0),
-                ::capnp::word(80, 0, 0, 0, 2, 0, 1, 0),
-                ::capnp::word(2, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(0, 0, 1, 0, 9, 0, 0, 0),
-                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(77, 0, 0, 0, 50, 0, 0, 0),
+                ::capnp::word(45, 0, 0, 0, 42, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(72, 0, 0, 0, 3, 0, 1, 0),
-                ::capnp::word(84, 0, 0, 0, 2, 0, 1, 0),
+                ::capnp::word(40, 0, 0, 0, 3, 0, 1, 0),
+                ::capnp::word(52, 0, 0, 0, 2, 0, 1, 0),
                 ::capnp::word(106, 111, 98, 0, 0, 0, 0, 0),
                 ::capnp::word(12, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
@@ -15471,365 +15493,11 @@
                 ::capnp::word(13, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(108, 105, 109, 105, 116, 0, 0, 0),
-                ::capnp::word(9, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(9, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ];
             pub(crate) fn get_field_types(index: u16) -> ::capnp::introspect::Type {
                 match index {
                     0 => <::capnp::text::Owned as ::capnp::introspect::Introspect>::introspect(),
                     1 => <::capnp::data::Owned as ::capnp::introspect::Introspect>::introspect(),
-                    2 => <u64 as ::capnp::introspect::Introspect>::introspect(),
-                    _ => ::capnp::introspect::panic_invalid_field_index(index),
-                }
-            }
-            pub(crate) fn get_annotation_types(
-                child_index: Option<u16>,
-                index: u32,
-            ) -> ::capnp::introspect::Type {
-                ::capnp::introspect::panic_invalid_annotation_indices(child_index, index)
-            }
-            pub(crate) static ARENA: ::capnp::private::arena::GeneratedCodeArena =
-                ::capnp::private::arena::GeneratedCodeArena::new(&ENCODED_NODE);
-            pub(crate) static RAW_SCHEMA: ::capnp::introspect::RawStructSchema =
-                ::capnp::introspect::RawStructSchema::new(
-                    &ARENA,
-                    NONUNION_MEMBERS,
-                    MEMBERS_BY_DISCRIMINANT,
-                    MEMBERS_BY_NAME,
-                );
-            pub(crate) static NONUNION_MEMBERS: &[u16] = &[0, 1, 2];
-            pub(crate) static MEMBERS_BY_DISCRIMINANT: &[u16] = &[];
-            pub(crate) static MEMBERS_BY_NAME: &[u16] = &[0, 2, 1];
-            pub(crate) const TYPE_ID: u64 = 0xabda_9f7d_b20c_0213;
-        }
-    }
-
-    pub mod cancel {
-        #[derive(Copy, Clone)]
-        pub struct Owned(());
-        impl ::capnp::introspect::Introspect for Owned {
-            fn introspect() -> ::capnp::introspect::Type {
-                ::capnp::introspect::TypeVariant::Struct(
-                    ::capnp::introspect::RawBrandedStructSchema {
-                        generic: &_private::RAW_SCHEMA,
-                        field_types: _private::get_field_types,
-                        annotation_types: _private::get_annotation_types,
-                        type_id: ::core::any::TypeId::of::<Owned>(),
-                    },
-                )
-                .into()
-            }
-        }
-        impl ::capnp::traits::Owned for Owned {
-            type Reader<'a> = Reader<'a>;
-            type Builder<'a> = Builder<'a>;
-        }
-        impl ::capnp::traits::OwnedStruct for Owned {
-            type Reader<'a> = Reader<'a>;
-            type Builder<'a> = Builder<'a>;
-        }
-        impl ::capnp::traits::Pipelined for Owned {
-            type Pipeline = Pipeline;
-        }
-
-        pub struct Reader<'a> {
-            reader: ::capnp::private::layout::StructReader<'a>,
-        }
-        impl ::core::marker::Copy for Reader<'_> {}
-        impl ::core::clone::Clone for Reader<'_> {
-            fn clone(&self) -> Self {
-                *self
-            }
-        }
-
-        impl ::capnp::traits::HasTypeId for Reader<'_> {
-            const TYPE_ID: u64 = _private::TYPE_ID;
-        }
-        impl<'a> ::core::convert::From<::capnp::private::layout::StructReader<'a>> for Reader<'a> {
-            fn from(reader: ::capnp::private::layout::StructReader<'a>) -> Self {
-                Self { reader }
-            }
-        }
-
-        impl<'a> ::core::convert::From<Reader<'a>> for ::capnp::dynamic_value::Reader<'a> {
-            fn from(reader: Reader<'a>) -> Self {
-                Self::Struct(::capnp::dynamic_struct::Reader::new(
-                    reader.reader,
-                    ::capnp::schema::StructSchema::new(
-                        ::capnp::introspect::RawBrandedStructSchema {
-                            generic: &_private::RAW_SCHEMA,
-                            field_types: _private::get_field_types,
-                            annotation_types: _private::get_annotation_types,
-                            type_id: ::core::any::TypeId::of::<Owned>(),
-                        },
-                    ),
-                ))
-            }
-        }
-
-        impl ::core::fmt::Debug for Reader<'_> {
-            fn fmt(
-                &self,
-                f: &mut ::core::fmt::Formatter<'_>,
-            ) -> ::core::result::Result<(), ::core::fmt::Error> {
-                core::fmt::Debug::fmt(
-                    &::core::convert::Into::<::capnp::dynamic_value::Reader<'_>>::into(*self),
-                    f,
-                )
-            }
-        }
-
-        impl<'a> ::capnp::traits::FromPointerReader<'a> for Reader<'a> {
-            fn get_from_pointer(
-                reader: &::capnp::private::layout::PointerReader<'a>,
-                default: ::core::option::Option<&'a [::capnp::Word]>,
-            ) -> ::capnp::Result<Self> {
-                ::core::result::Result::Ok(reader.get_struct(default)?.into())
-            }
-        }
-
-        impl<'a> ::capnp::traits::IntoInternalStructReader<'a> for Reader<'a> {
-            fn into_internal_struct_reader(self) -> ::capnp::private::layout::StructReader<'a> {
-                self.reader
-            }
-        }
-
-        impl<'a> ::capnp::traits::Imbue<'a> for Reader<'a> {
-            fn imbue(&mut self, cap_table: &'a ::capnp::private::layout::CapTable) {
-                self.reader
-                    .imbue(::capnp::private::layout::CapTableReader::from_ref(
-                        cap_table,
-                    ))
-            }
-        }
-
-        impl<'a> Reader<'a> {
-            pub fn reborrow(&self) -> Reader<'_> {
-                Self { ..*self }
-            }
-
-            pub fn total_size(&self) -> ::capnp::Result<::capnp::MessageSize> {
-                self.reader.total_size()
-            }
-            #[inline]
-            pub fn get_job(self) -> ::capnp::Result<::capnp::text::Reader<'a>> {
-                ::capnp::traits::FromPointerReader::get_from_pointer(
-                    &self.reader.get_pointer_field(0),
-                    ::core::option::Option::None,
-                )
-            }
-            #[inline]
-            pub fn has_job(&self) -> bool {
-                !self.reader.get_pointer_field(0).is_null()
-            }
-            #[inline]
-            pub fn get_limit(self) -> u64 {
-                self.reader.get_data_field::<u64>(0)
-            }
-        }
-
-        pub struct Builder<'a> {
-            builder: ::capnp::private::layout::StructBuilder<'a>,
-        }
-        impl ::capnp::traits::HasStructSize for Builder<'_> {
-            const STRUCT_SIZE: ::capnp::private::layout::StructSize =
-                ::capnp::private::layout::StructSize {
-                    data: 3,
-                    pointers: 2,
-                };
-        }
-        impl ::capnp::traits::HasTypeId for Builder<'_> {
-            const TYPE_ID: u64 = _private::TYPE_ID;
-        }
-        impl<'a> ::core::convert::From<::capnp::private::layout::StructBuilder<'a>> for Builder<'a> {
-            fn from(builder: ::capnp::private::layout::StructBuilder<'a>) -> Self {
-                Self { builder }
-            }
-        }
-
-        impl<'a> ::core::convert::From<Builder<'a>> for ::capnp::dynamic_value::Builder<'a> {
-            fn from(builder: Builder<'a>) -> Self {
-                Self::Struct(::capnp::dynamic_struct::Builder::new(
-                    builder.builder,
-                    ::capnp::schema::StructSchema::new(
-                        ::capnp::introspect::RawBrandedStructSchema {
-                            generic: &_private::RAW_SCHEMA,
-                            field_types: _private::get_field_types,
-                            annotation_types: _private::get_annotation_types,
-                            type_id: ::core::any::TypeId::of::<Owned>(),
-                        },
-                    ),
-                ))
-            }
-        }
-
-        impl<'a> ::capnp::traits::ImbueMut<'a> for Builder<'a> {
-            fn imbue_mut(&mut self, cap_table: &'a mut ::capnp::private::layout::CapTable) {
-                self.builder
-                    .imbue(::capnp::private::layout::CapTableBuilder::from_ref(
-                        cap_table,
-                    ))
-            }
-        }
-
-        impl<'a> ::capnp::traits::FromPointerBuilder<'a> for Builder<'a> {
-            fn init_pointer(
-                builder: ::capnp::private::layout::PointerBuilder<'a>,
-                _size: u32,
-            ) -> Self {
-                builder
-                    .init_struct(<Self as ::capnp::traits::HasStructSize>::STRUCT_SIZE)
-                    .into()
-            }
-            fn get_from_pointer(
-                builder: ::capnp::private::layout::PointerBuilder<'a>,
-                default: ::core::option::Option<&'a [::capnp::Word]>,
-            ) -> ::capnp::Result<Self> {
-                ::core::result::Result::Ok(
-                    builder
-                        .get_struct(
-                            <Self as ::capnp::traits::HasStructSize>::STRUCT_SIZE,
-                            default,
-                        )?
-                        .into(),
-                )
-            }
-        }
-
-        impl ::capnp::traits::SetterInput<Owned> for Reader<'_> {
-            fn set_pointer_builder(
-                mut pointer: ::capnp::private::layout::PointerBuilder<'_>,
-                value: Self,
-                canonicalize: bool,
-            ) -> ::capnp::Result<()> {
-                pointer.set_struct(&value.reader, canonicalize)
-            }
-        }
-
-        impl<'a> Builder<'a> {
-            pub fn into_reader(self) -> Reader<'a> {
-                self.builder.into_reader().into()
-            }
-            pub fn reborrow(&mut self) -> Builder<'_> {
-                Builder {
-                    builder: self.builder.reborrow(),
-                }
-            }
-            pub fn reborrow_as_reader(&self) -> Reader<'_> {
-                self.builder.as_reader().into()
-            }
-
-            pub fn total_size(&self) -> ::capnp::Result<::capnp::MessageSize> {
-                self.builder.as_reader().total_size()
-            }
-            #[inline]
-            pub fn get_job(self) -> ::capnp::Result<::capnp::text::Builder<'a>> {
-                ::capnp::traits::FromPointerBuilder::get_from_pointer(
-                    self.builder.get_pointer_field(0),
-                    ::core::option::Option::None,
-                )
-            }
-            #[inline]
-            pub fn set_job(
-                &mut self,
-                value: impl ::capnp::traits::SetterInput<::capnp::text::Owned>,
-            ) {
-                ::capnp::traits::SetterInput::set_pointer_builder(
-                    self.builder.reborrow().get_pointer_field(0),
-                    value,
-                    false,
-                )
-                .unwrap()
-            }
-            #[inline]
-            pub fn init_job(self, size: u32) -> ::capnp::text::Builder<'a> {
-                self.builder.get_pointer_field(0).init_text(size)
-            }
-            #[inline]
-            pub fn has_job(&self) -> bool {
-                !self.builder.is_pointer_field_null(0)
-            }
-            #[inline]
-            pub fn get_limit(self) -> u64 {
-                self.builder.get_data_field::<u64>(0)
-            }
-            #[inline]
-            pub fn set_limit(&mut self, value: u64) {
-                self.builder.set_data_field::<u64>(0, value);
-            }
-        }
-
-        pub struct Pipeline {
-            _typeless: ::capnp::any_pointer::Pipeline,
-        }
-        impl ::capnp::capability::FromTypelessPipeline for Pipeline {
-            fn new(typeless: ::capnp::any_pointer::Pipeline) -> Self {
-                Self {
-                    _typeless: typeless,
-                }
-            }
-        }
-        impl Pipeline {}
-        mod _private {
-            pub(crate) static ENCODED_NODE: [::capnp::Word; 47] = [
-                ::capnp::word(0, 0, 0, 0, 5, 0, 6, 0),
-                ::capnp::word(139, 76, 104, 78, 113, 254, 216, 189),
-                ::capnp::word(20, 0, 0, 0, 1, 0, 3, 0),
-                ::capnp::word(29, 5, 136, 184, 33, 162, 167, 202),
-                ::capnp::word(2, 0, 7, 0, 1, 0, 0, 0),
-                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(21, 0, 0, 0, 218, 0, 0, 0),
-                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(25, 0, 0, 0, 119, 0, 0, 0),
-                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(112, 101, 101, 114, 46, 99, 97, 112),
-                ::capnp::word(110, 112, 58, 74, 111, 98, 115, 67),
-                ::capnp::word(97, 108, 108, 46, 99, 97, 110, 99),
-                ::capnp::word(101, 108, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(8, 0, 0, 0, 3, 0, 4, 0),
-                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(0, 0, 1, 0, 10, 0, 0, 0),
-                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(41, 0, 0, 0, 34, 0, 0, 0),
-                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(36, 0, 0, 0, 3, 0, 1, 0),
-                ::capnp::word(48, 0, 0, 0, 2, 0, 1, 0),
-                ::capnp::word(1, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(0, 0, 1, 0, 11, 0, 0, 0),
-                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(45, 0, 0, 0, 50, 0, 0, 0),
-                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(40, 0, 0, 0, 3, 0, 1, 0),
-                ::capnp::word(52, 0, 0, 0, 2, 0, 1, 0),
-                ::capnp::word(106, 111, 98, 0, 0, 0, 0, 0),
-                ::capnp::word(12, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(12, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(108, 105, 109, 105, 116, 0, 0, 0),
-                ::capnp::word(9, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(9, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ];
-            pub(crate) fn get_field_types(index: u16) -> ::capnp::introspect::Type {
-                match index {
-                    0 => <::capnp::text::Owned as ::capnp::introspect::Introspect>::introspect(),
-                    1 => <u64 as ::capnp::introspect::Introspect>::introspect(),
                     _ => ::capnp::introspect::panic_invalid_field_index(index),
                 }
             }
@@ -15851,7 +15519,7 @@
             pub(crate) static NONUNION_MEMBERS: &[u16] = &[0, 1];
             pub(crate) static MEMBERS_BY_DISCRIMINANT: &[u16] = &[];
             pub(crate) static MEMBERS_BY_NAME: &[u16] = &[0, 1];
-            pub(crate) const TYPE_ID: u64 = 0xbdd8_fe71_4e68_4c8b;
+            pub(crate) const TYPE_ID: u64 = 0xabda_9f7d_b20c_0213;
         }
     }
 }
