Say which jobs a status tells in part

An entry adds up what the leads of a job's shards tell. A lead that was unknown, did not answer, or had just lost its shard was left out without a word, so that the counts of a job went down again: the run of a cut domain beside killed entries saw all ends recorded, asked once more and read that the end of a job was not recorded. Two entries that both took themselves for the lead were counted twice.

Leads now tell their progress by shard and term, the newest term counts, and a status names the jobs of which a part is missing. The run waits for a whole status, for at most the 11 s in which a configuration has to be in force, and fails if there is none. Version 2 of the inner protocol.

--- a/crates/marigoldpick-core/src/control.rs
+++ b/crates/marigoldpick-core/src/control.rs
@@ -99,7 +99,7 @@
     Plan(id::Plan),
     /// Asks why a task is as it is.
     Explain(id::Task),
-    /// Asks for the progress of the jobs in the shards led there.
+    /// Asks for the progress of the jobs in each shard led there.
     Progress,
     /// Asks for the endpoints of a shard.
     Endpoints(id::Shard),
@@ -123,8 +123,8 @@
     Plan(Option<Box<Plan>>),
     /// Why the task is as it is.
     Explain(operator::Explain),
-    /// The progress of jobs.
-    Progress(Vec<operator::Job>),
+    /// The progress of jobs, by shard.
+    Progress(Vec<operator::Progress>),
     /// The endpoints of a shard at a version of the list.
     Endpoints {
         /// The lead's epoch.
--- a/crates/marigoldpick-core/src/operator.rs
+++ b/crates/marigoldpick-core/src/operator.rs
@@ -7,9 +7,10 @@
 
 use crate::clock::Millis;
 use crate::code::Code;
-use crate::config::Target;
+use crate::config::{self, Target};
 use crate::id;
 use crate::timeline;
+use crate::worker::Epoch;
 
 /// `Problem` is an answer that is not what was asked for.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
@@ -106,14 +107,68 @@
     pub config_old: bool,
     /// The failure domain's shards.
     pub shards: Vec<Shard>,
-    /// Jobs that have not ended, as far as known here.
+    /// Jobs that have not ended, and the last that have.
     pub jobs: Vec<Job>,
+    /// Jobs of which the lead of some shard did not tell its part: their counts are lower bounds.
+    pub partial: Vec<id::Job>,
     /// Other entries.
     pub peers: Vec<Peer>,
     /// Services, as this entry routes to them.
     pub services: Vec<Service>,
 }
 
+impl Status {
+    /// Adds the progress that leads told to the counts of the configuration.
+    ///
+    /// A part of a job that has ended is counted in the configuration and has no home there any more;
+    /// the newest lead of a shard counts. `accepted` are the jobs of the configuration; `self.jobs` are
+    /// sorted by name.
+    pub fn add<'a>(
+        &mut self,
+        accepted: impl IntoIterator<Item = &'a config::Accepted>,
+        mut told: Vec<Progress>,
+    ) {
+        told.sort_by(|a, b| a.shard.cmp(&b.shard).then(b.epoch.cmp(&a.epoch)));
+        told.dedup_by(|later, first| later.shard == first.shard);
+        for progress in &mut told {
+            progress.jobs.sort_by(|a, b| a.job.cmp(&b.job));
+        }
+        for job in accepted {
+            let name = &job.job.name;
+            for home in &job.homes {
+                let lead = told.binary_search_by(|progress| progress.shard.cmp(&home.shard));
+                let part = lead.ok().and_then(|at| told[at].job(name));
+                let known = self.jobs.binary_search_by(|have| have.job.cmp(name));
+                match (known, part) {
+                    (Ok(at), Some(part)) => self.jobs[at].add(part),
+                    _ => self.partial.push(name.clone()),
+                }
+            }
+        }
+        self.partial.sort();
+        self.partial.dedup();
+    }
+}
+
+/// `Progress` is what the lead of a shard tells of the jobs that have tasks there.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct Progress {
+    /// The shard.
+    pub shard: id::Shard,
+    /// The lead's term.
+    pub epoch: Epoch,
+    /// The jobs; the counts are those of this shard.
+    pub jobs: Vec<Job>,
+}
+
+impl Progress {
+    fn job(&self, name: &id::Job) -> Option<&Job> {
+        let at = self.jobs.binary_search_by(|job| job.job.cmp(name));
+        at.ok().map(|at| &self.jobs[at])
+    }
+}
+
 /// `Shard` is a shard's state.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 #[serde(deny_unknown_fields)]
@@ -142,9 +197,9 @@
     pub job: id::Job,
     /// All tasks.
     pub count: u32,
-    /// Tasks running in shards led here.
+    /// Tasks running.
     pub running: u32,
-    /// Tasks waiting in shards led here.
+    /// Tasks waiting.
     pub waiting: u32,
     /// Tasks completed.
     pub completed: u32,
@@ -154,6 +209,15 @@
     pub cancelled: bool,
 }
 
+impl Job {
+    fn add(&mut self, part: &Self) {
+        self.running += part.running;
+        self.waiting += part.waiting;
+        self.completed += part.completed;
+        self.failed += part.failed;
+    }
+}
+
 /// `Peer` is another entry as seen from this one.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 #[serde(deny_unknown_fields)]
--- a/crates/marigoldpick-entry/src/control.rs
+++ b/crates/marigoldpick-entry/src/control.rs
@@ -302,7 +302,6 @@
         jobs.sort_by(|a, b| a.job.cmp(&b.job));
         // A name that was used again stands for the job that has not ended.
         jobs.dedup_by(|later, first| later.job == first.job);
-        operate::merge(&mut jobs, &self.progress());
         operator::Status {
             entry: self.start.known.entry.clone(),
             domain: self.start.known.domain.clone(),
@@ -312,22 +311,14 @@
             config_old: self.config_old(),
             shards: self.known_shards(),
             jobs,
+            partial: Vec::new(),
             peers: self.peers.status(now),
             services: self.start.face.status(),
         }
     }
 
-    fn progress(&self) -> Vec<operator::Job> {
-        let mut jobs = Vec::new();
-        for local in &self.shards {
-            for job in local.progress() {
-                match jobs.binary_search_by(|have: &operator::Job| have.job.cmp(&job.job)) {
-                    Ok(_) => operate::merge(&mut jobs, &[job]),
-                    Err(at) => jobs.insert(at, job),
-                }
-            }
-        }
-        jobs
+    fn progress(&self) -> Vec<operator::Progress> {
+        self.shards.iter().filter_map(Local::progress).collect()
     }
 
     fn known_shards(&self) -> Vec<operator::Shard> {
--- a/crates/marigoldpick-entry/src/control/local.rs
+++ b/crates/marigoldpick-entry/src/control/local.rs
@@ -130,11 +130,13 @@
 
     /// Returns the progress of the jobs while this entry leads the shard.
     #[must_use]
-    pub fn progress(&self) -> Vec<operator::Job> {
-        self.led
-            .as_ref()
-            .map(|led| led.scheduler.counts().jobs)
-            .unwrap_or_default()
+    pub fn progress(&self) -> Option<operator::Progress> {
+        let led = self.led.as_ref()?;
+        Some(operator::Progress {
+            shard: self.shard.clone(),
+            epoch: led.table.epoch,
+            jobs: led.scheduler.counts().jobs,
+        })
     }
 
     /// Tells whether a lead here knows its workers, of which the VM list has `live`. One that has just
--- a/crates/marigoldpick-entry/src/control/operate.rs
+++ b/crates/marigoldpick-entry/src/control/operate.rs
@@ -4,7 +4,7 @@
 use marigoldpick_core::config::Change;
 use marigoldpick_core::control::{Answer, Call, Known};
 use marigoldpick_core::intent::{self, Intent};
-use marigoldpick_core::operator::{self, Accepted, Ask, Explain, Problem, Status};
+use marigoldpick_core::operator::{Accepted, Ask, Explain, Problem, Status};
 use marigoldpick_core::plan::Plan;
 use marigoldpick_core::prelude::*;
 use marigoldpick_place::planner;
@@ -276,34 +276,31 @@
     }
 
     pub(super) fn status(&mut self, reply: Reply<Status>) {
-        let status = self.own_status();
+        let mut status = self.own_status();
+        let mut told = self.progress();
+        let state = self.config.state();
+        let accepted: Vec<_> = state.jobs.iter().chain(&state.ended).cloned().collect();
         let leads: Vec<Known> = self.peers.leads().map(|(_, lead)| lead.clone()).collect();
         let io = self.io.clone();
         async_std::task::spawn_local(async move {
             let asked = leads.iter().map(|lead| io.ask(lead, Call::Progress, ASK));
             let answers = futures::future::join_all(asked).await;
-            let mut status = status;
-            for answer in answers {
-                if let Ok(Answer::Progress(jobs)) = answer {
-                    merge(&mut status.jobs, &jobs);
+            for (lead, answer) in leads.iter().zip(answers) {
+                match answer {
+                    Ok(Answer::Progress(more)) => told.extend(more),
+                    // The status names the jobs that lack this lead's part.
+                    Ok(_) => not_told(lead, Code::BadRequest),
+                    Err(code) => not_told(lead, code),
                 }
             }
+            status.add(accepted.iter().map(AsRef::as_ref), told);
             answer(&reply, Ok(status));
         });
     }
 }
 
-/// Adds the progress of other shards to the jobs of a status; both are sorted by job.
-pub(super) fn merge(jobs: &mut [operator::Job], more: &[operator::Job]) {
-    for other in more {
-        if let Ok(at) = jobs.binary_search_by(|job| job.job.cmp(&other.job)) {
-            let job = &mut jobs[at];
-            job.running += other.running;
-            job.waiting += other.waiting;
-            job.completed += other.completed;
-            job.failed += other.failed;
-        }
-    }
+fn not_told(lead: &Known, code: Code) {
+    log::info!(target: "entry", "No progress from a lead; entry={} code={}.", lead.entry, code.number());
 }
 
 fn unled(shard: &id::Shard, how: &str) -> Problem {
--- a/crates/marigoldpick-wire/schema/peer.capnp
+++ b/crates/marigoldpick-wire/schema/peer.capnp
@@ -77,7 +77,7 @@
     offers @4 :Text;
     plan @5 :Json;  # Empty when it is not held.
     explain @6 :Explain;
-    progress @7 :List(Progress);
+    progress @7 :List(ShardProgress);
     endpoints :group {
       epoch @8 :Epoch;
       version @9 :UInt64;
@@ -93,6 +93,12 @@
   reasons @3 :List(Text);
 }
 
+struct ShardProgress {
+  shard @0 :Text;
+  epoch @1 :Epoch;
+  jobs @2 :List(Progress);
+}
+
 struct Progress {
   job @0 :Text;
   count @1 :UInt32;
--- a/crates/marigoldpick-wire/src/convert/control.rs
+++ b/crates/marigoldpick-wire/src/convert/control.rs
@@ -2,7 +2,7 @@
 
 use marigoldpick_core::config::Entry;
 use marigoldpick_core::control::{Answer, Beat, Call, Endpoint, Known, Led};
-use marigoldpick_core::operator::{Explain, Job, Shard};
+use marigoldpick_core::operator::{Explain, Job, Progress, Shard};
 use marigoldpick_core::prelude::*;
 use marigoldpick_core::worker::Epoch;
 
@@ -60,10 +60,10 @@
         Answer::Plan(Some(plan)) => to.set_plan(&to_json(plan)?),
         Answer::Plan(None) => to.set_plan(&[]),
         Answer::Explain(explain) => write_explain(explain, to.init_explain())?,
-        Answer::Progress(jobs) => {
-            let mut list = to.init_progress(count(jobs)?);
-            for (at, job) in (0..).zip(jobs) {
-                write_job(job, list.reborrow().get(at));
+        Answer::Progress(told) => {
+            let mut list = to.init_progress(count(told)?);
+            for (at, progress) in (0..).zip(told) {
+                write_progress(progress, list.reborrow().get(at))?;
             }
         }
         Answer::Endpoints {
@@ -97,8 +97,8 @@
             plan => Ok(Answer::Plan(Some(from_json(Ok(plan))?))),
         },
         Which::Explain(explain) => Ok(Answer::Explain(read_explain(explain?)?)),
-        Which::Progress(jobs) => Ok(Answer::Progress(
-            jobs?.iter().map(read_job).collect::<Read<_>>()?,
+        Which::Progress(told) => Ok(Answer::Progress(
+            told?.iter().map(read_progress).collect::<Read<_>>()?,
         )),
         Which::Endpoints(from) => Ok(Answer::Endpoints {
             epoch: read_epoch(from.get_epoch()?),
@@ -240,6 +240,24 @@
     })
 }
 
+fn write_progress(progress: &Progress, mut to: schema::shard_progress::Builder<'_>) -> Read<()> {
+    to.set_shard(progress.shard.as_str());
+    write_epoch(progress.epoch, to.reborrow().init_epoch());
+    let mut list = to.init_jobs(count(&progress.jobs)?);
+    for (at, job) in (0..).zip(&progress.jobs) {
+        write_job(job, list.reborrow().get(at));
+    }
+    Ok(())
+}
+
+fn read_progress(from: schema::shard_progress::Reader<'_>) -> Read<Progress> {
+    Ok(Progress {
+        shard: name(from.get_shard())?,
+        epoch: read_epoch(from.get_epoch()?),
+        jobs: from.get_jobs()?.iter().map(read_job).collect::<Read<_>>()?,
+    })
+}
+
 fn write_job(job: &Job, mut to: schema::progress::Builder<'_>) {
     to.set_job(job.job.as_str());
     to.set_count(job.count);
--- a/crates/marigoldpick-wire/src/lib.rs
+++ b/crates/marigoldpick-wire/src/lib.rs
@@ -26,4 +26,4 @@
 pub use server::{Handler, Server};
 
 /// The version of the inner protocol. Peers of another version get no session.
-pub const VERSION: u32 = 1;
+pub const VERSION: u32 = 2;
--- a/crates/marigoldpick-wire/src/peer_capnp.rs
+++ b/crates/marigoldpick-wire/src/peer_capnp.rs
@@ -6602,7 +6602,7 @@
         #[inline]
         pub fn set_progress(
             &mut self,
-            value: ::capnp::struct_list::Reader<'_, crate::peer_capnp::progress::Owned>,
+            value: ::capnp::struct_list::Reader<'_, crate::peer_capnp::shard_progress::Owned>,
         ) -> ::capnp::Result<()> {
             self.builder.set_data_field::<u16>(0, 7);
             ::capnp::traits::SetterInput::set_pointer_builder(
@@ -6615,7 +6615,7 @@
         pub fn init_progress(
             self,
             size: u32,
-        ) -> ::capnp::struct_list::Builder<'a, crate::peer_capnp::progress::Owned> {
+        ) -> ::capnp::struct_list::Builder<'a, crate::peer_capnp::shard_progress::Owned> {
             self.builder.set_data_field::<u16>(0, 7);
             ::capnp::traits::FromPointerBuilder::init_pointer(
                 self.builder.get_pointer_field(0),
@@ -6853,7 +6853,7 @@
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 3, 0, 1, 0),
             ::capnp::word(16, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(223, 38, 203, 91, 237, 214, 156, 199),
+            ::capnp::word(140, 160, 218, 30, 86, 14, 255, 158),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(14, 0, 0, 0, 0, 0, 0, 0),
@@ -6871,7 +6871,7 @@
                 4 => <::capnp::text::Owned as ::capnp::introspect::Introspect>::introspect(),
                 5 => <::capnp::data::Owned as ::capnp::introspect::Introspect>::introspect(),
                 6 => <crate::peer_capnp::explain::Owned as ::capnp::introspect::Introspect>::introspect(),
-                7 => <::capnp::struct_list::Owned<crate::peer_capnp::progress::Owned> as ::capnp::introspect::Introspect>::introspect(),
+                7 => <::capnp::struct_list::Owned<crate::peer_capnp::shard_progress::Owned> as ::capnp::introspect::Introspect>::introspect(),
                 8 => <crate::peer_capnp::control_answer::endpoints::Owned as ::capnp::introspect::Introspect>::introspect(),
                 _ => ::capnp::introspect::panic_invalid_field_index(index),
             }
@@ -6914,7 +6914,7 @@
         ::capnp::Result<::capnp::text::Reader<'a>>,
         ::capnp::Result<::capnp::data::Reader<'a>>,
         ::capnp::Result<crate::peer_capnp::explain::Reader<'a>>,
-        ::capnp::Result<::capnp::struct_list::Reader<'a, crate::peer_capnp::progress::Owned>>,
+        ::capnp::Result<::capnp::struct_list::Reader<'a, crate::peer_capnp::shard_progress::Owned>>,
         crate::peer_capnp::control_answer::endpoints::Reader<'a>,
     >;
     pub type WhichBuilder<'a> = Which<
@@ -6924,7 +6924,9 @@
         ::capnp::Result<::capnp::text::Builder<'a>>,
         ::capnp::Result<::capnp::data::Builder<'a>>,
         ::capnp::Result<crate::peer_capnp::explain::Builder<'a>>,
-        ::capnp::Result<::capnp::struct_list::Builder<'a, crate::peer_capnp::progress::Owned>>,
+        ::capnp::Result<
+            ::capnp::struct_list::Builder<'a, crate::peer_capnp::shard_progress::Owned>,
+        >,
         crate::peer_capnp::control_answer::endpoints::Builder<'a>,
     >;
 
@@ -7825,6 +7827,441 @@
     }
 }
 
+pub mod shard_progress {
+    #[derive(Copy, Clone)]
+    pub struct Owned(());
+    impl ::capnp::introspect::Introspect for Owned {
+        fn introspect() -> ::capnp::introspect::Type {
+            ::capnp::introspect::TypeVariant::Struct(::capnp::introspect::RawBrandedStructSchema {
+                generic: &_private::RAW_SCHEMA,
+                field_types: _private::get_field_types,
+                annotation_types: _private::get_annotation_types,
+                type_id: ::core::any::TypeId::of::<Owned>(),
+            })
+            .into()
+        }
+    }
+    impl ::capnp::traits::Owned for Owned {
+        type Reader<'a> = Reader<'a>;
+        type Builder<'a> = Builder<'a>;
+    }
+    impl ::capnp::traits::OwnedStruct for Owned {
+        type Reader<'a> = Reader<'a>;
+        type Builder<'a> = Builder<'a>;
+    }
+    impl ::capnp::traits::Pipelined for Owned {
+        type Pipeline = Pipeline;
+    }
+
+    pub struct Reader<'a> {
+        reader: ::capnp::private::layout::StructReader<'a>,
+    }
+    impl ::core::marker::Copy for Reader<'_> {}
+    impl ::core::clone::Clone for Reader<'_> {
+        fn clone(&self) -> Self {
+            *self
+        }
+    }
+
+    impl ::capnp::traits::HasTypeId for Reader<'_> {
+        const TYPE_ID: u64 = _private::TYPE_ID;
+    }
+    impl<'a> ::core::convert::From<::capnp::private::layout::StructReader<'a>> for Reader<'a> {
+        fn from(reader: ::capnp::private::layout::StructReader<'a>) -> Self {
+            Self { reader }
+        }
+    }
+
+    impl<'a> ::core::convert::From<Reader<'a>> for ::capnp::dynamic_value::Reader<'a> {
+        fn from(reader: Reader<'a>) -> Self {
+            Self::Struct(::capnp::dynamic_struct::Reader::new(
+                reader.reader,
+                ::capnp::schema::StructSchema::new(::capnp::introspect::RawBrandedStructSchema {
+                    generic: &_private::RAW_SCHEMA,
+                    field_types: _private::get_field_types,
+                    annotation_types: _private::get_annotation_types,
+                    type_id: ::core::any::TypeId::of::<Owned>(),
+                }),
+            ))
+        }
+    }
+
+    impl ::core::fmt::Debug for Reader<'_> {
+        fn fmt(
+            &self,
+            f: &mut ::core::fmt::Formatter<'_>,
+        ) -> ::core::result::Result<(), ::core::fmt::Error> {
+            core::fmt::Debug::fmt(
+                &::core::convert::Into::<::capnp::dynamic_value::Reader<'_>>::into(*self),
+                f,
+            )
+        }
+    }
+
+    impl<'a> ::capnp::traits::FromPointerReader<'a> for Reader<'a> {
+        fn get_from_pointer(
+            reader: &::capnp::private::layout::PointerReader<'a>,
+            default: ::core::option::Option<&'a [::capnp::Word]>,
+        ) -> ::capnp::Result<Self> {
+            ::core::result::Result::Ok(reader.get_struct(default)?.into())
+        }
+    }
+
+    impl<'a> ::capnp::traits::IntoInternalStructReader<'a> for Reader<'a> {
+        fn into_internal_struct_reader(self) -> ::capnp::private::layout::StructReader<'a> {
+            self.reader
+        }
+    }
+
+    impl<'a> ::capnp::traits::Imbue<'a> for Reader<'a> {
+        fn imbue(&mut self, cap_table: &'a ::capnp::private::layout::CapTable) {
+            self.reader
+                .imbue(::capnp::private::layout::CapTableReader::from_ref(
+                    cap_table,
+                ))
+        }
+    }
+
+    impl<'a> Reader<'a> {
+        pub fn reborrow(&self) -> Reader<'_> {
+            Self { ..*self }
+        }
+
+        pub fn total_size(&self) -> ::capnp::Result<::capnp::MessageSize> {
+            self.reader.total_size()
+        }
+        #[inline]
+        pub fn get_shard(self) -> ::capnp::Result<::capnp::text::Reader<'a>> {
+            ::capnp::traits::FromPointerReader::get_from_pointer(
+                &self.reader.get_pointer_field(0),
+                ::core::option::Option::None,
+            )
+        }
+        #[inline]
+        pub fn has_shard(&self) -> bool {
+            !self.reader.get_pointer_field(0).is_null()
+        }
+        #[inline]
+        pub fn get_epoch(self) -> ::capnp::Result<crate::peer_capnp::epoch::Reader<'a>> {
+            ::capnp::traits::FromPointerReader::get_from_pointer(
+                &self.reader.get_pointer_field(1),
+                ::core::option::Option::None,
+            )
+        }
+        #[inline]
+        pub fn has_epoch(&self) -> bool {
+            !self.reader.get_pointer_field(1).is_null()
+        }
+        #[inline]
+        pub fn get_jobs(
+            self,
+        ) -> ::capnp::Result<::capnp::struct_list::Reader<'a, crate::peer_capnp::progress::Owned>>
+        {
+            ::capnp::traits::FromPointerReader::get_from_pointer(
+                &self.reader.get_pointer_field(2),
+                ::core::option::Option::None,
+            )
+        }
+        #[inline]
+        pub fn has_jobs(&self) -> bool {
+            !self.reader.get_pointer_field(2).is_null()
+        }
+    }
+
+    pub struct Builder<'a> {
+        builder: ::capnp::private::layout::StructBuilder<'a>,
+    }
+    impl ::capnp::traits::HasStructSize for Builder<'_> {
+        const STRUCT_SIZE: ::capnp::private::layout::StructSize =
+            ::capnp::private::layout::StructSize {
+                data: 0,
+                pointers: 3,
+            };
+    }
+    impl ::capnp::traits::HasTypeId for Builder<'_> {
+        const TYPE_ID: u64 = _private::TYPE_ID;
+    }
+    impl<'a> ::core::convert::From<::capnp::private::layout::StructBuilder<'a>> for Builder<'a> {
+        fn from(builder: ::capnp::private::layout::StructBuilder<'a>) -> Self {
+            Self { builder }
+        }
+    }
+
+    impl<'a> ::core::convert::From<Builder<'a>> for ::capnp::dynamic_value::Builder<'a> {
+        fn from(builder: Builder<'a>) -> Self {
+            Self::Struct(::capnp::dynamic_struct::Builder::new(
+                builder.builder,
+                ::capnp::schema::StructSchema::new(::capnp::introspect::RawBrandedStructSchema {
+                    generic: &_private::RAW_SCHEMA,
+                    field_types: _private::get_field_types,
+                    annotation_types: _private::get_annotation_types,
+                    type_id: ::core::any::TypeId::of::<Owned>(),
+                }),
+            ))
+        }
+    }
+
+    impl<'a> ::capnp::traits::ImbueMut<'a> for Builder<'a> {
+        fn imbue_mut(&mut self, cap_table: &'a mut ::capnp::private::layout::CapTable) {
+            self.builder
+                .imbue(::capnp::private::layout::CapTableBuilder::from_ref(
+                    cap_table,
+                ))
+        }
+    }
+
+    impl<'a> ::capnp::traits::FromPointerBuilder<'a> for Builder<'a> {
+        fn init_pointer(builder: ::capnp::private::layout::PointerBuilder<'a>, _size: u32) -> Self {
+            builder
+                .init_struct(<Self as ::capnp::traits::HasStructSize>::STRUCT_SIZE)
+                .into()
+        }
+        fn get_from_pointer(
+            builder: ::capnp::private::layout::PointerBuilder<'a>,
+            default: ::core::option::Option<&'a [::capnp::Word]>,
+        ) -> ::capnp::Result<Self> {
+            ::core::result::Result::Ok(
+                builder
+                    .get_struct(
+                        <Self as ::capnp::traits::HasStructSize>::STRUCT_SIZE,
+                        default,
+                    )?
+                    .into(),
+            )
+        }
+    }
+
+    impl ::capnp::traits::SetterInput<Owned> for Reader<'_> {
+        fn set_pointer_builder(
+            mut pointer: ::capnp::private::layout::PointerBuilder<'_>,
+            value: Self,
+            canonicalize: bool,
+        ) -> ::capnp::Result<()> {
+            pointer.set_struct(&value.reader, canonicalize)
+        }
+    }
+
+    impl<'a> Builder<'a> {
+        pub fn into_reader(self) -> Reader<'a> {
+            self.builder.into_reader().into()
+        }
+        pub fn reborrow(&mut self) -> Builder<'_> {
+            Builder {
+                builder: self.builder.reborrow(),
+            }
+        }
+        pub fn reborrow_as_reader(&self) -> Reader<'_> {
+            self.builder.as_reader().into()
+        }
+
+        pub fn total_size(&self) -> ::capnp::Result<::capnp::MessageSize> {
+            self.builder.as_reader().total_size()
+        }
+        #[inline]
+        pub fn get_shard(self) -> ::capnp::Result<::capnp::text::Builder<'a>> {
+            ::capnp::traits::FromPointerBuilder::get_from_pointer(
+                self.builder.get_pointer_field(0),
+                ::core::option::Option::None,
+            )
+        }
+        #[inline]
+        pub fn set_shard(
+            &mut self,
+            value: impl ::capnp::traits::SetterInput<::capnp::text::Owned>,
+        ) {
+            ::capnp::traits::SetterInput::set_pointer_builder(
+                self.builder.reborrow().get_pointer_field(0),
+                value,
+                false,
+            )
+            .unwrap()
+        }
+        #[inline]
+        pub fn init_shard(self, size: u32) -> ::capnp::text::Builder<'a> {
+            self.builder.get_pointer_field(0).init_text(size)
+        }
+        #[inline]
+        pub fn has_shard(&self) -> bool {
+            !self.builder.is_pointer_field_null(0)
+        }
+        #[inline]
+        pub fn get_epoch(self) -> ::capnp::Result<crate::peer_capnp::epoch::Builder<'a>> {
+            ::capnp::traits::FromPointerBuilder::get_from_pointer(
+                self.builder.get_pointer_field(1),
+                ::core::option::Option::None,
+            )
+        }
+        #[inline]
+        pub fn set_epoch(
+            &mut self,
+            value: crate::peer_capnp::epoch::Reader<'_>,
+        ) -> ::capnp::Result<()> {
+            ::capnp::traits::SetterInput::set_pointer_builder(
+                self.builder.reborrow().get_pointer_field(1),
+                value,
+                false,
+            )
+        }
+        #[inline]
+        pub fn init_epoch(self) -> crate::peer_capnp::epoch::Builder<'a> {
+            ::capnp::traits::FromPointerBuilder::init_pointer(self.builder.get_pointer_field(1), 0)
+        }
+        #[inline]
+        pub fn has_epoch(&self) -> bool {
+            !self.builder.is_pointer_field_null(1)
+        }
+        #[inline]
+        pub fn get_jobs(
+            self,
+        ) -> ::capnp::Result<::capnp::struct_list::Builder<'a, crate::peer_capnp::progress::Owned>>
+        {
+            ::capnp::traits::FromPointerBuilder::get_from_pointer(
+                self.builder.get_pointer_field(2),
+                ::core::option::Option::None,
+            )
+        }
+        #[inline]
+        pub fn set_jobs(
+            &mut self,
+            value: ::capnp::struct_list::Reader<'_, crate::peer_capnp::progress::Owned>,
+        ) -> ::capnp::Result<()> {
+            ::capnp::traits::SetterInput::set_pointer_builder(
+                self.builder.reborrow().get_pointer_field(2),
+                value,
+                false,
+            )
+        }
+        #[inline]
+        pub fn init_jobs(
+            self,
+            size: u32,
+        ) -> ::capnp::struct_list::Builder<'a, crate::peer_capnp::progress::Owned> {
+            ::capnp::traits::FromPointerBuilder::init_pointer(
+                self.builder.get_pointer_field(2),
+                size,
+            )
+        }
+        #[inline]
+        pub fn has_jobs(&self) -> bool {
+            !self.builder.is_pointer_field_null(2)
+        }
+    }
+
+    pub struct Pipeline {
+        _typeless: ::capnp::any_pointer::Pipeline,
+    }
+    impl ::capnp::capability::FromTypelessPipeline for Pipeline {
+        fn new(typeless: ::capnp::any_pointer::Pipeline) -> Self {
+            Self {
+                _typeless: typeless,
+            }
+        }
+    }
+    impl Pipeline {
+        pub fn get_epoch(&self) -> crate::peer_capnp::epoch::Pipeline {
+            ::capnp::capability::FromTypelessPipeline::new(self._typeless.get_pointer_field(1))
+        }
+    }
+    mod _private {
+        pub(crate) static ENCODED_NODE: [::capnp::Word; 67] = [
+            ::capnp::word(0, 0, 0, 0, 5, 0, 6, 0),
+            ::capnp::word(140, 160, 218, 30, 86, 14, 255, 158),
+            ::capnp::word(11, 0, 0, 0, 1, 0, 0, 0),
+            ::capnp::word(60, 53, 128, 185, 120, 25, 102, 144),
+            ::capnp::word(3, 0, 7, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(21, 0, 0, 0, 202, 0, 0, 0),
+            ::capnp::word(33, 0, 0, 0, 7, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(29, 0, 0, 0, 175, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(112, 101, 101, 114, 46, 99, 97, 112),
+            ::capnp::word(110, 112, 58, 83, 104, 97, 114, 100),
+            ::capnp::word(80, 114, 111, 103, 114, 101, 115, 115),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 1, 0, 1, 0),
+            ::capnp::word(12, 0, 0, 0, 3, 0, 4, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 1, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(69, 0, 0, 0, 50, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(64, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(76, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(1, 0, 0, 0, 1, 0, 0, 0),
+            ::capnp::word(0, 0, 1, 0, 1, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(73, 0, 0, 0, 50, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(68, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(80, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(2, 0, 0, 0, 2, 0, 0, 0),
+            ::capnp::word(0, 0, 1, 0, 2, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(77, 0, 0, 0, 42, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(72, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(100, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(115, 104, 97, 114, 100, 0, 0, 0),
+            ::capnp::word(12, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(12, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(101, 112, 111, 99, 104, 0, 0, 0),
+            ::capnp::word(16, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(122, 150, 27, 85, 100, 95, 145, 252),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(16, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(106, 111, 98, 115, 0, 0, 0, 0),
+            ::capnp::word(14, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(16, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(223, 38, 203, 91, 237, 214, 156, 199),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(14, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+        ];
+        pub(crate) fn get_field_types(index: u16) -> ::capnp::introspect::Type {
+            match index {
+                0 => <::capnp::text::Owned as ::capnp::introspect::Introspect>::introspect(),
+                1 => <crate::peer_capnp::epoch::Owned as ::capnp::introspect::Introspect>::introspect(),
+                2 => <::capnp::struct_list::Owned<crate::peer_capnp::progress::Owned> as ::capnp::introspect::Introspect>::introspect(),
+                _ => ::capnp::introspect::panic_invalid_field_index(index),
+            }
+        }
+        pub(crate) fn get_annotation_types(
+            child_index: Option<u16>,
+            index: u32,
+        ) -> ::capnp::introspect::Type {
+            ::capnp::introspect::panic_invalid_annotation_indices(child_index, index)
+        }
+        pub(crate) static ARENA: ::capnp::private::arena::GeneratedCodeArena =
+            ::capnp::private::arena::GeneratedCodeArena::new(&ENCODED_NODE);
+        pub(crate) static RAW_SCHEMA: ::capnp::introspect::RawStructSchema =
+            ::capnp::introspect::RawStructSchema::new(
+                &ARENA,
+                NONUNION_MEMBERS,
+                MEMBERS_BY_DISCRIMINANT,
+                MEMBERS_BY_NAME,
+            );
+        pub(crate) static NONUNION_MEMBERS: &[u16] = &[0, 1, 2];
+        pub(crate) static MEMBERS_BY_DISCRIMINANT: &[u16] = &[];
+        pub(crate) static MEMBERS_BY_NAME: &[u16] = &[1, 2, 0];
+        pub(crate) const TYPE_ID: u64 = 0x9eff_0e56_1eda_a08c;
+    }
+}
+
 pub mod progress {
     #[derive(Copy, Clone)]
     pub struct Owned(());
--- a/crates/marigoldpick-wire/tests/wire/content.rs
+++ b/crates/marigoldpick-wire/tests/wire/content.rs
@@ -158,14 +158,18 @@
             worker: None,
             reasons: vec!["one".to_owned(), String::new()],
         }),
-        control::Answer::Progress(vec![operator::Job {
-            job: name("j"),
-            count: 1,
-            running: 2,
-            waiting: 3,
-            completed: 4,
-            failed: 5,
-            cancelled: true,
+        control::Answer::Progress(vec![operator::Progress {
+            shard: name("r0"),
+            epoch: epoch(),
+            jobs: vec![operator::Job {
+                job: name("j"),
+                count: 1,
+                running: 2,
+                waiting: 3,
+                completed: 4,
+                failed: 5,
+                cancelled: true,
+            }],
         }]),
         control::Answer::Endpoints {
             epoch: epoch(),
--- a/crates/marigoldpick/src/dev/once.rs
+++ b/crates/marigoldpick/src/dev/once.rs
@@ -6,7 +6,7 @@
 use async_std::task;
 use indicatif::{ProgressBar, ProgressDrawTarget, ProgressStyle};
 use marigoldpick_core::code::Code;
-use marigoldpick_core::operator::Problem;
+use marigoldpick_core::operator::{Problem, Status};
 
 use super::book::{Attempt, Book, Job, Pages};
 use super::cluster::{Cluster, Ports};
@@ -19,7 +19,7 @@
 
 /// The time between two looks at how far the work is.
 const EVERY: Duration = Duration::from_millis(100);
-/// In how much time an accepted configuration has to be in force everywhere.
+/// In how much time an accepted configuration has to be in force everywhere, and the status whole.
 const IN_FORCE: Duration = Duration::from_secs(11);
 
 /// `Ended` is how one site's run ended.
@@ -113,10 +113,14 @@
         let limit = arguments.limit;
         vec![format!("the work did not end within {limit} s")]
     };
-    broken.extend(unfinished(&cluster, &book, site, requests).await);
+    let pages = book.read();
+    let status = whole_status(&cluster, &pages).await;
+    broken.extend(status.as_ref().err().cloned());
+    let status = status.ok();
+    broken.extend(unfinished(&cluster, &book, status.as_ref(), site, requests).await);
     bar.finish_and_clear();
     let pages = book.read();
-    let failed = failed(&cluster, &pages).await;
+    let failed = status.map_or(0, |status| failed(&status, &pages));
     let report = count(&cluster, &pages, failed);
     broken.extend(report.broken());
     broken.extend(uncompleted(&cluster, &pages, hits_workers(faults)));
@@ -200,7 +204,7 @@
         let due = accepted(&pages);
         bar.set_message(format!("{done} of {due} tasks completed"));
         if uncompleted(cluster, &pages, hits_workers(faults)).is_empty()
-            && open_jobs(cluster, &pages).await.is_empty()
+            && is_recorded(cluster, &pages).await
             && services_run(cluster, &pages)
         {
             return true;
@@ -210,6 +214,17 @@
     false
 }
 
+/// Tells whether the end of all accepted jobs is told as recorded.
+async fn is_recorded(cluster: &Cluster, pages: &Pages) -> bool {
+    match operator::client(cluster).status().await {
+        Ok(status) => partial(&status, pages).is_empty() && open_jobs(&status, pages).is_empty(),
+        Err(problem) => {
+            log::info!(target: "dev", "No status yet; problem={}.", problem.message);
+            false
+        }
+    }
+}
+
 fn accepted(pages: &Pages) -> u64 {
     pages.due().map(|job| u64::from(job.count)).sum()
 }
@@ -248,16 +263,43 @@
 }
 
 /// Counts the tasks of non-idempotent jobs that are told as failed.
-async fn failed(cluster: &Cluster, pages: &Pages) -> u64 {
-    let Ok(status) = operator::client(cluster).status().await else {
-        return 0;
-    };
+fn failed(status: &Status, pages: &Pages) -> u64 {
     let jobs = pages.due().filter(|job| !job.idempotent);
     jobs.filter_map(|job| status.jobs.iter().find(|told| told.job == job.name))
         .map(|told| u64::from(told.failed))
         .sum()
 }
 
+/// Asks for the status until it tells all parts of the accepted jobs.
+///
+/// # Errors
+/// What is missing in the last status, after [`IN_FORCE`].
+async fn whole_status(cluster: &Cluster, pages: &Pages) -> Result<Status, String> {
+    let until = Instant::now() + IN_FORCE;
+    loop {
+        let missing = match operator::client(cluster).status().await {
+            Ok(status) => match partial(&status, pages) {
+                missing if missing.is_empty() => return Ok(status),
+                missing => format!("some shards don't tell of: {}", missing.join(", ")),
+            },
+            Err(problem) => format!("no entry answers: {}", problem.message),
+        };
+        if Instant::now() > until {
+            return Err(missing);
+        }
+        task::sleep(EVERY).await;
+    }
+}
+
+/// Names the accepted jobs whose counts are lower bounds.
+fn partial(status: &Status, pages: &Pages) -> Vec<String> {
+    pages
+        .due()
+        .filter(|due| status.partial.contains(&due.name))
+        .map(|due| due.name.to_string())
+        .collect()
+}
+
 /// Tells whether all tasks of the accepted services run.
 fn services_run(cluster: &Cluster, pages: &Pages) -> bool {
     let running = cluster.platform.running();
@@ -272,10 +314,7 @@
 }
 
 /// Names the accepted batch and gang jobs whose end is not recorded yet.
-async fn open_jobs(cluster: &Cluster, pages: &Pages) -> Vec<String> {
-    let Ok(status) = operator::client(cluster).status().await else {
-        return vec!["no entry answers".to_owned()];
-    };
+fn open_jobs(status: &Status, pages: &Pages) -> Vec<String> {
     let recorded = |due: &Job| {
         let told = status.jobs.iter().find(|job| job.job == due.name);
         told.is_none_or(|job| job.completed + job.failed >= due.count)
@@ -288,7 +327,13 @@
 }
 
 /// Names what is missing at the end of a run.
-async fn unfinished(cluster: &Cluster, book: &Book, site: &Site, requests: u32) -> Vec<String> {
+async fn unfinished(
+    cluster: &Cluster,
+    book: &Book,
+    status: Option<&Status>,
+    site: &Site,
+    requests: u32,
+) -> Vec<String> {
     let pages = book.read();
     let mut missing = Vec::new();
     if pages.intents < site.intents.len() {
@@ -298,7 +343,7 @@
             site.intents.len()
         ));
     }
-    let open = open_jobs(cluster, &pages).await;
+    let open = status.map_or_else(Vec::new, |status| open_jobs(status, &pages));
     if !open.is_empty() {
         missing.push(format!("the end is not recorded of: {}", open.join(", ")));
     }
--- a/crates/marigoldpick/src/render.rs
+++ b/crates/marigoldpick/src/render.rs
@@ -123,6 +123,12 @@
             ),
         );
     }
+    for job in &status.partial {
+        line(
+            out,
+            format_args!("job {job}: some shards did not answer; the counts are lower bounds"),
+        );
+    }
 }
 
 fn services(out: &mut String, status: &Status) {
--- a/crates/marigoldpick/tests/history/check.rs
+++ b/crates/marigoldpick/tests/history/check.rs
@@ -188,6 +188,7 @@
         config_old: false,
         shards: Vec::new(),
         jobs: Vec::new(),
+        partial: Vec::new(),
         peers: Vec::new(),
         services: Vec::new(),
     };
