Bound a pass over the waiting work

Cause: each pass compared every waiting step with all workers, once for a place and once for a question, and computed what is free anew each time.

Ruled out: the adviser (1,717 of 3,200 s in use), the store (regained), a lead that changes (one lead from 43 s on).

What is free is kept with the worker; a pass lists the open workers by service with a bound on what is free on any of them; steps with advice look at their tickets, not at all workers; no question is prepared while all entries have enough to ask; at most a pass in 5 ms.

--- a/crates/marigoldpick-job/src/advice.rs
+++ b/crates/marigoldpick-job/src/advice.rs
@@ -46,6 +46,12 @@
         (now < known.expires).then_some(ticket)
     }
 
+    /// Returns the workers with a ticket that is valid at `now`, sorted.
+    pub fn all_valid(&self, now: Millis) -> impl Iterator<Item = &id::Worker> {
+        let valid = move |known: &&Known| known.ticket.is_some() && now < known.expires;
+        self.known.iter().filter(valid).map(|known| &known.worker)
+    }
+
     /// Takes in the answer to a question about `asked`, whose tickets are used until `expires`.
     pub fn learn(&mut self, asked: &[id::Worker], advice: Advice, expires: Millis) {
         self.pending = false;
@@ -90,6 +96,18 @@
     away: Millis,
 }
 
+impl Asker {
+    /// Returns when its next question would begin.
+    fn free(&self, now: Millis) -> Millis {
+        self.ends.iter().copied().fold(now, Millis::max)
+    }
+
+    /// Tells whether it is there and its next question would begin soon.
+    fn has_room(&self, now: Millis) -> bool {
+        self.away <= now && self.free(now).since(now) <= QUEUE
+    }
+}
+
 /// `Askers` spreads the questions over the entries.
 #[derive(Clone, Debug, Default, PartialEq, Eq)]
 pub struct Askers {
@@ -122,21 +140,22 @@
         } else {
             many
         };
-        let free = |asker: &Asker| asker.ends.iter().copied().fold(now, Millis::max);
         let asker = self
             .list
             .iter_mut()
             .take(usable)
-            .filter(|asker| asker.away <= now)
-            .min_by_key(|asker| free(asker))?;
-        let start = free(asker);
-        if start.since(now) > QUEUE {
-            return None;
-        }
-        asker.ends.push(start + span);
+            .filter(|asker| asker.has_room(now))
+            .min_by_key(|asker| asker.free(now))?;
+        asker.ends.push(asker.free(now) + span);
         Some(asker.entry.clone())
     }
 
+    /// Tells whether some entry could take another question.
+    #[must_use]
+    pub fn has_room(&self, now: Millis) -> bool {
+        self.list.iter().any(|asker| asker.has_room(now))
+    }
+
     /// Notes that the oldest question of an entry has ended.
     pub fn release(&mut self, entry: &id::Entry, answered: bool, now: Millis) {
         let at = self.list.binary_search_by(|asker| asker.entry.cmp(entry));
--- a/crates/marigoldpick-job/src/lead.rs
+++ b/crates/marigoldpick-job/src/lead.rs
@@ -8,6 +8,7 @@
 pub mod commit;
 mod hold;
 mod report;
+mod room;
 mod schedule;
 mod start;
 
@@ -47,6 +48,10 @@
     pub holds: u64,
     /// Commits.
     pub commits: u64,
+    /// Passes over the waiting work.
+    pub passes: u64,
+    /// Workers that were looked at in passes, once for each step.
+    pub looks: u64,
 }
 
 /// `Origin` tells where a job comes from.
@@ -88,8 +93,8 @@
     recording: Vec<Recording>,
     /// Whether a pass over the waiting work may place something.
     unscheduled: bool,
-    /// When the next pass is due in any case.
-    next_pass: Millis,
+    /// When the last pass was.
+    passed: Millis,
     /// Whether starts may be ordered before the store has them.
     unrecorded: bool,
     /// Whether an earlier lead may have given starts that the store does not have.
@@ -128,7 +133,7 @@
             dirty: Vec::new(),
             recording: Vec::new(),
             unscheduled: true,
-            next_pass: now,
+            passed: Millis::ZERO,
             unrecorded: false,
             doubtful: false,
             deposed: false,
@@ -317,7 +322,7 @@
         if known != 0 && node.born > known {
             self.reborn(at, node, now);
         } else {
-            self.workers[at].node = node;
+            self.workers[at].update(node);
         }
     }
 
@@ -476,7 +481,7 @@
         self.lapse_silent(now);
         self.give_stops();
         self.give_holds(now);
-        if self.unscheduled || now >= self.next_pass {
+        if now >= self.next_pass() {
             self.schedule(now);
         }
         self.give_commit(now);
--- a/crates/marigoldpick-job/src/lead/advise.rs
+++ b/crates/marigoldpick-job/src/lead/advise.rs
@@ -9,6 +9,7 @@
 use marigoldpick_core::work::{Part, Step, Task};
 
 use super::Lead;
+use super::room::Room;
 use crate::action::Action;
 use crate::worker::Worker;
 
@@ -25,21 +26,24 @@
 
 impl Lead {
     /// Asks for tickets for `missing` tasks of a step, if that helps.
-    pub(super) fn ask(&mut self, part: &Part, missing: usize, now: Millis) {
+    pub(super) fn ask(&mut self, part: &Part, missing: usize, room: &Room, now: Millis) {
         let Some(at) = self.at(&part.job) else { return };
         let Some(queue) = self.queue(&self.jobs[at].spec.queue) else {
             return;
         };
-        let (Some(policy), service) = (queue.policy, queue.service.clone()) else {
-            return;
-        };
+        let Some(policy) = queue.policy else { return };
         let Some(stage) = self.jobs[at].stage(part.occurrence, part.step) else {
             return;
         };
         if stage.tickets.pending || now < stage.tickets.retry {
             return;
         }
-        let mut workers = self.ask_about(at, part, missing, &service, now);
+        if !self.askers.has_room(now) {
+            self.retry_question(at, part, now + FULL);
+            return;
+        }
+        self.count.looks += room.workers.len() as u64;
+        let mut workers = self.ask_about(at, part, missing, room, now);
         if workers.is_empty() {
             self.retry_question(at, part, now + FULL);
             return;
@@ -76,7 +80,7 @@
         at: usize,
         part: &Part,
         missing: usize,
-        service: &Name,
+        room: &Room,
         now: Millis,
     ) -> Vec<id::Worker> {
         let job = &self.jobs[at];
@@ -88,27 +92,28 @@
         let mut good: Vec<(u64, &id::Worker)> = Vec::new();
         let mut unknown: Vec<(u64, u64, &id::Worker)> = Vec::new();
         let mut room_of_good = 0;
-        for worker in &self.workers {
-            if worker.node.service != *service || !worker.is_open(now) || !worker.suits(step) {
+        let first = part.task(0);
+        for worker in room.workers.iter().map(|at| &self.workers[*at]) {
+            let fits = fits(worker.free(), claim);
+            if fits == 0 || !worker.suits(step) {
+                continue;
+            }
+            let fits = fits.min(spread_left(step, worker, &first));
+            if fits == 0 {
                 continue;
             }
-            let most = spread_left(step, worker, &part.task(0));
-            let fits = fits(&worker.free(), claim).min(most);
             match stage.tickets.find(&worker.node.id) {
                 Some(known) if known.ticket.is_some() => {
-                    if now < known.expires {
-                        room_of_good += fits;
-                    } else if fits > 0 {
-                        room_of_good += fits;
+                    room_of_good += fits;
+                    if now >= known.expires {
                         good.push((fits, &worker.node.id));
                     }
                 }
                 Some(_) => {}
-                None if fits > 0 => {
+                None => {
                     let speed = self.speeds.permille(worker.node.kind.as_ref());
                     unknown.push((speed, fits, &worker.node.id));
                 }
-                None => {}
             }
         }
         let mut asked: Vec<id::Worker> = good.iter().map(|(_, id)| (*id).clone()).collect();
--- a/crates/marigoldpick-job/src/lead/schedule.rs
+++ b/crates/marigoldpick-job/src/lead/schedule.rs
@@ -4,6 +4,7 @@
 use marigoldpick_core::work::{Part, Step};
 
 use super::advise::spread_left;
+use super::room::Room;
 use super::{Lead, Recording};
 use crate::job::{Place, Stage, Task};
 use crate::place::{Wish, cost};
@@ -12,6 +13,8 @@
 
 /// The time between two passes when nothing has changed.
 const PASS: Millis = Millis(40);
+/// The least time between two passes: news comes far more often while much work runs.
+const GAP: Millis = Millis(5);
 
 /// The share of the free room that questions may be about: not all workers asked are good.
 const FREE_PERCENT: u64 = 200;
@@ -34,14 +37,23 @@
 }
 
 impl Lead {
+    /// Returns when the next pass is due.
+    #[must_use]
+    pub fn next_pass(&self) -> Millis {
+        self.passed + if self.unscheduled { GAP } else { PASS }
+    }
+
     pub(super) fn schedule(&mut self, now: Millis) {
         self.unscheduled = false;
-        self.next_pass = now + PASS;
+        self.passed = now;
+        self.count.passes += 1;
         let mut open = self.open_parts(now);
         open.sort_by_key(|open| open.rank);
         let mut budget = self.question_budget();
+        let mut rooms = Room::of(&self.workers, now);
+        self.count.looks += self.workers.len() as u64;
         for open in open {
-            self.serve(&open, &mut budget, now);
+            self.serve(&open, &mut rooms, &mut budget, now);
         }
     }
 
@@ -53,7 +65,7 @@
     fn question_budget(&self) -> u64 {
         let (mut free, mut used) = (0, 0);
         for worker in self.workers.iter().filter(|worker| worker.present) {
-            used += worker.used.millicores;
+            used += worker.used().millicores;
             free += worker.free().millicores;
         }
         free * FREE_PERCENT / 100 + used * USED_PERCENT / 100
@@ -94,16 +106,22 @@
     }
 
     /// Places the tasks of a step that have none, as far as there is room, and asks for advice.
-    fn serve(&mut self, open: &Open, budget: &mut u64, now: Millis) {
+    fn serve(&mut self, open: &Open, rooms: &mut [Room], budget: &mut u64, now: Millis) {
         let part = &open.part;
         let Some(at) = self.at(&part.job) else { return };
         let job = &self.jobs[at];
-        let (Some(step), Some(stage)) = (
-            job.step(part).cloned(),
+        let (Some(step), Some(stage), Some(queue)) = (
+            job.step(part),
             job.stage(part.occurrence, part.step),
+            self.queue(&job.spec.queue),
         ) else {
             return;
         };
+        let claim = &job.claims[part.step as usize];
+        let room = Room::find(rooms, &queue.service).filter(|&at| rooms[at].may_hold(claim));
+        if room.is_none() && *budget == 0 {
+            return;
+        }
         let waiting: Vec<u32> = (0..)
             .zip(&stage.tasks)
             .filter(|(_, task)| task.is_unplaced() || (step.copies && self.is_stranded(task)))
@@ -113,17 +131,26 @@
             // Members that are still being stopped have to be gone first.
             return;
         }
-        let mut spots = self.spots(part, &step, now);
+        let work = step.needs.millicores;
+        let Some(room) = room else {
+            *budget = budget.saturating_sub(work * waiting.len() as u64);
+            return;
+        };
+        let step = step.clone();
+        let mut spots = self.spots(part, &step, &rooms[room], now);
+        self.count.looks += (spots.len() * waiting.len()) as u64;
         let placed = if step.gang {
             self.place_gang(part, &step, &waiting, &spots, now)
         } else {
             self.place_each(part, &step, &waiting, &mut spots, now)
         };
+        if placed > 0 {
+            rooms[room].shrink(&self.workers);
+        }
         let missing = waiting.len() - placed;
         if missing > 0 && *budget > 0 {
-            self.ask(part, missing, now);
-            let work = step.needs.millicores * missing as u64;
-            *budget = budget.saturating_sub(work);
+            self.ask(part, missing, &rooms[room], now);
+            *budget = budget.saturating_sub(work * missing as u64);
         }
     }
 
@@ -142,35 +169,33 @@
     }
 
     /// Returns the workers that may take tasks of the step.
-    fn spots(&self, part: &Part, step: &Step, now: Millis) -> Vec<Spot> {
+    fn spots(&self, part: &Part, step: &Step, room: &Room, now: Millis) -> Vec<Spot> {
         let Some(job) = self.job(&part.job) else {
             return Vec::new();
         };
-        let Some(queue) = self.queue(&job.spec.queue) else {
-            return Vec::new();
-        };
         let Some(stage) = job.stage(part.occurrence, part.step) else {
             return Vec::new();
         };
+        let queue = self.queue(&job.spec.queue);
         let claim = &job.claims[part.step as usize];
         let first = part.task(0);
-        let mut spots = Vec::new();
-        for (at, worker) in self.workers.iter().enumerate() {
-            if worker.node.service != queue.service || !worker.is_open(now) || !worker.suits(step) {
-                continue;
-            }
-            if !worker.free().holds(claim) {
-                continue;
-            }
-            if queue.policy.is_some() && stage.tickets.valid(&worker.node.id, now).is_none() {
-                continue;
+        let spot = |at: usize| {
+            let worker = &self.workers[at];
+            if !worker.free().holds(claim) || !worker.suits(step) {
+                return None;
             }
             let left = spread_left(step, worker, &first);
-            if left > 0 {
-                spots.push(Spot { worker: at, left });
-            }
+            (left > 0).then_some(Spot { worker: at, left })
+        };
+        if queue.is_none_or(|queue| queue.policy.is_none()) {
+            return room.workers.iter().filter_map(|at| spot(*at)).collect();
         }
-        spots
+        let good = stage.tickets.all_valid(now);
+        let known = good.filter_map(|worker| self.worker_at(worker));
+        known
+            .filter(|at| room.workers.binary_search(at).is_ok())
+            .filter_map(spot)
+            .collect()
     }
 
     fn best(&self, part: &Part, step: &Step, index: u32, spots: &[Spot]) -> Option<usize> {
@@ -191,7 +216,7 @@
             }
             let failed_here = avoid.contains(&worker.node.id);
             let speed = self.speeds.permille(worker.node.kind.as_ref());
-            let cost = cost(&wish, worker, &free, speed);
+            let cost = cost(&wish, worker, free, speed);
             let candidate = (failed_here, cost, at);
             if best.is_none_or(|best| candidate < best) {
                 best = Some(candidate);
--- a/crates/marigoldpick-job/src/worker.rs
+++ b/crates/marigoldpick-job/src/worker.rs
@@ -104,7 +104,9 @@
     /// When what an earlier lead's lease kept alive has ended.
     inherited: Millis,
     /// What its runs take.
-    pub used: Amount,
+    used: Amount,
+    /// What they leave of its capacity.
+    free: Amount,
     /// Its runs, sorted by task and run.
     pub runs: Vec<Run>,
     /// The number of the last end that was read.
@@ -135,6 +137,7 @@
     /// Makes the state of a worker that has not reported yet.
     #[must_use]
     pub fn new(node: Node, lapse: Millis) -> Self {
+        let free = node.capacity.clone();
         Self {
             node,
             present: true,
@@ -144,6 +147,7 @@
             lapse,
             inherited: lapse,
             used: Amount::default(),
+            free,
             runs: Vec::new(),
             seen: 0,
             unsettled: VecDeque::new(),
@@ -211,10 +215,25 @@
 
     /// Returns what is free.
     #[must_use]
-    pub fn free(&self) -> Amount {
-        let mut free = self.node.capacity.clone();
-        free.subtract(&self.used);
-        free
+    pub const fn free(&self) -> &Amount {
+        &self.free
+    }
+
+    /// Returns what its runs take.
+    #[must_use]
+    pub const fn used(&self) -> &Amount {
+        &self.used
+    }
+
+    /// Takes in what the registry says now.
+    pub fn update(&mut self, node: Node) {
+        self.node = node;
+        self.count_free();
+    }
+
+    fn count_free(&mut self) {
+        self.free.clone_from(&self.node.capacity);
+        self.free.subtract(&self.used);
     }
 
     /// Tells whether it may get new work.
@@ -259,6 +278,7 @@
         if let Err(at) = self.find(&run.task, run.run) {
             self.used.add(&run.claim);
             self.runs.insert(at, run);
+            self.count_free();
         }
     }
 
@@ -267,6 +287,7 @@
         let at = self.find(task, run).ok()?;
         let run = self.runs.remove(at);
         self.used.subtract(&run.claim);
+        self.count_free();
         Some(run)
     }
 
--- a/crates/marigoldpick-job/tests/lead/work.rs
+++ b/crates/marigoldpick-job/tests/lead/work.rs
@@ -4,7 +4,7 @@
 use marigoldpick_core::prelude::*;
 use marigoldpick_core::work::{Phase, Step};
 
-use crate::world::{Fate, World, advised, due, job, queue, step};
+use crate::world::{Fate, World, advised, due, job, name, queue, step};
 
 #[googletest::test]
 fn job_of_one_step_completes() {
@@ -257,3 +257,24 @@
     expect_that!(world.lead.count().questions, le(64));
     expect_that!(world.broken, is_empty());
 }
+
+/// Load pattern: a full pool of 40 workers and 300 jobs that wait.
+#[googletest::test]
+fn passes_look_at_few_workers_under_a_backlog() {
+    let mut world = World::new(40);
+    world.run(600);
+    for number in 0..300 {
+        let mut long = job(vec![step(4, 4_000, 20_000)]);
+        long.queue = name("slow");
+        world.submit(number, long);
+    }
+    world.run(2_000);
+    let before = world.lead.count();
+    world.run(2_000);
+    let after = world.lead.count();
+    let passes = after.passes - before.passes;
+    expect_that!(world.broken, is_empty());
+    expect_that!(passes, le(2_000 / 5 + 1));
+    // Each pass looks at each worker once, to find out that none has room.
+    expect_that!(after.looks - before.looks, le(passes * 40));
+}
--- a/crates/marigoldpick-node/src/driver.rs
+++ b/crates/marigoldpick-node/src/driver.rs
@@ -61,7 +61,10 @@
             self.log_notes(leading);
             counted = publish(leading, counted);
             // The time-out is the next tick.
-            let _is_tick = timeout(TICK.duration(), leading.woken()).await;
+            let wait = leading
+                .look(|lead| lead.next_pass().since(self.now()))
+                .min(TICK);
+            let _is_tick = timeout(wait.duration(), leading.woken()).await;
         }
     }
 
@@ -264,6 +267,8 @@
         ),
         ("marigold_worker_holds_total", now.holds, before.holds),
         ("marigold_record_commits_total", now.commits, before.commits),
+        ("marigold_schedule_passes_total", now.passes, before.passes),
+        ("marigold_schedule_looks_total", now.looks, before.looks),
     ];
     for (name, now, before) in counts {
         if now > before {
