Move the workers of jobs into the stand-ins

They were part of the lead's own tests. As a pool of their own, other tests and programs can use them: leases by the worker's clock, terms, listed ends, stops that take time, gangs that wait and break, the adviser with its queue for each caller, and the promises that a start must not break.

--- a/crates/marigoldpick-job/tests/lead/faults.rs
+++ b/crates/marigoldpick-job/tests/lead/faults.rs
@@ -28,8 +28,8 @@
     world.run(50);
     world.take_over();
     world.run(8_000);
-    expect_that!(world.done.len(), eq(20 * 7));
-    expect_that!(world.broken, is_empty());
+    expect_that!(world.pool.done.len(), eq(20 * 7));
+    expect_that!(world.pool.broken, is_empty());
 }
 
 #[googletest::test]
@@ -42,7 +42,12 @@
     world.run(20);
     world.take_over();
     world.run(1_000);
-    let after: Vec<_> = world.started.iter().filter(|s| s.3 > Millis(400)).collect();
+    let after: Vec<_> = world
+        .pool
+        .started
+        .iter()
+        .filter(|s| s.at > Millis(400))
+        .collect();
     expect_that!(after.len(), eq(0));
     expect_that!(world.phase(&id), some(eq(Phase::Cancelled)));
 }
@@ -57,12 +62,12 @@
     world.submit(1, job(vec![lasting]));
     world.run(300);
     let lost = (0..2)
-        .find(|at| world.runs_on(*at) > 0)
+        .find(|at| world.pool.runs_on(*at) > 0)
         .expect("a worker in use");
-    world.workers[lost].up = false;
+    world.pool.workers[lost].up = false;
     world.run(12_000);
-    expect_that!(world.running().len(), eq(4));
-    expect_that!(world.broken, is_empty());
+    expect_that!(world.pool.running().len(), eq(4));
+    expect_that!(world.pool.broken, is_empty());
 }
 
 #[googletest::test]
@@ -74,16 +79,16 @@
     };
     world.submit(1, job(vec![lasting]));
     world.run(300);
-    world.workers[0].cut = true;
+    world.cut[0] = true;
     world.run(5_000);
-    world.workers[0].cut = false;
+    world.cut[0] = false;
     world.run(5_000);
-    world.workers[1].cut = true;
+    world.cut[1] = true;
     world.run(12_000);
-    world.workers[1].cut = false;
+    world.cut[1] = false;
     world.run(3_000);
-    expect_that!(world.running().len(), eq(6));
-    expect_that!(world.broken, is_empty());
+    expect_that!(world.pool.running().len(), eq(6));
+    expect_that!(world.pool.broken, is_empty());
 }
 
 #[googletest::test]
@@ -91,14 +96,14 @@
     let mut world = World::new(3);
     world.submit(1, job(vec![step(9, 20_000, 4_000)]));
     world.run(300);
-    world.workers[0].cut = true;
+    world.cut[0] = true;
     world.run(200);
     world.take_over();
     world.run(3_000);
-    world.workers[0].cut = false;
+    world.cut[0] = false;
     world.run(8_000);
-    expect_that!(world.done.len(), eq(9));
-    expect_that!(world.broken, is_empty());
+    expect_that!(world.pool.done.len(), eq(9));
+    expect_that!(world.pool.broken, is_empty());
 }
 
 #[googletest::test]
@@ -107,8 +112,8 @@
     world.late_percent = 20;
     busy(&mut world, 30);
     world.run(10_000);
-    expect_that!(world.done.len(), eq(30 * 7));
-    expect_that!(world.broken, is_empty());
+    expect_that!(world.pool.done.len(), eq(30 * 7));
+    expect_that!(world.pool.broken, is_empty());
 }
 
 #[googletest::test]
@@ -119,8 +124,8 @@
     world.take_over();
     busy(&mut world, 1);
     world.run(12_000);
-    expect_that!(world.done.len(), eq(15 * 7));
-    expect_that!(world.broken, is_empty());
+    expect_that!(world.pool.done.len(), eq(15 * 7));
+    expect_that!(world.pool.broken, is_empty());
 }
 
 #[googletest::test]
@@ -130,8 +135,8 @@
     world.run(300);
     world.rebirth(0);
     world.run(5_000);
-    expect_that!(world.done.len(), eq(10));
-    expect_that!(world.broken, is_empty());
+    expect_that!(world.pool.done.len(), eq(10));
+    expect_that!(world.pool.broken, is_empty());
 }
 
 #[googletest::test]
@@ -142,14 +147,14 @@
     world.run(4_000);
     world.take_over();
     world.run(6_000);
-    expect_that!(world.done.len(), eq(6 * 7));
-    expect_that!(world.broken, is_empty());
+    expect_that!(world.pool.done.len(), eq(6 * 7));
+    expect_that!(world.pool.broken, is_empty());
 }
 
 #[googletest::test]
 fn worker_that_fails_all_spoils_no_job() {
     let mut world = World::new(6);
-    world.workers[2].failing = true;
+    world.pool.workers[2].failing = true;
     let mut ids = Vec::new();
     for number in 0..40 {
         ids.push(world.submit(number, job(vec![step(4, 6_000, 300)])));
@@ -176,8 +181,8 @@
     world.run(2_000);
     world.holds_lost = false;
     world.run(6_000);
-    expect_that!(world.done.len(), eq(4));
-    expect_that!(world.broken, is_empty());
+    expect_that!(world.pool.done.len(), eq(4));
+    expect_that!(world.pool.broken, is_empty());
 }
 
 #[googletest::test]
@@ -194,12 +199,12 @@
     world.submit(1, job(vec![lasting]));
     world.run(7_000);
     let lost = (0..2)
-        .find(|at| world.runs_on(*at) > 0)
+        .find(|at| world.pool.runs_on(*at) > 0)
         .expect("a worker in use");
-    world.workers[lost].up = false;
+    world.pool.workers[lost].up = false;
     world.run(6_000);
-    expect_that!(world.running().len(), eq(4));
-    expect_that!(world.broken, is_empty());
+    expect_that!(world.pool.running().len(), eq(4));
+    expect_that!(world.pool.broken, is_empty());
 }
 
 /// A failure domain of eight workers is cut off while jobs come every 50 ms.
@@ -207,11 +212,11 @@
 fn starts_soon_leave_out_a_domain_that_is_cut_off() {
     let mut world = World::new(24);
     for at in 0..8 {
-        world.workers[at].node.domain = id::Domain::new("south").expect("a name");
+        world.pool.workers[at].node.domain = id::Domain::new("south").expect("a name");
     }
     busy(&mut world, 20);
     let cut = world.now;
-    (0..8).for_each(|at| world.workers[at].cut = true);
+    (0..8).for_each(|at| world.cut[at] = true);
     busy(&mut world, 100);
     let lost = |starts: &[(Millis, usize)]| {
         let late = starts.iter().filter(|(at, _)| *at > cut + Millis(700));
@@ -219,13 +224,13 @@
     };
     let sent = world.sent_starts.clone();
     expect_that!(lost(&sent), eq(0));
-    (0..8).for_each(|at| world.workers[at].cut = false);
+    (0..8).for_each(|at| world.cut[at] = false);
     let healed = world.now;
     busy(&mut world, 20);
     let again = |(at, worker): &&(Millis, usize)| *at > healed && *worker < 8;
     expect_that!(world.sent_starts.iter().filter(again).count(), gt(0));
     world.run(8_000);
-    expect_that!(world.broken, is_empty());
+    expect_that!(world.pool.broken, is_empty());
 }
 
 #[googletest::test]
@@ -238,15 +243,15 @@
     let id = world.submit(1, job(vec![copied]));
     world.run(200);
     let cut = (0..4)
-        .find(|at| world.runs_on(*at) > 0)
+        .find(|at| world.pool.runs_on(*at) > 0)
         .expect("a worker in use");
-    world.workers[cut].cut = true;
+    world.cut[cut] = true;
     world.run(4_000);
     expect_that!(world.phase(&id), some(eq(Phase::Completed)));
-    world.workers[cut].cut = false;
+    world.cut[cut] = false;
     world.run(3_000);
-    expect_that!(world.running(), is_empty());
-    expect_that!(world.broken, is_empty());
+    expect_that!(world.pool.running(), is_empty());
+    expect_that!(world.pool.broken, is_empty());
 }
 
 /// Tasks on one worker stand still while it answers all that it is asked.
@@ -256,15 +261,15 @@
     let id = world.submit(1, job(vec![step(6, 20_000, 4_000)]));
     world.run(500);
     let hung = (0..3)
-        .find(|at| world.runs_on(*at) > 0)
+        .find(|at| world.pool.runs_on(*at) > 0)
         .expect("a worker in use");
-    world.workers[hung].hung = true;
+    world.pool.workers[hung].hung = true;
     let other = world.submit(2, job(vec![step(2, 8_000, 500)]));
     // Two rounds of four seconds, and the time to see that tasks stand still.
     world.run(12_000);
     expect_that!(world.phase(&id), some(eq(Phase::Completed)));
     expect_that!(world.phase(&other), some(eq(Phase::Completed)));
-    expect_that!(world.broken, is_empty());
+    expect_that!(world.pool.broken, is_empty());
 }
 
 #[googletest::test]
@@ -274,7 +279,7 @@
     let id = world.submit(1, job(vec![step(4, 20_000, 30_000)]));
     world.run(32_000);
     expect_that!(world.phase(&id), some(eq(Phase::Completed)));
-    expect_that!(world.started.len(), eq(4));
+    expect_that!(world.pool.started.len(), eq(4));
 }
 
 /// Members that wait for the others longer than the platform allows end alone.
@@ -285,16 +290,16 @@
         gang: true,
         ..step(8, 10_000, 5_000)
     };
-    world.workers[1].refusing = true;
+    world.pool.workers[1].refusing = true;
     let id = world.submit(1, job(vec![gang]));
     for _ in 0..40 {
         world.run(50);
-        expect_that!(world.longest_partial(8), le(Millis(1_000)));
+        expect_that!(world.pool.longest_alone(), le(Millis(1_000)));
     }
-    world.workers[1].refusing = false;
+    world.pool.workers[1].refusing = false;
     world.run(9_000);
     expect_that!(world.phase(&id), some(eq(Phase::Completed)));
-    expect_that!(world.broken, is_empty());
+    expect_that!(world.pool.broken, is_empty());
 }
 
 /// A start is not answered in time but runs: its stop takes a while, and it takes room until its end.
@@ -314,8 +319,8 @@
         .collect();
     world.submit(2, job(short));
     world.run(9_000);
-    expect_that!(world.done.len(), eq(12));
-    expect_that!(world.broken, is_empty());
+    expect_that!(world.pool.done.len(), eq(12));
+    expect_that!(world.pool.broken, is_empty());
 }
 
 /// A worker is born again just while the starts that are meant for it are being recorded.
@@ -332,10 +337,10 @@
         world.run(1);
     }
     world.rebirth(0);
-    let node = world.workers[0].node.clone();
+    let node = world.pool.workers[0].node.clone();
     world.lead.fleet(&[node], world.now);
     world.run(3_000);
-    expect_that!(world.started.len(), eq(3));
-    expect_that!(world.done.len(), eq(3));
-    expect_that!(world.broken, is_empty());
+    expect_that!(world.pool.started.len(), eq(3));
+    expect_that!(world.pool.done.len(), eq(3));
+    expect_that!(world.pool.broken, is_empty());
 }
--- a/crates/marigoldpick-job/tests/lead/work.rs
+++ b/crates/marigoldpick-job/tests/lead/work.rs
@@ -4,7 +4,9 @@
 use marigoldpick_core::prelude::*;
 use marigoldpick_core::work::{Phase, Step};
 
-use crate::world::{Fate, World, advised, due, job, name, queue, step};
+use marigoldpick_standin::jobs::Started;
+
+use crate::world::{World, advised, due, job, name, queue, step};
 
 #[googletest::test]
 fn job_of_one_step_completes() {
@@ -14,7 +16,7 @@
     expect_that!(world.phase(&id), some(eq(Phase::Running)));
     world.run(1_000);
     expect_that!(world.phase(&id), some(eq(Phase::Completed)));
-    expect_that!(world.broken, is_empty());
+    expect_that!(world.pool.broken, is_empty());
 }
 
 #[googletest::test]
@@ -31,7 +33,7 @@
     let id = world.submit(1, job(vec![step(6, 5_000, 300), second, last]));
     world.run(2_500);
     expect_that!(world.phase(&id), some(eq(Phase::Completed)));
-    expect_that!(world.broken, is_empty());
+    expect_that!(world.pool.broken, is_empty());
 }
 
 #[googletest::test]
@@ -41,8 +43,8 @@
         world.submit(number, job(vec![step(8, 11_000, 400)]));
     }
     world.run(15_000);
-    expect_that!(world.done.len(), eq(240));
-    expect_that!(world.broken, is_empty());
+    expect_that!(world.pool.done.len(), eq(240));
+    expect_that!(world.pool.broken, is_empty());
 }
 
 #[googletest::test]
@@ -54,7 +56,7 @@
     };
     world.submit(1, job(vec![spread]));
     world.run(300);
-    let counts: Vec<usize> = (0..4).map(|at| world.runs_on(at)).collect();
+    let counts: Vec<usize> = (0..4).map(|at| world.pool.runs_on(at)).collect();
     expect_that!(counts, eq(&vec![1, 1, 1, 1]));
 }
 
@@ -67,8 +69,8 @@
     };
     world.submit(1, job(vec![labelled]));
     world.run(200);
-    expect_that!(world.started.len(), eq(6));
-    for (_, _, worker, _) in &world.started {
+    expect_that!(world.pool.started.len(), eq(6));
+    for Started { worker, .. } in &world.pool.started {
         expect_that!(*worker, ge(4));
     }
 }
@@ -82,7 +84,7 @@
     };
     let id = world.submit(1, job(vec![gang]));
     world.run(300);
-    let runs: Vec<u64> = world.started.iter().map(|start| start.1).collect();
+    let runs: Vec<u64> = world.pool.started.iter().map(|start| start.run).collect();
     expect_that!(runs.len(), eq(8));
     expect_true!(runs.iter().all(|run| *run == runs[0]));
     world.run(1_000);
@@ -94,27 +96,27 @@
     let mut world = World::new(2);
     world.submit(1, job(vec![step(8, 12_000, 2_000)]));
     world.run(200);
-    let before = world.started.len();
+    let before = world.pool.started.len();
     let gang = Step {
         gang: true,
         ..step(6, 12_000, 400)
     };
     world.submit(2, job(vec![gang]));
     world.run(1_000);
-    expect_that!(world.started.len(), eq(before));
+    expect_that!(world.pool.started.len(), eq(before));
     world.run(2_500);
-    expect_that!(world.started.len(), eq(before + 6));
-    expect_that!(world.broken, is_empty());
+    expect_that!(world.pool.started.len(), eq(before + 6));
+    expect_that!(world.pool.broken, is_empty());
 }
 
 #[googletest::test]
 fn poison_fails_after_its_attempts() {
     let mut world = World::new(4);
     let id = world.submit(1, job(vec![step(1, 1_000, 300)]));
-    world.fates.insert(id.clone(), Fate::Fails);
+    world.pool.hopeless.insert(id.clone());
     world.run(3_000);
     expect_that!(world.phase(&id), some(eq(Phase::Failed)));
-    expect_that!(world.started.len(), eq(3));
+    expect_that!(world.pool.started.len(), eq(3));
 }
 
 #[googletest::test]
@@ -122,13 +124,13 @@
     let mut world = World::new(2);
     let id = world.submit(1, job(vec![step(40, 11_000, 5_000)]));
     world.run(300);
-    let before = world.started.len();
+    let before = world.pool.started.len();
     world.cancel(&id);
     // A stop takes 800 ms here.
     world.run(1_000);
     expect_that!(world.phase(&id), some(eq(Phase::Cancelled)));
-    expect_that!(world.running(), is_empty());
-    expect_that!(world.started.len(), eq(before));
+    expect_that!(world.pool.running(), is_empty());
+    expect_that!(world.pool.started.len(), eq(before));
 }
 
 #[googletest::test]
@@ -162,9 +164,9 @@
     repeated.schedule = Some(due(1_000, 500, 3));
     let id = world.submit(1, repeated);
     world.run(900);
-    expect_that!(world.started, is_empty());
+    expect_that!(world.pool.started, is_empty());
     world.run(2_000);
-    let times: Vec<u64> = world.started.iter().map(|start| start.3.0).collect();
+    let times: Vec<u64> = world.pool.started.iter().map(|start| start.at.0).collect();
     expect_that!(times.len(), eq(6));
     expect_that!(times[0], ge(1_000));
     expect_that!(times[2], ge(1_500));
@@ -180,9 +182,9 @@
         ..step(2, 1_000, 300)
     };
     let id = world.submit(1, job(vec![lasting]));
-    world.fates.insert(id.clone(), Fate::Fails);
+    world.pool.hopeless.insert(id.clone());
     world.run(3_000);
-    expect_that!(world.started.len(), gt(6));
+    expect_that!(world.pool.started.len(), gt(6));
     expect_that!(world.phase(&id), some(eq(Phase::Running)));
 }
 
@@ -194,10 +196,10 @@
     let id = world.submit(1, job(vec![step(12, 5_000, 300)]));
     world.run(1_000);
     expect_that!(world.phase(&id), some(eq(Phase::Completed)));
-    let starts = world.started.clone();
-    for (task, _, worker, _) in starts {
-        let worker = world.workers[worker].node.id.clone();
-        expect_true!(world.is_good(&task.part, &worker));
+    let starts = world.pool.started.clone();
+    for Started { task, worker, .. } in starts {
+        let worker = world.pool.workers[worker].node.id.clone();
+        expect_true!(world.adviser.is_good(&task.part, &worker));
     }
 }
 
@@ -210,7 +212,7 @@
         world.submit(number, job(vec![step(6, 5_000, 300)]));
     }
     world.run(1_000);
-    expect_that!(world.done.len(), eq(60));
+    expect_that!(world.pool.done.len(), eq(60));
     expect_that!(world.lead.count().questions, le(12));
 }
 
@@ -230,7 +232,7 @@
 fn questions_go_on_when_the_good_workers_have_their_share_of_a_spread_step() {
     let mut world = World::new(60);
     world.queues = vec![advised(queue("fast", 0), 24.0, 0.34)];
-    world.good_percent = 25;
+    world.adviser.good_percent = 25;
     world.take_over();
     let spread = Step {
         spread: Some(1),
@@ -238,7 +240,7 @@
     };
     world.submit(1, job(vec![spread]));
     world.run(3_000);
-    expect_that!(world.running().len(), eq(8));
+    expect_that!(world.pool.running().len(), eq(8));
 }
 
 /// Ten times as much work waits as there is room for, and a question takes as long as a short task.
@@ -253,9 +255,9 @@
     world.run(8_000);
     // Four workers of 64 cores run 32 such tasks at once, in four rounds: 32 steps, and no more
     // than two questions for each.
-    expect_that!(world.done.len(), ge(80));
+    expect_that!(world.pool.done.len(), ge(80));
     expect_that!(world.lead.count().questions, le(64));
-    expect_that!(world.broken, is_empty());
+    expect_that!(world.pool.broken, is_empty());
 }
 
 /// Load pattern: a full pool of 40 workers and 300 jobs that wait.
@@ -273,7 +275,7 @@
     world.run(2_000);
     let after = world.lead.count();
     let passes = after.passes - before.passes;
-    expect_that!(world.broken, is_empty());
+    expect_that!(world.pool.broken, is_empty());
     expect_that!(passes, le(2_000 / 5 + 1));
     // Each pass looks at each worker once, to find out that none has room.
     expect_that!(after.looks - before.looks, le(passes * 40));
--- a/crates/marigoldpick-standin/src/lib.rs
+++ b/crates/marigoldpick-standin/src/lib.rs
@@ -9,6 +9,7 @@
 pub mod fault;
 mod fleet;
 mod http;
+pub mod jobs;
 mod listener;
 pub mod platform;
 pub mod relay;
