Wait for the workers' word before a started task is given up

The scheduler is no longer told: it starts nothing before all workers were heard, and the lead answers a start of such a task with what is known then: that it runs or has ended, or, once all workers have told what they have, that it may have been started. Until then the start is refused and tried again.

Ruled out: lapsed leases (no worker-lost in the time line), acknowledged ends (they were listed), two leads (the earlier one stood still).

--- a/crates/marigoldpick-bench/src/cost/machines.rs
+++ b/crates/marigoldpick-bench/src/cost/machines.rs
@@ -67,7 +67,6 @@
             displaced: Vec::new(),
             done: Vec::new(),
             failed: Vec::new(),
-            held: Vec::new(),
             fresh: true,
         };
         scheduler.handle(event, Millis(1_000), &mut out);
--- a/crates/marigoldpick-bench/src/place/packing.rs
+++ b/crates/marigoldpick-bench/src/place/packing.rs
@@ -180,7 +180,6 @@
         displaced: Vec::new(),
         done: Vec::new(),
         failed: Vec::new(),
-        held: Vec::new(),
         fresh: true,
     }
 }
--- a/crates/marigoldpick-entry/src/control/local/led.rs
+++ b/crates/marigoldpick-entry/src/control/local/led.rs
@@ -298,7 +298,6 @@
             displaced: accepted.displaced.clone(),
             done: spans(&progress.completed),
             failed: spans(&progress.failed),
-            held: progress.started.iter().map(|(index, _)| *index).collect(),
             fresh,
         }
     }
--- a/crates/marigoldpick-place/src/event.rs
+++ b/crates/marigoldpick-place/src/event.rs
@@ -75,8 +75,6 @@
         done: Vec<Span>,
         /// Tasks that have been given up.
         failed: Vec<Span>,
-        /// Tasks that may have been started once and must not be started again.
-        held: Vec<u32>,
         /// Whether it was accepted under this lead, so that no worker can hold a task of it yet.
         fresh: bool,
     },
--- a/crates/marigoldpick-place/src/scheduler.rs
+++ b/crates/marigoldpick-place/src/scheduler.rs
@@ -188,14 +188,12 @@
                 span,
                 done,
                 failed,
-                held,
                 fresh,
                 ..
             } => {
                 let past = accept::Past {
                     done,
                     failed,
-                    held,
                     fresh,
                 };
                 self.accept(*job, span, &past, now, out);
--- a/crates/marigoldpick-place/src/scheduler/accept.rs
+++ b/crates/marigoldpick-place/src/scheduler/accept.rs
@@ -20,8 +20,6 @@
     pub done: Vec<Span>,
     /// Tasks that have been given up.
     pub failed: Vec<Span>,
-    /// Tasks that may have been started once.
-    pub held: Vec<u32>,
     /// Whether no worker can hold a task of it yet.
     pub fresh: bool,
 }
@@ -50,7 +48,6 @@
         let slot = self.jobs.add(job);
         self.kinds.get_mut(kind).jobs += 1;
         self.adopt_orphans(&name, out);
-        self.give_up_held(slot, &past.held, out);
         self.mend_gang(slot, out);
         self.enqueue(slot);
         self.end_if_over(slot, out);
@@ -78,16 +75,6 @@
         }
     }
 
-    fn give_up_held(&mut self, slot: u32, held: &[u32], out: &mut Vec<Action>) {
-        for &index in held {
-            let job = self.jobs.get(slot);
-            let waits = job.task(index).is_some_and(|t| t.state == State::Waiting);
-            if waits {
-                self.give_up(slot, index, Code::TaskMaybeStarted, out);
-            }
-        }
-    }
-
     pub(super) fn give_up(&mut self, slot: u32, index: u32, code: Code, out: &mut Vec<Action>) {
         let job = self.jobs.get_mut(slot);
         job.set(index, State::Failed);
--- a/crates/marigoldpick-place/tests/ownership.rs
+++ b/crates/marigoldpick-place/tests/ownership.rs
@@ -99,7 +99,6 @@
         displaced: Vec::new(),
         done: Vec::new(),
         failed: Vec::new(),
-        held: Vec::new(),
         fresh: false,
     });
     let first = starts
@@ -183,3 +182,44 @@
     expect_that!(attempts(std::slice::from_ref(&next)), eq(&vec![(index, 4)]));
     expect_that!(next.spec.checkpoint, some(eq("at-7")));
 }
+
+/// A lead that has just taken over knows from the log that a task was started, and not yet where.
+#[googletest::test]
+fn take_over_gives_no_started_task_up_before_the_lead_says_so() {
+    let once = job(
+        "once",
+        "batch",
+        "idempotent = false\nneeds = { millicores = 1, memory_mib = 1 }",
+    );
+    let mut before = Site::new(1, 1);
+    before.accept(once.clone());
+    let start = before.run_starts().remove(0);
+
+    let mut site = Site::new(0, 1);
+    site.handle(Event::Leading {
+        unheard: vec![worker_id(0)],
+    });
+    site.handle(Event::Job {
+        job: Box::new(once),
+        span: Span { from: 0, to: 1 },
+        displaced: Vec::new(),
+        done: Vec::new(),
+        failed: Vec::new(),
+        fresh: false,
+    });
+    site.pass(Millis::from_secs(1));
+    expect_that!(site.take(), is_empty());
+    // The worker had it done, and the end is stored by now.
+    site.handle(Event::Finished {
+        run: start.spec.run.clone(),
+        worker: start.worker.clone(),
+        outcome: Outcome::Done,
+        age: Millis::ZERO,
+        usage: None,
+    });
+    site.up(0, 8, Vec::new());
+    site.pass(Millis::from_secs(60));
+    let gives_up = |action: &Action| matches!(action, Action::GiveUp { .. });
+    expect_false!(site.take().iter().any(gives_up));
+    expect_that!(site.starts(), is_empty());
+}
--- a/crates/marigoldpick-place/tests/support/mod.rs
+++ b/crates/marigoldpick-place/tests/support/mod.rs
@@ -94,7 +94,6 @@
             displaced: Vec::new(),
             done: Vec::new(),
             failed: Vec::new(),
-            held: Vec::new(),
             fresh: true,
         });
     }
--- a/crates/marigoldpick-shard/src/lead/start.rs
+++ b/crates/marigoldpick-shard/src/lead/start.rs
@@ -95,7 +95,12 @@
             return Ok(());
         }
         if self.is_started(task) {
-            return Err(Code::TaskMaybeStarted);
+            // Until all workers have told what they have, one of them may run it or have it done.
+            return Err(if self.settled {
+                Code::TaskMaybeStarted
+            } else {
+                Code::WorkerAway
+            });
         }
         let recordable = self.epoch.interim == 0 && !self.gate.is_out();
         if recordable {
