Add a stand-in of the users' platform and a soak of real processes

marigold-platform-standin plays the platform over its own wire in one process: the store, workers that hold leases and obey terms, the adviser with a queue for each entry, and callers. The workers and callers check the promises. It uses the product's own stand-ins; platform/standin only translates, with the adapter's bodies, which now go both ways.

marigold-soak starts it and marigold-platform processes, with loopback relays on the ways to the store, to each worker and from callers. A seed draws three kinds of 25, which come again and overlap: signals, links that are silent, silent one way, slow or reset, and faults of the platform itself. The same seed gives the same faults.

--- /dev/null
+++ b/crates/marigoldpick-soak/tests/soak.rs
@@ -0,0 +1,65 @@
+//! The faults of a run, and a short run of the real programs.
+
+use std::path::Path;
+
+use googletest::prelude::*;
+use marigoldpick_core::prelude::*;
+use marigoldpick_soak::{Kind, Shape, plan, run};
+
+const SHAPE: Shape = Shape {
+    entries: 3,
+    workers: 5,
+    seconds: 6,
+    jobs_per_second: 3,
+};
+
+/// Seeds of the short run: each with kinds of faults that the other has not.
+const SEEDS: [u64; 2] = [3, 11];
+
+#[googletest::test]
+fn draw_same_seed_gives_the_same_faults() {
+    expect_that!(plan::draw(5, &SHAPE), eq(&plan::draw(5, &SHAPE)));
+    expect_that!(plan::draw(5, &SHAPE), not(eq(&plan::draw(6, &SHAPE))));
+}
+
+#[googletest::test]
+fn draw_faults_are_within_the_run() {
+    for seed in 0..200 {
+        let faults = plan::draw(seed, &SHAPE);
+        expect_that!(faults, not(is_empty()));
+        expect_true!(faults.is_sorted_by_key(|fault| fault.at));
+        for fault in faults {
+            expect_that!(fault.at, lt(Millis(6_000)));
+            expect_that!(fault.span, all!(ge(Millis(200)), le(Millis(4_000))));
+            expect_that!(fault.target, lt(5));
+        }
+    }
+}
+
+#[googletest::test]
+fn draw_all_kinds_come() {
+    let mut seen: Vec<Kind> = Vec::new();
+    for seed in 0..200 {
+        let faults = plan::draw(seed, &SHAPE);
+        seen.extend(faults.into_iter().map(|fault| fault.kind));
+    }
+    for kind in Kind::ALL {
+        expect_that!(seen, contains(eq(kind)));
+    }
+}
+
+#[googletest::test]
+fn play_short_runs_keep_the_promises() {
+    for seed in SEEDS {
+        let name = format!("soak-{seed}");
+        let folder = Path::new(env!("CARGO_TARGET_TMPDIR")).join(name);
+        if folder.exists() {
+            std::fs::remove_dir_all(&folder).expect("the folder of an earlier run");
+        }
+        let outcome = async_std::task::block_on(run::play(seed, &SHAPE, &folder));
+        let outcome = outcome.expect("the programs start");
+        expect_that!(outcome.broken, is_empty(), "seed {seed}");
+        expect_that!(outcome.verdict.accepted, gt(0), "seed {seed}");
+        expect_that!(outcome.verdict.runs, gt(0), "seed {seed}");
+    }
+}
--- a/crates/marigoldpick-standin/src/http.rs
+++ b/crates/marigoldpick-standin/src/http.rs
@@ -8,12 +8,13 @@
 use serde::de::DeserializeOwned;
 
 /// Returns the value of a header.
-pub(crate) fn header<'a>(request: &'a Request, name: &str) -> Option<&'a str> {
+#[must_use]
+pub fn header<'a>(request: &'a Request, name: &str) -> Option<&'a str> {
     request.header(name).map(|value| value.last().as_str())
 }
 
 /// Makes an answer with a JSON body.
-pub(crate) fn json<T: Serialize>(value: &T) -> Response {
+pub fn json<T: Serialize>(value: &T) -> Response {
     match serde_json::to_vec(value) {
         Ok(body) => {
             let mut response = Response::new(StatusCode::Ok);
@@ -26,14 +27,15 @@
 }
 
 /// Makes an answer with a JSON body and no header that says so.
-pub(crate) fn plain<T: Serialize>(value: &T) -> Response {
+pub fn plain<T: Serialize>(value: &T) -> Response {
     let mut response = json(value);
     response.remove_header(CONTENT_TYPE);
     response
 }
 
 /// Makes the answer to a request that was refused unread.
-pub(crate) fn refused() -> Response {
+#[must_use]
+pub fn refused() -> Response {
     let mut response = Response::new(StatusCode::ServiceUnavailable);
     response.insert_header(REFUSED_HEADER, "1");
     response
@@ -43,7 +45,7 @@
 ///
 /// # Errors
 /// Returns the status that tells what is wrong with it.
-pub(crate) async fn read(request: &mut Request, limit: usize) -> Result<Vec<u8>, StatusCode> {
+pub async fn read(request: &mut Request, limit: usize) -> Result<Vec<u8>, StatusCode> {
     let announced = request.len();
     if announced.is_some_and(|length| length > limit) {
         return Err(StatusCode::PayloadTooLarge);
@@ -68,7 +70,7 @@
 ///
 /// # Errors
 /// Returns the status that tells what is wrong with it.
-pub(crate) async fn parse<T: DeserializeOwned>(
+pub async fn parse<T: DeserializeOwned>(
     request: &mut Request,
     limit: usize,
 ) -> Result<T, StatusCode> {
@@ -77,6 +79,7 @@
 }
 
 /// The error that ends a connection without an answer.
-pub(crate) fn drop_connection() -> http_types::Error {
+#[must_use]
+pub fn drop_connection() -> http_types::Error {
     http_types::Error::from_str(StatusCode::ServiceUnavailable, "connection dropped")
 }
--- a/crates/marigoldpick-standin/src/listener.rs
+++ b/crates/marigoldpick-standin/src/listener.rs
@@ -13,7 +13,7 @@
 const RETRY: Duration = Duration::from_millis(20);
 
 /// `Handler` answers requests; an error ends the connection without an answer.
-pub(crate) trait Handler: Clone + Send + Sync + 'static {
+pub trait Handler: Clone + Send + Sync + 'static {
     /// Answers one request.
     fn answer(&self, request: Request)
     -> impl Future<Output = http_types::Result<Response>> + Send;
@@ -21,7 +21,7 @@
 
 /// `Listener` accepts connections, a bounded number of them at a time.
 #[derive(Clone, Debug)]
-pub(crate) struct Listener {
+pub struct Listener {
     address: SocketAddr,
     state: Arc<Mutex<State>>,
     changed: async_channel::Sender<()>,
@@ -46,11 +46,7 @@
     ///
     /// # Errors
     /// Fails when the address can't be taken.
-    pub(crate) fn start<H: Handler>(
-        address: &str,
-        most: usize,
-        handler: H,
-    ) -> std::io::Result<Self> {
+    pub fn start<H: Handler>(address: &str, most: usize, handler: H) -> std::io::Result<Self> {
         let socket = std::net::TcpListener::bind(address)?;
         let (changed, changes) = async_channel::bounded(1);
         let listener = Self {
@@ -68,22 +64,23 @@
     }
 
     /// Returns the address.
-    pub(crate) const fn address(&self) -> SocketAddr {
+    #[must_use]
+    pub const fn address(&self) -> SocketAddr {
         self.address
     }
 
     /// Stops listening and cuts all connections.
-    pub(crate) fn close(&self) {
+    pub fn close(&self) {
         self.set(Mode::Closed);
     }
 
     /// Listens again.
-    pub(crate) fn open(&self) {
+    pub fn open(&self) {
         self.set(Mode::Open);
     }
 
     /// Closes for good.
-    pub(crate) fn end(&self) {
+    pub fn end(&self) {
         self.set(Mode::Ended);
     }
 
--- a/crates/marigoldpick-standin/src/platform.rs
+++ b/crates/marigoldpick-standin/src/platform.rs
@@ -71,7 +71,7 @@
         let fleet = Fleet::new(settings, &cut, clock);
         let addresses = fleet.listen().map_err(Error::Listen)?;
         let parts = Parts {
-            store: Store::new(settings, clock),
+            store: Store::new(settings.seed, &settings.store, clock),
             fleet,
             vms: Vms::new(list(settings, &addresses), settings.lag.vms_ms),
             cut,
--- a/crates/marigoldpick-standin/src/store.rs
+++ b/crates/marigoldpick-standin/src/store.rs
@@ -3,4 +3,4 @@
 mod serve;
 mod state;
 
-pub(crate) use serve::Store;
+pub use serve::{Refused, Store};
--- a/crates/marigoldpick-standin/src/store/serve.rs
+++ b/crates/marigoldpick-standin/src/store/serve.rs
@@ -18,7 +18,7 @@
 use super::state::State;
 use crate::http::{drop_connection, header, json, parse, refused};
 use crate::seed::Seed;
-use crate::settings::Settings;
+use crate::settings;
 use crate::truth::{Configs, Counters};
 
 /// The largest body: a value whose characters are all escaped, and the rest of a call.
@@ -26,9 +26,22 @@
 /// The longest wait of a watch.
 const MAX_WAIT: Millis = Millis::from_secs(60);
 
+/// `Refused` is why a call was not answered.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Refused {
+    /// The store is down; nothing was done.
+    Down,
+    /// Too many calls; nothing was done.
+    Rate,
+    /// A value is too large; nothing was done.
+    Size,
+    /// The connection ends without an answer; the call may have been carried out.
+    Dropped,
+}
+
 /// `Store` is the stand-in of the key-value service.
 #[derive(Clone, Debug)]
-pub(crate) struct Store {
+pub struct Store {
     inner: Arc<Inner>,
 }
 
@@ -47,16 +60,17 @@
 }
 
 impl Store {
-    /// Makes an empty store.
-    pub(crate) fn new(settings: &Settings, clock: System) -> Self {
+    /// Makes an empty store, whose draws depend on `seed` alone.
+    #[must_use]
+    pub fn new(seed: u64, settings: &settings::Store, clock: System) -> Self {
         Self {
             inner: Arc::new(Inner {
                 state: Mutex::default(),
-                draws: Mutex::new(Seed(settings.seed).generator("store", "")),
+                draws: Mutex::new(Seed(seed).generator("store", "")),
                 counters: Mutex::default(),
-                writes: limiter(settings.store.writes_per_second),
-                reads: limiter(settings.store.reads_per_second),
-                delay: settings.store.delay_ms,
+                writes: limiter(settings.writes_per_second),
+                reads: limiter(settings.reads_per_second),
+                delay: settings.delay_ms,
                 clock,
                 slow_ms: AtomicU64::new(0),
                 lost_percent: AtomicU32::new(0),
@@ -66,17 +80,17 @@
     }
 
     /// Makes each call take effect and be answered this much later.
-    pub(crate) fn slow(&self, delay: Millis) {
+    pub fn slow(&self, delay: Millis) {
         self.inner.slow_ms.store(delay.0, Ordering::SeqCst);
     }
 
     /// Loses the answers of a share of the writes.
-    pub(crate) fn lose(&self, percent: u32) {
+    pub fn lose(&self, percent: u32) {
         self.inner.lost_percent.store(percent, Ordering::SeqCst);
     }
 
     /// Refuses each call unread, and leaves those under way unanswered and without effect.
-    pub(crate) fn down(&self, on: bool) {
+    pub fn down(&self, on: bool) {
         self.inner.down.store(on, Ordering::SeqCst);
     }
 
@@ -91,7 +105,7 @@
     }
 
     /// Ends the leases whose time has passed.
-    pub(crate) fn tick(&self) {
+    pub fn tick(&self) {
         lock(&self.inner.state).expire(self.inner.clock.now());
     }
 
@@ -105,10 +119,25 @@
             Err(status) => return Ok(Response::new(status)),
         };
         let caller = header(&request, ENTRY_HEADER).unwrap_or_default();
-        lock(&self.inner.counters).add(caller, call.kind());
-        if let Some(status) = self.refusal(&call) {
-            return Ok(Response::new(status));
+        match self.carry(caller, call).await {
+            Ok(answer) => Ok(json(&answer)),
+            Err(Refused::Down) => Ok(refused()),
+            Err(Refused::Rate) => Ok(Response::new(StatusCode::TooManyRequests)),
+            Err(Refused::Size) => Ok(Response::new(StatusCode::PayloadTooLarge)),
+            Err(Refused::Dropped) => Err(drop_connection()),
+        }
+    }
+
+    /// Carries out one call, with the store's delays and faults; `caller` is who is counted.
+    ///
+    /// # Errors
+    /// Tells why there is no answer.
+    pub async fn carry(&self, caller: &str, call: Call) -> Result<Answer, Refused> {
+        if self.is_down() {
+            return Err(Refused::Down);
         }
+        lock(&self.inner.counters).add(caller, call.kind());
+        self.admit(&call)?;
         self.delay().await;
         if let Call::Watch {
             prefix,
@@ -124,37 +153,35 @@
             self.watch(prefix, *revision, *wait).await;
         }
         if self.is_down() {
-            return Err(drop_connection());
+            return Err(Refused::Dropped);
         }
         let is_lost = call.is_write() && self.is_lost();
         let answer = self.apply(call);
         if is_lost {
-            return Err(drop_connection());
+            return Err(Refused::Dropped);
         }
-        Ok(json(&answer))
+        Ok(answer)
     }
 
     fn is_down(&self) -> bool {
         self.inner.down.load(Ordering::SeqCst)
     }
 
-    fn apply(&self, call: Call) -> Answer {
+    /// Carries out a call of the platform itself, at once and in spite of all faults.
+    pub fn apply(&self, call: Call) -> Answer {
         lock(&self.inner.state).call(call, self.inner.clock.now())
     }
 
-    fn refusal(&self, call: &Call) -> Option<StatusCode> {
+    fn admit(&self, call: &Call) -> Result<(), Refused> {
         if matches!(call, Call::Put { value, .. } if value.len() > MAX_VALUE) {
-            return Some(StatusCode::PayloadTooLarge);
+            return Err(Refused::Size);
         }
         let limiter = if call.is_write() {
             &self.inner.writes
         } else {
             &self.inner.reads
         };
-        limiter
-            .check()
-            .is_err()
-            .then_some(StatusCode::TooManyRequests)
+        limiter.check().map_err(|_until| Refused::Rate)
     }
 
     async fn delay(&self) {
--- a/crates/marigoldpick-standin/tests/standin/main.rs
+++ b/crates/marigoldpick-standin/tests/standin/main.rs
@@ -2,6 +2,7 @@
 
 mod common;
 mod endpoint;
+mod jobs;
 mod platform;
 mod relay;
 mod settings;
--- a/crates/marigoldpick-standin/tests/standin/relay.rs
+++ b/crates/marigoldpick-standin/tests/standin/relay.rs
@@ -71,3 +71,33 @@
     let read = stream.read(&mut answer).await;
     expect_that!(sent.is_err() || !matches!(read, Ok(1..)), eq(true));
 }
+
+#[googletest::test]
+#[async_std::test]
+async fn relay_parted_back_lets_requests_arrive() {
+    let (relay, mut stream) = echo().await;
+    let mut answer = [0; 4];
+    stream.write_all(b"once").await.expect("the link is whole");
+    stream.read_exact(&mut answer).await.expect("an answer");
+    relay.part_back(true);
+    stream.write_all(b"late").await.expect("it is buffered");
+    let early = async_std::future::timeout(HELD, stream.read_exact(&mut answer)).await;
+    expect_that!(early.is_err(), eq(true));
+    relay.part_back(false);
+    stream.read_exact(&mut answer).await.expect("an answer");
+    expect_that!(&answer, eq(b"late"));
+}
+
+#[googletest::test]
+#[async_std::test]
+async fn relay_reset_ends_connections_and_takes_new_ones() {
+    let (relay, mut stream) = echo().await;
+    let mut answer = [0; 4];
+    stream.write_all(b"once").await.expect("the link is whole");
+    stream.read_exact(&mut answer).await.expect("an answer");
+    relay.reset();
+    let read = stream.read_exact(&mut answer).await;
+    expect_that!(read.is_err(), eq(true));
+    let again = TcpStream::connect(relay.address()).await;
+    expect_that!(again.is_ok(), eq(true));
+}
