Let one probe of the store answer all entries that ask

Cause: in an outage each entry asked all others whether they reach the store, every 150 ms, and each that was asked called the store anew: calls grew with the pairs of entries.

While the store is known to be away, an entry answers from its own probe, which goes on every 150 to 225 ms; checks at once share one call; an entry that does not lead asks the others every 600 ms.

--- a/crates/marigoldpick-node/src/control.rs
+++ b/crates/marigoldpick-node/src/control.rs
@@ -7,6 +7,7 @@
 
 use async_channel::{Receiver, Sender};
 use async_std::future::timeout;
+use async_std::sync::Mutex;
 use async_std::task;
 use marigoldpick_core::clock::System;
 use marigoldpick_core::control::Known;
@@ -58,6 +59,8 @@
     store_changed: Cell<Option<Millis>>,
     /// When a call that it answered was sent last.
     store_seen: Cell<Millis>,
+    /// Held while the store is being checked.
+    checking: Mutex<()>,
     /// Asks the election to stand although there is a lead, which wants to be succeeded.
     pub(crate) succeed: Sender<()>,
     pub(crate) succession: Receiver<()>,
@@ -85,6 +88,7 @@
             store_refusals: Cell::default(),
             store_changed: Cell::default(),
             store_seen: Cell::default(),
+            checking: Mutex::new(()),
             succeed,
             succession,
         })
@@ -119,8 +123,15 @@
     }
 
     /// Tells whether the store answers now; asks it unless it has answered just before.
+    ///
+    /// Load pattern: in an outage all entries ask each other. While the store is known to be away, the
+    /// probe that goes on answers all of them, and those that ask at once share one call.
     pub(crate) async fn check_store(self: &Rc<Self>) -> bool {
-        if self.reaches_store() && self.now().since(self.store_seen.get()) < STORE_FRESH {
+        let _one_at_a_time = self.checking.lock().await;
+        if !self.reaches_store() {
+            return false;
+        }
+        if self.now().since(self.store_seen.get()) < STORE_FRESH {
             return true;
         }
         let answer = timeout(STORE_CHECK.duration(), self.probe_store()).await;
--- a/crates/marigoldpick-node/src/health.rs
+++ b/crates/marigoldpick-node/src/health.rs
@@ -12,6 +12,7 @@
 use marigoldpick_core::prelude::*;
 use marigoldpick_core::work::peer;
 use marigoldpick_wire as wire;
+use rand::Rng;
 
 use crate::control::Control;
 use crate::platform::Platform;
@@ -19,6 +20,10 @@
 
 /// The pause between two probes of a store that does not answer.
 const PROBE: Millis = Millis(150);
+/// The most by which a pause is longer, so that the entries' probes spread.
+const JITTER: u64 = 75;
+/// The least time between two questions to the other entries, for one that does not lead.
+const CONSULT: Millis = Millis(600);
 /// The longest time for a probe of another entry, which then checks the store itself.
 const PING: Millis = Millis(700);
 
@@ -43,17 +48,18 @@
 impl<P: Platform> Control<P> {
     /// Probes the store until it answers again, and asks the other entries meanwhile.
     pub(crate) async fn probe(self: Rc<Self>) {
+        let mut consulted = None;
         while !self.reaches_store() {
             self.tell_retry(Some(self.store_age()));
-            let others = self.ask_others().await;
-            if let Some(leading) = self.leads() {
-                self.advise_lead(&leading, &others);
+            let due = consulted.is_none_or(|at| self.now().since(at) >= CONSULT);
+            if due || self.leads().is_some() {
+                consulted = Some(self.now());
+                self.consult_others().await;
             }
-            self.tell_connection(&others);
-            *self.others.borrow_mut() = others;
             // The outcome is noted by the call itself.
             let _is_noted = self.probe_store().await;
-            task::sleep(PROBE.duration()).await;
+            let pause = PROBE + Millis(rand::rng().random_range(0..=JITTER));
+            task::sleep(pause.duration()).await;
         }
         self.tell_retry(None);
         *self.others.borrow_mut() = Others::default();
@@ -62,6 +68,16 @@
         }
     }
 
+    /// Asks the other entries whether they reach the store, and draws the conclusions.
+    async fn consult_others(self: &Rc<Self>) {
+        let others = self.ask_others().await;
+        if let Some(leading) = self.leads() {
+            self.advise_lead(&leading, &others);
+        }
+        self.tell_connection(&others);
+        *self.others.borrow_mut() = others;
+    }
+
     /// Tells the front whether callers should be sent here.
     ///
     /// An entry that reaches neither the store nor most of the other entries is cut off: callers
--- a/crates/marigoldpick-node/tests/node/main.rs
+++ b/crates/marigoldpick-node/tests/node/main.rs
@@ -116,6 +116,31 @@
     expect_false!(refused);
 }
 
+/// Load pattern: the store refuses all calls, and each entry asks the others whether they reach it.
+#[googletest::test]
+fn outage_of_the_store_is_probed_once_by_each_entry() {
+    const NODES: u64 = 8;
+    /// Calls of one entry in two seconds, at one in 150 ms for each of four purposes.
+    const CALLS: u64 = 4 * 2_000 / 150;
+    let site = Site::start(NODES as usize, 2);
+    let (id, _) = site.submit(0, 1, 1, 50);
+    site.wait_for(0, &id, Phase::Completed);
+    let ranges = || -> u64 {
+        let calls = site.platform.truth().store_calls;
+        let ranges = calls.iter().filter(|count| count.kind == "range");
+        ranges.map(|count| count.calls).sum()
+    };
+    site.platform.fault(&Fault::StoreDown).expect("a fault");
+    let before = ranges();
+    async_std::task::block_on(async_std::task::sleep(Millis(2_000).duration()));
+    let calls = ranges() - before;
+    site.platform.heal(&Fault::StoreDown).expect("a fault");
+    expect_that!(calls, le(NODES * CALLS));
+    wait_until("a job is taken", || {
+        site.submit(1, 2, 1, 50).1 == Receipt::Stored
+    });
+}
+
 #[googletest::test]
 fn lost_answers_of_the_store_double_nothing() {
     let site = Site::start(2, 3);
--- a/crates/marigoldpick-standin/src/store/serve.rs
+++ b/crates/marigoldpick-standin/src/store/serve.rs
@@ -89,7 +89,7 @@
         self.inner.lost_percent.store(percent, Ordering::SeqCst);
     }
 
-    /// Refuses each call unread, and leaves those under way unanswered and without effect.
+    /// Refuses each call, and leaves those under way unanswered and without effect.
     pub fn down(&self, on: bool) {
         self.inner.down.store(on, Ordering::SeqCst);
     }
@@ -111,9 +111,6 @@
 
     /// Answers one call.
     pub(crate) async fn answer(&self, mut request: Request) -> http_types::Result<Response> {
-        if self.is_down() {
-            return Ok(refused());
-        }
         let call: Call = match parse(&mut request, MAX_BODY).await {
             Ok(call) => call,
             Err(status) => return Ok(Response::new(status)),
@@ -133,10 +130,10 @@
     /// # Errors
     /// Tells why there is no answer.
     pub async fn carry(&self, caller: &str, call: Call) -> Result<Answer, Refused> {
+        lock(&self.inner.counters).add(caller, call.kind());
         if self.is_down() {
             return Err(Refused::Down);
         }
-        lock(&self.inner.counters).add(caller, call.kind());
         self.admit(&call)?;
         self.delay().await;
         if let Call::Watch {
