Offer the lead when a commit is not answered for 200 ms

A commit that is not answered for 200 ms lets the lead ask the others at once; the first strong one that reaches the store is enough, and unless the store has answered this entry meanwhile it is asked to lead. The chain keeps a commit that arrives late from doing harm.

The new test of a silent store does not end without it.

--- a/crates/marigoldpick-node/src/control.rs
+++ b/crates/marigoldpick-node/src/control.rs
@@ -185,6 +185,11 @@
         self.store_answers.get()
     }
 
+    /// Tells whether the store answered a call that was sent since then.
+    pub(crate) fn has_answered_since(&self, since: Millis) -> bool {
+        self.store_seen.get() >= since
+    }
+
     /// Returns how long the store has answered, or has not.
     pub(crate) fn store_age(&self) -> Millis {
         let changed = self.store_changed.get();
--- a/crates/marigoldpick-node/src/driver.rs
+++ b/crates/marigoldpick-node/src/driver.rs
@@ -1,12 +1,14 @@
 //! Carries out what the lead decides, and tells it what came of it.
 
+use std::pin::pin;
 use std::rc::Rc;
 
 use async_std::future::timeout;
 use async_std::task;
+use futures::future::{Either, select};
 use marigoldpick_core::control::Known;
 use marigoldpick_core::prelude::*;
-use marigoldpick_core::store::{Answer, Call, Condition, Expect, Item, Write};
+use marigoldpick_core::store::{Answer, Call, Condition, Expect, Fault, Item, Write};
 use marigoldpick_core::work::port::{Advice, Adviser, Order, Refusal, Target, Workers};
 use marigoldpick_core::work::{Part, peer};
 use marigoldpick_job::Lead;
@@ -25,8 +27,12 @@
 const TICK: Millis = Millis(20);
 /// The wait after a call to the store that failed.
 const RETRY: Millis = Millis(150);
-/// How long the store has to be lost before a lead draws a conclusion.
+/// How long the store has to be lost before a lead draws a conclusion: a connection that is reset is
+/// made anew by then.
 const PATIENCE: Millis = Millis(300);
+/// How long a commit may take before the lead asks whether others reach the store: one that is not
+/// harmed answers in some ten milliseconds.
+const SUSPICION: Millis = Millis(200);
 /// The longest time for the question to succeed, whose receiver checks the store first.
 const SUCCEED: Millis = Millis(800);
 /// How long a worker that the registry lost in an outage of the store is kept: entries of living
@@ -153,19 +159,7 @@
             return;
         }
         if let Some(successor) = others.reaching.first() {
-            let (this, leading, successor) =
-                (Rc::clone(self), Rc::clone(leading), successor.clone());
-            task::spawn_local(async move {
-                let asked = this.call(&successor, peer::Call::Succeed, SUCCEED).await;
-                log::info!(
-                    target: "node",
-                    "event=lead-offered term={} to={} answered={}",
-                    leading.term(), successor.entry, asked.is_ok()
-                );
-                if asked.is_ok() {
-                    leading.depose("store-lost-here");
-                }
-            });
+            task::spawn_local(Rc::clone(self).offer_lead(Rc::clone(leading), successor.clone()));
             return;
         }
         let outage = others.most_are_cut_off();
@@ -175,6 +169,54 @@
         leading.change(|lead| lead.allow_unrecorded(outage));
     }
 
+    async fn offer_lead(self: Rc<Self>, leading: Rc<Leading>, successor: Known) {
+        if leading.is_over() {
+            return;
+        }
+        let asked = self.call(&successor, peer::Call::Succeed, SUCCEED).await;
+        log::info!(
+            target: "node",
+            "event=lead-offered term={} to={} answered={}",
+            leading.term(), successor.entry, asked.is_ok()
+        );
+        if asked.is_ok() {
+            leading.depose("store-lost-here");
+        }
+    }
+
+    /// Calls the store for the lead, and asks the other entries while it does not answer.
+    ///
+    /// Load pattern: the lead is cut off from the store alone. Nothing starts until another entry
+    /// leads, so that it must not take a call's whole time to notice.
+    async fn store_or_succession(
+        self: &Rc<Self>,
+        leading: &Rc<Leading>,
+        call: Call,
+    ) -> Result<Answer, Fault> {
+        let answer = pin!(self.store(call));
+        match select(answer, pin!(task::sleep(SUSPICION.duration()))).await {
+            Either::Left((answer, _)) => answer,
+            Either::Right((_, answer)) => {
+                let since = self.now();
+                let asking = async {
+                    let others = self.ask_others().await;
+                    // A store that is slow for all has answered by then, or answers nobody.
+                    if let Some(successor) = others.reaching.first()
+                        && !self.has_answered_since(since)
+                    {
+                        Rc::clone(self)
+                            .offer_lead(Rc::clone(leading), successor.clone())
+                            .await;
+                    }
+                    futures::future::pending().await
+                };
+                match select(answer, pin!(asking)).await {
+                    Either::Left((answer, _)) | Either::Right((answer, _)) => answer,
+                }
+            }
+        }
+    }
+
     /// Returns how another entry is reached.
     pub(crate) fn peer(&self, entry: &id::Entry) -> Option<Known> {
         let peers = self.peers.borrow();
@@ -211,7 +253,7 @@
             deletes,
         };
         let sent = self.now();
-        let outcome = match self.store(call).await {
+        let outcome = match self.store_or_succession(&leading, call).await {
             Ok(Answer::Written(revision)) => {
                 leading.set_chain(revision);
                 leading.confirm(sent);
--- a/crates/marigoldpick-node/src/health.rs
+++ b/crates/marigoldpick-node/src/health.rs
@@ -7,7 +7,8 @@
 use std::sync::atomic::Ordering;
 
 use async_std::task;
-use futures::future::join_all;
+use futures::StreamExt;
+use futures::stream::FuturesUnordered;
 use marigoldpick_core::control::Known;
 use marigoldpick_core::prelude::*;
 use marigoldpick_core::work::peer;
@@ -15,6 +16,7 @@
 use rand::Rng;
 
 use crate::control::Control;
+use crate::members::Member;
 use crate::platform::Platform;
 use crate::retry;
 
@@ -99,26 +101,40 @@
         self.shared.retry_after.store(wait.0, Ordering::SeqCst);
     }
 
-    async fn ask_others(&self) -> Others {
-        let mut peers = self.peers.borrow().clone();
-        // The first of those that reach the store is asked to lead: the largest goes first.
-        peers.sort_by_key(|member| u32::MAX - member.strength);
-        let asked = peers
+    /// Asks the other entries whether they reach the store.
+    ///
+    /// The answers of others are not waited for once an entry that can lead says that it does.
+    pub(crate) async fn ask_others(&self) -> Others {
+        let peers = self.peers.borrow().clone();
+        let strongest = peers.iter().map(|member| member.strength).max();
+        let mut asked: FuturesUnordered<_> = peers
             .iter()
-            .map(|member| self.call(&member.known, peer::Call::Ping, PING));
-        let answers = join_all(asked).await;
+            .map(|member| async move {
+                let answer = self.call(&member.known, peer::Call::Ping, PING).await;
+                (member, answer)
+            })
+            .collect();
         let mut others = Others {
             known: peers.len(),
             ..Others::default()
         };
-        for (member, answer) in peers.into_iter().zip(answers) {
+        let mut reaching: Vec<&Member> = Vec::new();
+        while let Some((member, answer)) = asked.next().await {
             match answer {
-                Ok(peer::Answer::Pong { store: true, .. }) => others.reaching.push(member.known),
+                Ok(peer::Answer::Pong { store: true, .. }) => {
+                    reaching.push(member);
+                    if Some(member.strength) == strongest {
+                        break;
+                    }
+                }
                 Ok(peer::Answer::Pong { store: false, .. }) => others.cut_off += 1,
                 Ok(_) | Err(wire::Error::Away | wire::Error::Unknown | wire::Error::Refused(_)) => {
                 }
             }
         }
+        // The first of them is asked to lead: the largest goes first.
+        reaching.sort_by_key(|member| u32::MAX - member.strength);
+        others.reaching = reaching.iter().map(|member| member.known.clone()).collect();
         others
     }
 }
--- a/crates/marigoldpick-node/tests/node/main.rs
+++ b/crates/marigoldpick-node/tests/node/main.rs
@@ -2,6 +2,8 @@
 
 mod site;
 
+use std::sync::atomic::Ordering;
+
 use googletest::prelude::*;
 use marigoldpick_core::prelude::*;
 use marigoldpick_core::work::Phase;
@@ -116,6 +118,22 @@
     expect_false!(refused);
 }
 
+/// Load pattern: the lead is cut off from the store alone, and no call of it is answered.
+#[googletest::test]
+fn lead_for_which_the_store_is_silent_is_succeeded() {
+    // The lease does not end within the test, so that only the lead itself can make room.
+    let site = Site::start_with(3, 3, Some(Millis::from_secs(300)));
+    let (id, _) = site.submit(0, 1, 1, 50);
+    site.wait_for(0, &id, Phase::Completed);
+    let lead = site.lead();
+    let other = (lead + 1) % 3;
+    site.silent[lead].store(true, Ordering::SeqCst);
+    let (id, _) = site.submit(other, 2, 2, 50);
+    site.wait_for(other, &id, Phase::Completed);
+    expect_that!(site.lead(), not(eq(lead)));
+    expect_that!(lock(&site.fake).broken, is_empty());
+}
+
 /// Load pattern: the store refuses all calls, and each entry asks the others whether they reach it.
 #[googletest::test]
 fn outage_of_the_store_is_probed_once_by_each_entry() {
--- a/crates/marigoldpick-node/tests/node/site.rs
+++ b/crates/marigoldpick-node/tests/node/site.rs
@@ -1,12 +1,13 @@
 //! A site: the stand-in's store, fake workers in memory, and nodes on loopback.
 
 use std::net::TcpListener;
+use std::sync::atomic::{AtomicBool, Ordering};
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::time::{Duration, Instant};
 
 use async_std::task;
 use marigoldpick_core::prelude::*;
-use marigoldpick_core::store;
+use marigoldpick_core::store::{self, Store as _};
 use marigoldpick_core::work::peer::Receipt;
 use marigoldpick_core::work::port::Node as Listed;
 use marigoldpick_core::work::port::{
@@ -144,10 +145,26 @@
     }
 }
 
+/// `Link` is the way to the store, which can go silent.
+#[derive(Clone, Debug)]
+pub struct Link {
+    store: Store,
+    silent: Arc<AtomicBool>,
+}
+
+impl store::Store for Link {
+    async fn call(&self, call: store::Call) -> Result<store::Answer, store::Fault> {
+        if self.silent.load(Ordering::SeqCst) {
+            return std::future::pending().await;
+        }
+        self.store.call(call).await
+    }
+}
+
 /// `Services` is what a node reaches.
 #[derive(Clone, Debug)]
 pub struct Services {
-    store: Store,
+    store: Link,
     fake: Arc<Mutex<Fake>>,
 }
 
@@ -255,13 +272,13 @@
 }
 
 impl Platform for Services {
-    type Store = Store;
+    type Store = Link;
     type Workers = Self;
     type Adviser = Self;
     type Registry = Self;
     type Source = Self;
 
-    fn store(&self) -> &Store {
+    fn store(&self) -> &Link {
         &self.store
     }
     fn workers(&self) -> &Self {
@@ -283,11 +300,19 @@
     pub platform: marigoldpick_standin::Platform,
     pub fake: Arc<Mutex<Fake>>,
     pub nodes: Vec<Node>,
+    /// Whether the store is silent for a node.
+    pub silent: Vec<Arc<AtomicBool>>,
+    lead_lease: Option<Millis>,
 }
 
 impl Site {
     /// Starts a site, and waits until its entries know each other.
     pub fn start(entries: usize, workers: usize) -> Self {
+        Self::start_with(entries, workers, None)
+    }
+
+    /// Starts a site whose leads have a lease of their own.
+    pub fn start_with(entries: usize, workers: usize, lead_lease: Option<Millis>) -> Self {
         let text = "seed = 1\n[[domain]]\nname = \"a\"\nrack = []\n";
         let settings = settings::Settings::parse("standin.toml", text).expect("settings");
         let platform = marigoldpick_standin::Platform::start(&settings).expect("a stand-in");
@@ -296,6 +321,8 @@
             platform,
             fake,
             nodes: Vec::new(),
+            silent: (0..entries).map(|_| Arc::default()).collect(),
+            lead_lease,
         };
         site.nodes = (0..entries).map(|number| site.node(number)).collect();
         wait_until("all entries are ready", || {
@@ -308,6 +335,27 @@
         site
     }
 
+    /// Returns the position of the node that leads, as the store has it.
+    pub fn lead(&self) -> usize {
+        let caller = Caller {
+            domain: id::Domain::new("a").expect("a name"),
+            entry: id::Entry::new("test").expect("a name"),
+        };
+        let address = self.platform.address();
+        let settings = marigoldpick_platform::Settings::default();
+        let store = Store::new(&address, caller, settings);
+        let key = "marigold/lead".to_owned();
+        let found = task::block_on(store.call(store::Call::Get { key }));
+        let Ok(store::Answer::Item(Some(item))) = found else {
+            panic!("nobody leads: {found:?}");
+        };
+        let names = (0..self.nodes.len()).map(|at| format!("\"e{at}\""));
+        let mut leads = names
+            .enumerate()
+            .filter(|(_, name)| item.value.contains(name));
+        leads.next().expect("one of the nodes").0
+    }
+
     fn node(&self, number: usize) -> Node {
         let entry = id::Entry::new(&format!("e{number}")).expect("a name");
         let domain = id::Domain::new("a").expect("a name");
@@ -315,19 +363,21 @@
             domain: domain.clone(),
             entry: entry.clone(),
         };
+        let address = self.platform.address();
         let services = Services {
-            store: Store::new(
-                &self.platform.address(),
-                caller,
-                marigoldpick_platform::Settings::default(),
-            ),
+            store: Link {
+                store: Store::new(&address, caller, marigoldpick_platform::Settings::default()),
+                silent: Arc::clone(&self.silent[number]),
+            },
             fake: Arc::clone(&self.fake),
         };
         // The port is free again at once, and the node takes it.
         let free = TcpListener::bind("127.0.0.1:0").expect("a free port");
         let inner = free.local_addr().expect("an address").to_string();
         drop(free);
-        Node::start(services, Settings::new(entry, domain, inner)).expect("a node")
+        let mut settings = Settings::new(entry, domain, inner);
+        settings.lead_lease = self.lead_lease.unwrap_or(settings.lead_lease);
+        Node::start(services, settings).expect("a node")
     }
 
     pub fn submit(&self, at: usize, number: u32, tasks: u32, span: u64) -> (id::Job, Receipt) {
