Tell the story of a job from the logs of its entries

ID reads logs of many entries and prints what is about the job, with what the leads, its entries and its workers went through. The order is causal, by the same merge as the timeline's: clocks of entries may differ.

--- a/crates/marigoldpick/src/arguments.rs
+++ b/crates/marigoldpick/src/arguments.rs
@@ -24,7 +24,7 @@
     Cancel(Cancel),
     /// tell what an entry knows: status
     Status(Status),
-    /// tell why a task is as it is: explain JOB:INDEX
+    /// tell why a task is as it is: explain JOB:INDEX, or explain --log FILE... ID
     Explain(Explain),
     /// stop new work for a part: drain worker|endpoint|entry|rack|domain NAME [--off]
     Drain(Drain),
@@ -104,16 +104,21 @@
 
 /// `Explain` holds the arguments of `explain`.
 #[derive(Debug, Default, Options)]
-#[options(help = "Tells why a task runs, waits or can never run.")]
+#[options(
+    help = "Tells why a task runs, waits or can never run; with --log, what happened to a job of steps."
+)]
 pub struct Explain {
     /// print help
     pub help: bool,
     /// an entry's operator address; may be repeated
     #[options(no_short, meta = "ADDR")]
     pub entry: Vec<String>,
+    /// an entry's log file; more may follow before the job's id
+    #[options(no_short, meta = "FILE")]
+    pub log: Vec<String>,
     /// print JSON
     pub json: bool,
-    /// the task, as JOB:INDEX
+    /// the task, as JOB:INDEX; with --log the id of a job
     #[options(free)]
     pub words: Vec<String>,
 }
--- a/crates/marigoldpick/src/files.rs
+++ b/crates/marigoldpick/src/files.rs
@@ -22,6 +22,15 @@
     fs::read_to_string(path).map_err(|error| unreadable(path, &error))
 }
 
+/// Reads a log file, of any length; bytes that are no text are replaced.
+///
+/// # Errors
+/// `UnknownName` when it can't be read.
+pub fn read_log(path: &str) -> Result<String, Problem> {
+    let bytes = fs::read(path).map_err(|error| unreadable(path, &error))?;
+    Ok(String::from_utf8_lossy(&bytes).into_owned())
+}
+
 /// Lists the TOML files of a directory, sorted by name.
 ///
 /// # Errors
--- a/crates/marigoldpick/src/lib.rs
+++ b/crates/marigoldpick/src/lib.rs
@@ -23,4 +23,5 @@
 pub mod faults;
 pub mod files;
 pub mod render;
+pub mod story;
 pub mod timeline;
--- a/crates/marigoldpick/src/render.rs
+++ b/crates/marigoldpick/src/render.rs
@@ -204,6 +204,21 @@
     text
 }
 
+/// Describes an event of a job's story.
+#[must_use]
+pub fn story(event: &Event) -> String {
+    let seconds = event.at.0 / 1_000;
+    let (hours, minutes) = (seconds / 3_600 % 24, seconds / 60 % 60);
+    format!(
+        "{hours:02}:{minutes:02}:{:02}.{:03} {:<20} {} {}",
+        seconds % 60,
+        event.at.0 % 1_000,
+        event.mark.process.as_str(),
+        event.what,
+        event.note
+    )
+}
+
 fn line(out: &mut String, text: std::fmt::Arguments<'_>) {
     writeln!(out, "{text}").expect("a string takes all text");
 }
