Take late failures of earlier calls as no news of the store

The probe that could have said otherwise came after the answers of the other entries, of which a domain that was cut off gave none for 700 ms. The earlier lead, also cut off, was waited for 600 ms.

What the calls say of the store is a pure decision now: a failure of a call that is older than the latest answered one tells nothing. The probe goes beside the question to the others, and an earlier lead gets 300 ms to answer.

--- a/crates/marigoldpick-job/src/lead/start.rs
+++ b/crates/marigoldpick-job/src/lead/start.rs
@@ -42,7 +42,7 @@
             entry.phase = Phase::Ordered;
         }
         let worker = self.workers[at].node.id.to_string();
-        let detail = format!("worker={worker} run={run} term={}", self.term);
+        let detail = format!("worker={worker} run={run}");
         self.note("start-ordered", task.to_string(), detail);
         self.count.starts += 1;
         self.order(at, Order::Start(Box::new(order)));
--- a/crates/marigoldpick-node/src/control.rs
+++ b/crates/marigoldpick-node/src/control.rs
@@ -22,6 +22,7 @@
 use crate::leading::Leading;
 use crate::members::Member;
 use crate::platform::{Platform, Source};
+use crate::reach::Reach;
 use crate::settings::Settings;
 
 /// The longest wait for a change of the configuration. A connection that went silent is noticed only
@@ -31,8 +32,6 @@
 const STORE_FRESH: Millis = Millis(100);
 /// The longest time of a check of the store: a slow one takes some hundred milliseconds.
 const STORE_CHECK: Millis = Millis(500);
-/// Calls in a row that the store may refuse for its rate before it counts as lost.
-const REFUSALS: u32 = 3;
 /// The wait after a look at the configuration that failed.
 const CONFIG_RETRY: Millis = Millis(200);
 
@@ -51,14 +50,8 @@
     pub(crate) peers: RefCell<Vec<Member>>,
     /// What the other entries said while this one did not reach the store.
     pub(crate) others: RefCell<Others>,
-    /// Calls in a row that the store refused for its rate.
-    store_refusals: Cell<u32>,
-    /// Whether the store answered last time it was called.
-    store_answers: Cell<bool>,
-    /// When that changed.
-    store_changed: Cell<Option<Millis>>,
-    /// When a call that it answered was sent last.
-    store_seen: Cell<Millis>,
+    /// Whether the store answers.
+    reach: Cell<Reach>,
     /// Held while the store is being checked.
     checking: Mutex<()>,
     /// Asks the election to stand although there is a lead, which wants to be succeeded.
@@ -84,10 +77,7 @@
             leading: RefCell::default(),
             peers: RefCell::default(),
             others: RefCell::default(),
-            store_answers: Cell::new(true),
-            store_refusals: Cell::default(),
-            store_changed: Cell::default(),
-            store_seen: Cell::default(),
+            reach: Cell::default(),
             checking: Mutex::new(()),
             succeed,
             succession,
@@ -115,10 +105,7 @@
     pub(crate) async fn store(self: &Rc<Self>, call: Call) -> Result<Answer, Fault> {
         let sent = self.now();
         let answer = self.platform.store().call(call).await;
-        if answer.is_ok() {
-            self.store_seen.set(self.store_seen.get().max(sent));
-        }
-        self.note_store(answer.as_ref().err().copied());
+        self.note_store(sent, answer.as_ref().err().copied());
         answer
     }
 
@@ -131,7 +118,7 @@
         if !self.reaches_store() {
             return false;
         }
-        if self.now().since(self.store_seen.get()) < STORE_FRESH {
+        if self.now().since(self.reach.get().seen()) < STORE_FRESH {
             return true;
         }
         let answer = timeout(STORE_CHECK.duration(), self.probe_store()).await;
@@ -148,31 +135,18 @@
         self.store(call).await
     }
 
-    fn note_store(self: &Rc<Self>, fault: Option<Fault>) {
-        let refused = fault == Some(Fault::Overloaded);
-        let in_a_row = if refused {
-            self.store_refusals.get() + 1
-        } else {
-            0
-        };
-        self.store_refusals.set(in_a_row);
-        let answers = match fault {
-            None | Some(Fault::Invalid) => true,
-            Some(Fault::Away | Fault::Unknown) => false,
-            // A rate that is used up for a moment is no outage; refusing all calls is one.
-            Some(Fault::Overloaded) if in_a_row < REFUSALS => return,
-            Some(Fault::Overloaded) => false,
-        };
-        if answers {
+    fn note_store(self: &Rc<Self>, sent: Millis, fault: Option<Fault>) {
+        let mut reach = self.reach.get();
+        let before = reach.age(self.now());
+        let changed = reach.note(sent, fault, self.now());
+        self.reach.set(reach);
+        if fault.is_none() {
             self.shared.connected.store(true, Ordering::SeqCst);
         }
-        if answers == self.store_answers.get() {
+        if !changed {
             return;
         }
-        self.store_answers.set(answers);
-        let before = self.store_age();
-        self.store_changed.set(Some(self.now()));
-        if answers {
+        if reach.answers() {
             log::info!(target: "store", "event=store-regained after_ms={}", before.0);
         } else {
             log::warn!(target: "store", "event=store-lost after_ms={}", before.0);
@@ -180,20 +154,19 @@
         }
     }
 
-    /// Tells whether the store answered last time.
+    /// Tells whether the store answers.
     pub(crate) fn reaches_store(&self) -> bool {
-        self.store_answers.get()
+        self.reach.get().answers()
     }
 
     /// Tells whether the store answered a call that was sent since then.
     pub(crate) fn has_answered_since(&self, since: Millis) -> bool {
-        self.store_seen.get() >= since
+        self.reach.get().seen() >= since
     }
 
     /// Returns how long the store has answered, or has not.
     pub(crate) fn store_age(&self) -> Millis {
-        let changed = self.store_changed.get();
-        changed.map_or(Millis::MAX, |at| self.now().since(at))
+        self.reach.get().age(self.now())
     }
 
     /// Tells whether this entry leads.
@@ -222,16 +195,17 @@
             } else {
                 Millis(1_000)
             };
+            let sent = self.now();
             match self.platform.source().follow(revision, wait).await {
                 Ok(news) => {
-                    self.note_store(None);
+                    self.note_store(sent, None);
                     revision = news.revision;
                     if let Some(config) = news.config {
                         self.adopt(config);
                     }
                 }
                 Err(fault) => {
-                    self.note_store(Some(fault));
+                    self.note_store(sent, Some(fault));
                     log::debug!(target: "node", "event=config-unread why={fault}");
                     task::sleep(CONFIG_RETRY.duration()).await;
                 }
--- a/crates/marigoldpick-node/src/election.rs
+++ b/crates/marigoldpick-node/src/election.rs
@@ -25,8 +25,9 @@
 /// After an outage of the store, an earlier lead may for this long have starts that it has not
 /// recorded yet.
 const OUTAGE_MEMORY: Millis = Millis(10_000);
-/// The longest time for a probe of the earlier lead.
-const PING: Millis = Millis(600);
+/// The longest time for a probe of the earlier lead: one that lives and reaches the store answers within
+/// some ten milliseconds.
+const PING: Millis = Millis(300);
 /// How long a living lead has to claim its key again.
 const YIELD: Millis = Millis(600);
 /// The strength that can lead any site of today.
--- a/crates/marigoldpick-node/src/health.rs
+++ b/crates/marigoldpick-node/src/health.rs
@@ -3,11 +3,13 @@
 //! A request must not wait for a store that is known to be away: it is refused at once, or passed
 //! to an entry that reaches the store.
 
+use std::pin::pin;
 use std::rc::Rc;
 use std::sync::atomic::Ordering;
 
 use async_std::task;
 use futures::StreamExt;
+use futures::future::{Either, select};
 use futures::stream::FuturesUnordered;
 use marigoldpick_core::control::Known;
 use marigoldpick_core::prelude::*;
@@ -54,12 +56,19 @@
         while !self.reaches_store() {
             self.tell_retry(Some(self.store_age()));
             let due = consulted.is_none_or(|at| self.now().since(at) >= CONSULT);
+            // The outcome of the probe is noted by the call itself.
+            let probe = pin!(self.probe_store());
             if due || self.leads().is_some() {
                 consulted = Some(self.now());
-                self.consult_others().await;
+                // Entries that are cut off don't answer; a store that is back does.
+                match select(probe, pin!(self.consult_others())).await {
+                    Either::Left((Ok(_), _)) => continue,
+                    Either::Left((Err(_), consult)) => consult.await,
+                    Either::Right(((), probe)) => drop(probe.await),
+                }
+            } else {
+                drop(probe.await);
             }
-            // The outcome is noted by the call itself.
-            let _is_noted = self.probe_store().await;
             let pause = PROBE + Millis(rand::rng().random_range(0..=JITTER));
             task::sleep(pause.duration()).await;
         }
--- a/crates/marigoldpick-node/src/lib.rs
+++ b/crates/marigoldpick-node/src/lib.rs
@@ -15,6 +15,7 @@
 mod leading;
 mod members;
 pub mod platform;
+pub mod reach;
 pub mod retry;
 pub mod settings;
 
--- a/crates/marigoldpick-node/tests/pure.rs
+++ b/crates/marigoldpick-node/tests/pure.rs
@@ -2,7 +2,9 @@
 
 use googletest::prelude::*;
 use marigoldpick_core::prelude::*;
+use marigoldpick_core::store::Fault;
 use marigoldpick_node::election::hesitation;
+use marigoldpick_node::reach::Reach;
 use marigoldpick_node::retry;
 
 /// Site with entries of very unequal size: leads belong on large ones, but any may lead in need.
@@ -35,3 +37,31 @@
     }
     expect_that!(retry::after(None), eq(Millis(1_000)));
 }
+
+/// A store that was silent is back at 1,000; calls sent before that end by their time-out.
+#[googletest::test]
+fn reach_time_out_of_an_earlier_call_is_no_news() {
+    let mut reach = Reach::default();
+    expect_true!(reach.note(Millis(100), Some(Fault::Unknown), Millis(800)));
+    expect_false!(reach.answers());
+    expect_true!(reach.note(Millis(1_000), None, Millis(1_005)));
+    expect_false!(reach.note(Millis(900), Some(Fault::Unknown), Millis(1_600)));
+    expect_true!(reach.answers());
+    expect_that!(reach.age(Millis(1_605)), eq(Millis(600)));
+    // A later call that fails is news.
+    expect_true!(reach.note(Millis(1_700), Some(Fault::Unknown), Millis(2_400)));
+    expect_false!(reach.answers());
+}
+
+#[googletest::test]
+fn reach_refusals_in_a_row_are_an_outage() {
+    let mut reach = Reach::default();
+    let refused = Some(Fault::Overloaded);
+    expect_false!(reach.note(Millis(1), refused, Millis(1)));
+    expect_false!(reach.note(Millis(2), refused, Millis(2)));
+    expect_false!(reach.note(Millis(3), None, Millis(3)));
+    expect_false!(reach.note(Millis(4), refused, Millis(4)));
+    expect_false!(reach.note(Millis(5), refused, Millis(5)));
+    expect_true!(reach.note(Millis(6), refused, Millis(6)));
+    expect_false!(reach.answers());
+}
