--- a/crates/marigoldpick-job/src/lead.rs
+++ b/crates/marigoldpick-job/src/lead.rs
@@ -6,6 +6,7 @@
 
 mod advise;
 pub mod commit;
+mod fleet;
 mod hold;
 mod report;
 mod room;
@@ -15,12 +16,12 @@
 use std::sync::Arc;
 
 use marigoldpick_core::prelude::*;
-use marigoldpick_core::work::port::{Node, Order};
+use marigoldpick_core::work::port::Order;
 use marigoldpick_core::work::{self, Phase, Task};
 
 use crate::action::Action;
 use crate::advice::Askers;
-use crate::job::{Job, Place};
+use crate::job::Job;
 use crate::queue::Queue;
 use crate::record::Record;
 use crate::settings::Settings;
@@ -29,9 +30,6 @@
 
 /// The runs that one term can number: 2^20.
 const RUN_BITS: u32 = 20;
-/// How long a worker that the registry no longer has is kept, while nothing runs there.
-const FORGET: Millis = Millis(10_000);
-
 /// Workers whose registration lapsed with the store are back within this time of its return.
 const REGISTRY_RETURN: Millis = Millis(2_500);
 
@@ -285,86 +283,6 @@
             .count()
     }
 
-    /// Takes in the registry's list, sorted by id.
-    pub fn fleet(&mut self, nodes: &[Node], now: Millis) {
-        for worker in &mut self.workers {
-            worker.present = false;
-        }
-        for node in nodes {
-            self.update_node(node, now);
-        }
-        let settings = self.settings;
-        self.workers.retain(|worker| {
-            worker.present
-                || !worker.runs.is_empty()
-                || worker.holding
-                || now < worker.lapse + FORGET + settings.lease
-        });
-        self.unscheduled = true;
-    }
-
-    fn update_node(&mut self, node: &Node, now: Millis) {
-        match self.search_worker(&node.id) {
-            Ok(at) => {
-                self.replace_node(at, node.clone(), now);
-                self.workers[at].present = true;
-            }
-            Err(at) => {
-                let worker = Worker::new(node.clone(), self.unknown_lapse());
-                self.workers.insert(at, worker);
-            }
-        }
-    }
-
-    /// Takes in what is now known of a worker, which may be in a new life.
-    fn replace_node(&mut self, at: usize, node: Node, now: Millis) {
-        let known = self.workers[at].node.born;
-        if known != 0 && node.born > known {
-            self.reborn(at, node, now);
-        } else {
-            self.workers[at].update(node);
-        }
-    }
-
-    /// Returns when whatever an earlier lead may have left on a silent worker has ended.
-    fn unknown_lapse(&self) -> Millis {
-        self.since + self.settings.term_grace + self.settings.stretched(self.settings.longest_lease)
-    }
-
-    /// Notes that a worker has begun a new life; what ran in the old one has ended.
-    fn reborn(&mut self, at: usize, node: Node, now: Millis) {
-        self.note(
-            "worker-reborn",
-            node.id.to_string(),
-            format!("born={}", node.born),
-        );
-        let id = node.id.clone();
-        for mut run in self.workers[at].renew(node, now) {
-            match run.phase {
-                // A late order could still start it in the new life.
-                worker::Phase::Unknown(_) | worker::Phase::Stop | worker::Phase::Stopping => {
-                    run.phase = worker::Phase::Stop;
-                    self.workers[at].add(run);
-                }
-                _ => self.unplace(&run.task, run.run, &id),
-            }
-        }
-    }
-
-    /// Expects a run that an earlier lead recorded.
-    fn expect_run(&mut self, task: &Task, place: &Place, now: Millis) {
-        let at = self.search_worker(&place.worker).unwrap_or_else(|at| {
-            let mut worker = Worker::new(unlisted(place.worker.clone()), self.unknown_lapse());
-            worker.present = false;
-            self.workers.insert(at, worker);
-            at
-        });
-        let phase = worker::Phase::Unknown(now);
-        if let Some(run) = self.run_of(task, place.run, phase, now) {
-            self.workers[at].add(run);
-        }
-    }
-
     /// Makes the entry of a run for a worker.
     fn run_of(&self, task: &Task, run: u64, phase: worker::Phase, now: Millis) -> Option<Run> {
         let job = self.job(&task.part.job)?;
@@ -491,20 +409,3 @@
         std::mem::take(&mut self.actions)
     }
 }
-
-/// Returns what is known of a worker that only a record names.
-fn unlisted(id: id::Worker) -> Node {
-    Node {
-        id,
-        born: 0,
-        address: String::new(),
-        service: Name::new("unknown").expect("a valid name"),
-        domain: id::Domain::new("unknown").expect("a valid name"),
-        kind: None,
-        rack: None,
-        labels: Vec::new(),
-        capacity: Amount::default(),
-        draining: false,
-        remaining: None,
-    }
-}
--- a/crates/marigoldpick-job/src/lead/start.rs
+++ b/crates/marigoldpick-job/src/lead/start.rs
@@ -146,15 +146,13 @@
                     entry.confirmed = now;
                 }
                 self.note_begun(task);
-                let worker = &mut self.workers[at];
-                worker.next_hold = worker.next_hold.min(now);
+                self.workers[at].hold_soon(now);
             }
             Err(Fault::Unknown) => {
                 if !stopping {
                     entry.phase = Phase::Unknown(now);
                 }
-                let worker = &mut self.workers[at];
-                worker.next_hold = worker.next_hold.min(now);
+                self.workers[at].hold_soon(now);
                 self.note("start-unanswered", task.to_string(), format!("run={run}"));
                 self.suspect(at);
             }
@@ -245,8 +243,7 @@
         match answer {
             Ok(_) => {
                 entry.phase = Phase::Stopped(now);
-                let worker = &mut self.workers[at];
-                worker.next_hold = worker.next_hold.min(now);
+                self.workers[at].hold_soon(now);
             }
             // No life that the run could be part of is there any more.
             Err(Fault::Reborn) => {
--- a/crates/marigoldpick-job/src/worker.rs
+++ b/crates/marigoldpick-job/src/worker.rs
@@ -172,6 +172,11 @@
         }
     }
 
+    /// Lets the next hold be due at once.
+    pub fn hold_soon(&mut self, now: Millis) {
+        self.next_hold = self.next_hold.min(now);
+    }
+
     /// Returns its clock now, as far as is known.
     #[must_use]
     pub fn clock_at(&self, now: Millis) -> Option<Millis> {
--- a/crates/marigoldpick-node/src/driver.rs
+++ b/crates/marigoldpick-node/src/driver.rs
@@ -194,26 +194,26 @@
         call: Call,
     ) -> Result<Answer, Fault> {
         let answer = pin!(self.store(call));
-        match select(answer, pin!(task::sleep(SUSPICION.duration()))).await {
+        let doubt = pin!(async {
+            task::sleep(SUSPICION.duration()).await;
+            self.seek_successor(leading).await;
+        });
+        match select(answer, doubt).await {
             Either::Left((answer, _)) => answer,
-            Either::Right((_, answer)) => {
-                let since = self.now();
-                let asking = async {
-                    let others = self.ask_others().await;
-                    // A store that is slow for all has answered by then, or answers nobody.
-                    if let Some(successor) = others.reaching.first()
-                        && !self.has_answered_since(since)
-                    {
-                        Rc::clone(self)
-                            .offer_lead(Rc::clone(leading), successor.clone())
-                            .await;
-                    }
-                    futures::future::pending().await
-                };
-                match select(answer, pin!(asking)).await {
-                    Either::Left((answer, _)) | Either::Right((answer, _)) => answer,
-                }
-            }
+            Either::Right(((), answer)) => answer.await,
+        }
+    }
+
+    /// Offers the lead to an entry that reaches the store, unless it answers this one meanwhile.
+    async fn seek_successor(self: &Rc<Self>, leading: &Rc<Leading>) {
+        let since = self.now();
+        let others = self.ask_others().await;
+        // A store that is slow for all has answered by then, or answers nobody.
+        if let Some(successor) = others.reaching.first()
+            && !self.has_answered_since(since)
+        {
+            let (this, leading) = (Rc::clone(self), Rc::clone(leading));
+            this.offer_lead(leading, successor.clone()).await;
         }
     }
 
--- a/crates/marigoldpick-soak/src/lib.rs
+++ b/crates/marigoldpick-soak/src/lib.rs
@@ -1,5 +1,5 @@
-//! The soak: the real programs as separate processes, harmed from outside in a way that the seed
-//! draws, while the stand-in of the platform checks the promises.
+//! The soak: the real programs as separate processes, with faults injected from outside as the seed
+//! draws them, while the stand-in of the platform checks the promises.
 
 pub mod plan;
 mod port;
--- a/crates/marigoldpick-soak/src/run.rs
+++ b/crates/marigoldpick-soak/src/run.rs
@@ -15,6 +15,7 @@
 use marigoldpick_platform::Settings;
 use marigoldpick_platform::exchange::Client;
 use marigoldpick_standin::Relay;
+use marigoldpick_standin::jobs::Verdict;
 use nix::sys::signal::Signal;
 use serde::{Deserialize, Serialize};
 
@@ -31,9 +32,13 @@
 /// How long after the last job was handed in all work has to be done; leases, take-overs and retries
 /// take less than half of it.
 const FINISH: Duration = Duration::from_secs(120);
+/// The longest time for a connection to the stand-in, whose machine may be busy.
+const CONNECT: Millis = Millis(2_000);
+/// The longest time for a call of the stand-in.
+const CALL: Millis = Millis(5_000);
 /// The time between two looks at the verdict.
 const LOOK: Duration = Duration::from_millis(250);
-/// The time that a harmed link takes for one way.
+/// The time that a slow link takes for one way.
 const DELAY: Millis = Millis(300);
 /// How long an entry may take to stop when it is told to.
 const GRACE: Duration = Duration::from_secs(10);
@@ -62,29 +67,6 @@
     pub broken: Vec<String>,
 }
 
-/// `Verdict` is what the stand-in tells; it has more for people who read it.
-#[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
-pub struct Verdict {
-    /// Whether callers have begun.
-    pub begun: bool,
-    /// Whether no caller waits any more.
-    pub over: bool,
-    /// Jobs that were accepted.
-    pub accepted: u64,
-    /// Jobs of which callers were told that they are completed.
-    pub completed: u64,
-    /// Jobs that were cancelled.
-    pub cancelled: u64,
-    /// Answers that a call was refused.
-    pub refused: u64,
-    /// Runs that truly began.
-    pub runs: u64,
-    /// Accepted jobs that are not completed.
-    pub open: Vec<String>,
-    /// Promises that were broken.
-    pub broken: Vec<String>,
-}
-
 /// `Error` is why a run could not be played.
 #[derive(Debug, Display)]
 pub enum Error {
@@ -115,13 +97,13 @@
 struct Seat {
     settings: PathBuf,
     process: RefCell<Option<Process>>,
-    /// Faults that hold the process down or still at present.
-    harmed: RefCell<u32>,
+    /// Faults under way that stop or pause the process.
+    faults: RefCell<u32>,
     store: Relay,
     front: Relay,
 }
 
-/// `Scene` is all that faults can hit.
+/// `Scene` is everything that faults are injected into.
 struct Scene {
     seats: Vec<Seat>,
     workers: Vec<Relay>,
@@ -142,7 +124,7 @@
     if verdict.begun {
         let faults: Vec<_> = plan::draw(seed, shape)
             .into_iter()
-            .map(|fault| task::spawn_local(Rc::clone(&scene).harm(fault)))
+            .map(|fault| task::spawn_local(Rc::clone(&scene).inject(fault)))
             .collect();
         for fault in faults {
             fault.await;
@@ -223,14 +205,14 @@
         seats.push(Seat {
             settings,
             process: RefCell::new(Some(process)),
-            harmed: RefCell::new(0),
+            faults: RefCell::new(0),
             store,
             front,
         });
     }
     let limits = Settings {
-        connect: Millis(2_000),
-        call: Millis(5_000),
+        connect: CONNECT,
+        call: CALL,
         idle: 1,
         forgets: true,
     };
@@ -294,19 +276,19 @@
         reply.status.is_success().then_some(reply.body)
     }
 
-    /// Notes entries that ended though nobody harmed them.
+    /// Notes entries that ended though no fault was under way.
     fn look_for_ends(&self) {
         for (number, seat) in self.seats.iter().enumerate() {
             let mut process = seat.process.borrow_mut();
             let ended = process.as_mut().is_some_and(Process::has_ended);
-            if ended && *seat.harmed.borrow() == 0 {
+            if ended && *seat.faults.borrow() == 0 {
                 self.note(format!("entry {number} ended by itself"));
                 *process = None;
             }
         }
     }
 
-    async fn harm(self: Rc<Self>, fault: Fault) {
+    async fn inject(self: Rc<Self>, fault: Fault) {
         task::sleep(fault.at.duration()).await;
         match fault.kind {
             Kind::KillEntry => self.kill(&[fault.target], fault.span).await,
@@ -317,8 +299,8 @@
             Kind::PauseEntry => self.pause(fault.target, fault.span).await,
             Kind::StopEntry => self.stop(fault.target).await,
             Kind::ReloadEntry => self.signal(fault.target, Signal::SIGHUP),
-            Kind::Platform(name) => self.harm_platform(name, &fault).await,
-            kind => self.harm_link(kind, &fault).await,
+            Kind::Platform(name) => self.inject_on_platform(name, &fault).await,
+            kind => self.inject_on_link(kind, &fault).await,
         }
     }
 
@@ -333,9 +315,9 @@
     /// Starts an entry anew once no fault holds it down any more.
     fn revive(&self, number: usize) {
         let seat = &self.seats[number];
-        *seat.harmed.borrow_mut() -= 1;
+        *seat.faults.borrow_mut() -= 1;
         let mut process = seat.process.borrow_mut();
-        if process.is_some() || *seat.harmed.borrow() > 0 {
+        if process.is_some() || *seat.faults.borrow() > 0 {
             return;
         }
         match Process::start(ENTRY, &seat.settings) {
@@ -347,7 +329,7 @@
     async fn kill(&self, numbers: &[usize], span: Millis) {
         for number in numbers {
             let seat = &self.seats[*number];
-            *seat.harmed.borrow_mut() += 1;
+            *seat.faults.borrow_mut() += 1;
             drop(seat.process.borrow_mut().take());
         }
         task::sleep(span.duration()).await;
@@ -355,7 +337,7 @@
     }
 
     async fn pause(&self, number: usize, span: Millis) {
-        *self.seats[number].harmed.borrow_mut() += 1;
+        *self.seats[number].faults.borrow_mut() += 1;
         self.signal(number, Signal::SIGSTOP);
         task::sleep(span.duration()).await;
         self.signal(number, Signal::SIGCONT);
@@ -363,7 +345,7 @@
     }
 
     async fn stop(&self, number: usize) {
-        *self.seats[number].harmed.borrow_mut() += 1;
+        *self.seats[number].faults.borrow_mut() += 1;
         let process = self.seats[number].process.borrow_mut().take();
         if let Some(process) = process {
             self.drain(number, process).await;
@@ -386,7 +368,7 @@
         }
     }
 
-    async fn harm_platform(&self, name: &str, fault: &Fault) {
+    async fn inject_on_platform(&self, name: &str, fault: &Fault) {
         self.switch(name, fault.target, true).await;
         task::sleep(fault.span.duration()).await;
         self.switch(name, fault.target, false).await;
@@ -404,7 +386,7 @@
         }
     }
 
-    async fn harm_link(&self, kind: Kind, fault: &Fault) {
+    async fn inject_on_link(&self, kind: Kind, fault: &Fault) {
         let at = fault.target;
         let relay = match kind {
             Kind::SilenceWorker | Kind::OneWayWorker | Kind::ResetWorker | Kind::DelayWorker => {
--- a/crates/marigoldpick-standin/src/jobs.rs
+++ b/crates/marigoldpick-standin/src/jobs.rs
@@ -5,8 +5,10 @@
 
 mod adviser;
 mod pool;
+mod verdict;
 mod worker;
 
 pub use adviser::Adviser;
 pub use pool::{Pool, Started};
+pub use verdict::Verdict;
 pub use worker::{Limits, Worker};
--- a/platform/standin/src/verdict.rs
+++ b/crates/marigoldpick-standin/src/jobs/verdict.rs
@@ -1,4 +1,4 @@
-//! What the stand-in tells of a run.
+//! What a stand-in with callers tells of a run.
 
 use serde::{Deserialize, Serialize};
 
