Ask the adviser by price and by service; let lasting tasks go first

The room that questions may be about was one sum of processors over all services, and a backlog of a service that is short of accelerators used it up. Steps that found no free asker waited 60 ms, so that work behind took the askers. The number of workers in a question did not depend on its price, and a question's place at an asker was fixed up to 0.9 s ahead.

Now: rooms by service and by resource; lasting tasks of begun jobs go first, use all askers, and are asked about while their worker does not answer; the size of a question follows from its price and the share of good workers seen; at most 60 ms of questions wait at an asker. Ranks are worked out when a step is done, not in each pass, and the pause between passes grows with their cost.

Ruled out: room for the task (most of the service was free); a lost order (no start was ordered).

--- a/crates/marigoldpick-core/src/resource.rs
+++ b/crates/marigoldpick-core/src/resource.rs
@@ -117,6 +117,31 @@
         }
     }
 
+    /// Returns a share of each resource, in percent, rounded down.
+    #[must_use]
+    pub fn share(&self, percent: u32) -> Self {
+        let mut share = self.times(percent);
+        share.millicores /= 100;
+        share.memory_mib /= 100;
+        for a in &mut share.accelerators {
+            a.count /= 100;
+        }
+        share.accelerators.retain(|a| a.count > 0);
+        share
+    }
+
+    /// Raises each resource to what `other` has of it.
+    pub fn widen(&mut self, other: &Self) {
+        self.millicores = self.millicores.max(other.millicores);
+        self.memory_mib = self.memory_mib.max(other.memory_mib);
+        for a in &other.accelerators {
+            match self.accelerators.binary_search_by(|b| b.kind.cmp(&a.kind)) {
+                Ok(at) => self.accelerators[at].count = self.accelerators[at].count.max(a.count),
+                Err(at) => self.accelerators.insert(at, a.clone()),
+            }
+        }
+    }
+
     /// Tells whether nothing is in it.
     #[must_use]
     pub fn is_zero(&self) -> bool {
--- a/crates/marigoldpick-job/src/job.rs
+++ b/crates/marigoldpick-job/src/job.rs
@@ -6,6 +6,8 @@
 use marigoldpick_core::work::{self, Part, Phase, Step};
 
 use crate::advice::Tickets;
+use crate::queue::Queue;
+use crate::rank;
 use crate::record::{self, Record, ranges};
 
 /// `Place` is where a run of a task is, or may be.
@@ -74,6 +76,8 @@
     pub due: Millis,
     /// The steps by number.
     pub stages: Vec<Stage>,
+    /// The longest chain of estimated work that is left.
+    pub left: Millis,
 }
 
 impl Occurrence {
@@ -102,6 +106,8 @@
     pub spec: Arc<work::Job>,
     /// What a task of each step claims of a worker.
     pub claims: Vec<Amount>,
+    /// How long it may take to be on time.
+    pub objective: Millis,
     /// When it was handed in, by the lead's clock.
     pub arrived: Millis,
     /// How it stands.
@@ -137,11 +143,13 @@
                     local(schedule.first + schedule.every.0 * u64::from(number))
                 }),
                 stages: spec.steps.iter().map(Stage::new).collect(),
+                left: Millis::ZERO,
             })
             .collect();
         Self {
             id,
             claims: spec.steps.iter().map(Step::claim).collect(),
+            objective: Millis::ZERO,
             arrived: now - Millis(age),
             phase: Phase::Queued,
             recorded: Phase::Queued,
@@ -154,6 +162,14 @@
         }
     }
 
+    /// Works out what its rank depends on: how long it may take, and how much work is left.
+    pub fn measure(&mut self, queue: &Queue) {
+        self.objective = rank::objective(&self.spec, queue);
+        for occurrence in &mut self.occurrences {
+            occurrence.left = rank::left(&self.spec, occurrence, queue);
+        }
+    }
+
     /// Takes over what the store recorded.
     pub fn restore(&mut self, record: &Record, now: Millis) {
         self.phase = record.phase;
--- a/crates/marigoldpick-job/src/lead.rs
+++ b/crates/marigoldpick-job/src/lead.rs
@@ -20,8 +20,9 @@
 use marigoldpick_core::work::{self, Phase, Task};
 
 use crate::action::Action;
-use crate::advice::Askers;
+use crate::askers::Askers;
 use crate::job::Job;
+use crate::question::Share;
 use crate::queue::Queue;
 use crate::record::Record;
 use crate::settings::Settings;
@@ -84,6 +85,8 @@
     workers: Vec<Worker>,
     jobs: Vec<Job>,
     askers: Askers,
+    /// The share of good workers in the adviser's answers, sorted by queue.
+    shares: Vec<(Name, Share)>,
     commit: commit::State,
     /// Jobs with a change that the store does not have, sorted.
     dirty: Vec<id::Job>,
@@ -93,6 +96,8 @@
     unscheduled: bool,
     /// When the last pass was.
     passed: Millis,
+    /// The least time until the next pass.
+    pause: Millis,
     /// Whether starts may be ordered before the store has them.
     unrecorded: bool,
     /// Whether an earlier lead may have given starts that the store does not have.
@@ -127,11 +132,13 @@
             workers: Vec::new(),
             jobs: Vec::new(),
             askers: Askers::default(),
+            shares: Vec::new(),
             commit: commit::State::default(),
             dirty: Vec::new(),
             recording: Vec::new(),
             unscheduled: true,
             passed: Millis::ZERO,
+            pause: Millis::ZERO,
             unrecorded: false,
             doubtful: false,
             deposed: false,
@@ -188,6 +195,7 @@
                 Err(at) => self.queues.insert(at, queue.clone()),
             }
         }
+        (0..self.jobs.len()).for_each(|at| self.measure(at));
         self.unscheduled = true;
     }
 
@@ -249,6 +257,7 @@
             job.placed()
         };
         self.jobs.insert(at, job);
+        self.measure(at);
         for (task, place) in placed {
             self.expect_run(&task, &place, now);
         }
@@ -350,6 +359,7 @@
             // A start under way is stopped once its answer is known to be out of the way.
             worker::Phase::Ordered | worker::Phase::Unknown(_) | worker::Phase::Running => {
                 entry.phase = worker::Phase::Stop;
+                self.workers[at].has_stops = true;
             }
         }
     }
@@ -363,6 +373,17 @@
         }
     }
 
+    /// Works out anew what a job's rank depends on.
+    fn measure(&mut self, at: usize) {
+        let name = &self.jobs[at].spec.queue;
+        let found = self.queues.binary_search_by(|queue| queue.name.cmp(name));
+        if let Ok(queue) = found
+            && !self.jobs[at].phase.is_over()
+        {
+            self.jobs[at].measure(&self.queues[queue]);
+        }
+    }
+
     fn at(&self, id: &id::Job) -> Option<usize> {
         self.jobs.binary_search_by(|job| job.id.cmp(id)).ok()
     }
--- a/crates/marigoldpick-job/src/lead/advise.rs
+++ b/crates/marigoldpick-job/src/lead/advise.rs
@@ -10,13 +10,16 @@
 
 use super::Lead;
 use super::room::Room;
+use super::schedule::Open;
 use crate::action::Action;
+use crate::askers::Free;
+use crate::question::{self, Share};
+use crate::queue::Policy;
+use crate::rank::Claim;
 use crate::worker::Worker;
 
-/// The least workers of a first question: fewer would save little of its time.
-const LEAST: usize = 8;
-/// The most workers of a question.
-const MOST: usize = 40;
+/// The room of good workers that a question looks for, against what the tasks take, in percent.
+const WANTED_PERCENT: u64 = 150;
 /// The wait after a question that brought no answer.
 const RETRY: Millis = Millis(100);
 /// The wait after a question when no worker has room.
@@ -26,7 +29,15 @@
 
 impl Lead {
     /// Asks for tickets for `missing` tasks of a step, if that helps.
-    pub(super) fn ask(&mut self, part: &Part, missing: usize, room: &Room, now: Millis) {
+    pub(super) fn ask(
+        &mut self,
+        open: &Open,
+        missing: usize,
+        room: &Room,
+        askers: &mut Free,
+        now: Millis,
+    ) {
+        let (part, claim) = (&open.part, open.rank.claim);
         let Some(at) = self.at(&part.job) else { return };
         let Some(queue) = self.queue(&self.jobs[at].spec.queue) else {
             return;
@@ -38,24 +49,27 @@
         if stage.tickets.pending || now < stage.tickets.retry {
             return;
         }
-        if !self.askers.has_room(now) {
-            self.retry_question(at, part, now + FULL);
+        // Work behind must not take an asker while work in front waits for one.
+        if !askers.may_ask(&self.askers, policy.span(1), claim, now) {
             return;
         }
         self.count.looks += room.workers.len() as u64;
-        let mut workers = self.ask_about(at, part, missing, room, now);
+        let mut workers = self.ask_about(at, part, &policy, missing, room, now);
         if workers.is_empty() {
             self.retry_question(at, part, now + FULL);
             return;
         }
         workers.sort();
         let span = policy.span(workers.len());
-        let Some(asker) = self.askers.book(span, now) else {
-            self.retry_question(at, part, now + FULL);
+        let Some(asker) = self.askers.book(span, claim, now) else {
             return;
         };
         if let Some(stage) = self.jobs[at].stage_mut(part.occurrence, part.step) {
             stage.tickets.pending = true;
+            if claim == Claim::Turn {
+                // More room is awaited before the rest is asked about.
+                stage.tickets.retry = now + span + FULL;
+            }
         }
         self.count.questions += 1;
         let detail = format!("asker={asker} workers={} span={span}", workers.len());
@@ -79,6 +93,7 @@
         &self,
         at: usize,
         part: &Part,
+        policy: &Policy,
         missing: usize,
         room: &Room,
         now: Millis,
@@ -120,17 +135,23 @@
         if room_of_good >= missing as u64 {
             return asked;
         }
+        // Some of the room is taken by the time of the answer.
+        let wanted = (missing as u64 * WANTED_PERCENT).div_ceil(100);
         unknown.sort_by_key(|(speed, fits, _)| (*speed, u64::MAX - fits));
-        let most = MOST.min(self.settings.advice_most);
-        let mut expected = room_of_good;
-        for (_, fits, id) in unknown {
-            let enough = expected >= 3 * missing as u64 && asked.len() >= LEAST;
-            if enough || asked.len() >= most {
-                break;
-            }
-            expected += fits;
-            asked.push(id.clone());
-        }
+        let left = wanted - room_of_good;
+        let mut room = 0;
+        let enough = unknown.iter().position(|(_, fits, _)| {
+            room += fits;
+            room >= left
+        });
+        // The workers that would do if all were good.
+        let needed = enough.map_or(unknown.len(), |last| last + 1);
+        let most = unknown
+            .len()
+            .min(self.settings.advice_most.saturating_sub(asked.len()));
+        let share = self.share(&job.spec.queue);
+        let count = question::count(policy, share, needed, most);
+        asked.extend(unknown.iter().take(count).map(|(_, _, id)| (*id).clone()));
         asked
     }
 
@@ -157,6 +178,9 @@
             Err(refusal) => format!("asker={asker} refused={refusal}"),
         };
         self.note("advice-answered", part.to_string(), detail);
+        if let Ok(advice) = &answer {
+            self.learn_share(at, part, asked, advice);
+        }
         let Some(stage) = self.jobs[at].stage_mut(part.occurrence, part.step) else {
             return;
         };
@@ -173,6 +197,37 @@
     }
 }
 
+impl Lead {
+    pub(super) fn share(&self, queue: &Name) -> Share {
+        let at = self.shares.binary_search_by(|(have, _)| have.cmp(queue));
+        at.map_or_else(|_| Share::default(), |at| self.shares[at].1)
+    }
+
+    /// Learns from an answer how many of the workers that were not known before are good.
+    fn learn_share(&mut self, at: usize, part: &Part, asked: &[id::Worker], advice: &Advice) {
+        let job = &self.jobs[at];
+        let Some(stage) = job.stage(part.occurrence, part.step) else {
+            return;
+        };
+        let is_new = |worker: &id::Worker| stage.tickets.find(worker).is_none();
+        let fresh = asked.iter().filter(|worker| is_new(worker)).count();
+        let good = advice
+            .good
+            .iter()
+            .filter(|good| is_new(&good.worker))
+            .count();
+        let queue = job.spec.queue.clone();
+        let at = self
+            .shares
+            .binary_search_by(|(have, _)| have.cmp(&queue))
+            .unwrap_or_else(|at| {
+                self.shares.insert(at, (queue, Share::default()));
+                at
+            });
+        self.shares[at].1.learn(fresh as u64, good as u64);
+    }
+}
+
 /// Returns how many more tasks of a step a worker may run.
 pub(super) fn spread_left(step: &Step, worker: &Worker, task: &Task) -> u64 {
     step.spread.map_or(u64::MAX, |most| {
--- a/crates/marigoldpick-job/src/lead/report.rs
+++ b/crates/marigoldpick-job/src/lead/report.rs
@@ -74,6 +74,7 @@
         if works_alone && stalls && entry.phase == Phase::Running && entry.percent < 100 {
             entry.phase = Phase::Stop;
             let percent = entry.percent;
+            worker.has_stops = true;
             let detail = format!("worker={} run={run} percent={percent}", worker.node.id);
             worker.note_stall(now);
             self.note("run-stalled", task.to_string(), detail);
@@ -136,6 +137,7 @@
                 _ => {}
             }
         }
+        self.workers[at].has_stops |= !lost.is_empty();
         for (task, run) in gone {
             self.release(at, &task, run);
         }
@@ -198,6 +200,9 @@
                 } else {
                     stage.finish(end.task.index);
                 }
+                if stage.left == 0 {
+                    self.measure(at);
+                }
                 self.touch(at);
                 self.stop_copies(at, &end.task, gang);
                 if self.jobs[at].is_done() {
--- a/crates/marigoldpick-job/src/lead/room.rs
+++ b/crates/marigoldpick-job/src/lead/room.rs
@@ -1,22 +1,35 @@
-//! The workers that a pass may place tasks on, by service.
+//! The workers that a pass may place tasks on, by service, and what questions may be about.
 //!
 //! Load pattern: a full pool and hundreds of steps that wait. Were each step compared with each worker,
 //! a pass would take longer than the tasks whose end it waits for, and the backlog would grow with it.
+//! Were all of them asked about, the adviser would spend its time on steps that can't start before
+//! their tickets expire; so the front of the queue asks, for the room that is free or will be soon.
+//! A service is bound by the resource it has least of, be it processors, memory or accelerators.
 
 use marigoldpick_core::prelude::*;
 
+use crate::question::Share;
 use crate::worker::Worker;
 
+/// The most work that questions may be about against the free room, in percent.
+const FREE_PERCENT: f64 = 200.0;
+/// The share of the room in use that is expected to be free while the tickets of a question hold.
+const USED_PERCENT: u32 = 25;
+
 /// `Room` is the open workers of a service and a bound on what is free on any of them.
 #[derive(Clone, Debug)]
 pub(super) struct Room {
     service: Name,
     /// Positions of the workers.
     pub(super) workers: Vec<usize>,
-    /// The most processor time free on one worker, in millicores.
-    millicores: u64,
-    /// The most memory free on one worker.
-    memory_mib: u64,
+    /// The most that is free on one worker, each resource by itself.
+    most: Amount,
+    /// The free room.
+    free: Amount,
+    /// The room in use.
+    used: Amount,
+    /// What the questions of work that goes before are about.
+    spent: Amount,
 }
 
 impl Room {
@@ -24,7 +37,7 @@
     pub(super) fn of(workers: &[Worker], now: Millis) -> Vec<Self> {
         let mut rooms: Vec<Self> = Vec::new();
         for (position, worker) in workers.iter().enumerate() {
-            if !worker.is_open(now) {
+            if !worker.present {
                 continue;
             }
             let service = &worker.node.service;
@@ -34,24 +47,29 @@
                     rooms.insert(at, Self::empty(service.clone()));
                     at
                 });
-            rooms[at].add(position, worker);
+            rooms[at].free.add(worker.free());
+            rooms[at].used.add(worker.used());
+            if worker.is_open(now) {
+                rooms[at].add(position, worker);
+            }
         }
         rooms
     }
 
-    const fn empty(service: Name) -> Self {
+    fn empty(service: Name) -> Self {
         Self {
             service,
             workers: Vec::new(),
-            millicores: 0,
-            memory_mib: 0,
+            most: Amount::default(),
+            free: Amount::default(),
+            used: Amount::default(),
+            spent: Amount::default(),
         }
     }
 
     fn add(&mut self, position: usize, worker: &Worker) {
         self.workers.push(position);
-        self.millicores = self.millicores.max(worker.free().millicores);
-        self.memory_mib = self.memory_mib.max(worker.free().memory_mib);
+        self.most.widen(worker.free());
     }
 
     /// Finds the room of a service.
@@ -62,13 +80,34 @@
 
     /// Tells whether a worker may have room for a claim; if not, no worker has.
     pub(super) fn may_hold(&self, claim: &Amount) -> bool {
-        claim.millicores <= self.millicores && claim.memory_mib <= self.memory_mib
+        self.most.holds(claim)
+    }
+
+    /// Tells whether a question may be about one more task with this claim.
+    ///
+    /// Where only a share of the workers is good, not all questions find the room they are about.
+    pub(super) fn may_ask(&self, claim: &Amount, share: Share) -> bool {
+        let mut wanted = self.spent.clone();
+        wanted.add(claim);
+        let mut there = self.used.share(USED_PERCENT);
+        there.add(
+            &self
+                .free
+                .share((100.0 / share.value()).min(FREE_PERCENT) as u32),
+        );
+        there.holds(&wanted)
+    }
+
+    /// Takes into account that a question is about tasks, or that work that goes first waits for room.
+    pub(super) fn spend(&mut self, claim: &Amount, tasks: usize) {
+        let tasks = u32::try_from(tasks).unwrap_or(u32::MAX);
+        self.spent.add(&claim.times(tasks));
     }
 
     /// Takes into account that tasks were placed.
     pub(super) fn shrink(&mut self, workers: &[Worker]) {
         let positions = std::mem::take(&mut self.workers);
-        (self.millicores, self.memory_mib) = (0, 0);
+        self.most = Amount::default();
         for position in positions {
             self.add(position, &workers[position]);
         }
--- a/crates/marigoldpick-job/src/lead/schedule.rs
+++ b/crates/marigoldpick-job/src/lead/schedule.rs
@@ -6,9 +6,10 @@
 use super::advise::spread_left;
 use super::room::Room;
 use super::{Lead, Recording};
+use crate::askers::Free;
 use crate::job::{Place, Stage, Task};
 use crate::place::{Wish, cost};
-use crate::rank::{Rank, rank};
+use crate::rank::{Claim, Rank, rank};
 use crate::worker::Phase;
 
 /// The time between two passes when nothing has changed.
@@ -16,16 +17,28 @@
 /// The least time between two passes: news comes far more often while much work runs.
 const GAP: Millis = Millis(5);
 
-/// The share of the free room that questions may be about: not all workers asked are good.
-const FREE_PERCENT: u64 = 200;
-/// The share of the room in use that is expected to be free within a long question's time.
-const USED_PERCENT: u64 = 25;
+/// The time that a pass takes for a step that waits, on an entry with half a core, in nanoseconds.
+const STEP_NS: u64 = 1_500;
+/// The time that a pass takes for a look at a worker, on an entry with half a core, in nanoseconds.
+const LOOK_NS: u64 = 150;
+/// Passes take at most one part in so many of the time.
+const PASS_PARTS: u64 = 5;
+
+/// Returns the least time between two passes, the last of which had so many steps and looks.
+///
+/// Load pattern: a backlog makes each pass longer. The pause grows with it, so that the lead has the
+/// same time as ever for starts, ends and leases, and gets through the backlog.
+#[must_use]
+pub fn pause(steps: usize, looks: u64) -> Millis {
+    let taken = steps as u64 * STEP_NS + looks * LOOK_NS;
+    GAP.max(Millis(taken * PASS_PARTS / 1_000_000))
+}
 
 /// `Open` is a step with tasks that wait for a place.
 #[derive(Clone, Debug)]
-struct Open {
-    rank: Rank,
-    part: Part,
+pub(super) struct Open {
+    pub(super) rank: Rank,
+    pub(super) part: Part,
 }
 
 /// `Spot` is a worker that may take tasks of a step.
@@ -40,35 +53,29 @@
     /// Returns when the next pass is due.
     #[must_use]
     pub fn next_pass(&self) -> Millis {
-        self.passed + if self.unscheduled { GAP } else { PASS }
+        self.passed
+            + if self.unscheduled {
+                self.pause
+            } else {
+                PASS.max(self.pause)
+            }
     }
 
     pub(super) fn schedule(&mut self, now: Millis) {
         self.unscheduled = false;
         self.passed = now;
         self.count.passes += 1;
+        let looks = self.count.looks;
         let mut open = self.open_parts(now);
+        let steps = open.len();
         open.sort_by_key(|open| open.rank);
-        let mut budget = self.question_budget();
         let mut rooms = Room::of(&self.workers, now);
         self.count.looks += self.workers.len() as u64;
+        let mut askers = Free::default();
         for open in open {
-            self.serve(&open, &mut rooms, &mut budget, now);
+            self.serve(&open, &mut rooms, &mut askers, now);
         }
-    }
-
-    /// Returns how much work, in millicores, questions may be about.
-    ///
-    /// Load pattern: far more work waits than there is room for. Were all of it asked about, the
-    /// adviser would spend its time on steps that can't start before their tickets expire. So only
-    /// the front of the queue asks, for the room that is free and that will be free soon.
-    fn question_budget(&self) -> u64 {
-        let (mut free, mut used) = (0, 0);
-        for worker in self.workers.iter().filter(|worker| worker.present) {
-            used += worker.used().millicores;
-            free += worker.free().millicores;
-        }
-        free * FREE_PERCENT / 100 + used * USED_PERCENT / 100
+        self.pause = pause(steps, self.count.looks - looks);
     }
 
     fn open_parts(&self, now: Millis) -> Vec<Open> {
@@ -85,14 +92,14 @@
                 if now < occurrence.due || occurrence.is_done() {
                     continue;
                 }
-                let mut known = None;
                 for (step, stage) in occurrence.stages.iter().enumerate() {
+                    let spec = &job.spec.steps[step];
                     let wants = stage.has_unplaced()
-                        || (job.spec.steps[step].copies && self.wants_copy(stage));
+                        || ((spec.copies || spec.lasting) && self.has_stranded(stage));
                     if !wants || !occurrence.is_ready(&job.spec, step) {
                         continue;
                     }
-                    let rank = *known.get_or_insert_with(|| rank(job, occurrence, queue, now));
+                    let rank = rank(job, step, occurrence, queue, now);
                     let part = Part {
                         job: job.id.clone(),
                         occurrence: number,
@@ -106,7 +113,7 @@
     }
 
     /// Places the tasks of a step that have none, as far as there is room, and asks for advice.
-    fn serve(&mut self, open: &Open, rooms: &mut [Room], budget: &mut u64, now: Millis) {
+    fn serve(&mut self, open: &Open, rooms: &mut [Room], askers: &mut Free, now: Millis) {
         let part = &open.part;
         let Some(at) = self.at(&part.job) else { return };
         let job = &self.jobs[at];
@@ -117,9 +124,14 @@
         ) else {
             return;
         };
-        let claim = &job.claims[part.step as usize];
-        let room = Room::find(rooms, &queue.service).filter(|&at| rooms[at].may_hold(claim));
-        if room.is_none() && *budget == 0 {
+        let claim = job.claims[part.step as usize].clone();
+        let Some(room) = Room::find(rooms, &queue.service) else {
+            return;
+        };
+        let restarts = open.rank.claim == Claim::Restart;
+        let may_ask = restarts || rooms[room].may_ask(&claim, self.share(&queue.name));
+        let may_hold = rooms[room].may_hold(&claim);
+        if !may_hold && !may_ask {
             return;
         }
         let waiting: Vec<u32> = (0..)
@@ -131,11 +143,21 @@
             // Members that are still being stopped have to be gone first.
             return;
         }
-        let work = step.needs.millicores;
-        let Some(room) = room else {
-            *budget = budget.saturating_sub(work * waiting.len() as u64);
-            return;
+        // Lasting tasks that are about to be lost are asked about ahead, so that they start elsewhere
+        // as soon as their lease has lapsed.
+        let stranded = if step.lasting {
+            stage
+                .tasks
+                .iter()
+                .filter(|task| self.is_stranded(task))
+                .count()
+        } else {
+            0
         };
+        if !may_hold {
+            rooms[room].spend(&claim, waiting.len());
+            return;
+        }
         let step = step.clone();
         let mut spots = self.spots(part, &step, &rooms[room], now);
         self.count.looks += (spots.len() * waiting.len()) as u64;
@@ -147,15 +169,15 @@
         if placed > 0 {
             rooms[room].shrink(&self.workers);
         }
-        let missing = waiting.len() - placed;
-        if missing > 0 && *budget > 0 {
-            self.ask(part, missing, &rooms[room], now);
-            *budget = budget.saturating_sub(work * missing as u64);
+        let missing = waiting.len() - placed + stranded;
+        if missing > 0 && may_ask {
+            self.ask(open, missing, &rooms[room], askers, now);
+            rooms[room].spend(&claim, missing);
         }
     }
 
-    /// Tells whether a copy of a task of the step would help.
-    fn wants_copy(&self, stage: &Stage) -> bool {
+    /// Tells whether a task of the step runs on a worker that does not answer.
+    fn has_stranded(&self, stage: &Stage) -> bool {
         stage.left > 0 && stage.tasks.iter().any(|task| self.is_stranded(task))
     }
 
--- a/crates/marigoldpick-job/src/lead/start.rs
+++ b/crates/marigoldpick-job/src/lead/start.rs
@@ -81,9 +81,10 @@
     pub(super) fn give_stops(&mut self) {
         for at in 0..self.workers.len() {
             let worker = &mut self.workers[at];
-            if worker.node.address.is_empty() {
+            if !worker.has_stops || worker.node.address.is_empty() {
                 continue;
             }
+            worker.has_stops = false;
             let mut stops: Vec<(Task, u64)> = Vec::new();
             for run in &mut worker.runs {
                 if run.phase == Phase::Stop {
@@ -249,7 +250,10 @@
             Err(Fault::Reborn) => {
                 self.release(at, task, run);
             }
-            Err(_) => entry.phase = Phase::Stop,
+            Err(_) => {
+                entry.phase = Phase::Stop;
+                self.workers[at].has_stops = true;
+            }
         }
     }
 }
--- a/crates/marigoldpick-job/src/lib.rs
+++ b/crates/marigoldpick-job/src/lib.rs
@@ -7,9 +7,11 @@
 
 pub mod action;
 pub mod advice;
+pub mod askers;
 pub mod job;
 pub mod lead;
 pub mod place;
+pub mod question;
 pub mod queue;
 pub mod rank;
 pub mod record;
--- a/crates/marigoldpick-job/src/queue.rs
+++ b/crates/marigoldpick-job/src/queue.rs
@@ -18,9 +18,16 @@
     /// Returns how long the adviser works on a question that names `workers` workers.
     #[must_use]
     pub fn span(&self, workers: usize) -> Millis {
+        Millis(self.time_ms(workers).ceil() as u64)
+    }
+
+    /// Returns the same in milliseconds and their fractions.
+    #[must_use]
+    pub fn time_ms(&self, workers: usize) -> f64 {
         let count = u32::try_from(workers).unwrap_or(u32::MAX);
-        let total = self.each_ms.mul_add(f64::from(count), self.base_ms);
-        Millis(total.max(0.0).ceil() as u64)
+        self.each_ms
+            .mul_add(f64::from(count), self.base_ms)
+            .max(0.0)
     }
 }
 
--- a/crates/marigoldpick-job/src/rank.rs
+++ b/crates/marigoldpick-job/src/rank.rs
@@ -26,9 +26,20 @@
     None,
 }
 
+/// `Claim` is whether waiting work goes before the order of the queues.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+pub enum Claim {
+    /// A lasting task of a job that has begun has to run again.
+    Restart,
+    /// It takes its turn.
+    Turn,
+}
+
 /// `Rank` orders waiting work; the least goes first.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
 pub struct Rank {
+    /// Whether it goes before the order of the queues.
+    pub claim: Claim,
     /// The queue's priority.
     pub priority: u32,
     /// What the result still is to the caller.
@@ -61,22 +72,36 @@
     Millis((work.0 as f64 * queue.stretch) as u64) + queue.target
 }
 
-/// Ranks one occurrence of a job.
+/// Returns the longest chain of estimated work of the steps that are not done.
+#[must_use]
+pub fn left(spec: &work::Job, occurrence: &Occurrence, queue: &Queue) -> Millis {
+    chain(spec, queue, |step| occurrence.stages[step].left > 0)
+}
+
+/// Ranks a step of one occurrence of a job.
+///
+/// Load pattern: lasting tasks fail or lose their worker while other queues press. Their users are
+/// without service until they run again, so they go first, and a lasting job is of use at any age.
 #[must_use]
-pub fn rank(job: &Job, occurrence: &Occurrence, queue: &Queue, now: Millis) -> Rank {
-    let objective = objective(&job.spec, queue);
-    let left = chain(&job.spec, queue, |step| occurrence.stages[step].left > 0);
-    let on_time = occurrence.due + objective;
-    let of_use = occurrence.due + objective.times(LATE);
-    let end = now + left;
-    let (usefulness, deadline) = if end <= on_time {
+pub fn rank(job: &Job, step: usize, occurrence: &Occurrence, queue: &Queue, now: Millis) -> Rank {
+    let lasting = job.spec.steps[step].lasting;
+    let on_time = occurrence.due + job.objective;
+    let of_use = occurrence.due + job.objective.times(LATE);
+    let end = now + occurrence.left;
+    let (usefulness, deadline) = if lasting || end <= on_time {
         (Use::Full, on_time)
     } else if end <= of_use {
         (Use::Late, of_use)
     } else {
         (Use::None, of_use)
     };
+    let claim = if lasting && job.phase != work::Phase::Queued {
+        Claim::Restart
+    } else {
+        Claim::Turn
+    };
     Rank {
+        claim,
         priority: queue.priority,
         usefulness,
         deadline,
--- a/crates/marigoldpick-job/src/worker.rs
+++ b/crates/marigoldpick-job/src/worker.rs
@@ -109,6 +109,8 @@
     free: Amount,
     /// Its runs, sorted by task and run.
     pub runs: Vec<Run>,
+    /// Whether one of them may have to be stopped.
+    pub has_stops: bool,
     /// The number of the last end that was read.
     pub seen: u64,
     /// Ends that the store does not have yet: number, job and the job's change.
@@ -149,6 +151,7 @@
             used: Amount::default(),
             free,
             runs: Vec::new(),
+            has_stops: false,
             seen: 0,
             unsettled: VecDeque::new(),
             suspect: false,
@@ -282,6 +285,7 @@
     pub fn add(&mut self, run: Run) {
         if let Err(at) = self.find(&run.task, run.run) {
             self.used.add(&run.claim);
+            self.has_stops |= run.phase == Phase::Stop;
             self.runs.insert(at, run);
             self.count_free();
         }
--- a/crates/marigoldpick-job/tests/askers.rs
+++ b/crates/marigoldpick-job/tests/askers.rs
@@ -2,7 +2,8 @@
 
 use googletest::prelude::*;
 use marigoldpick_core::prelude::*;
-use marigoldpick_job::advice::Askers;
+use marigoldpick_job::askers::Askers;
+use marigoldpick_job::rank::Claim;
 
 fn askers(count: usize) -> Askers {
     let names = (0..count).map(|number| id::Entry::new(&format!("e{number}")).expect("a name"));
@@ -28,7 +29,7 @@
             askers.release(&entry, true, now);
         }
         let mut ask = |askers: &mut Askers, span| {
-            let entry = askers.book(span, now)?;
+            let entry = askers.book(span, Claim::Turn, now)?;
             let at = busy.iter().position(|(have, _)| *have == entry);
             let at = at.unwrap_or_else(|| {
                 busy.push((entry.clone(), Millis::ZERO));
@@ -54,12 +55,18 @@
 #[googletest::test]
 fn book_leaves_out_an_entry_that_does_not_answer() {
     let mut askers = askers(2);
-    let entry = askers.book(Millis(30), Millis(0)).expect("an entry");
+    let entry = askers
+        .book(Millis(30), Claim::Turn, Millis(0))
+        .expect("an entry");
     askers.release(&entry, false, Millis(30));
     for _ in 0..3 {
-        let other = askers.book(Millis(30), Millis(40)).expect("an entry");
+        let other = askers
+            .book(Millis(30), Claim::Turn, Millis(40))
+            .expect("an entry");
         expect_that!(other, not(eq(&entry)));
         askers.release(&other, true, Millis(70));
     }
-    expect_true!((0..2).any(|_| askers.book(Millis(30), Millis(2_000)) == Some(entry.clone())));
+    expect_true!(
+        (0..2).any(|_| askers.book(Millis(30), Claim::Turn, Millis(2_000)) == Some(entry.clone()))
+    );
 }
--- a/crates/marigoldpick-job/tests/lead/faults.rs
+++ b/crates/marigoldpick-job/tests/lead/faults.rs
@@ -5,7 +5,7 @@
 use marigoldpick_core::work::{Phase, Step};
 use marigoldpick_job::worker;
 
-use crate::world::{World, job, step};
+use crate::world::{World, advised, job, name, queue, step};
 
 /// Hands in a job of several steps each 50 ms.
 fn busy(world: &mut World, jobs: u32) {
@@ -207,6 +207,45 @@
     expect_that!(world.pool.broken, is_empty());
 }
 
+/// Load pattern: questions of half a second, one at a time for each of three entries, for 300 steps of
+/// an urgent queue, while a lasting task that is late by any measure loses its worker.
+#[googletest::test]
+fn lasting_task_runs_again_within_six_seconds_while_others_press() {
+    for pause in (0..10).map(|number| 300 + number * 70) {
+        let mut world = World::new(35);
+        world.adviser.good_percent = 30;
+        world.queues = vec![
+            advised(queue("fast", 0), 560.0, 8.0),
+            advised(queue("slow", 1), 560.0, 8.0),
+        ];
+        world.take_over();
+        let lasting = Step {
+            lasting: true,
+            ..step(6, 16_000, 300)
+        };
+        let mut watch = job(vec![lasting]);
+        watch.queue = name("slow");
+        let id = world.submit(1, watch);
+        world.run(8_000);
+        let at_work = |world: &World| {
+            let running = world.pool.running();
+            running.iter().filter(|task| task.part.job == id).count()
+        };
+        assert_that!(at_work(&world), eq(6));
+        for number in 0..300 {
+            world.submit(2_000 + number, job(vec![step(1, 4_000, 2_000)]));
+        }
+        world.run(pause);
+        let lost = (0..35)
+            .find(|at| world.pool.workers[*at].runs_job(&id))
+            .expect("a worker of the lasting job");
+        world.pool.workers[lost].up = false;
+        world.run(6_000);
+        expect_that!(at_work(&world), eq(6), "lost {pause} ms after the burst");
+        expect_that!(world.pool.broken, is_empty());
+    }
+}
+
 /// A failure domain of eight workers is cut off while jobs come every 50 ms.
 #[googletest::test]
 fn starts_soon_leave_out_a_domain_that_is_cut_off() {
--- a/crates/marigoldpick-job/tests/lead/work.rs
+++ b/crates/marigoldpick-job/tests/lead/work.rs
@@ -260,6 +260,35 @@
     expect_that!(world.pool.broken, is_empty());
 }
 
+/// Load pattern: a service of few accelerators has a backlog of urgent work that asks for far more
+/// processors than all services have.
+#[googletest::test]
+fn backlog_of_a_service_leaves_questions_to_the_others() {
+    let mut world = World::new(12);
+    for at in 0..4 {
+        let node = &mut world.pool.workers[at].node;
+        node.service = name("studio");
+        node.capacity = Amount::new(32_000, 64_000).with(name("gpu"), 8);
+    }
+    let mut studio = advised(queue("fast", 0), 24.0, 0.34);
+    studio.service = name("studio");
+    world.queues = vec![studio, advised(queue("slow", 2), 24.0, 0.34)];
+    world.take_over();
+    let wide = Step {
+        needs: Amount::new(15_000, 4_000).with(name("gpu"), 8),
+        ..step(8, 15_000, 20_000)
+    };
+    for number in 0..40 {
+        world.submit(number, job(vec![wide.clone()]));
+    }
+    world.run(1_000);
+    let mut other = job(vec![step(4, 4_000, 300)]);
+    other.queue = name("slow");
+    let id = world.submit(100, other);
+    world.run(1_000);
+    expect_that!(world.phase(&id), some(eq(Phase::Completed)));
+}
+
 /// Load pattern: a full pool of 40 workers and 300 jobs that wait.
 #[googletest::test]
 fn passes_look_at_few_workers_under_a_backlog() {
--- a/crates/marigoldpick-job/tests/lead/world.rs
+++ b/crates/marigoldpick-job/tests/lead/world.rs
@@ -280,7 +280,11 @@
                     good: self.adviser.tickets(&part, &workers),
                     valid: Millis(2_500),
                 };
-                self.send(Millis(30), Message::Advised(asker, part, workers, advice));
+                let span = self.price(&part, workers.len());
+                let end = self.adviser.ask(asker.as_str(), span, self.now);
+                let end = end.expect("fewer questions than the adviser lets wait");
+                let way = end.since(self.now) + WAY + WAY;
+                self.send(way, Message::Advised(asker, part, workers, advice));
             }
             Action::Commit(batch) => {
                 if !self.store_up {
@@ -299,6 +303,15 @@
         }
     }
 
+    /// Returns how long the adviser works on a question.
+    fn price(&self, part: &Part, workers: usize) -> Millis {
+        let queue = self.jobs.get(&part.job).map(|job| &job.queue);
+        let mut queues = self.queues.iter();
+        let queue = queues.find(|have| Some(&have.name) == queue);
+        let policy = queue.and_then(|queue| queue.policy);
+        policy.map_or(Millis::ZERO, |policy| policy.span(workers))
+    }
+
     /// Tells whether messages reach a worker.
     fn reaches(&self, at: usize) -> bool {
         self.pool.workers[at].up && !self.cut[at]
--- a/crates/marigoldpick-standin/src/jobs/worker.rs
+++ b/crates/marigoldpick-standin/src/jobs/worker.rs
@@ -165,6 +165,12 @@
         noted
     }
 
+    /// Tells whether a task of a job runs there.
+    #[must_use]
+    pub fn runs_job(&self, job: &id::Job) -> bool {
+        self.live.iter().any(|live| live.task.part.job == *job)
+    }
+
     /// Tells whether an end after `seen` is to be told.
     #[must_use]
     pub fn has_news(&self, seen: u64) -> bool {
