--- a/crates/marigoldpick-core/src/work.rs
+++ b/crates/marigoldpick-core/src/work.rs
@@ -15,6 +15,7 @@
 
 pub mod peer;
 pub mod port;
+pub mod relay;
 
 /// The longest payload, in bytes.
 pub const MAX_PAYLOAD: usize = 4_000;
--- a/crates/marigoldpick-core/src/work/peer.rs
+++ b/crates/marigoldpick-core/src/work/peer.rs
@@ -6,7 +6,7 @@
 use serde::{Deserialize, Serialize};
 
 use super::port::Advice;
-use super::{Job, Part, Phase};
+use super::{Job, Part, Phase, relay};
 use crate::clock::Millis;
 use crate::id;
 use crate::name::Name;
@@ -41,6 +41,8 @@
     /// Asks the entry to take the lead over from the asking one, which does not reach the store;
     /// answered by [`Answer::Pong`].
     Succeed,
+    /// Carries out orders for the lead; answered by [`Answer::Relayed`].
+    Relay(relay::Batch),
 }
 
 /// `Answer` answers a [`Call`].
@@ -63,6 +65,8 @@
         /// Whether the store answered it lately.
         store: bool,
     },
+    /// To [`Call::Relay`]: what became of this and earlier batches' orders since the last answer.
+    Relayed(Vec<relay::Outcome>),
 }
 
 /// `Receipt` is what became of a job that was handed in, or of a cancel.
--- a/crates/marigoldpick-core/src/work/port.rs
+++ b/crates/marigoldpick-core/src/work/port.rs
@@ -37,7 +37,7 @@
 }
 
 /// `Order` is a call to a worker.
-#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub enum Order {
     /// Starts a run of a task.
     Start(Box<Start>),
@@ -69,7 +69,7 @@
 }
 
 /// `Start` is what a worker is told of a run.
-#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Start {
     /// The task.
     pub task: Task,
@@ -86,7 +86,7 @@
 }
 
 /// `Reply` is a worker's answer.
-#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Reply {
     /// The worker's clock.
     pub clock: Millis,
@@ -97,7 +97,7 @@
 }
 
 /// `Report` is what runs on a worker and what ended there.
-#[derive(Clone, Debug, Default, PartialEq, Eq)]
+#[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Report {
     /// What runs.
     pub running: Vec<Running>,
@@ -106,7 +106,7 @@
 }
 
 /// `Running` is a run that goes on.
-#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Running {
     /// The task.
     pub task: Task,
@@ -121,7 +121,7 @@
 }
 
 /// `Ended` is a run that ended.
-#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Ended {
     /// The end's number in this life of the worker, from one.
     pub number: u64,
@@ -154,7 +154,8 @@
 }
 
 /// `Fault` is why an order was not answered as asked.
-#[derive(Clone, Copy, Debug, Display, PartialEq, Eq)]
+#[derive(Clone, Copy, Debug, Display, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(rename_all = "kebab-case")]
 pub enum Fault {
     /// the worker was not reached; nothing was done
     Away,
@@ -195,7 +196,7 @@
 }
 
 /// `Target` is the worker that an order is for.
-#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Target {
     /// The worker.
     pub id: id::Worker,
--- a/crates/marigoldpick-job/src/lead.rs
+++ b/crates/marigoldpick-job/src/lead.rs
@@ -92,6 +92,8 @@
     dirty: Vec<id::Job>,
     /// Runs that are ordered once their job's change is stored: worker, task, run, change.
     recording: Vec<Recording>,
+    /// Jobs of which a step may wait for a place, sorted.
+    waiting: Vec<id::Job>,
     /// Whether a pass over the waiting work may place something.
     unscheduled: bool,
     /// When the last pass was.
@@ -136,6 +138,7 @@
             commit: commit::State::default(),
             dirty: Vec::new(),
             recording: Vec::new(),
+            waiting: Vec::new(),
             unscheduled: true,
             passed: Millis::ZERO,
             pause: Millis::ZERO,
@@ -173,6 +176,12 @@
         &self.workers
     }
 
+    /// Returns the failure domain of a worker.
+    #[must_use]
+    pub fn domain_of(&self, id: &id::Worker) -> Option<&id::Domain> {
+        self.worker_at(id).map(|at| &self.workers[at].node.domain)
+    }
+
     /// Returns a job.
     #[must_use]
     pub fn job(&self, id: &id::Job) -> Option<&Job> {
@@ -258,6 +267,7 @@
         };
         self.jobs.insert(at, job);
         self.measure(at);
+        self.reconsider(at);
         for (task, place) in placed {
             self.expect_run(&task, &place, now);
         }
@@ -329,6 +339,7 @@
             .retain(|place| place.run != run || place.worker != *worker);
         if state.places.len() != before && !self.jobs[at].phase.is_over() {
             self.touch(at);
+            self.reconsider(at);
         }
     }
 
@@ -373,6 +384,15 @@
         }
     }
 
+    /// Notes that a step of a job may wait for a place.
+    fn reconsider(&mut self, at: usize) {
+        let id = &self.jobs[at].id;
+        if let Err(place) = self.waiting.binary_search(id) {
+            self.waiting.insert(place, id.clone());
+        }
+        self.unscheduled = true;
+    }
+
     /// Works out anew what a job's rank depends on.
     fn measure(&mut self, at: usize) {
         let name = &self.jobs[at].spec.queue;
--- a/crates/marigoldpick-job/src/lead/report.rs
+++ b/crates/marigoldpick-job/src/lead/report.rs
@@ -202,6 +202,7 @@
                 }
                 if stage.left == 0 {
                     self.measure(at);
+                    self.reconsider(at);
                 }
                 self.touch(at);
                 self.stop_copies(at, &end.task, gang);
--- a/crates/marigoldpick-job/src/lead/schedule.rs
+++ b/crates/marigoldpick-job/src/lead/schedule.rs
@@ -7,20 +7,21 @@
 use super::room::Room;
 use super::{Lead, Recording};
 use crate::askers::Free;
-use crate::job::{Place, Stage, Task};
+use crate::job::{Job, Place, Stage, Task};
 use crate::place::{Wish, cost};
+use crate::queue::Queue;
 use crate::rank::{Claim, Rank, rank};
 use crate::worker::Phase;
 
 /// The time between two passes when nothing has changed.
 const PASS: Millis = Millis(40);
 /// The least time between two passes: news comes far more often while much work runs.
-const GAP: Millis = Millis(5);
+const GAP: Millis = Millis(8);
 
 /// The time that a pass takes for a step that waits, on an entry with half a core, in nanoseconds.
-const STEP_NS: u64 = 1_500;
+const STEP_NS: u64 = 2_000;
 /// The time that a pass takes for a look at a worker, on an entry with half a core, in nanoseconds.
-const LOOK_NS: u64 = 150;
+const LOOK_NS: u64 = 500;
 /// Passes take at most one part in so many of the time.
 const PASS_PARTS: u64 = 5;
 
@@ -78,38 +79,57 @@
         self.pause = pause(steps, self.count.looks - looks);
     }
 
-    fn open_parts(&self, now: Millis) -> Vec<Open> {
+    /// Returns the steps that wait; jobs of which none can wait before something changes are left out
+    /// from then on.
+    fn open_parts(&mut self, now: Millis) -> Vec<Open> {
         let doubts = self.doubts_records(now);
         let mut open = Vec::new();
-        for job in &self.jobs {
-            if job.phase.is_over() || (doubts && job.loaded) {
-                continue;
+        let mut waiting = std::mem::take(&mut self.waiting);
+        waiting.retain(|id| {
+            let Some(at) = self.at(id) else { return false };
+            let job = &self.jobs[at];
+            if job.phase.is_over() {
+                return false;
             }
             let Some(queue) = self.queue(&job.spec.queue) else {
-                continue;
+                return true;
             };
-            for (number, occurrence) in (0..).zip(&job.occurrences) {
-                if now < occurrence.due || occurrence.is_done() {
+            let before = open.len();
+            if !(doubts && job.loaded) {
+                self.add_open(job, queue, now, &mut open);
+            }
+            let mut steps = job.spec.steps.iter();
+            // A worker that falls silent changes nothing in the job.
+            let is_watched = steps.any(|step| step.copies || step.lasting);
+            let is_due_later = job.occurrences.iter().any(|o| now < o.due);
+            open.len() > before || is_watched || is_due_later || (doubts && job.loaded)
+        });
+        self.waiting = waiting;
+        open
+    }
+
+    /// Adds the steps of a job that wait.
+    fn add_open(&self, job: &Job, queue: &Queue, now: Millis, open: &mut Vec<Open>) {
+        for (number, occurrence) in (0..).zip(&job.occurrences) {
+            if now < occurrence.due || occurrence.is_done() {
+                continue;
+            }
+            for (step, stage) in occurrence.stages.iter().enumerate() {
+                let spec = &job.spec.steps[step];
+                let wants = stage.has_unplaced()
+                    || ((spec.copies || spec.lasting) && self.has_stranded(stage));
+                if !wants || !occurrence.is_ready(&job.spec, step) {
                     continue;
                 }
-                for (step, stage) in occurrence.stages.iter().enumerate() {
-                    let spec = &job.spec.steps[step];
-                    let wants = stage.has_unplaced()
-                        || ((spec.copies || spec.lasting) && self.has_stranded(stage));
-                    if !wants || !occurrence.is_ready(&job.spec, step) {
-                        continue;
-                    }
-                    let rank = rank(job, step, occurrence, queue, now);
-                    let part = Part {
-                        job: job.id.clone(),
-                        occurrence: number,
-                        step: step as u32,
-                    };
-                    open.push(Open { rank, part });
-                }
+                let rank = rank(job, step, occurrence, queue, now);
+                let part = Part {
+                    job: job.id.clone(),
+                    occurrence: number,
+                    step: step as u32,
+                };
+                open.push(Open { rank, part });
             }
         }
-        open
     }
 
     /// Places the tasks of a step that have none, as far as there is room, and asks for advice.
--- a/crates/marigoldpick-job/src/place.rs
+++ b/crates/marigoldpick-job/src/place.rs
@@ -3,7 +3,7 @@
 use marigoldpick_core::prelude::*;
 use marigoldpick_core::work::Step;
 
-use crate::worker::Worker;
+use crate::worker::{Run, Worker};
 
 /// The weight of a full worker against an empty one, in milliseconds of a task's time.
 const PACKING: u64 = 120;
@@ -33,8 +33,8 @@
     let capacity = worker.node.capacity.millicores.max(1);
     let left = free.millicores.saturating_sub(wish.claim.millicores);
     let packing = PACKING * left / capacity;
-    let disturbed = worker.runs.iter().any(|run| {
-        (wish.step.fills && run.target.is_some()) || (wish.step.target.is_some() && run.fills)
-    });
+    let (fills, serves) = (wish.step.fills, wish.step.target.is_some());
+    let meets = |run: &Run| (fills && run.target.is_some()) || (serves && run.fills);
+    let disturbed = (fills || serves) && worker.runs.iter().any(meets);
     work + packing + if disturbed { DISTURBANCE } else { 0 }
 }
--- a/crates/marigoldpick-node/src/control.rs
+++ b/crates/marigoldpick-node/src/control.rs
@@ -23,6 +23,7 @@
 use crate::members::Member;
 use crate::platform::{Platform, Source};
 use crate::reach::Reach;
+use crate::relay::Session;
 use crate::settings::Settings;
 
 /// The longest wait for a change of the configuration. A connection that went silent is noticed only
@@ -48,6 +49,8 @@
     pub(crate) leading: RefCell<Option<Rc<Leading>>>,
     /// The other entries that were seen last.
     pub(crate) peers: RefCell<Vec<Member>>,
+    /// The sessions in which this entry carries out orders for a lead.
+    pub(crate) sessions: RefCell<Vec<Rc<Session>>>,
     /// What the other entries said while this one did not reach the store.
     pub(crate) others: RefCell<Others>,
     /// Whether the store answers.
@@ -76,6 +79,7 @@
             lead: RefCell::default(),
             leading: RefCell::default(),
             peers: RefCell::default(),
+            sessions: RefCell::default(),
             others: RefCell::default(),
             reach: Cell::default(),
             checking: Mutex::new(()),
--- a/crates/marigoldpick-node/src/desk.rs
+++ b/crates/marigoldpick-node/src/desk.rs
@@ -83,6 +83,7 @@
                 let _is_asked = self.succeed.try_send(());
                 self.pong(true)
             }
+            peer::Call::Relay(batch) => peer::Answer::Relayed(self.relay_orders(batch).await),
             peer::Call::Ping => self.pong(self.check_store().await),
         })
     }
--- a/crates/marigoldpick-node/src/driver.rs
+++ b/crates/marigoldpick-node/src/driver.rs
@@ -9,7 +9,7 @@
 use marigoldpick_core::control::Known;
 use marigoldpick_core::prelude::*;
 use marigoldpick_core::store::{Answer, Call, Condition, Expect, Fault, Item, Write};
-use marigoldpick_core::work::port::{Advice, Adviser, Order, Refusal, Target, Workers};
+use marigoldpick_core::work::port::{Advice, Adviser, Order, Refusal, Target};
 use marigoldpick_core::work::{Part, peer};
 use marigoldpick_job::Lead;
 use marigoldpick_job::action::{Action, Batch};
@@ -25,6 +25,9 @@
 
 /// The longest time between two steps of the lead.
 const TICK: Millis = Millis(20);
+/// The least time between two steps of the lead, in which news are gathered: each step looks at all
+/// workers.
+const GATHER: Millis = Millis(3);
 /// The wait after a call to the store that failed.
 const RETRY: Millis = Millis(150);
 /// How long the store has to be lost before a lead draws a conclusion: a connection that is reset is
@@ -35,6 +38,8 @@
 const SUSPICION: Millis = Millis(200);
 /// The longest time for the question to succeed, whose receiver checks the store first.
 const SUCCEED: Millis = Millis(800);
+/// Why a term ends whose lead does not reach the store.
+const STORE_LOST: &str = "store-lost-here";
 /// How long a worker that the registry lost in an outage of the store is kept: entries of living
 /// workers are back within two seconds of its return.
 const REGISTRY_GRACE: Millis = Millis(2_500);
@@ -50,6 +55,7 @@
         }
         leading.set_askers(&self.askers());
         *self.leading.borrow_mut() = Some(Rc::clone(leading));
+        self.choose_relays(leading);
         task::spawn_local(Rc::clone(self).follow_inbox(Rc::clone(leading), revision));
         task::spawn_local(Rc::clone(self).follow_registry(Rc::clone(leading)));
         let mut counted = Count::default();
@@ -60,6 +66,7 @@
             if let Some(why) = leading.over() {
                 return why;
             }
+            let began = self.now();
             let actions = leading.decide(|lead| lead.step(self.now()));
             for action in actions {
                 self.act(leading, action);
@@ -71,6 +78,10 @@
                 .look(|lead| lead.next_pass().since(self.now()))
                 .min(TICK);
             let _is_tick = timeout(wait.duration(), leading.woken()).await;
+            let early = (began + GATHER).since(self.now());
+            if early > Millis::ZERO {
+                task::sleep(early.duration()).await;
+            }
         }
     }
 
@@ -106,8 +117,8 @@
 
     async fn give(self: Rc<Self>, leading: Rc<Leading>, target: Target, order: Order) {
         let sent = self.now();
-        let workers = self.platform.workers();
-        let answer = workers.order(&target, leading.term(), order.clone()).await;
+        let domain = leading.look(|lead| lead.domain_of(&target.id).cloned());
+        let answer = self.order(&leading, domain.as_ref(), &target, &order).await;
         let now = self.now();
         leading.change(|lead| lead.answered(&target.id, &order, answer, sent, now));
     }
@@ -159,7 +170,11 @@
             return;
         }
         if let Some(successor) = others.reaching.first() {
-            task::spawn_local(Rc::clone(self).offer_lead(Rc::clone(leading), successor.clone()));
+            task::spawn_local(Rc::clone(self).offer_lead(
+                Rc::clone(leading),
+                successor.clone(),
+                STORE_LOST,
+            ));
             return;
         }
         let outage = others.most_are_cut_off();
@@ -169,7 +184,13 @@
         leading.change(|lead| lead.allow_unrecorded(outage));
     }
 
-    async fn offer_lead(self: Rc<Self>, leading: Rc<Leading>, successor: Known) {
+    /// Asks another entry to lead, and ends the term for the cause `why` if it does.
+    pub(crate) async fn offer_lead(
+        self: Rc<Self>,
+        leading: Rc<Leading>,
+        successor: Known,
+        why: &'static str,
+    ) {
         if leading.is_over() {
             return;
         }
@@ -180,7 +201,7 @@
             leading.term(), successor.entry, asked.is_ok()
         );
         if asked.is_ok() {
-            leading.depose("store-lost-here");
+            leading.depose(why);
         }
     }
 
@@ -213,7 +234,8 @@
             && !self.has_answered_since(since)
         {
             let (this, leading) = (Rc::clone(self), Rc::clone(leading));
-            this.offer_lead(leading, successor.clone()).await;
+            this.offer_lead(leading, successor.clone(), STORE_LOST)
+                .await;
         }
     }
 
--- a/crates/marigoldpick-node/src/election.rs
+++ b/crates/marigoldpick-node/src/election.rs
@@ -30,26 +30,37 @@
 const PING: Millis = Millis(300);
 /// How long a living lead has to claim its key again.
 const YIELD: Millis = Millis(600);
-/// The strength that can lead any site of today.
+/// The strength that is expected of the strongest entry while no other is known.
 const LARGE: u32 = 250;
-/// How long the smallest entries leave the lead to larger ones.
+/// How long an entry without strength leaves the lead to stronger ones.
 const SMALL_WAIT: Millis = Millis(700);
+/// How much stronger another entry is for the lead to be handed over, in percent: less would not be
+/// worth the pause in which nothing starts.
+const STRONGER_PERCENT: u32 = 150;
+/// How long an entry leads before it hands over to a stronger one.
+const SETTLED: Millis = Millis(3_000);
 /// Renewals of the lead's lease in its time.
 const RENEWALS: u64 = 4;
 
-/// Returns how long an entry waits before it stands for the lead, so that larger ones go first.
+/// Returns how long an entry waits before it stands for the lead, so that stronger ones go first.
 ///
 /// `largest` is the greatest strength of another entry, where one is known.
 #[must_use]
 pub fn hesitation(strength: u32, largest: Option<u32>) -> Millis {
     let most = largest.unwrap_or(LARGE).max(1);
-    if strength >= most / 2 {
-        return Millis::ZERO;
-    }
-    let missing = most - strength;
+    let missing = most.saturating_sub(strength);
     Millis(SMALL_WAIT.0 * u64::from(missing) / u64::from(most))
 }
 
+/// Tells whether a lead should hand over to an entry that is stronger.
+///
+/// Load pattern: after a loss of power or a cut whichever entry came first leads, and a weak one can't
+/// keep up once traffic is back.
+#[must_use]
+pub fn is_worth_handing_over(own: u32, other: u32, led: Millis) -> bool {
+    led >= SETTLED && u64::from(other) * 100 >= u64::from(own) * u64::from(STRONGER_PERCENT)
+}
+
 /// `Head` is the value of the chain's key: who wrote last, and which of its writes it was.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub(crate) struct Head {
@@ -142,6 +153,33 @@
         }
     }
 
+    /// Offers the lead to the strongest other entry if that is worth it.
+    pub(crate) async fn offer_to_stronger(self: &Rc<Self>, leading: &Rc<Leading>) {
+        let strongest = {
+            let peers = self.peers.borrow();
+            peers.iter().max_by_key(|member| member.strength).cloned()
+        };
+        let led = self.now().since(leading.began());
+        let Some(strongest) = strongest else { return };
+        if !self.reaches_store()
+            || !is_worth_handing_over(self.settings.strength, strongest.strength, led)
+        {
+            return;
+        }
+        // It may be registered and yet not there, or without the store.
+        let pong = self.call(&strongest.known, peer::Call::Ping, PING).await;
+        if matches!(pong, Ok(peer::Answer::Pong { store: true, .. })) {
+            log::info!(
+                target: "node",
+                "event=stronger-entry entry={} strength={} own={}",
+                strongest.known.entry, strongest.strength, self.settings.strength
+            );
+            let (this, leading) = (Rc::clone(self), Rc::clone(leading));
+            this.offer_lead(leading, strongest.known, "handed-over")
+                .await;
+        }
+    }
+
     fn is_draining(&self) -> bool {
         let draining = &self.shared.draining;
         draining.load(std::sync::atomic::Ordering::SeqCst)
--- a/crates/marigoldpick-node/src/leading.rs
+++ b/crates/marigoldpick-node/src/leading.rs
@@ -1,18 +1,22 @@
 //! The state of a term: the lead, and what ties it to the store.
 
 use std::cell::{Cell, RefCell};
+use std::rc::Rc;
 
 use async_channel::{Receiver, Sender};
 use marigoldpick_core::prelude::*;
 use marigoldpick_job::Lead;
 
 use crate::config::Config;
+use crate::relay::Relay;
 use crate::settings::Settings;
 
 /// `Leading` is the state of a term.
 pub(crate) struct Leading {
     lead: RefCell<Lead>,
     term: u64,
+    /// When the term began.
+    began: Millis,
     pub(crate) holder: String,
     pub(crate) lease: Cell<u64>,
     /// When the term was last confirmed.
@@ -21,6 +25,8 @@
     chain: Cell<u64>,
     number: Cell<u64>,
     over: Cell<Option<&'static str>>,
+    /// The entries that carry out orders, sorted by failure domain.
+    pub(crate) relays: RefCell<Vec<Rc<Relay>>>,
     wake: Sender<()>,
     woken: Receiver<()>,
 }
@@ -38,12 +44,14 @@
         Self {
             lead: RefCell::new(Lead::new(settings.job, term, now)),
             term,
+            began: now,
             holder,
             lease: Cell::new(lease),
             confirmed: Cell::new(confirmed),
             chain: Cell::new(term),
             number: Cell::new(0),
             over: Cell::new(None),
+            relays: RefCell::default(),
             wake,
             woken,
         }
@@ -53,6 +61,10 @@
         self.term
     }
 
+    pub(crate) const fn began(&self) -> Millis {
+        self.began
+    }
+
     /// Returns the revision of the chain's key after this lead's last write.
     pub(crate) fn chain(&self) -> u64 {
         self.chain.get()
--- a/crates/marigoldpick-node/src/lib.rs
+++ b/crates/marigoldpick-node/src/lib.rs
@@ -13,9 +13,10 @@
 mod inbox;
 pub mod keys;
 mod leading;
-mod members;
+pub mod members;
 pub mod platform;
 pub mod reach;
+pub mod relay;
 pub mod retry;
 pub mod settings;
 
--- a/crates/marigoldpick-node/src/members.rs
+++ b/crates/marigoldpick-node/src/members.rs
@@ -21,11 +21,11 @@
 
 /// `Member` is an entry as its key in the store tells of it.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
-pub(crate) struct Member {
+pub struct Member {
     /// How it is reached.
-    pub(crate) known: Known,
+    pub known: Known,
     /// How much of a lead's work it can carry.
-    pub(crate) strength: u32,
+    pub strength: u32,
 }
 
 impl<P: Platform> Control<P> {
@@ -118,6 +118,8 @@
                 *self.peers.borrow_mut() = others.cloned().collect();
                 if let Some(leading) = self.leads() {
                     leading.set_askers(&self.askers());
+                    self.choose_relays(&leading);
+                    self.offer_to_stronger(&leading).await;
                 }
                 if seen.len() < 2 {
                     wait = RETRY;
--- a/crates/marigoldpick-node/tests/pure.rs
+++ b/crates/marigoldpick-node/tests/pure.rs
@@ -1,24 +1,76 @@
 //! Decisions of a node that need no surroundings.
 
 use googletest::prelude::*;
+use marigoldpick_core::control::Known;
 use marigoldpick_core::prelude::*;
 use marigoldpick_core::store::Fault;
-use marigoldpick_node::election::hesitation;
+use marigoldpick_node::election::{hesitation, is_worth_handing_over};
+use marigoldpick_node::members::Member;
 use marigoldpick_node::reach::Reach;
-use marigoldpick_node::retry;
+use marigoldpick_node::{relay, retry};
 
 /// Site with entries of very unequal size: leads belong on large ones, but any may lead in need.
 #[googletest::test]
 fn hesitation_lets_larger_entries_go_first() {
     expect_that!(hesitation(500, Some(500)), eq(Millis::ZERO));
-    expect_that!(hesitation(250, Some(500)), eq(Millis::ZERO));
+    expect_that!(hesitation(500, Some(250)), eq(Millis::ZERO));
     expect_that!(hesitation(250, None), eq(Millis::ZERO));
-    let small = hesitation(90, Some(500));
+    let (half, small) = (hesitation(250, Some(500)), hesitation(90, Some(500)));
+    // An entry of half the strength lets the strongest go first: a stand takes some 20 ms.
+    expect_that!(half, ge(Millis(200)));
+    expect_that!(hesitation(200, Some(500)), gt(half));
     expect_that!(small, gt(hesitation(200, Some(500))));
     expect_that!(small, lt(Millis(1_000)));
     expect_that!(hesitation(90, Some(90)), eq(Millis::ZERO));
 }
 
+/// A weak entry came first after a loss of power; stronger ones came later, and one goes and comes.
+#[googletest::test]
+fn is_worth_handing_over_only_to_a_much_stronger_entry_and_not_at_once() {
+    let long = Millis(10_000);
+    expect_true!(is_worth_handing_over(200, 500, long));
+    expect_true!(is_worth_handing_over(90, 200, long));
+    expect_false!(is_worth_handing_over(200, 500, Millis(1_000)));
+    for equal in [90, 250, 500] {
+        expect_false!(is_worth_handing_over(equal, equal, long));
+    }
+    expect_false!(is_worth_handing_over(400, 500, long));
+    // Whoever took over hands back to none of those that handed over.
+    for (own, other) in [(200, 500), (90, 200), (90, 500)] {
+        expect_false!(is_worth_handing_over(other, own, long));
+    }
+}
+
+fn member(entry: &str, domain: &str, strength: u32) -> Member {
+    Member {
+        known: Known {
+            entry: id::Entry::new(entry).expect("a name"),
+            domain: id::Domain::new(domain).expect("a name"),
+            address: "10.0.0.1:1".to_owned(),
+        },
+        strength,
+    }
+}
+
+/// 540 workers in three domains, one of which has weak entries alone.
+#[googletest::test]
+fn choose_takes_the_strongest_entry_of_each_domain() {
+    let others = [
+        member("a1", "a", 90),
+        member("a2", "a", 500),
+        member("a3", "a", 200),
+        member("b1", "b", 200),
+        member("c1", "c", 90),
+    ];
+    let entries = |workers: usize| -> Vec<String> {
+        let chosen = relay::choose(&others, workers);
+        chosen.iter().map(|known| known.entry.to_string()).collect()
+    };
+    expect_that!(entries(540), elements_are![eq("a2"), eq("b1")]);
+    // A lead of few workers gives its own orders.
+    expect_that!(entries(48), is_empty());
+}
+
 /// Callers come 0, 1, .. 4 seconds into an outage of 5.3 s and try five times in all: the waits
 /// that they are told must bring each of them past its end.
 #[googletest::test]
--- a/crates/marigoldpick-wire/schema/peer.capnp
+++ b/crates/marigoldpick-wire/schema/peer.capnp
@@ -240,6 +240,7 @@
     cancel @9 :Text;
     ping @10 :Void;
     succeed @11 :Void;
+    relay @12 :Json;
   }
 }
 
@@ -257,6 +258,7 @@
       store @6 :Bool;
     }
     busy @7 :Void;
+    relayed @8 :Json;
   }
 }
 
--- a/crates/marigoldpick-wire/src/convert/jobs.rs
+++ b/crates/marigoldpick-wire/src/convert/jobs.rs
@@ -38,6 +38,7 @@
         Call::Cancel(job) => to.set_cancel(job.as_str()),
         Call::Ping => to.set_ping(()),
         Call::Succeed => to.set_succeed(()),
+        Call::Relay(batch) => to.set_relay(&to_json(batch)?),
     }
     Ok(())
 }
@@ -67,6 +68,7 @@
         Which::Cancel(job) => Call::Cancel(name(job)?),
         Which::Ping(()) => Call::Ping,
         Which::Succeed(()) => Call::Succeed,
+        Which::Relay(batch) => Call::Relay(from_json(batch)?),
     })
 }
 
@@ -99,6 +101,7 @@
             Receipt::Refused => schema::JobReceipt::Refused,
             Receipt::Unknown => schema::JobReceipt::Unknown,
         }),
+        Answer::Relayed(outcomes) => to.set_relayed(&to_json(outcomes)?),
         Answer::Pong { term, store } => {
             let mut to = to.init_pong();
             to.set_term(*term);
@@ -140,6 +143,7 @@
             schema::JobReceipt::Refused => Receipt::Refused,
             schema::JobReceipt::Unknown => Receipt::Unknown,
         }),
+        Which::Relayed(outcomes) => Answer::Relayed(from_json(outcomes)?),
         Which::Pong(from) => Answer::Pong {
             term: from.get_term(),
             store: from.get_store(),
--- a/crates/marigoldpick-wire/src/peer_capnp.rs
+++ b/crates/marigoldpick-wire/src/peer_capnp.rs
@@ -14581,7 +14581,7 @@
 }
 
 pub mod jobs_call {
-    pub use self::Which::{Advise, Cancel, Phase, Ping, Submit, Succeed, Waiting};
+    pub use self::Which::{Advise, Cancel, Phase, Ping, Relay, Submit, Succeed, Waiting};
 
     #[derive(Copy, Clone)]
     pub struct Owned(());
@@ -14707,6 +14707,13 @@
             !self.reader.get_pointer_field(0).is_null()
         }
         #[inline]
+        pub fn has_relay(&self) -> bool {
+            if self.reader.get_data_field::<u16>(8) != 7 {
+                return false;
+            }
+            !self.reader.get_pointer_field(0).is_null()
+        }
+        #[inline]
         pub fn which(self) -> ::core::result::Result<WhichReader<'a>, ::capnp::NotInSchema> {
             match self.reader.get_data_field::<u16>(8) {
                 0 => ::core::result::Result::Ok(Advise(self.reader.into())),
@@ -14731,6 +14738,12 @@
                 )),
                 5 => ::core::result::Result::Ok(Ping(())),
                 6 => ::core::result::Result::Ok(Succeed(())),
+                7 => ::core::result::Result::Ok(Relay(
+                    ::capnp::traits::FromPointerReader::get_from_pointer(
+                        &self.reader.get_pointer_field(0),
+                        ::core::option::Option::None,
+                    ),
+                )),
                 x => ::core::result::Result::Err(::capnp::NotInSchema(x)),
             }
         }
@@ -14926,6 +14939,23 @@
             self.builder.set_data_field::<u16>(8, 6);
         }
         #[inline]
+        pub fn set_relay(&mut self, value: ::capnp::data::Reader<'_>) {
+            self.builder.set_data_field::<u16>(8, 7);
+            self.builder.reborrow().get_pointer_field(0).set_data(value);
+        }
+        #[inline]
+        pub fn init_relay(self, size: u32) -> ::capnp::data::Builder<'a> {
+            self.builder.set_data_field::<u16>(8, 7);
+            self.builder.get_pointer_field(0).init_data(size)
+        }
+        #[inline]
+        pub fn has_relay(&self) -> bool {
+            if self.builder.get_data_field::<u16>(8) != 7 {
+                return false;
+            }
+            !self.builder.is_pointer_field_null(0)
+        }
+        #[inline]
         pub fn which(self) -> ::core::result::Result<WhichBuilder<'a>, ::capnp::NotInSchema> {
             match self.builder.get_data_field::<u16>(8) {
                 0 => ::core::result::Result::Ok(Advise(self.builder.into())),
@@ -14950,6 +14980,12 @@
                 )),
                 5 => ::core::result::Result::Ok(Ping(())),
                 6 => ::core::result::Result::Ok(Succeed(())),
+                7 => ::core::result::Result::Ok(Relay(
+                    ::capnp::traits::FromPointerBuilder::get_from_pointer(
+                        self.builder.get_pointer_field(0),
+                        ::core::option::Option::None,
+                    ),
+                )),
                 x => ::core::result::Result::Err(::capnp::NotInSchema(x)),
             }
         }
@@ -14967,73 +15003,80 @@
     }
     impl Pipeline {}
     mod _private {
-        pub(crate) static ENCODED_NODE: [::capnp::Word; 108] = [
+        pub(crate) static ENCODED_NODE: [::capnp::Word; 123] = [
             ::capnp::word(0, 0, 0, 0, 5, 0, 6, 0),
             ::capnp::word(29, 5, 136, 184, 33, 162, 167, 202),
             ::capnp::word(11, 0, 0, 0, 1, 0, 3, 0),
             ::capnp::word(60, 53, 128, 185, 120, 25, 102, 144),
-            ::capnp::word(2, 0, 7, 0, 0, 0, 7, 0),
+            ::capnp::word(2, 0, 7, 0, 0, 0, 8, 0),
             ::capnp::word(8, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(21, 0, 0, 0, 162, 0, 0, 0),
             ::capnp::word(29, 0, 0, 0, 7, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(25, 0, 0, 0, 143, 1, 0, 0),
+            ::capnp::word(25, 0, 0, 0, 199, 1, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(112, 101, 101, 114, 46, 99, 97, 112),
             ::capnp::word(110, 112, 58, 74, 111, 98, 115, 67),
             ::capnp::word(97, 108, 108, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 1, 0, 1, 0),
-            ::capnp::word(28, 0, 0, 0, 3, 0, 4, 0),
+            ::capnp::word(32, 0, 0, 0, 3, 0, 4, 0),
             ::capnp::word(0, 0, 255, 255, 0, 0, 0, 0),
             ::capnp::word(1, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(188, 98, 161, 223, 79, 86, 211, 136),
-            ::capnp::word(181, 0, 0, 0, 58, 0, 0, 0),
+            ::capnp::word(209, 0, 0, 0, 58, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(1, 0, 254, 255, 0, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 5, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(157, 0, 0, 0, 50, 0, 0, 0),
+            ::capnp::word(185, 0, 0, 0, 50, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(152, 0, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(164, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(180, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(192, 0, 0, 0, 2, 0, 1, 0),
             ::capnp::word(2, 0, 253, 255, 0, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 6, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(161, 0, 0, 0, 66, 0, 0, 0),
+            ::capnp::word(189, 0, 0, 0, 66, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(156, 0, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(168, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(184, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(196, 0, 0, 0, 2, 0, 1, 0),
             ::capnp::word(3, 0, 252, 255, 0, 0, 0, 0),
             ::capnp::word(1, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(19, 2, 12, 178, 125, 159, 218, 171),
-            ::capnp::word(165, 0, 0, 0, 58, 0, 0, 0),
+            ::capnp::word(193, 0, 0, 0, 58, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(4, 0, 251, 255, 0, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 9, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(141, 0, 0, 0, 58, 0, 0, 0),
+            ::capnp::word(169, 0, 0, 0, 58, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(136, 0, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(148, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(164, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(176, 0, 0, 0, 2, 0, 1, 0),
             ::capnp::word(5, 0, 250, 255, 0, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 10, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(145, 0, 0, 0, 42, 0, 0, 0),
+            ::capnp::word(173, 0, 0, 0, 42, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(140, 0, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(152, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(168, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(180, 0, 0, 0, 2, 0, 1, 0),
             ::capnp::word(6, 0, 249, 255, 0, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 11, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(149, 0, 0, 0, 66, 0, 0, 0),
+            ::capnp::word(177, 0, 0, 0, 66, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(144, 0, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(156, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(172, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(184, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(7, 0, 248, 255, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 1, 0, 12, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(181, 0, 0, 0, 50, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(176, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(188, 0, 0, 0, 2, 0, 1, 0),
             ::capnp::word(97, 100, 118, 105, 115, 101, 0, 0),
             ::capnp::word(112, 104, 97, 115, 101, 0, 0, 0),
             ::capnp::word(12, 0, 0, 0, 0, 0, 0, 0),
@@ -15076,6 +15119,14 @@
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(114, 101, 108, 97, 121, 0, 0, 0),
+            ::capnp::word(13, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(13, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
         ];
         pub(crate) fn get_field_types(index: u16) -> ::capnp::introspect::Type {
             match index {
@@ -15086,6 +15137,7 @@
                 4 => <::capnp::text::Owned as ::capnp::introspect::Introspect>::introspect(),
                 5 => <() as ::capnp::introspect::Introspect>::introspect(),
                 6 => <() as ::capnp::introspect::Introspect>::introspect(),
+                7 => <::capnp::data::Owned as ::capnp::introspect::Introspect>::introspect(),
                 _ => ::capnp::introspect::panic_invalid_field_index(index),
             }
         }
@@ -15105,11 +15157,11 @@
                 MEMBERS_BY_NAME,
             );
         pub(crate) static NONUNION_MEMBERS: &[u16] = &[];
-        pub(crate) static MEMBERS_BY_DISCRIMINANT: &[u16] = &[0, 1, 2, 3, 4, 5, 6];
-        pub(crate) static MEMBERS_BY_NAME: &[u16] = &[0, 4, 1, 5, 3, 6, 2];
+        pub(crate) static MEMBERS_BY_DISCRIMINANT: &[u16] = &[0, 1, 2, 3, 4, 5, 6, 7];
+        pub(crate) static MEMBERS_BY_NAME: &[u16] = &[0, 4, 1, 5, 7, 3, 6, 2];
         pub(crate) const TYPE_ID: u64 = 0xcaa7_a221_b888_051d;
     }
-    pub enum Which<A0, A1, A2, A3, A4> {
+    pub enum Which<A0, A1, A2, A3, A4, A5> {
         Advise(A0),
         Phase(A1),
         Waiting(A2),
@@ -15117,6 +15169,7 @@
         Cancel(A4),
         Ping(()),
         Succeed(()),
+        Relay(A5),
     }
     pub type WhichReader<'a> = Which<
         crate::peer_capnp::jobs_call::advise::Reader<'a>,
@@ -15124,6 +15177,7 @@
         ::capnp::Result<::capnp::text::Reader<'a>>,
         crate::peer_capnp::jobs_call::submit::Reader<'a>,
         ::capnp::Result<::capnp::text::Reader<'a>>,
+        ::capnp::Result<::capnp::data::Reader<'a>>,
     >;
     pub type WhichBuilder<'a> = Which<
         crate::peer_capnp::jobs_call::advise::Builder<'a>,
@@ -15131,6 +15185,7 @@
         ::capnp::Result<::capnp::text::Builder<'a>>,
         crate::peer_capnp::jobs_call::submit::Builder<'a>,
         ::capnp::Result<::capnp::text::Builder<'a>>,
+        ::capnp::Result<::capnp::data::Builder<'a>>,
     >;
 
     pub mod advise {
@@ -15962,7 +16017,7 @@
 }
 
 pub mod jobs_answer {
-    pub use self::Which::{Advice, Busy, Phase, Pong, Receipt, Waiting};
+    pub use self::Which::{Advice, Busy, Phase, Pong, Receipt, Relayed, Waiting};
 
     #[derive(Copy, Clone)]
     pub struct Owned(());
@@ -16067,6 +16122,13 @@
             self.reader.total_size()
         }
         #[inline]
+        pub fn has_relayed(&self) -> bool {
+            if self.reader.get_data_field::<u16>(4) != 6 {
+                return false;
+            }
+            !self.reader.get_pointer_field(0).is_null()
+        }
+        #[inline]
         pub fn which(self) -> ::core::result::Result<WhichReader<'a>, ::capnp::NotInSchema> {
             match self.reader.get_data_field::<u16>(4) {
                 0 => ::core::result::Result::Ok(Advice(self.reader.into())),
@@ -16079,6 +16141,12 @@
                 ))),
                 4 => ::core::result::Result::Ok(Pong(self.reader.into())),
                 5 => ::core::result::Result::Ok(Busy(())),
+                6 => ::core::result::Result::Ok(Relayed(
+                    ::capnp::traits::FromPointerReader::get_from_pointer(
+                        &self.reader.get_pointer_field(0),
+                        ::core::option::Option::None,
+                    ),
+                )),
                 x => ::core::result::Result::Err(::capnp::NotInSchema(x)),
             }
         }
@@ -16207,6 +16275,23 @@
             self.builder.set_data_field::<u16>(4, 5);
         }
         #[inline]
+        pub fn set_relayed(&mut self, value: ::capnp::data::Reader<'_>) {
+            self.builder.set_data_field::<u16>(4, 6);
+            self.builder.reborrow().get_pointer_field(0).set_data(value);
+        }
+        #[inline]
+        pub fn init_relayed(self, size: u32) -> ::capnp::data::Builder<'a> {
+            self.builder.set_data_field::<u16>(4, 6);
+            self.builder.get_pointer_field(0).init_data(size)
+        }
+        #[inline]
+        pub fn has_relayed(&self) -> bool {
+            if self.builder.get_data_field::<u16>(4) != 6 {
+                return false;
+            }
+            !self.builder.is_pointer_field_null(0)
+        }
+        #[inline]
         pub fn which(self) -> ::core::result::Result<WhichBuilder<'a>, ::capnp::NotInSchema> {
             match self.builder.get_data_field::<u16>(4) {
                 0 => ::core::result::Result::Ok(Advice(self.builder.into())),
@@ -16219,6 +16304,12 @@
                 ))),
                 4 => ::core::result::Result::Ok(Pong(self.builder.into())),
                 5 => ::core::result::Result::Ok(Busy(())),
+                6 => ::core::result::Result::Ok(Relayed(
+                    ::capnp::traits::FromPointerBuilder::get_from_pointer(
+                        self.builder.get_pointer_field(0),
+                        ::core::option::Option::None,
+                    ),
+                )),
                 x => ::core::result::Result::Err(::capnp::NotInSchema(x)),
             }
         }
@@ -16236,66 +16327,73 @@
     }
     impl Pipeline {}
     mod _private {
-        pub(crate) static ENCODED_NODE: [::capnp::Word; 93] = [
+        pub(crate) static ENCODED_NODE: [::capnp::Word; 108] = [
             ::capnp::word(0, 0, 0, 0, 5, 0, 6, 0),
             ::capnp::word(170, 83, 36, 248, 153, 168, 232, 158),
             ::capnp::word(11, 0, 0, 0, 1, 0, 2, 0),
             ::capnp::word(60, 53, 128, 185, 120, 25, 102, 144),
-            ::capnp::word(1, 0, 7, 0, 0, 0, 6, 0),
+            ::capnp::word(1, 0, 7, 0, 0, 0, 7, 0),
             ::capnp::word(4, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(21, 0, 0, 0, 178, 0, 0, 0),
             ::capnp::word(29, 0, 0, 0, 7, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(25, 0, 0, 0, 87, 1, 0, 0),
+            ::capnp::word(25, 0, 0, 0, 143, 1, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(112, 101, 101, 114, 46, 99, 97, 112),
             ::capnp::word(110, 112, 58, 74, 111, 98, 115, 65),
             ::capnp::word(110, 115, 119, 101, 114, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 1, 0, 1, 0),
-            ::capnp::word(24, 0, 0, 0, 3, 0, 4, 0),
+            ::capnp::word(28, 0, 0, 0, 3, 0, 4, 0),
             ::capnp::word(0, 0, 255, 255, 0, 0, 0, 0),
             ::capnp::word(1, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(193, 115, 157, 33, 127, 192, 82, 223),
-            ::capnp::word(153, 0, 0, 0, 58, 0, 0, 0),
+            ::capnp::word(181, 0, 0, 0, 58, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(1, 0, 254, 255, 0, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 2, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(129, 0, 0, 0, 50, 0, 0, 0),
+            ::capnp::word(157, 0, 0, 0, 50, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(124, 0, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(136, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(152, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(164, 0, 0, 0, 2, 0, 1, 0),
             ::capnp::word(2, 0, 253, 255, 0, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 3, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(133, 0, 0, 0, 66, 0, 0, 0),
+            ::capnp::word(161, 0, 0, 0, 66, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(128, 0, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(140, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(156, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(168, 0, 0, 0, 2, 0, 1, 0),
             ::capnp::word(3, 0, 252, 255, 0, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 4, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(137, 0, 0, 0, 66, 0, 0, 0),
+            ::capnp::word(165, 0, 0, 0, 66, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(132, 0, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(144, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(160, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(172, 0, 0, 0, 2, 0, 1, 0),
             ::capnp::word(4, 0, 251, 255, 0, 0, 0, 0),
             ::capnp::word(1, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(141, 244, 125, 81, 183, 128, 208, 170),
-            ::capnp::word(141, 0, 0, 0, 42, 0, 0, 0),
+            ::capnp::word(169, 0, 0, 0, 42, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(5, 0, 250, 255, 0, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 7, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(117, 0, 0, 0, 42, 0, 0, 0),
+            ::capnp::word(145, 0, 0, 0, 42, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(140, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(152, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(6, 0, 249, 255, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 1, 0, 8, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(149, 0, 0, 0, 66, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(112, 0, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(124, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(144, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(156, 0, 0, 0, 2, 0, 1, 0),
             ::capnp::word(97, 100, 118, 105, 99, 101, 0, 0),
             ::capnp::word(112, 104, 97, 115, 101, 0, 0, 0),
             ::capnp::word(15, 0, 0, 0, 0, 0, 0, 0),
@@ -16330,6 +16428,14 @@
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(114, 101, 108, 97, 121, 101, 100, 0),
+            ::capnp::word(13, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(13, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
         ];
         pub(crate) fn get_field_types(index: u16) -> ::capnp::introspect::Type {
             match index {
@@ -16339,6 +16445,7 @@
                 3 => <crate::peer_capnp::JobReceipt as ::capnp::introspect::Introspect>::introspect(),
                 4 => <crate::peer_capnp::jobs_answer::pong::Owned as ::capnp::introspect::Introspect>::introspect(),
                 5 => <() as ::capnp::introspect::Introspect>::introspect(),
+                6 => <::capnp::data::Owned as ::capnp::introspect::Introspect>::introspect(),
                 _ => ::capnp::introspect::panic_invalid_field_index(index),
             }
         }
@@ -16358,25 +16465,28 @@
                 MEMBERS_BY_NAME,
             );
         pub(crate) static NONUNION_MEMBERS: &[u16] = &[];
-        pub(crate) static MEMBERS_BY_DISCRIMINANT: &[u16] = &[0, 1, 2, 3, 4, 5];
-        pub(crate) static MEMBERS_BY_NAME: &[u16] = &[0, 5, 1, 4, 3, 2];
+        pub(crate) static MEMBERS_BY_DISCRIMINANT: &[u16] = &[0, 1, 2, 3, 4, 5, 6];
+        pub(crate) static MEMBERS_BY_NAME: &[u16] = &[0, 5, 1, 4, 3, 6, 2];
         pub(crate) const TYPE_ID: u64 = 0x9ee8_a899_f824_53aa;
     }
-    pub enum Which<A0, A1> {
+    pub enum Which<A0, A1, A2> {
         Advice(A0),
         Phase(::core::result::Result<crate::peer_capnp::JobPhase, ::capnp::NotInSchema>),
         Waiting(u64),
         Receipt(::core::result::Result<crate::peer_capnp::JobReceipt, ::capnp::NotInSchema>),
         Pong(A1),
         Busy(()),
+        Relayed(A2),
     }
     pub type WhichReader<'a> = Which<
         crate::peer_capnp::jobs_answer::advice::Reader<'a>,
         crate::peer_capnp::jobs_answer::pong::Reader<'a>,
+        ::capnp::Result<::capnp::data::Reader<'a>>,
     >;
     pub type WhichBuilder<'a> = Which<
         crate::peer_capnp::jobs_answer::advice::Builder<'a>,
         crate::peer_capnp::jobs_answer::pong::Builder<'a>,
+        ::capnp::Result<::capnp::data::Builder<'a>>,
     >;
 
     pub mod advice {
