--- a/crates/marigoldpick-job/src/lead/start.rs
+++ b/crates/marigoldpick-job/src/lead/start.rs
@@ -4,48 +4,65 @@
 use marigoldpick_core::work::port::{Fault, Order, Reply, Start};
 use marigoldpick_core::work::{self, Task};
 
-use super::Lead;
+use super::{Lead, Recording};
 use crate::worker::Phase;
 
 impl Lead {
     /// Orders the starts that the store has recorded, or all where that is allowed.
     pub(super) fn start_recorded(&mut self, now: Millis) {
         let waiting = std::mem::take(&mut self.recording);
+        let mut given: Vec<Recording> = Vec::new();
         for start in waiting {
             let stored = self
                 .job(&start.task.part.job)
                 .is_some_and(|job| job.stored >= start.change);
-            if stored || self.unrecorded {
-                self.give_start(&start.worker, &start.task, start.run, now);
-            } else {
+            if !stored && !self.unrecorded {
                 self.recording.push(start);
+            } else if self.give_start(&start.worker, &start.task, start.run, now) {
+                given.push(start);
             }
         }
+        self.note_given(&given);
     }
 
-    fn give_start(&mut self, worker: &id::Worker, task: &Task, run: u64, now: Millis) {
+    /// Notes the starts that were ordered, those of a step in one line.
+    fn note_given(&mut self, given: &[Recording]) {
+        for starts in given.chunk_by(|a, b| a.task.part == b.task.part) {
+            let tasks: Vec<String> = starts.iter().map(|s| s.task.index.to_string()).collect();
+            let runs: Vec<String> = starts.iter().map(|s| s.run.to_string()).collect();
+            let workers: Vec<&str> = starts.iter().map(|s| s.worker.as_str()).collect();
+            let detail = format!(
+                "tasks={} workers={} runs={}",
+                tasks.join(","),
+                workers.join(","),
+                runs.join(",")
+            );
+            self.note("starts-ordered", starts[0].task.part.to_string(), detail);
+        }
+    }
+
+    /// Orders a start; tells whether it is still wanted.
+    fn give_start(&mut self, worker: &id::Worker, task: &Task, run: u64, now: Millis) -> bool {
         let Some(at) = self.worker_at(worker) else {
-            return;
+            return false;
         };
         // Its place may have been freed meanwhile, as when the worker was born again.
         let waits = self.workers[at].run_mut(task, run);
         if waits.is_none_or(|entry| entry.phase != Phase::Recording) {
-            return;
+            return false;
         }
         let Some(order) = self.start_order(at, task, run, now) else {
             // The ticket has expired or the worker is no longer to be used.
             self.release(at, task, run);
             self.stop_gang(task, run);
-            return;
+            return false;
         };
         if let Some(entry) = self.workers[at].run_mut(task, run) {
             entry.phase = Phase::Ordered;
         }
-        let worker = self.workers[at].node.id.to_string();
-        let detail = format!("worker={worker} run={run}");
-        self.note("start-ordered", task.to_string(), detail);
         self.count.starts += 1;
         self.order(at, Order::Start(Box::new(order)));
+        true
     }
 
     fn start_order(&mut self, at: usize, task: &Task, run: u64, now: Millis) -> Option<Start> {
--- a/crates/marigoldpick-node/src/control.rs
+++ b/crates/marigoldpick-node/src/control.rs
@@ -141,7 +141,8 @@
 
     fn note_store(self: &Rc<Self>, sent: Millis, fault: Option<Fault>) {
         let mut reach = self.reach.get();
-        let before = reach.age(self.now());
+        // What has not changed yet has been so since the start.
+        let before = reach.age(self.now()).min(self.now());
         let changed = reach.note(sent, fault, self.now());
         self.reach.set(reach);
         if fault.is_none() {
--- a/crates/marigoldpick-node/src/relay.rs
+++ b/crates/marigoldpick-node/src/relay.rs
@@ -84,6 +84,8 @@
     waiting: RefCell<VecDeque<(u64, oneshot::Sender<Answer>)>>,
     /// Until when it is left out.
     away: Cell<Millis>,
+    /// Workers of which it brought no answer and until when it is left out for them, sorted by worker.
+    doubted: RefCell<Vec<(id::Worker, Millis)>>,
     wake: Sender<()>,
     woken: Receiver<()>,
 }
@@ -98,11 +100,29 @@
             queue: RefCell::default(),
             waiting: RefCell::default(),
             away: Cell::new(Millis::ZERO),
+            doubted: RefCell::default(),
             wake,
             woken,
         }
     }
 
+    /// Leaves it out for a worker: its own way there may be cut off.
+    fn doubt(&self, worker: &id::Worker, until: Millis) {
+        let mut doubted = self.doubted.borrow_mut();
+        match doubted.binary_search_by(|(have, _)| have.cmp(worker)) {
+            Ok(at) => doubted[at].1 = until,
+            Err(at) => doubted.insert(at, (worker.clone(), until)),
+        }
+    }
+
+    /// Tells whether orders for a worker are given to it.
+    fn serves(&self, worker: &id::Worker, now: Millis) -> bool {
+        let doubted = self.doubted.borrow();
+        let found = doubted.binary_search_by(|(have, _)| have.cmp(worker));
+        let is_doubted = found.is_ok_and(|at| doubted[at].1 > now);
+        self.away.get() <= now && !is_doubted && !self.wake.is_closed()
+    }
+
     fn nudge(&self) {
         // A full channel means that it is woken already.
         let _is_woken = self.wake.try_send(());
@@ -306,7 +326,8 @@
         target: &Target,
         order: &Order,
     ) -> Answer {
-        if let Some(relay) = domain.and_then(|domain| self.relay_of(leading, domain)) {
+        let relay = domain.and_then(|domain| self.relay_of(leading, domain, &target.id));
+        if let Some(relay) = relay {
             let wait = match order {
                 Order::Hold { wait, .. } => *wait,
                 Order::Start(_) | Order::Stop { .. } | Order::Pace { .. } => Millis::ZERO,
@@ -315,20 +336,27 @@
             let answer = timeout((ORDER + wait).duration(), answer).await;
             match answer {
                 // Nothing was carried out: the lead may have a way where the relay has none.
-                Ok(Ok(Err(Fault::Away))) => {}
+                Ok(Ok(Err(Fault::Away))) => relay.doubt(&target.id, self.now() + AWAY),
+                Ok(Ok(Err(Fault::Unknown)) | Err(_)) | Err(_) => {
+                    relay.doubt(&target.id, self.now() + AWAY);
+                    return Err(Fault::Unknown);
+                }
                 Ok(Ok(answer)) => return answer,
-                Ok(Err(_)) | Err(_) => return Err(Fault::Unknown),
             }
         }
         let workers = self.platform.workers();
         workers.order(target, leading.term(), order.clone()).await
     }
 
-    fn relay_of(&self, leading: &Leading, domain: &id::Domain) -> Option<Rc<Relay>> {
+    fn relay_of(
+        &self,
+        leading: &Leading,
+        domain: &id::Domain,
+        worker: &id::Worker,
+    ) -> Option<Rc<Relay>> {
         let relays = leading.relays.borrow();
         let at = relays.binary_search_by(|relay| relay.known.domain.cmp(domain));
         let relay = &relays[at.ok()?];
-        let is_there = relay.away.get() <= self.now() && !relay.wake.is_closed();
-        is_there.then(|| Rc::clone(relay))
+        relay.serves(worker, self.now()).then(|| Rc::clone(relay))
     }
 }
--- /dev/null
+++ b/crates/marigoldpick-node/tests/node/relays.rs
@@ -0,0 +1,72 @@
+//! Orders through relays, and the lead's hand-over to a stronger entry.
+
+use std::sync::atomic::Ordering;
+
+use googletest::prelude::*;
+use marigoldpick_core::prelude::*;
+use marigoldpick_core::work::Phase;
+
+use crate::site::{Site, lock, wait_until};
+
+/// Enough workers for a lead to let others give its orders.
+const MANY: usize = 240;
+
+/// Hands jobs in until one was started through another entry than the lead; returns how many.
+fn wait_for_relay(site: &Site) -> u32 {
+    let lead = site.lead();
+    let mut number = 0;
+    wait_until("a start goes through a relay", || {
+        number += 1;
+        let (id, _) = site.submit(0, number, 2, 50);
+        site.wait_for(0, &id, Phase::Completed);
+        lock(&site.fake).givers.iter().any(|giver| *giver != lead)
+    });
+    number
+}
+
+#[googletest::test]
+fn orders_for_many_workers_go_through_a_relay() {
+    let site = Site::start(3, MANY);
+    let jobs = wait_for_relay(&site);
+    let (id, _) = site.submit(1, jobs + 1, 12, 200);
+    site.wait_for(1, &id, Phase::Completed);
+    let fake = lock(&site.fake);
+    expect_that!(fake.starts.len(), eq(jobs as usize * 4 + 24));
+    expect_that!(fake.broken, is_empty());
+}
+
+/// The relay itself answers the lead, but nothing that it sends reaches a worker.
+#[googletest::test]
+fn orders_of_a_relay_that_reaches_no_worker_are_given_by_the_lead() {
+    let site = Site::start(3, MANY);
+    let jobs = wait_for_relay(&site);
+    let lead = site.lead();
+    (0..3).filter(|at| *at != lead).for_each(|at| {
+        site.cut[at].store(true, Ordering::SeqCst);
+    });
+    let (id, _) = site.submit(lead, jobs + 1, 6, 100);
+    site.wait_for(lead, &id, Phase::Completed);
+    let fake = lock(&site.fake);
+    expect_that!(fake.starts.len(), eq(jobs as usize * 4 + 12));
+    expect_that!(fake.broken, is_empty());
+}
+
+/// A weak entry was there first; work goes on over the hand-over, and nothing runs twice.
+#[googletest::test]
+fn lead_is_handed_over_to_a_stronger_entry() {
+    let site = Site::start_unequal(&[90, 500], 6);
+    let mut jobs = Vec::new();
+    wait_until("the stronger entry leads", || {
+        let number = jobs.len() as u32 + 1;
+        jobs.push(site.submit(0, number, 2, 1_000).0);
+        std::thread::sleep(Millis(250).duration());
+        site.lead_if_any() == Some(1)
+    });
+    for id in &jobs {
+        site.wait_for(0, id, Phase::Completed);
+    }
+    expect_that!(site.lead(), eq(1));
+    let fake = lock(&site.fake);
+    expect_that!(fake.starts.len(), eq(jobs.len() * 4));
+    expect_that!(fake.broken, is_empty());
+}
