Keep room for tasks that need whole workers

Load pattern: gangs that need all accelerators of one or two workers beside many tasks of one accelerator. Each freed accelerator was taken at once by a small task, and steps for which no worker had room never learnt which workers are good for them.

Now: for steps that need accelerators the good workers nearest to being empty are kept from work behind, up to 30% of the service; questions about them may go ahead of room; taking a part of a worker's accelerators costs by what is left. The test fails without it: the gang never starts.

--- a/crates/marigoldpick-job/src/lead/advise.rs
+++ b/crates/marigoldpick-job/src/lead/advise.rs
@@ -18,6 +18,15 @@
 use crate::rank::Claim;
 use crate::worker::Worker;
 
+/// `Of` is what the room for a question's tasks is counted by.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(super) enum Of {
+    /// What is free now.
+    Free,
+    /// What there is once a worker is empty.
+    Capacity,
+}
+
 /// The room of good workers that a question looks for, against what the tasks take, in percent.
 const WANTED_PERCENT: u64 = 150;
 /// The wait after a question that brought no answer.
@@ -34,6 +43,7 @@
         open: &Open,
         missing: usize,
         room: &Room,
+        of: Of,
         askers: &mut Free,
         now: Millis,
     ) {
@@ -54,7 +64,7 @@
             return;
         }
         self.count.looks += room.workers.len() as u64;
-        let mut workers = self.ask_about(at, part, &policy, missing, room, now);
+        let mut workers = self.ask_about(at, part, &policy, missing, (room, of), now);
         if workers.is_empty() {
             self.retry_question(at, part, now + FULL);
             return;
@@ -95,7 +105,7 @@
         part: &Part,
         policy: &Policy,
         missing: usize,
-        room: &Room,
+        (room, of): (&Room, Of),
         now: Millis,
     ) -> Vec<id::Worker> {
         let job = &self.jobs[at];
@@ -109,7 +119,11 @@
         let mut room_of_good = 0;
         let first = part.task(0);
         for worker in room.workers.iter().map(|at| &self.workers[*at]) {
-            let fits = fits(worker.free(), claim);
+            let there = match of {
+                Of::Free => worker.free(),
+                Of::Capacity => &worker.node.capacity,
+            };
+            let fits = fits(there, claim);
             if fits == 0 || !worker.suits(step) {
                 continue;
             }
--- a/crates/marigoldpick-job/src/lead/report.rs
+++ b/crates/marigoldpick-job/src/lead/report.rs
@@ -160,8 +160,10 @@
             self.workers[at].judge(end.how == How::Failed, now);
         }
         let worker = self.workers[at].node.id.clone();
-        let detail = format!("worker={worker} run={} how={}", end.run, end.how);
-        self.note("run-ended", end.task.to_string(), detail);
+        if end.how != How::Done {
+            let detail = format!("worker={worker} run={} how={}", end.run, end.how);
+            self.note("run-ended", end.task.to_string(), detail);
+        }
         self.unplace(&end.task, end.run, &worker);
         self.unscheduled = true;
         let Some(job) = self.at(&end.task.part.job) else {
@@ -201,6 +203,8 @@
                     stage.finish(end.task.index);
                 }
                 if stage.left == 0 {
+                    let detail = format!("tasks={}", stage.tasks.len());
+                    self.note("step-done", end.task.part.to_string(), detail);
                     self.measure(at);
                     self.reconsider(at);
                 }
--- a/crates/marigoldpick-job/src/lead/room.rs
+++ b/crates/marigoldpick-job/src/lead/room.rs
@@ -16,6 +16,9 @@
 /// The share of the room in use that is expected to be free while the tickets of a question hold.
 const USED_PERCENT: u32 = 25;
 
+/// The share of a service's workers that may be kept empty for tasks in front, in percent.
+const RESERVED_PERCENT: usize = 30;
+
 /// `Room` is the open workers of a service and a bound on what is free on any of them.
 #[derive(Clone, Debug)]
 pub(super) struct Room {
@@ -30,6 +33,8 @@
     used: Amount,
     /// What the questions of work that goes before are about.
     spent: Amount,
+    /// Workers that are left to empty for work that goes before.
+    reserved: usize,
 }
 
 impl Room {
@@ -64,6 +69,7 @@
             free: Amount::default(),
             used: Amount::default(),
             spent: Amount::default(),
+            reserved: 0,
         }
     }
 
@@ -104,6 +110,18 @@
         self.spent.add(&claim.times(tasks));
     }
 
+    /// Tells whether one worker more than `more` may be reserved.
+    pub(super) fn may_reserve(&self, more: usize) -> bool {
+        let all = self.workers.len() + self.reserved;
+        (self.reserved + more + 1) * 100 <= all * RESERVED_PERCENT
+    }
+
+    /// Leaves workers out for all work behind.
+    pub(super) fn reserve(&mut self, workers: &[usize]) {
+        self.workers.retain(|at| !workers.contains(at));
+        self.reserved += workers.len();
+    }
+
     /// Takes into account that tasks were placed.
     pub(super) fn shrink(&mut self, workers: &[Worker]) {
         let positions = std::mem::take(&mut self.workers);
--- a/crates/marigoldpick-job/src/lead/schedule.rs
+++ b/crates/marigoldpick-job/src/lead/schedule.rs
@@ -3,7 +3,7 @@
 use marigoldpick_core::prelude::*;
 use marigoldpick_core::work::{Part, Step};
 
-use super::advise::spread_left;
+use super::advise::{Of, fits, spread_left};
 use super::room::Room;
 use super::{Lead, Recording};
 use crate::askers::Free;
@@ -11,7 +11,7 @@
 use crate::place::{Wish, cost};
 use crate::queue::Queue;
 use crate::rank::{Claim, Rank, rank};
-use crate::worker::Phase;
+use crate::worker::{Phase, Worker};
 
 /// The time between two passes when nothing has changed.
 const PASS: Millis = Millis(40);
@@ -35,6 +35,17 @@
     GAP.max(Millis(taken * PASS_PARTS / 1_000_000))
 }
 
+/// Tells whether a step's tasks wait for a resource that is easily split among small tasks.
+fn is_scarce(step: &Step) -> bool {
+    !step.needs.accelerators.is_empty()
+}
+
+/// Returns the accelerators of an amount.
+fn accelerators_in(amount: &Amount) -> u64 {
+    let counts = amount.accelerators.iter().map(|a| u64::from(a.count));
+    counts.sum()
+}
+
 /// `Open` is a step with tasks that wait for a place.
 #[derive(Clone, Debug)]
 pub(super) struct Open {
@@ -174,11 +185,14 @@
         } else {
             0
         };
+        let step = step.clone();
         if !may_hold {
+            if is_scarce(&step) {
+                self.reserve(open, &step, waiting.len(), &mut rooms[room], askers, now);
+            }
             rooms[room].spend(&claim, waiting.len());
             return;
         }
-        let step = step.clone();
         let mut spots = self.spots(part, &step, &rooms[room], now);
         self.count.looks += (spots.len() * waiting.len()) as u64;
         let placed = if step.gang {
@@ -191,9 +205,74 @@
         }
         let missing = waiting.len() - placed + stranded;
         if missing > 0 && may_ask {
-            self.ask(open, missing, &rooms[room], askers, now);
+            self.ask(open, missing, &rooms[room], Of::Free, askers, now);
             rooms[room].spend(&claim, missing);
         }
+        if placed < waiting.len() && is_scarce(&step) {
+            let left = waiting.len() - placed;
+            self.reserve(open, &step, left, &mut rooms[room], askers, now);
+        }
+    }
+
+    /// Keeps work behind from the workers that the step's tasks wait for.
+    ///
+    /// Load pattern: tasks that need all accelerators of a worker beside many that need one. Each
+    /// accelerator that is freed is taken by a small task, and no worker is ever empty. The workers
+    /// that the adviser allows and that are nearest to having room are left to empty, a share of the
+    /// service at most, and their tickets are kept valid.
+    fn reserve(
+        &mut self,
+        open: &Open,
+        step: &Step,
+        missing: usize,
+        room: &mut Room,
+        askers: &mut Free,
+        now: Millis,
+    ) {
+        if !room.may_reserve(0) {
+            return;
+        }
+        let part = &open.part;
+        self.ask(open, missing, room, Of::Capacity, askers, now);
+        let Some(job) = self.job(&part.job) else {
+            return;
+        };
+        let Some(stage) = job.stage(part.occurrence, part.step) else {
+            return;
+        };
+        let claim = &job.claims[part.step as usize];
+        let queue = self.queue(&job.spec.queue);
+        let is_advised = queue.is_some_and(|queue| queue.policy.is_some());
+        let is_good = |worker: &Worker| {
+            let known = stage.tickets.find(&worker.node.id);
+            !is_advised || known.is_some_and(|known| known.ticket.is_some())
+        };
+        let mut good: Vec<(u64, u64, usize)> = room
+            .workers
+            .iter()
+            .map(|at| (*at, &self.workers[*at]))
+            .filter(|(_, worker)| worker.suits(step) && is_good(worker))
+            .map(|(at, worker)| {
+                let whole = fits(&worker.node.capacity, claim);
+                (accelerators_in(worker.used()), whole, at)
+            })
+            .filter(|(_, whole, _)| *whole > 0)
+            .collect();
+        good.sort_unstable();
+        let mut left = missing as u64;
+        let mut reserved = Vec::new();
+        for (_, whole, at) in good {
+            if left == 0 || !room.may_reserve(reserved.len()) {
+                break;
+            }
+            left = left.saturating_sub(whole);
+            reserved.push(at);
+        }
+        if step.gang && left > 0 {
+            // Members alone would only wait.
+            return;
+        }
+        room.reserve(&reserved);
     }
 
     /// Tells whether a task of the step runs on a worker that does not answer.
--- a/crates/marigoldpick-job/src/place.rs
+++ b/crates/marigoldpick-job/src/place.rs
@@ -10,6 +10,23 @@
 /// The cost of a filling task beside a serving one, or the reverse, in milliseconds.
 const DISTURBANCE: u64 = 1_000_000;
 
+/// The weight of a worker whose accelerators are all free against one that is full after the start, in
+/// milliseconds: tasks that need all of them wait for an empty worker, for as long as a task takes.
+const SPLITTING: u64 = 3_000;
+
+/// Returns the cost of taking some of a worker's accelerators, by those that are left.
+fn split(claim: &Amount, worker: &Worker, free: &Amount) -> u64 {
+    let mut cost = 0;
+    for wanted in &claim.accelerators {
+        let all = u64::from(worker.node.capacity.accelerators_of(&wanted.kind)).max(1);
+        let left = free
+            .accelerators_of(&wanted.kind)
+            .saturating_sub(wanted.count);
+        cost += SPLITTING * u64::from(left) / all;
+    }
+    cost
+}
+
 /// `Wish` is what a task is looking for.
 #[derive(Clone, Copy, Debug)]
 pub struct Wish<'a> {
@@ -32,7 +49,7 @@
     }
     let capacity = worker.node.capacity.millicores.max(1);
     let left = free.millicores.saturating_sub(wish.claim.millicores);
-    let packing = PACKING * left / capacity;
+    let packing = PACKING * left / capacity + split(wish.claim, worker, free);
     let (fills, serves) = (wish.step.fills, wish.step.target.is_some());
     let meets = |run: &Run| (fills && run.target.is_some()) || (serves && run.fills);
     let disturbed = (fills || serves) && worker.runs.iter().any(meets);
--- a/crates/marigoldpick-job/tests/lead/work.rs
+++ b/crates/marigoldpick-job/tests/lead/work.rs
@@ -289,6 +289,46 @@
     expect_that!(world.phase(&id), some(eq(Phase::Completed)));
 }
 
+/// Load pattern: many tasks of one accelerator each keep all workers in use, and a gang needs two workers
+/// whole. The small tasks take 2.4 s.
+#[googletest::test]
+fn gang_that_needs_whole_workers_is_not_kept_waiting_by_small_tasks() {
+    let mut world = World::new(8);
+    for worker in &mut world.pool.workers {
+        worker.node.capacity = Amount::new(32_000, 64_000).with(name("gpu"), 8);
+    }
+    world.queues = vec![queue("fast", 1), queue("slow", 2)];
+    world.take_over();
+    let of_one = Step {
+        needs: Amount::new(2_800, 1_000).with(name("gpu"), 1),
+        ..step(8, 2_800, 2_400)
+    };
+    let small = |world: &mut World, number: u32| {
+        let mut small = job(vec![of_one.clone()]);
+        small.queue = name("slow");
+        world.submit(number, small);
+    };
+    // Eight steps of eight tasks in 2.4 s fill all workers; a tenth more come.
+    (0..60).for_each(|number| {
+        small(&mut world, number);
+        world.run(270);
+        if number == 20 {
+            let whole = Step {
+                gang: true,
+                needs: Amount::new(15_000, 1_000).with(name("gpu"), 8),
+                ..step(2, 15_000, 2_000)
+            };
+            world.submit(1_000, job(vec![whole]));
+        }
+    });
+    let gang = crate::world::job_id(1_000);
+    let begun = world.pool.started.iter().find(|s| s.task.part.job == gang);
+    // Submitted at 5.7 s; the longest wait for room is the time of one small task.
+    let latest = Millis(5_700 + 2 * 2_400);
+    expect_that!(begun.map(|started| started.at), some(le(latest)));
+    expect_that!(world.pool.broken, is_empty());
+}
+
 /// Load pattern: a full pool of 40 workers and 300 jobs that wait.
 #[googletest::test]
 fn passes_look_at_few_workers_under_a_backlog() {
