Suspect a domain by share; look more often while answers get lost

Three silent workers made a whole failure domain of 117 suspect, so that nothing was placed there until it was probed, again and again; and a lost hold kept a worker's ends from the lead for up to 2.5 s.

Now: a domain is suspected when 3 workers and a fifth of it do not answer; holds wait 300 ms while more than 2% of orders get no answer; the first lost hold is repeated at once. The test fails on the landed code (no worker open at some moment, 17 of 150 steps late). Ruled out: the lead's processor (0.28 of 0.5 cores).

--- a/crates/marigoldpick-job/src/lead.rs
+++ b/crates/marigoldpick-job/src/lead.rs
@@ -8,6 +8,7 @@
 pub mod commit;
 mod fleet;
 mod hold;
+mod losses;
 mod report;
 mod room;
 mod schedule;
@@ -107,6 +108,7 @@
     /// Whether another lead has given orders.
     deposed: bool,
     speeds: Speeds,
+    losses: losses::Losses,
     actions: Vec<Action>,
     notes: Vec<Note>,
     count: Count,
@@ -146,6 +148,7 @@
             doubtful: false,
             deposed: false,
             speeds: Speeds::default(),
+            losses: losses::Losses::default(),
             actions: Vec::new(),
             notes: Vec::new(),
             count: Count::default(),
--- a/crates/marigoldpick-job/src/lead/hold.rs
+++ b/crates/marigoldpick-job/src/lead/hold.rs
@@ -10,8 +10,13 @@
 const IDLE: Millis = Millis(5_000);
 /// The wait of a hold on a worker where serving and filling tasks meet.
 const CLOSE_WATCH: Millis = Millis(400);
-/// Workers of a failure domain that do not answer before all of it is suspected.
-const QUIET_DOMAIN: usize = 3;
+/// The wait of a hold while answers get lost: news of the worker are late by as much.
+const LOSSY_WAIT: Millis = Millis(300);
+/// The least workers of a failure domain that do not answer before all of it is suspected.
+const QUIET_LEAST: usize = 3;
+/// The same as a share of the domain's workers, in percent: where each order may be lost by itself,
+/// some workers of a large domain are always silent.
+const QUIET_PERCENT: usize = 20;
 
 impl Lead {
     pub(super) fn give_holds(&mut self, now: Millis) {
@@ -79,6 +84,8 @@
             && worker.runs.iter().any(|run| run.target.is_some())
         {
             CLOSE_WATCH
+        } else if self.losses.are_many() {
+            LOSSY_WAIT
         } else {
             settings.hold_wait
         };
@@ -140,7 +147,12 @@
             Err(fault) => {
                 worker.silent = worker.silent.saturating_add(1);
                 worker.suspect = false;
-                worker.next_hold = now + settings.hold_retry;
+                // One answer may be lost by itself.
+                worker.next_hold = if worker.silent == 1 {
+                    now
+                } else {
+                    now + settings.hold_retry
+                };
                 let detail = format!("why={fault} silent={}", worker.silent);
                 if worker.silent == 1 {
                     let about = worker.node.id.to_string();
@@ -163,12 +175,17 @@
     /// Suspects all workers of a failure domain in which several do not answer at the same time.
     ///
     /// Load pattern: a domain is cut off while starts go on. Each start that is sent there waits for
-    /// a lease to lapse, so the others are probed before they get more.
+    /// a lease to lapse, so the others are probed before they get more. One order in twenty that is
+    /// lost anywhere must not have that effect.
     fn suspect_domain(&mut self, at: usize) {
         let domain = self.workers[at].node.domain.clone();
         let of_domain = |worker: &Worker| worker.node.domain == domain && worker.present;
-        let quiet = self.workers.iter().filter(|w| of_domain(w) && !w.answers());
-        if quiet.count() < QUIET_DOMAIN {
+        let (mut all, mut quiet) = (0, 0);
+        for worker in self.workers.iter().filter(|worker| of_domain(worker)) {
+            all += 1;
+            quiet += usize::from(!worker.answers());
+        }
+        if quiet < QUIET_LEAST || quiet * 100 < all * QUIET_PERCENT {
             return;
         }
         for worker in &mut self.workers {
--- a/crates/marigoldpick-job/src/lead/start.rs
+++ b/crates/marigoldpick-job/src/lead/start.rs
@@ -128,6 +128,7 @@
         if answer == Err(Fault::Fenced) {
             self.deposed = true;
         }
+        self.losses.note(answer == Err(Fault::Unknown), now);
         let Some(at) = self.worker_at(worker) else {
             return;
         };
--- a/crates/marigoldpick-job/tests/lead/faults.rs
+++ b/crates/marigoldpick-job/tests/lead/faults.rs
@@ -272,6 +272,39 @@
     expect_that!(world.pool.broken, is_empty());
 }
 
+/// Load pattern: 5 orders in 100 get no answer, on a domain of 60 workers. A step of urgent work takes
+/// 400 ms on a sound worker; one whose start or end is lost once takes a second more.
+#[googletest::test]
+fn lost_orders_here_and_there_do_not_stop_a_whole_domain() {
+    let mut world = World::new(60);
+    world.run(600);
+    world.late_percent = 5;
+    world.lost_holds_percent = 5;
+    let mut least = 60;
+    let mut late = 0;
+    for number in 0..200 {
+        world.submit(1_000 + number, job(vec![step(4, 2_000, 400)]));
+        for _ in 0..5 {
+            world.run(10);
+            let now = world.now;
+            let open = world.lead.workers().iter().filter(|w| w.is_open(now));
+            least = least.min(open.count());
+        }
+        // What was handed in 2.5 s ago.
+        if let Some(before) = number.checked_sub(50) {
+            let phase = world.phase(&crate::world::job_id(1_000 + before));
+            late += u32::from(phase != Some(Phase::Completed));
+        }
+    }
+    expect_that!(least, ge(45));
+    expect_that!(late, le(15));
+    world.late_percent = 0;
+    world.lost_holds_percent = 0;
+    world.run(8_000);
+    expect_that!(world.pool.done.len(), eq(800));
+    expect_that!(world.pool.broken, is_empty());
+}
+
 #[googletest::test]
 fn copies_run_elsewhere_while_a_worker_does_not_answer() {
     let mut world = World::new(4);
--- a/crates/marigoldpick-job/tests/lead/world.rs
+++ b/crates/marigoldpick-job/tests/lead/world.rs
@@ -111,6 +111,8 @@
     pub answers_lost: bool,
     /// Whether holds get no answer and are never carried out.
     pub holds_lost: bool,
+    /// The share of holds in a hundred that get no answer and are never carried out.
+    pub lost_holds_percent: u32,
     /// Starts that the lead sent, whether they arrived or not: when, and to which worker.
     pub sent_starts: Vec<(Millis, usize)>,
     under_way: Vec<(Millis, u64, Message)>,
@@ -141,6 +143,7 @@
             store_up: true,
             late_percent: 0,
             holds_lost: false,
+            lost_holds_percent: 0,
             answers_lost: false,
             sent_starts: Vec::new(),
             under_way: Vec::new(),
@@ -253,9 +256,14 @@
                 }
                 let unheard =
                     Message::Answer(target.id, order.clone(), Err(Fault::Unknown), self.now);
-                let lost = self.holds_lost && matches!(order, Order::Hold { .. });
+                let wait = match order {
+                    Order::Hold { wait, .. } => Some(wait),
+                    Order::Start(_) | Order::Stop { .. } | Order::Pace { .. } => None,
+                };
+                let lost =
+                    wait.is_some() && (self.holds_lost || self.draw() < self.lost_holds_percent);
                 if !self.reaches(at) || lost {
-                    self.send(PATIENCE, unheard);
+                    self.send(PATIENCE + wait.unwrap_or_default(), unheard);
                 } else if is_start && self.answers_lost {
                     self.send(PATIENCE, unheard);
                     let late = Message::Order(at, self.lead.term(), order, Millis::ZERO);
