--- a/crates/marigoldpick-node/src/relay.rs
+++ b/crates/marigoldpick-node/src/relay.rs
@@ -298,6 +298,8 @@
             task::sleep(WINDOW.duration()).await;
             let batch = relay.take_batch(leading.term());
             let numbers: Vec<u64> = batch.items.iter().map(|item| item.number).collect();
+            metrics::counter!("marigold_relay_batches_total").increment(1);
+            metrics::counter!("marigold_relay_orders_total").increment(numbers.len() as u64);
             let call = peer::Call::Relay(batch);
             match self.call(&relay.known, call, LIMIT).await {
                 Ok(peer::Answer::Relayed(outcomes)) => relay.settle(outcomes),
--- /dev/null
+++ b/crates/marigoldpick-wire/tests/wire/jobs.rs
@@ -0,0 +1,210 @@
+//! Each kind of call and answer about jobs arrives as it was sent.
+
+use std::sync::Arc;
+
+use async_std::task::block_on;
+use googletest::prelude::*;
+use marigoldpick_core::prelude::*;
+use marigoldpick_core::work::peer::{Answer, Call, Receipt};
+use marigoldpick_core::work::port::{
+    Advice, Ended, Fault, How, Order, Reply, Report, Running, Start, Target, Ticket,
+};
+use marigoldpick_core::work::relay::{Batch, Item, Outcome};
+use marigoldpick_core::work::{Job, Part, Phase, Step, Task};
+use marigoldpick_wire::{self as wire, Error, Settings};
+
+use crate::common::{LONG, Script, client, serve};
+
+fn name<T: std::str::FromStr<Err: std::fmt::Debug>>(text: &str) -> T {
+    text.parse().expect("a name")
+}
+
+fn part() -> Part {
+    Part {
+        job: name("00000000000000aa"),
+        occurrence: 1,
+        step: 2,
+    }
+}
+
+fn task() -> Task {
+    part().task(3)
+}
+
+fn orders() -> Vec<Order> {
+    vec![
+        Order::Start(Box::new(Start {
+            task: task(),
+            run: u64::MAX,
+            payload: "text \"quoted\" \u{e9}".to_owned(),
+            until: Millis(4),
+            checkpoint: Some("c".to_owned()),
+            ticket: None,
+        })),
+        Order::Stop {
+            task: task(),
+            run: 5,
+        },
+        Order::Pace {
+            task: task(),
+            run: 6,
+            percent: 70,
+        },
+        Order::Hold {
+            until: None,
+            seen: 8,
+            wait: Millis(9),
+        },
+    ]
+}
+
+fn batch() -> Batch {
+    let target = Target {
+        id: name("w1"),
+        address: "10.0.0.1:2".to_owned(),
+    };
+    let items = (1..).zip(orders()).map(|(number, order)| Item {
+        number,
+        target: target.clone(),
+        order,
+    });
+    Batch {
+        session: 1 << 63,
+        term: 7,
+        items: items.collect(),
+        wait: Millis(30),
+    }
+}
+
+fn calls() -> Vec<Call> {
+    let spec = Job {
+        queue: name("q"),
+        payload: String::new(),
+        steps: vec![Step::default()],
+        schedule: None,
+        accepted: 1,
+    };
+    vec![
+        Call::Advise {
+            part: part(),
+            workers: vec![name("w1"), name("w2")],
+            limit: Millis(3),
+        },
+        Call::Phase(name("00000000000000aa")),
+        Call::Waiting(name("q")),
+        Call::Submit {
+            job: name("00000000000000aa"),
+            spec: Arc::new(spec),
+        },
+        Call::Cancel(name("00000000000000aa")),
+        Call::Ping,
+        Call::Succeed,
+        Call::Relay(batch()),
+    ]
+}
+
+fn outcomes() -> Vec<Outcome> {
+    let running = Running {
+        task: task(),
+        run: 1,
+        checkpoint: String::new(),
+        percent: 40,
+        figure: 5,
+    };
+    let ended = Ended {
+        number: 2,
+        task: task(),
+        run: 3,
+        how: How::Broken,
+        checkpoint: "c".to_owned(),
+    };
+    let reply = |report| Reply {
+        clock: Millis(1),
+        born: 2,
+        report,
+    };
+    let faults = [
+        Fault::Away,
+        Fault::Unknown,
+        Fault::Unhealthy,
+        Fault::Reborn,
+        Fault::Fenced,
+        Fault::Old,
+        Fault::Late,
+        Fault::Room,
+        Fault::Ticket,
+        Fault::Invalid,
+    ];
+    let report = Report {
+        running: vec![running],
+        ended: vec![ended],
+    };
+    let answers = [Ok(reply(None)), Ok(reply(Some(report)))]
+        .into_iter()
+        .chain(faults.map(Err));
+    let outcome = |(number, answer)| Outcome { number, answer };
+    (1..).zip(answers).map(outcome).collect()
+}
+
+fn answers() -> Vec<Answer> {
+    let phases = [
+        Phase::Queued,
+        Phase::Running,
+        Phase::Completed,
+        Phase::Failed,
+        Phase::Cancelled,
+    ];
+    let receipts = [
+        Receipt::Stored,
+        Receipt::Absent,
+        Receipt::Refused,
+        Receipt::Unknown,
+    ];
+    let mut answers = vec![
+        Answer::Advice(Advice {
+            good: vec![Ticket {
+                worker: name("w1"),
+                ticket: "t".to_owned(),
+            }],
+            valid: Millis(2_000),
+        }),
+        Answer::Busy,
+        Answer::Phase(None),
+        Answer::Waiting(12),
+        Answer::Pong {
+            term: 3,
+            store: true,
+        },
+        Answer::Relayed(Vec::new()),
+        Answer::Relayed(outcomes()),
+    ];
+    answers.extend(phases.map(|phase| Answer::Phase(Some(phase))));
+    answers.extend(receipts.map(Answer::Receipt));
+    answers
+}
+
+#[googletest::test]
+fn jobs_call_of_each_kind_arrives_as_sent() {
+    let script = Script::new();
+    let (_server, to) = serve(&script);
+    let client = client(Settings::default());
+    script.set(Err(Code::NotLead));
+    for call in calls().into_iter().map(wire::Call::Jobs) {
+        let answer = block_on(client.call(&to, call.clone(), LONG));
+        expect_that!(answer, err(eq(&Error::Refused(Code::NotLead))));
+        expect_that!(script.last(), some(eq(&call)));
+    }
+}
+
+#[googletest::test]
+fn jobs_answer_of_each_kind_arrives_as_sent() {
+    let script = Script::new();
+    let (_server, to) = serve(&script);
+    let client = client(Settings::default());
+    let ping = wire::Call::Jobs(Call::Ping);
+    for answer in answers().into_iter().map(wire::Answer::Jobs) {
+        script.set(Ok(answer.clone()));
+        let got = block_on(client.call(&to, ping.clone(), LONG));
+        expect_that!(got, ok(eq(&answer)));
+    }
+}
--- a/crates/marigoldpick-wire/tests/wire/main.rs
+++ b/crates/marigoldpick-wire/tests/wire/main.rs
@@ -3,3 +3,4 @@
 mod common;
 mod content;
 mod faults;
+mod jobs;
