Split relays from dispatch; take circles of imports out of job and node

Relays and sessions know nothing of the control thread; Ask, Shared, Others and Member have files of their own.

--- a/crates/marigoldpick-job/src/job.rs
+++ b/crates/marigoldpick-job/src/job.rs
@@ -6,8 +6,6 @@
 use marigoldpick_core::work::{self, Part, Phase, Step};
 
 use crate::advice::Tickets;
-use crate::queue::Queue;
-use crate::rank;
 use crate::record::{self, Record, ranges};
 
 /// `Place` is where a run of a task is, or may be.
@@ -162,14 +160,6 @@
         }
     }
 
-    /// Works out what its rank depends on: how long it may take, and how much work is left.
-    pub fn measure(&mut self, queue: &Queue) {
-        self.objective = rank::objective(&self.spec, queue);
-        for occurrence in &mut self.occurrences {
-            occurrence.left = rank::left(&self.spec, occurrence, queue);
-        }
-    }
-
     /// Takes over what the store recorded.
     pub fn restore(&mut self, record: &Record, now: Millis) {
         self.phase = record.phase;
--- a/crates/marigoldpick-job/src/lead.rs
+++ b/crates/marigoldpick-job/src/lead.rs
@@ -9,6 +9,7 @@
 mod fleet;
 mod hold;
 mod losses;
+mod open;
 mod report;
 mod room;
 mod schedule;
@@ -25,6 +26,7 @@
 use crate::job::Job;
 use crate::question::Share;
 use crate::queue::Queue;
+use crate::rank;
 use crate::record::Record;
 use crate::settings::Settings;
 use crate::speed::Speeds;
@@ -311,6 +313,7 @@
         let step = job.step(&task.part)?;
         Some(Run {
             claim: job.claims[task.part.step as usize].clone(),
+            estimate: step.estimate,
             target: step.target,
             fills: step.fills,
             lasting: step.lasting,
@@ -396,14 +399,20 @@
         self.unscheduled = true;
     }
 
-    /// Works out anew what a job's rank depends on.
+    /// Works out anew what a job's rank depends on: how long it may take, and how much work is left.
     fn measure(&mut self, at: usize) {
-        let name = &self.jobs[at].spec.queue;
-        let found = self.queues.binary_search_by(|queue| queue.name.cmp(name));
-        if let Ok(queue) = found
-            && !self.jobs[at].phase.is_over()
-        {
-            self.jobs[at].measure(&self.queues[queue]);
+        let job = &mut self.jobs[at];
+        let found = self
+            .queues
+            .binary_search_by(|queue| queue.name.cmp(&job.spec.queue));
+        let Ok(queue) = found.map(|queue| &self.queues[queue]) else {
+            return;
+        };
+        if !job.phase.is_over() {
+            job.objective = rank::objective(&job.spec, queue);
+            for occurrence in &mut job.occurrences {
+                occurrence.left = rank::left(&job.spec, occurrence, queue);
+            }
         }
     }
 
--- a/crates/marigoldpick-job/src/lead/advise.rs
+++ b/crates/marigoldpick-job/src/lead/advise.rs
@@ -9,8 +9,8 @@
 use marigoldpick_core::work::{Part, Step, Task};
 
 use super::Lead;
+use super::open::Open;
 use super::room::Room;
-use super::schedule::Open;
 use crate::action::Action;
 use crate::askers::Free;
 use crate::question::{self, Share};
@@ -118,7 +118,9 @@
         let mut unknown: Vec<(u64, u64, &id::Worker)> = Vec::new();
         let mut room_of_good = 0;
         let first = part.task(0);
-        for worker in room.workers.iter().map(|at| &self.workers[*at]) {
+        let end = now + step.estimate;
+        let admitted = room.workers.iter().filter(|at| room.admits(**at, end));
+        for worker in admitted.map(|at| &self.workers[*at]) {
             let there = match of {
                 Of::Free => worker.free(),
                 Of::Capacity => &worker.node.capacity,
--- a/crates/marigoldpick-job/src/lead/room.rs
+++ b/crates/marigoldpick-job/src/lead/room.rs
@@ -16,8 +16,10 @@
 /// The share of the room in use that is expected to be free while the tickets of a question hold.
 const USED_PERCENT: u32 = 25;
 
-/// The share of a service's workers that may be kept empty for tasks in front, in percent.
-const RESERVED_PERCENT: usize = 30;
+/// The share of a service's workers that may be left to empty for tasks in front, in percent.
+const RESERVED_PERCENT: usize = 15;
+/// The workers of a small service that may be.
+const RESERVED_LEAST: usize = 3;
 
 /// `Room` is the open workers of a service and a bound on what is free on any of them.
 #[derive(Clone, Debug)]
@@ -33,8 +35,8 @@
     used: Amount,
     /// What the questions of work that goes before are about.
     spent: Amount,
-    /// Workers that are left to empty for work that goes before.
-    reserved: usize,
+    /// Workers that are left to empty for work that goes before, sorted, and when they will be.
+    reserved: Vec<(usize, Millis)>,
 }
 
 impl Room {
@@ -69,7 +71,7 @@
             free: Amount::default(),
             used: Amount::default(),
             spent: Amount::default(),
-            reserved: 0,
+            reserved: Vec::new(),
         }
     }
 
@@ -112,14 +114,27 @@
 
     /// Tells whether one worker more than `more` may be reserved.
     pub(super) fn may_reserve(&self, more: usize) -> bool {
-        let all = self.workers.len() + self.reserved;
-        (self.reserved + more + 1) * 100 <= all * RESERVED_PERCENT
+        let most = (self.workers.len() * RESERVED_PERCENT / 100).max(RESERVED_LEAST);
+        self.reserved.len() + more < most
     }
 
-    /// Leaves workers out for all work behind.
-    pub(super) fn reserve(&mut self, workers: &[usize]) {
-        self.workers.retain(|at| !workers.contains(at));
-        self.reserved += workers.len();
+    /// Leaves a worker to empty until `empty`.
+    pub(super) fn reserve(&mut self, worker: usize, empty: Millis) {
+        if let Err(at) = self
+            .reserved
+            .binary_search_by_key(&worker, |(have, _)| *have)
+        {
+            self.reserved.insert(at, (worker, empty));
+        }
+    }
+
+    /// Tells whether a task that ends at `end` may start on a worker: work that goes before does not
+    /// wait for it there.
+    pub(super) fn admits(&self, worker: usize, end: Millis) -> bool {
+        let found = self
+            .reserved
+            .binary_search_by_key(&worker, |(have, _)| *have);
+        found.is_err() || found.is_ok_and(|at| end <= self.reserved[at].1)
     }
 
     /// Takes into account that tasks were placed.
--- a/crates/marigoldpick-job/src/lead/schedule.rs
+++ b/crates/marigoldpick-job/src/lead/schedule.rs
@@ -4,13 +4,14 @@
 use marigoldpick_core::work::{Part, Step};
 
 use super::advise::{Of, fits, spread_left};
+use super::open::Open;
 use super::room::Room;
 use super::{Lead, Recording};
 use crate::askers::Free;
 use crate::job::{Job, Place, Stage, Task};
 use crate::place::{Wish, cost};
 use crate::queue::Queue;
-use crate::rank::{Claim, Rank, rank};
+use crate::rank::{Claim, rank};
 use crate::worker::{Phase, Worker};
 
 /// The time between two passes when nothing has changed.
@@ -46,13 +47,6 @@
     counts.sum()
 }
 
-/// `Open` is a step with tasks that wait for a place.
-#[derive(Clone, Debug)]
-pub(super) struct Open {
-    pub(super) rank: Rank,
-    pub(super) part: Part,
-}
-
 /// `Spot` is a worker that may take tasks of a step.
 #[derive(Clone, Debug)]
 struct Spot {
@@ -219,7 +213,8 @@
     /// Load pattern: tasks that need all accelerators of a worker beside many that need one. Each
     /// accelerator that is freed is taken by a small task, and no worker is ever empty. The workers
     /// that the adviser allows and that are nearest to having room are left to empty, a share of the
-    /// service at most, and their tickets are kept valid.
+    /// service at most, and their tickets are kept valid. What ends before they are empty may still
+    /// start there.
     fn reserve(
         &mut self,
         open: &Open,
@@ -251,7 +246,9 @@
             .workers
             .iter()
             .map(|at| (*at, &self.workers[*at]))
-            .filter(|(_, worker)| worker.suits(step) && is_good(worker))
+            .filter(|(at, worker)| {
+                worker.suits(step) && is_good(worker) && room.admits(*at, Millis::MAX)
+            })
             .map(|(at, worker)| {
                 let whole = fits(&worker.node.capacity, claim);
                 (accelerators_in(worker.used()), whole, at)
@@ -266,13 +263,15 @@
                 break;
             }
             left = left.saturating_sub(whole);
-            reserved.push(at);
+            reserved.push((at, self.workers[at].expected_empty(now)));
         }
         if step.gang && left > 0 {
             // Members alone would only wait.
             return;
         }
-        room.reserve(&reserved);
+        for (at, empty) in reserved {
+            room.reserve(at, empty);
+        }
     }
 
     /// Tells whether a task of the step runs on a worker that does not answer.
@@ -300,9 +299,10 @@
         let queue = self.queue(&job.spec.queue);
         let claim = &job.claims[part.step as usize];
         let first = part.task(0);
+        let end = now + step.estimate;
         let spot = |at: usize| {
             let worker = &self.workers[at];
-            if !worker.free().holds(claim) || !worker.suits(step) {
+            if !worker.free().holds(claim) || !worker.suits(step) || !room.admits(at, end) {
                 return None;
             }
             let left = spread_left(step, worker, &first);
--- a/crates/marigoldpick-job/src/worker.rs
+++ b/crates/marigoldpick-job/src/worker.rs
@@ -49,6 +49,8 @@
     pub phase: Phase,
     /// When it was confirmed to run.
     pub confirmed: Millis,
+    /// How long it takes by the estimate.
+    pub estimate: Millis,
     /// The bound on its response time, for a serving task.
     pub target: Option<Millis>,
     /// Whether it fills the processors that others leave.
@@ -75,6 +77,7 @@
             claim: Amount::default(),
             phase,
             confirmed: now,
+            estimate: Millis::ZERO,
             target: None,
             fills: false,
             lasting: false,
@@ -255,6 +258,13 @@
             && self.clock.is_some()
     }
 
+    /// Returns when all that it runs will have ended, by the estimates.
+    #[must_use]
+    pub fn expected_empty(&self, now: Millis) -> Millis {
+        let ends = self.runs.iter().map(|run| run.confirmed + run.estimate);
+        ends.fold(now, Millis::max)
+    }
+
     /// Tells whether the last that was sent to it was answered.
     #[must_use]
     pub const fn answers(&self) -> bool {
--- a/crates/marigoldpick-node/src/control.rs
+++ b/crates/marigoldpick-node/src/control.rs
@@ -16,11 +16,11 @@
 use marigoldpick_core::work::peer;
 use marigoldpick_wire as wire;
 
-use crate::face::{Ask, Shared};
-use crate::health::Others;
+use crate::ask::{Ask, Shared};
 use crate::keys;
 use crate::leading::Leading;
-use crate::members::Member;
+use crate::member::Member;
+use crate::others::Others;
 use crate::platform::{Platform, Source};
 use crate::reach::Reach;
 use crate::relay::Session;
--- a/crates/marigoldpick-node/src/desk.rs
+++ b/crates/marigoldpick-node/src/desk.rs
@@ -14,8 +14,8 @@
 use marigoldpick_job::record::Record;
 use rand::seq::IndexedRandom;
 
+use crate::ask::Ask;
 use crate::control::Control;
-use crate::face::Ask;
 use crate::keys;
 use crate::platform::Platform;
 
--- /dev/null
+++ b/crates/marigoldpick-node/src/dispatch.rs
@@ -0,0 +1,173 @@
+//! The way of the lead's orders to the workers, directly or through relays.
+
+use std::rc::Rc;
+
+use async_std::future::timeout;
+use async_std::task;
+use marigoldpick_core::control::Known;
+use marigoldpick_core::prelude::*;
+use marigoldpick_core::work::peer;
+use marigoldpick_core::work::port::{Fault, Order, Target, Workers};
+use marigoldpick_core::work::relay::{Batch, Item, Outcome};
+use marigoldpick_wire as wire;
+
+use crate::control::Control;
+use crate::leading::Leading;
+use crate::member::Member;
+use crate::platform::Platform;
+use crate::relay::{Answer, Relay, Session, choose};
+
+/// The time in which orders for a relay are gathered.
+const WINDOW: Millis = Millis(12);
+/// The longest time for a batch, after which nothing more is given to the relay for a while.
+const LIMIT: Millis = Millis(500);
+/// How long a relay that did not answer is left out.
+const AWAY: Millis = Millis(3_000);
+/// The longest time for an order beyond what it asks the worker to wait: the worker's own, the way to
+/// the relay and back, and both gatherings.
+const ORDER: Millis = Millis(800);
+/// How long a relay keeps a session of which it hears nothing.
+const KEPT: Millis = Millis(30_000);
+
+impl<P: Platform> Control<P> {
+    /// Carries out a batch of orders for the lead; returns what is known by now of this and earlier ones.
+    pub(crate) async fn relay_orders(self: &Rc<Self>, batch: Batch) -> Vec<Outcome> {
+        let session = self.session(batch.session);
+        for item in batch.items {
+            task::spawn_local(Rc::clone(self).carry_out(Rc::clone(&session), batch.term, item));
+        }
+        session.collect(batch.wait).await
+    }
+
+    async fn carry_out(self: Rc<Self>, session: Rc<Session>, term: u64, item: Item) {
+        let workers = self.platform.workers();
+        let answer = workers.order(&item.target, term, item.order).await;
+        session.add(Outcome {
+            number: item.number,
+            answer,
+        });
+    }
+
+    fn session(&self, number: u64) -> Rc<Session> {
+        let now = self.now();
+        let mut sessions = self.sessions.borrow_mut();
+        sessions.retain(|session| now.since(session.used.get()) < KEPT || session.number == number);
+        let at = sessions.iter().position(|session| session.number == number);
+        let at = at.unwrap_or_else(|| {
+            sessions.push(Rc::new(Session::new(number)));
+            sessions.len() - 1
+        });
+        sessions[at].used.set(now);
+        Rc::clone(&sessions[at])
+    }
+
+    /// Chooses the relays anew; those that stay keep their session.
+    pub(crate) fn choose_relays(self: &Rc<Self>, leading: &Rc<Leading>) {
+        let workers = leading.look(|lead| lead.workers().len());
+        let now = self.now();
+        let chosen = choose(&self.usable_relays(leading, now), workers);
+        let mut relays = leading.relays.borrow_mut();
+        relays.retain(|relay| {
+            let stays = chosen.contains(&relay.known);
+            if !stays {
+                relay.close();
+            }
+            stays
+        });
+        for known in chosen {
+            let domain = known.domain.clone();
+            let found = relays.binary_search_by(|relay| relay.known.domain.cmp(&domain));
+            if let Err(at) = found {
+                log::info!(target: "node", "event=relay-chosen domain={domain} entry={}", known.entry);
+                let relay = Rc::new(Relay::new(known));
+                relays.insert(at, Rc::clone(&relay));
+                task::spawn_local(Rc::clone(self).drive_relay(Rc::clone(leading), relay));
+            }
+        }
+    }
+
+    /// Returns the other entries without those that have just not answered as relays.
+    fn usable_relays(&self, leading: &Leading, now: Millis) -> Vec<Member> {
+        let relays = leading.relays.borrow();
+        let is_away = |known: &Known| {
+            let mut relays = relays.iter();
+            relays.any(|relay| relay.known == *known && relay.is_left_out(now))
+        };
+        let peers = self.peers.borrow();
+        let usable = peers.iter().filter(|member| !is_away(&member.known));
+        usable.cloned().collect()
+    }
+
+    /// Sends batches and takes in outcomes until the term is over or the relay is no longer used.
+    async fn drive_relay(self: Rc<Self>, leading: Rc<Leading>, relay: Rc<Relay>) {
+        while !leading.is_over() {
+            if !relay.has_work().await {
+                break;
+            }
+            task::sleep(WINDOW.duration()).await;
+            let batch = relay.take_batch(leading.term());
+            let numbers: Vec<u64> = batch.items.iter().map(|item| item.number).collect();
+            metrics::counter!("marigold_relay_batches_total").increment(1);
+            metrics::counter!("marigold_relay_orders_total").increment(numbers.len() as u64);
+            let call = peer::Call::Relay(batch);
+            match self.call(&relay.known, call, LIMIT).await {
+                Ok(peer::Answer::Relayed(outcomes)) => relay.settle(outcomes),
+                failure => {
+                    let unsent =
+                        matches!(failure, Err(wire::Error::Away | wire::Error::Refused(_)));
+                    log::warn!(
+                        target: "node",
+                        "event=relay-lost entry={} orders={} unsent={unsent}",
+                        relay.known.entry,
+                        relay.open()
+                    );
+                    relay.leave_out(self.now() + AWAY);
+                    relay.give_up(if unsent { &numbers } else { &[] });
+                }
+            }
+        }
+        relay.give_up(&[]);
+    }
+
+    /// Gives an order to a worker: through the relay of its failure domain, if there is one, or directly.
+    pub(crate) async fn order(
+        &self,
+        leading: &Leading,
+        domain: Option<&id::Domain>,
+        target: &Target,
+        order: &Order,
+    ) -> Answer {
+        let relay = domain.and_then(|domain| self.relay_of(leading, domain, &target.id));
+        if let Some(relay) = relay {
+            let wait = match order {
+                Order::Hold { wait, .. } => *wait,
+                Order::Start(_) | Order::Stop { .. } | Order::Pace { .. } => Millis::ZERO,
+            };
+            let answer = relay.enqueue(target.clone(), order.clone());
+            let answer = timeout((ORDER + wait).duration(), answer).await;
+            match answer {
+                // Nothing was carried out: the lead may have a way where the relay has none.
+                Ok(Ok(Err(Fault::Away))) => relay.doubt(&target.id, self.now() + AWAY),
+                Ok(Ok(Err(Fault::Unknown)) | Err(_)) | Err(_) => {
+                    relay.doubt(&target.id, self.now() + AWAY);
+                    return Err(Fault::Unknown);
+                }
+                Ok(Ok(answer)) => return answer,
+            }
+        }
+        let workers = self.platform.workers();
+        workers.order(target, leading.term(), order.clone()).await
+    }
+
+    fn relay_of(
+        &self,
+        leading: &Leading,
+        domain: &id::Domain,
+        worker: &id::Worker,
+    ) -> Option<Rc<Relay>> {
+        let relays = leading.relays.borrow();
+        let at = relays.binary_search_by(|relay| relay.known.domain.cmp(domain));
+        let relay = &relays[at.ok()?];
+        relay.serves(worker, self.now()).then(|| Rc::clone(relay))
+    }
+}
--- a/crates/marigoldpick-node/src/driver.rs
+++ b/crates/marigoldpick-node/src/driver.rs
@@ -18,9 +18,9 @@
 
 use crate::control::Control;
 use crate::election::{Head, is_held_by};
-use crate::health::Others;
 use crate::keys;
 use crate::leading::Leading;
+use crate::others::Others;
 use crate::platform::{Platform, Registry};
 
 /// The longest time between two steps of the lead.
--- a/crates/marigoldpick-node/src/face.rs
+++ b/crates/marigoldpick-node/src/face.rs
@@ -3,17 +3,17 @@
 use std::io;
 use std::net::TcpListener;
 use std::sync::Arc;
-use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
+use std::sync::atomic::Ordering;
 use std::thread;
 
-use arc_swap::ArcSwapOption;
 use async_channel::Sender;
 use futures::channel::oneshot;
 use marigoldpick_core::prelude::*;
-use marigoldpick_core::work::peer::{Answer, Call, Receipt};
+use marigoldpick_core::work::peer::Receipt;
 use marigoldpick_core::work::{Job, Phase};
 use marigoldpick_wire as wire;
 
+use crate::ask::{Ask, Shared};
 use crate::config::Config;
 use crate::control::Control;
 use crate::platform::Platform;
@@ -22,29 +22,6 @@
 /// Requests that may wait for the control thread; more are refused.
 const WAITING: usize = 2_048;
 
-/// `Ask` is a request to the control thread.
-#[derive(Debug)]
-pub(crate) enum Ask {
-    Submit(id::Job, Arc<Job>, oneshot::Sender<Receipt>),
-    Cancel(id::Job, oneshot::Sender<Receipt>),
-    Phase(id::Job, oneshot::Sender<Result<Option<Phase>, Code>>),
-    Waiting(Name, oneshot::Sender<Result<u64, Code>>),
-    Peer(Call, oneshot::Sender<Result<Answer, Code>>),
-    /// The process will end: a lead gives its term up.
-    Drain,
-}
-
-/// `Shared` is what the control thread tells the others.
-#[derive(Debug, Default)]
-pub(crate) struct Shared {
-    pub(crate) config: ArcSwapOption<Config>,
-    pub(crate) draining: AtomicBool,
-    /// Whether the store has answered since the start.
-    pub(crate) connected: AtomicBool,
-    /// When a caller that is refused now should come again, in milliseconds.
-    pub(crate) retry_after: AtomicU64,
-}
-
 /// `Face` takes callers' requests to the control thread.
 #[derive(Clone, Debug)]
 pub struct Face {
--- a/crates/marigoldpick-node/src/health.rs
+++ b/crates/marigoldpick-node/src/health.rs
@@ -11,14 +11,14 @@
 use futures::StreamExt;
 use futures::future::{Either, select};
 use futures::stream::FuturesUnordered;
-use marigoldpick_core::control::Known;
 use marigoldpick_core::prelude::*;
 use marigoldpick_core::work::peer;
 use marigoldpick_wire as wire;
 use rand::Rng;
 
 use crate::control::Control;
-use crate::members::Member;
+use crate::member::Member;
+use crate::others::Others;
 use crate::platform::Platform;
 use crate::retry;
 
@@ -31,24 +31,6 @@
 /// The longest time for a probe of another entry, which then checks the store itself.
 const PING: Millis = Millis(700);
 
-/// `Others` is what the other entries say while this one does not reach the store.
-#[derive(Clone, Debug, Default)]
-pub(crate) struct Others {
-    /// Those that reach the store.
-    pub(crate) reaching: Vec<Known>,
-    /// How many answered that they don't.
-    pub(crate) cut_off: usize,
-    /// How many are known.
-    pub(crate) known: usize,
-}
-
-impl Others {
-    /// Tells whether most entries, this one counted, live and do not reach the store.
-    pub(crate) const fn most_are_cut_off(&self) -> bool {
-        self.reaching.is_empty() && 2 * (self.cut_off + 1) > self.known + 1
-    }
-}
-
 impl<P: Platform> Control<P> {
     /// Probes the store until it answers again, and asks the other entries meanwhile.
     pub(crate) async fn probe(self: Rc<Self>) {
--- a/crates/marigoldpick-node/src/lib.rs
+++ b/crates/marigoldpick-node/src/lib.rs
@@ -3,9 +3,11 @@
 //! All processes are equal. Each accepts jobs and writes them to the platform's store; each can put
 //! questions to the adviser; one of them leads, which the store settles.
 
+mod ask;
 pub mod config;
 mod control;
 mod desk;
+mod dispatch;
 mod driver;
 pub mod election;
 mod face;
@@ -13,7 +15,9 @@
 mod inbox;
 pub mod keys;
 mod leading;
-pub mod members;
+pub mod member;
+mod members;
+mod others;
 pub mod platform;
 pub mod reach;
 pub mod relay;
--- a/crates/marigoldpick-node/src/members.rs
+++ b/crates/marigoldpick-node/src/members.rs
@@ -6,10 +6,10 @@
 use marigoldpick_core::control::Known;
 use marigoldpick_core::prelude::*;
 use marigoldpick_core::store::{Answer, Call, Expect};
-use serde::{Deserialize, Serialize};
 
 use crate::control::Control;
 use crate::keys;
+use crate::member::Member;
 use crate::platform::Platform;
 
 /// The wait after a registration that failed.
@@ -19,15 +19,6 @@
 /// How long an entry that the store no longer lists is kept: its lease may have lapsed in an outage.
 const KEPT: Millis = Millis(12_000);
 
-/// `Member` is an entry as its key in the store tells of it.
-#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
-pub struct Member {
-    /// How it is reached.
-    pub known: Known,
-    /// How much of a lead's work it can carry.
-    pub strength: u32,
-}
-
 impl<P: Platform> Control<P> {
     /// Returns how this entry is reached.
     pub(crate) fn own(&self) -> Known {
--- a/crates/marigoldpick-node/tests/pure.rs
+++ b/crates/marigoldpick-node/tests/pure.rs
@@ -5,7 +5,7 @@
 use marigoldpick_core::prelude::*;
 use marigoldpick_core::store::Fault;
 use marigoldpick_node::election::{hesitation, is_worth_handing_over};
-use marigoldpick_node::members::Member;
+use marigoldpick_node::member::Member;
 use marigoldpick_node::reach::Reach;
 use marigoldpick_node::{relay, retry};
 
