Tell the others when an entry is about to end

The lead learnt of it only by the loss of connections: questions and orders that were with the entry had no answer, and those of a whole failure domain's workers with a relay.

Now an entry that is told to stop says so in its registration while it still answers for three seconds, and the lead reads the list each second; it gets no more questions and orders.

--- a/crates/marigoldpick-node/src/desk.rs
+++ b/crates/marigoldpick-node/src/desk.rs
@@ -41,6 +41,7 @@
             Ask::Peer(call, reply) => send(reply, self.peer_call(call).await),
             Ask::Drain => {
                 log::info!(target: "node", "event=draining");
+                async_std::task::spawn_local(Rc::clone(&self).announce_drain());
                 if let Some(leading) = self.leads() {
                     leading.depose("draining");
                 }
--- a/crates/marigoldpick-node/src/election.rs
+++ b/crates/marigoldpick-node/src/election.rs
@@ -180,7 +180,7 @@
         }
     }
 
-    fn is_draining(&self) -> bool {
+    pub(crate) fn is_draining(&self) -> bool {
         let draining = &self.shared.draining;
         draining.load(std::sync::atomic::Ordering::SeqCst)
     }
--- a/crates/marigoldpick-node/src/member.rs
+++ b/crates/marigoldpick-node/src/member.rs
@@ -10,4 +10,7 @@
     pub known: Known,
     /// How much of a lead's work it can carry.
     pub strength: u32,
+    /// Whether its process is about to end: it gets no more questions and orders.
+    #[serde(default)]
+    pub draining: bool,
 }
--- a/crates/marigoldpick-node/src/members.rs
+++ b/crates/marigoldpick-node/src/members.rs
@@ -14,6 +14,9 @@
 
 /// The wait after a registration that failed.
 const RETRY: Millis = Millis(300);
+/// The time between two reads of the list by the lead, which gives work to the others: an entry that
+/// is told to stop answers for three seconds more.
+const LEAD_GAP: Millis = Millis(1_000);
 /// Renewals in the time of a lease.
 const RENEWALS: u64 = 3;
 /// How long an entry that the store no longer lists is kept: its lease may have lapsed in an outage.
@@ -52,6 +55,14 @@
         }
     }
 
+    /// Tells the others that this entry's process is about to end.
+    pub(crate) async fn announce_drain(self: Rc<Self>) {
+        while let Err(fault) = self.write_registration().await {
+            log::debug!(target: "node", "event=drain-untold why={fault}");
+            task::sleep(RETRY.duration()).await;
+        }
+    }
+
     async fn write_registration(
         self: &Rc<Self>,
     ) -> Result<Answer, marigoldpick_core::store::Fault> {
@@ -62,6 +73,7 @@
         let member = Member {
             known: self.own(),
             strength: self.settings.strength,
+            draining: self.is_draining(),
         };
         let value = serde_json::to_string(&member).expect("a member is plain JSON");
         let put = Call::Put {
@@ -87,13 +99,19 @@
             };
             let mut wait = RETRY;
             if let Ok(Answer::Page { items, .. }) = self.store(page).await {
-                wait = self.settings.members_gap;
+                wait = if self.leads().is_some() {
+                    self.settings.members_gap.min(LEAD_GAP)
+                } else {
+                    self.settings.members_gap
+                };
                 let now = self.now();
                 for item in items {
                     match serde_json::from_str::<Member>(&item.value) {
                         Ok(member) => {
                             seen.retain(|(have, _)| have.known.entry != member.known.entry);
-                            seen.push((member, now));
+                            if !member.draining {
+                                seen.push((member, now));
+                            }
                         }
                         Err(error) => {
                             log::warn!(target: "node", "event=entry-unread key={} why={error}", item.key);
--- a/crates/marigoldpick-node/tests/node/relays.rs
+++ b/crates/marigoldpick-node/tests/node/relays.rs
@@ -1,6 +1,7 @@
 //! Orders through relays, and the lead's hand-over to a stronger entry.
 
 use std::sync::atomic::Ordering;
+use std::time::{Duration, Instant};
 
 use googletest::prelude::*;
 use marigoldpick_core::prelude::*;
@@ -11,6 +12,9 @@
 /// Enough workers for a lead to let others give its orders.
 const MANY: usize = 240;
 
+/// How long the registration of an entry lasts that is not heard of any more.
+const REGISTRATION: Duration = Duration::from_secs(10);
+
 /// Hands jobs in until one was started through another entry than the lead; returns how many.
 fn wait_for_relay(site: &Site) -> u32 {
     let lead = site.lead();
@@ -51,6 +55,34 @@
     expect_that!(fake.broken, is_empty());
 }
 
+/// A relay is told to stop: while it still answers, another takes its place.
+#[googletest::test]
+fn orders_leave_out_a_relay_that_is_about_to_end() {
+    let site = Site::start(3, MANY);
+    let mut number = wait_for_relay(&site);
+    let lead = site.lead();
+    let relay = {
+        let fake = lock(&site.fake);
+        let mut givers = fake.givers.iter();
+        *givers.find(|giver| **giver != lead).expect("a relay")
+    };
+    site.nodes[relay].face().drain();
+    let drained = Instant::now();
+    wait_until("another entry gives the starts", || {
+        number += 1;
+        let before = lock(&site.fake).givers.len();
+        let (id, _) = site.submit(lead, number, 2, 50);
+        site.wait_for(lead, &id, Phase::Completed);
+        let fake = lock(&site.fake);
+        fake.givers[before..].iter().all(|giver| *giver != relay)
+    });
+    // The lead was told, and did not wait for the registration's end.
+    expect_that!(drained.elapsed(), lt(REGISTRATION));
+    let fake = lock(&site.fake);
+    expect_that!(fake.starts.len(), eq(number as usize * 4));
+    expect_that!(fake.broken, is_empty());
+}
+
 /// A weak entry was there first; work goes on over the hand-over, and nothing runs twice.
 #[googletest::test]
 fn lead_is_handed_over_to_a_stronger_entry() {
--- a/crates/marigoldpick-node/tests/pure.rs
+++ b/crates/marigoldpick-node/tests/pure.rs
@@ -49,6 +49,7 @@
             address: "10.0.0.1:1".to_owned(),
         },
         strength,
+        draining: false,
     }
 }
 
