Give no order directly once the term is over; name the basis of a question

Orders that were still waiting for a relay at a term's end would have gone directly. The workers refuse them by the term; a lead that has ended has no reason to try. Found in reading, not seen.

--- a/crates/marigoldpick-job/src/lead/advise.rs
+++ b/crates/marigoldpick-job/src/lead/advise.rs
@@ -14,13 +14,12 @@
 use crate::action::Action;
 use crate::askers::Free;
 use crate::question::{self, Share};
-use crate::queue::Policy;
 use crate::rank::Claim;
 use crate::worker::Worker;
 
-/// `Of` is what the room for a question's tasks is counted by.
+/// `Basis` is what the room for a question's tasks is counted by.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub(super) enum Of {
+pub(super) enum Basis {
     /// What is free now.
     Free,
     /// What there is once a worker is empty.
@@ -43,7 +42,7 @@
         open: &Open,
         missing: usize,
         room: &Room,
-        of: Of,
+        basis: Basis,
         askers: &mut Free,
         now: Millis,
     ) {
@@ -64,7 +63,7 @@
             return;
         }
         self.count.looks += room.workers.len() as u64;
-        let mut workers = self.ask_about(at, part, &policy, missing, (room, of), now);
+        let mut workers = self.ask_about(at, part, missing, room, basis, now);
         if workers.is_empty() {
             self.retry_question(at, part, now + FULL);
             return;
@@ -103,14 +102,17 @@
         &self,
         at: usize,
         part: &Part,
-        policy: &Policy,
         missing: usize,
-        (room, of): (&Room, Of),
+        room: &Room,
+        basis: Basis,
         now: Millis,
     ) -> Vec<id::Worker> {
         let job = &self.jobs[at];
-        let (Some(step), Some(stage)) = (job.step(part), job.stage(part.occurrence, part.step))
-        else {
+        let (Some(step), Some(stage), Some(policy)) = (
+            job.step(part),
+            job.stage(part.occurrence, part.step),
+            self.queue(&job.spec.queue).and_then(|queue| queue.policy),
+        ) else {
             return Vec::new();
         };
         let claim = &job.claims[part.step as usize];
@@ -121,9 +123,9 @@
         let end = now + step.estimate;
         let admitted = room.workers.iter().filter(|at| room.admits(**at, end));
         for worker in admitted.map(|at| &self.workers[*at]) {
-            let there = match of {
-                Of::Free => worker.free(),
-                Of::Capacity => &worker.node.capacity,
+            let there = match basis {
+                Basis::Free => worker.free(),
+                Basis::Capacity => &worker.node.capacity,
             };
             let fits = fits(there, claim);
             if fits == 0 || !worker.suits(step) {
@@ -166,7 +168,7 @@
             .len()
             .min(self.settings.advice_most.saturating_sub(asked.len()));
         let share = self.share(&job.spec.queue);
-        let count = question::count(policy, share, needed, most);
+        let count = question::count(&policy, share, needed, most);
         asked.extend(unknown.iter().take(count).map(|(_, _, id)| (*id).clone()));
         asked
     }
@@ -211,9 +213,8 @@
             }
         }
     }
-}
 
-impl Lead {
+    /// Returns the share of good workers in the answers for a queue.
     pub(super) fn share(&self, queue: &Name) -> Share {
         let at = self.shares.binary_search_by(|(have, _)| have.cmp(queue));
         at.map_or_else(|_| Share::default(), |at| self.shares[at].1)
--- a/crates/marigoldpick-job/src/lead/schedule.rs
+++ b/crates/marigoldpick-job/src/lead/schedule.rs
@@ -3,7 +3,7 @@
 use marigoldpick_core::prelude::*;
 use marigoldpick_core::work::{Part, Step};
 
-use super::advise::{Of, fits, spread_left};
+use super::advise::{Basis, fits, spread_left};
 use super::open::Open;
 use super::room::Room;
 use super::{Lead, Recording};
@@ -199,7 +199,7 @@
         }
         let missing = waiting.len() - placed + stranded;
         if missing > 0 && may_ask {
-            self.ask(open, missing, &rooms[room], Of::Free, askers, now);
+            self.ask(open, missing, &rooms[room], Basis::Free, askers, now);
             rooms[room].spend(&claim, missing);
         }
         if placed < waiting.len() && is_scarce(&step) {
@@ -228,7 +228,7 @@
             return;
         }
         let part = &open.part;
-        self.ask(open, missing, room, Of::Capacity, askers, now);
+        self.ask(open, missing, room, Basis::Capacity, askers, now);
         let Some(job) = self.job(&part.job) else {
             return;
         };
--- a/crates/marigoldpick-node/src/dispatch.rs
+++ b/crates/marigoldpick-node/src/dispatch.rs
@@ -155,6 +155,9 @@
                 Ok(Ok(answer)) => return answer,
             }
         }
+        if leading.is_over() {
+            return Err(Fault::Away);
+        }
         let workers = self.platform.workers();
         workers.order(target, leading.term(), order.clone()).await
     }
