--- a/crates/marigoldpick-node/src/desk.rs
+++ b/crates/marigoldpick-node/src/desk.rs
@@ -43,7 +43,7 @@
                 log::info!(target: "node", "event=draining");
                 async_std::task::spawn_local(Rc::clone(&self).announce_drain());
                 if let Some(leading) = self.leads() {
-                    leading.depose("draining");
+                    self.hand_over(leading).await;
                 }
             }
         }
--- a/crates/marigoldpick-node/src/election.rs
+++ b/crates/marigoldpick-node/src/election.rs
@@ -14,6 +14,7 @@
 use crate::control::Control;
 use crate::keys;
 use crate::leading::Leading;
+use crate::member::Member;
 use crate::platform::Platform;
 
 /// The longest wait for news of the lead; a connection that went silent is noticed only at its end.
@@ -39,6 +40,8 @@
 const STRONGER_PERCENT: u32 = 150;
 /// How long an entry leads before it hands over to a stronger one.
 const SETTLED: Millis = Millis(3_000);
+/// Why a term ends whose lead is about to stop.
+const DRAINING: &str = "draining";
 /// Renewals of the lead's lease in its time.
 const RENEWALS: u64 = 4;
 
@@ -153,14 +156,31 @@
         }
     }
 
+    /// Returns the strongest other entry.
+    fn strongest(&self) -> Option<Member> {
+        let peers = self.peers.borrow();
+        peers.iter().max_by_key(|member| member.strength).cloned()
+    }
+
+    /// Ends the term since the process will end; work goes on until another entry is ready to lead.
+    ///
+    /// Load pattern: entries are told to stop in turn while the store is slow. The lead's key would be
+    /// removed, the others would see it and one would stand, each a call of some hundred milliseconds
+    /// in which nothing starts.
+    pub(crate) async fn hand_over(self: &Rc<Self>, leading: Rc<Leading>) {
+        if let Some(successor) = self.strongest() {
+            let (this, leading) = (Rc::clone(self), Rc::clone(&leading));
+            this.offer_lead(leading, successor.known, DRAINING).await;
+        }
+        leading.depose(DRAINING);
+    }
+
     /// Offers the lead to the strongest other entry if that is worth it.
     pub(crate) async fn offer_to_stronger(self: &Rc<Self>, leading: &Rc<Leading>) {
-        let strongest = {
-            let peers = self.peers.borrow();
-            peers.iter().max_by_key(|member| member.strength).cloned()
-        };
         let led = self.now().since(leading.began());
-        let Some(strongest) = strongest else { return };
+        let Some(strongest) = self.strongest() else {
+            return;
+        };
         if !self.reaches_store()
             || !is_worth_handing_over(self.settings.strength, strongest.strength, led)
         {
--- a/crates/marigoldpick-node/tests/node/relays.rs
+++ b/crates/marigoldpick-node/tests/node/relays.rs
@@ -102,3 +102,23 @@
     expect_that!(fake.starts.len(), eq(jobs.len() * 4));
     expect_that!(fake.broken, is_empty());
 }
+
+/// The lead is told to stop: another takes its term over before it is given up.
+#[googletest::test]
+fn lead_that_is_told_to_stop_leaves_no_time_without_a_lead() {
+    let site = Site::start(3, 3);
+    let (id, _) = site.submit(0, 1, 2, 50);
+    site.wait_for(0, &id, Phase::Completed);
+    let first = site.lead();
+    site.nodes[first].face().drain();
+    let mut was_vacant = false;
+    wait_until("another entry leads", || {
+        let lead = site.lead_if_any();
+        was_vacant |= lead.is_none();
+        lead.is_some_and(|lead| lead != first)
+    });
+    expect_false!(was_vacant);
+    let (id, _) = site.submit(first, 2, 2, 50);
+    site.wait_for(first, &id, Phase::Completed);
+    expect_that!(lock(&site.fake).broken, is_empty());
+}
--- a/crates/marigoldpick-node/tests/node/site.rs
+++ b/crates/marigoldpick-node/tests/node/site.rs
@@ -471,6 +471,6 @@
     let start = Instant::now();
     while !holds() {
         assert!(start.elapsed() < PATIENCE, "{what}: it never came");
-        std::thread::sleep(Duration::from_millis(10));
+        std::thread::sleep(Duration::from_millis(5));
     }
 }
