Lead on while answers to writes get lost; know the leases that earlier leads gave

Writes had lost answers from 23.2 to 27.7 s, and each lead that missed one for 200 ms handed over to an entry that reached the store: eight leads in four seconds, though all of them reached it. Each new lead then waited for the longest lease that the platform allows, ten seconds, where leads give six.

Now a lead in doubt probes the store beside its question to the others, and a new lead waits for the leases that leads give, with a slack for clocks. Lasting tasks whose worker has left the registry are asked about ahead as well.

Ruled out: room (a third of the service was in use); advice (asked and answered).

--- a/crates/marigoldpick-job/src/lead/fleet.rs
+++ b/crates/marigoldpick-job/src/lead/fleet.rs
@@ -55,7 +55,7 @@
 
     /// Returns when whatever an earlier lead may have left on a silent worker has ended.
     pub(super) fn unknown_lapse(&self) -> Millis {
-        self.since + self.settings.term_grace + self.settings.stretched(self.settings.longest_lease)
+        self.since + self.settings.term_grace + self.settings.inherited_lease()
     }
 
     /// Notes that a worker has begun a new life; what ran in the old one has ended.
--- a/crates/marigoldpick-job/src/lead/schedule.rs
+++ b/crates/marigoldpick-job/src/lead/schedule.rs
@@ -7,7 +7,7 @@
 use super::open::Open;
 use super::reserve::is_scarce;
 use super::room::Room;
-use super::{Lead, Recording};
+use super::{Lead, REGISTRY_RETURN, Recording};
 use crate::askers::Free;
 use crate::job::{Job, Place, Stage, Task};
 use crate::place::{Wish, cost};
@@ -111,7 +111,8 @@
             for (step, stage) in occurrence.stages.iter().enumerate() {
                 let spec = &job.spec.steps[step];
                 let wants = stage.has_unplaced()
-                    || ((spec.copies || spec.lasting) && self.has_stranded(stage));
+                    || (spec.copies && self.has_stranded(stage))
+                    || (spec.lasting && self.count_failing(stage, now) > 0);
                 if !wants || !occurrence.is_ready(&job.spec, step) {
                     continue;
                 }
@@ -159,12 +160,8 @@
         }
         // Lasting tasks that are about to be lost are asked about ahead, so that they start elsewhere
         // as soon as their lease has lapsed.
-        let stranded = if step.lasting {
-            stage
-                .tasks
-                .iter()
-                .filter(|task| self.is_stranded(task))
-                .count()
+        let failing = if step.lasting {
+            self.count_failing(stage, now)
         } else {
             0
         };
@@ -186,7 +183,7 @@
         if placed > 0 {
             rooms[room].shrink(&self.workers);
         }
-        let missing = waiting.len() - placed + stranded;
+        let missing = waiting.len() - placed + failing;
         if missing > 0 && may_ask {
             self.ask(open, missing, &rooms[room], Basis::Free, askers, now);
             rooms[room].spend(&claim, missing);
@@ -202,6 +199,20 @@
         stage.left > 0 && stage.tasks.iter().any(|task| self.is_stranded(task))
     }
 
+    /// Counts the tasks of a lasting step whose worker does not answer or has left.
+    fn count_failing(&self, stage: &Stage, now: Millis) -> usize {
+        let is_settled = now.since(self.since) >= REGISTRY_RETURN;
+        let has_left = |task: &Task| {
+            let [place] = task.places.as_slice() else {
+                return false;
+            };
+            let worker = self.worker_at(&place.worker);
+            worker.is_some_and(|at| !self.workers[at].present)
+        };
+        let is_failing = |task: &&Task| self.is_stranded(task) || (is_settled && has_left(task));
+        stage.tasks.iter().filter(is_failing).count()
+    }
+
     /// Tells whether a task runs once, on a worker that does not answer.
     fn is_stranded(&self, task: &Task) -> bool {
         let [place] = task.places.as_slice() else {
--- a/crates/marigoldpick-job/src/settings.rs
+++ b/crates/marigoldpick-job/src/settings.rs
@@ -3,6 +3,8 @@
 use marigoldpick_core::prelude::*;
 use serde::{Deserialize, Serialize};
 
+/// What a lease may be longer on a worker than the lead meant: its clock drifts between two readings.
+const LEASE_SLACK: Millis = Millis(300);
 /// What a worker may need beyond the longest stop until it has freed the room.
 const STOP_MARGIN: Millis = Millis(100);
 
@@ -72,6 +74,14 @@
         Millis(self.stretched(self.stop).0 + STOP_MARGIN.0)
     }
 
+    /// Returns the longest true time for which an earlier lead's lease may keep a worker's runs: leads
+    /// give no longer ones than this one does.
+    #[must_use]
+    pub fn inherited_lease(&self) -> Millis {
+        let given = self.lease + LEASE_SLACK;
+        self.stretched(self.longest_lease.min(given))
+    }
+
     /// Returns the longest true time in which a worker's clock advances by `span`.
     #[must_use]
     pub const fn stretched(&self, span: Millis) -> Millis {
--- a/crates/marigoldpick-job/src/worker.rs
+++ b/crates/marigoldpick-job/src/worker.rs
@@ -212,7 +212,7 @@
 
     /// Notes its first report of a term: no earlier lead can renew its lease any more.
     pub fn note_fenced(&mut self, settings: &Settings, now: Millis) {
-        let longest = now + settings.stretched(settings.longest_lease);
+        let longest = now + settings.inherited_lease();
         self.inherited = self.inherited.min(longest);
         self.note_lapse(settings);
     }
--- a/crates/marigoldpick-job/tests/lead/faults.rs
+++ b/crates/marigoldpick-job/tests/lead/faults.rs
@@ -272,6 +272,30 @@
     expect_that!(world.pool.broken, is_empty());
 }
 
+/// A worker leaves just before a take-over; the platform allows leases of ten seconds, leads give six.
+/// An earlier lead may renew for three seconds more.
+#[googletest::test]
+fn lasting_task_whose_worker_left_before_a_take_over_runs_again_once_no_lease_can_live() {
+    let mut world = World::new(4);
+    world.settings.longest_lease = Millis(10_000);
+    world.queues = vec![advised(queue("fast", 0), 450.0, 6.5)];
+    world.take_over();
+    let lasting = Step {
+        lasting: true,
+        ..step(4, 30_000, 300)
+    };
+    let id = world.submit(1, job(vec![lasting]));
+    world.run(6_000);
+    let lost = (0..4)
+        .find(|at| world.pool.workers[*at].runs_job(&id))
+        .expect("a worker in use");
+    world.pool.workers[lost].up = false;
+    world.take_over();
+    world.run(3_000 + 6_000 + 600);
+    expect_that!(world.pool.running().len(), eq(4));
+    expect_that!(world.pool.broken, is_empty());
+}
+
 /// Load pattern: 5 orders in 100 get no answer, on a domain of 60 workers. A step of urgent work takes
 /// 400 ms on a sound worker; one whose start or end is lost once takes a second more.
 #[googletest::test]
--- a/crates/marigoldpick-node/src/driver.rs
+++ b/crates/marigoldpick-node/src/driver.rs
@@ -5,7 +5,7 @@
 
 use async_std::future::timeout;
 use async_std::task;
-use futures::future::{Either, select};
+use futures::future::{Either, join, select};
 use marigoldpick_core::control::Known;
 use marigoldpick_core::prelude::*;
 use marigoldpick_core::store::{Answer, Call, Condition, Expect, Fault, Item, Write};
@@ -36,6 +36,9 @@
 /// How long a commit may take before the lead asks whether others reach the store: one that is not
 /// harmed answers in some ten milliseconds.
 const SUSPICION: Millis = Millis(200);
+/// The longest time for a probe of a lead that doubts its way to the store: one that is not harmed
+/// answers in some ten milliseconds.
+const PROBE: Millis = Millis(60);
 /// The longest time for the question to succeed, whose receiver checks the store first.
 const SUCCEED: Millis = Millis(800);
 /// Why a term ends whose lead does not reach the store.
@@ -228,8 +231,11 @@
     /// Offers the lead to an entry that reaches the store, unless it answers this one meanwhile.
     async fn seek_successor(self: &Rc<Self>, leading: &Rc<Leading>) {
         let since = self.now();
-        let others = self.ask_others().await;
-        // A store that is slow for all has answered by then, or answers nobody.
+        // The answer to a write may be lost by itself; then the probe is answered. A store that is slow
+        // for all has answered by the time that the others do, or answers nobody.
+        let probe = timeout(PROBE.duration(), self.probe_store());
+        // The outcome of the probe is noted by the call itself.
+        let (others, _probe) = join(self.ask_others(), probe).await;
         if let Some(successor) = others.reaching.first()
             && !self.has_answered_since(since)
         {
--- a/crates/marigoldpick-node/tests/node/main.rs
+++ b/crates/marigoldpick-node/tests/node/main.rs
@@ -135,6 +135,23 @@
     expect_that!(lock(&site.fake).broken, is_empty());
 }
 
+/// Load pattern: answers to writes get lost, and all entries reach the store.
+#[googletest::test]
+fn lead_whose_writes_get_no_answer_leads_on() {
+    let site = Site::start_with(3, 3, Some(Millis::from_secs(300)));
+    let (id, _) = site.submit(0, 1, 1, 50);
+    site.wait_for(0, &id, Phase::Completed);
+    let lead = site.lead();
+    let other = (lead + 1) % 3;
+    for number in 2..5 {
+        site.lost[lead].store(1, Ordering::SeqCst);
+        let (id, _) = site.submit(other, number, 2, 50);
+        site.wait_for(other, &id, Phase::Completed);
+        expect_that!(site.lead(), eq(lead));
+    }
+    expect_that!(lock(&site.fake).broken, is_empty());
+}
+
 /// Load pattern: the store refuses all calls, and each entry asks the others whether they reach it.
 #[googletest::test]
 fn outage_of_the_store_is_probed_once_by_each_entry() {
--- a/crates/marigoldpick-node/tests/node/site.rs
+++ b/crates/marigoldpick-node/tests/node/site.rs
@@ -1,7 +1,7 @@
 //! A site: the stand-in's store, fake workers in memory, and nodes on loopback.
 
 use std::net::TcpListener;
-use std::sync::atomic::{AtomicBool, Ordering};
+use std::sync::atomic::{AtomicBool, AtomicUsize, Ordering};
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::time::{Duration, Instant};
 
@@ -153,6 +153,8 @@
 pub struct Link {
     store: Store,
     silent: Arc<AtomicBool>,
+    /// How many of the next writes are carried out and not answered.
+    lost: Arc<AtomicUsize>,
 }
 
 impl store::Store for Link {
@@ -160,7 +162,15 @@
         if self.silent.load(Ordering::SeqCst) {
             return std::future::pending().await;
         }
-        self.store.call(call).await
+        let is_write = matches!(call, store::Call::Commit { .. });
+        let answer = self.store.call(call).await;
+        let less = |left: usize| left.checked_sub(1);
+        let order = Ordering::SeqCst;
+        if is_write && self.lost.fetch_update(order, order, less).is_ok() {
+            task::sleep(Duration::from_millis(800)).await;
+            return Err(store::Fault::Unknown);
+        }
+        answer
     }
 }
 
@@ -321,6 +331,8 @@
     pub nodes: Vec<Node>,
     /// Whether the store is silent for a node.
     pub silent: Vec<Arc<AtomicBool>>,
+    /// How many of a node's next writes get no answer.
+    pub lost: Vec<Arc<AtomicUsize>>,
     /// Whether the workers are out of a node's reach.
     pub cut: Vec<Arc<AtomicBool>>,
     lead_lease: Option<Millis>,
@@ -360,6 +372,7 @@
             fake: Arc::new(Mutex::new(Fake::new(workers))),
             nodes: Vec::new(),
             silent: strengths.iter().map(|_| Arc::default()).collect(),
+            lost: strengths.iter().map(|_| Arc::default()).collect(),
             cut: strengths.iter().map(|_| Arc::default()).collect(),
             lead_lease,
             strengths,
@@ -414,6 +427,7 @@
             store: Link {
                 store: Store::new(&address, caller, marigoldpick_platform::Settings::default()),
                 silent: Arc::clone(&self.silent[number]),
+                lost: Arc::clone(&self.lost[number]),
             },
             fake: Arc::clone(&self.fake),
             number,
