--- a/crates/marigoldpick-node/src/driver.rs
+++ b/crates/marigoldpick-node/src/driver.rs
@@ -37,8 +37,8 @@
 /// harmed answers in some ten milliseconds.
 const SUSPICION: Millis = Millis(200);
 /// The longest time for a probe of a lead that doubts its way to the store: one that is not harmed
-/// answers in some ten milliseconds.
-const PROBE: Millis = Millis(60);
+/// answers in some ten milliseconds, on a busy machine in some more.
+const PROBE: Millis = Millis(150);
 /// The longest time for the question to succeed, whose receiver checks the store first.
 const SUCCEED: Millis = Millis(800);
 /// Why a term ends whose lead does not reach the store.
