--- a/crates/marigoldpick-node/src/relay.rs
+++ b/crates/marigoldpick-node/src/relay.rs
@@ -174,8 +174,9 @@
         }
     }
 
-    /// Tells those that wait that nothing is known of their orders; what has not left is not carried out.
-    pub(crate) fn give_up(&self, sent: &[u64]) {
+    /// Tells those that wait that nothing is known of their orders, or that they were not carried out:
+    /// those that have not left, and those of the batch that the relay `refused`.
+    pub(crate) fn give_up(&self, refused: &[u64]) {
         let unsent: Vec<u64> = self
             .queue
             .borrow_mut()
@@ -183,7 +184,7 @@
             .map(|i| i.number)
             .collect();
         for (number, reply) in self.waiting.borrow_mut().drain(..) {
-            let has_left = unsent.binary_search(&number).is_err() && !sent.contains(&number);
+            let has_left = unsent.binary_search(&number).is_err() && !refused.contains(&number);
             let fault = if has_left {
                 Fault::Unknown
             } else {
