--- a/crates/marigoldpick-node/src/driver.rs
+++ b/crates/marigoldpick-node/src/driver.rs
@@ -173,11 +173,11 @@
             return;
         }
         if let Some(successor) = others.reaching.first() {
-            task::spawn_local(Rc::clone(self).offer_lead(
-                Rc::clone(leading),
-                successor.clone(),
-                STORE_LOST,
-            ));
+            let (this, leading, successor) =
+                (Rc::clone(self), Rc::clone(leading), successor.clone());
+            task::spawn_local(async move {
+                this.offer_lead(&leading, &successor, STORE_LOST).await;
+            });
             return;
         }
         let outage = others.most_are_cut_off();
@@ -189,15 +189,15 @@
 
     /// Asks another entry to lead, and ends the term for the cause `why` if it does.
     pub(crate) async fn offer_lead(
-        self: Rc<Self>,
-        leading: Rc<Leading>,
-        successor: Known,
+        self: &Rc<Self>,
+        leading: &Rc<Leading>,
+        successor: &Known,
         why: &'static str,
     ) {
         if leading.is_over() {
             return;
         }
-        let asked = self.call(&successor, peer::Call::Succeed, SUCCEED).await;
+        let asked = self.call(successor, peer::Call::Succeed, SUCCEED).await;
         log::info!(
             target: "node",
             "event=lead-offered term={} to={} answered={}",
@@ -239,9 +239,7 @@
         if let Some(successor) = others.reaching.first()
             && !self.has_answered_since(since)
         {
-            let (this, leading) = (Rc::clone(self), Rc::clone(leading));
-            this.offer_lead(leading, successor.clone(), STORE_LOST)
-                .await;
+            self.offer_lead(leading, successor, STORE_LOST).await;
         }
     }
 
--- a/crates/marigoldpick-node/src/election.rs
+++ b/crates/marigoldpick-node/src/election.rs
@@ -169,8 +169,7 @@
     /// in which nothing starts.
     pub(crate) async fn hand_over(self: &Rc<Self>, leading: Rc<Leading>) {
         if let Some(successor) = self.strongest() {
-            let (this, leading) = (Rc::clone(self), Rc::clone(&leading));
-            this.offer_lead(leading, successor.known, DRAINING).await;
+            self.offer_lead(&leading, &successor.known, DRAINING).await;
         }
         leading.depose(DRAINING);
     }
@@ -194,8 +193,7 @@
                 "event=stronger-entry entry={} strength={} own={}",
                 strongest.known.entry, strongest.strength, self.settings.strength
             );
-            let (this, leading) = (Rc::clone(self), Rc::clone(leading));
-            this.offer_lead(leading, strongest.known, "handed-over")
+            self.offer_lead(leading, &strongest.known, "handed-over")
                 .await;
         }
     }
