Count suspended time on the clock of a process

A machine that is suspended wakes up with a monotonic clock that stood still: a lead would hold its term, its permission to start without records and the leases of workers for as long again as it slept. CLOCK_BOOTTIME counts the sleep, also for the estimate of a worker's own clock, which ran on. No test: a suspension can't be caused from inside.

--- a/crates/marigoldpick-core/src/clock.rs
+++ b/crates/marigoldpick-core/src/clock.rs
@@ -4,8 +4,9 @@
 use std::ops::{Add, AddAssign, Sub};
 use std::sync::Arc;
 use std::sync::atomic::{AtomicU64, Ordering};
-use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
+use std::time::{Duration, SystemTime, UNIX_EPOCH};
 
+use nix::time::{ClockId, clock_gettime};
 use serde::{Deserialize, Serialize};
 
 /// `Millis` is a point in time or a span, in milliseconds.
@@ -90,9 +91,12 @@
 }
 
 /// `System` is the machine's monotonic clock, counted from its creation.
+///
+/// It counts the time for which the machine was suspended: a permission that ran out meanwhile has to
+/// be over when the process goes on.
 #[derive(Clone, Copy, Debug)]
 pub struct System {
-    start: Instant,
+    start: Duration,
 }
 
 impl System {
@@ -100,7 +104,7 @@
     #[must_use]
     pub fn new() -> Self {
         Self {
-            start: Instant::now(),
+            start: since_boot(),
         }
     }
 }
@@ -113,10 +117,20 @@
 
 impl Clock for System {
     fn now(&self) -> Millis {
-        Millis(u64::try_from(self.start.elapsed().as_millis()).unwrap_or(u64::MAX))
+        let elapsed = since_boot().saturating_sub(self.start);
+        Millis(u64::try_from(elapsed.as_millis()).unwrap_or(u64::MAX))
     }
 }
 
+/// Returns the time since the machine was started, suspension included.
+///
+/// # Panics
+/// When the system has no such clock; Linux has had it since 2.6.39.
+fn since_boot() -> Duration {
+    let time = clock_gettime(ClockId::CLOCK_BOOTTIME).expect("Linux has this clock");
+    Duration::from(time)
+}
+
 /// `Manual` is a clock that tests move by hand.
 #[derive(Clone, Debug, Default)]
 pub struct Manual {
