Guard the end of an outage: records first, one term, no verdict without a configuration

Now: the permission ends with the store's first answer, whichever call brings it, and by itself after 1.2 s; it is not given by an answer of others that the store has overtaken. Doubt covers jobs that come later until each worker has reported or has twice not answered. A relay gives no order of an earlier term than it has heard of. An entry without a configuration neither stands nor succeeds. Failures are judged only where the queue is known and no unheard worker may have finished the task; a take-over and a change of the configuration judge anew.

Ruled out: waiting for silent workers with later jobs too. It would hold all starts for nine seconds beside one lost worker, and what it guards against needs two of the other guards to fail.

--- a/crates/marigoldpick-job/src/job.rs
+++ b/crates/marigoldpick-job/src/job.rs
@@ -250,6 +250,16 @@
         self.occurrences.iter().all(Occurrence::is_done)
     }
 
+    /// Tells whether a task that is not done has failed `attempts` times.
+    #[must_use]
+    pub fn has_failed(&self, attempts: u32) -> bool {
+        let mut stages = self.occurrences.iter().flat_map(|o| &o.stages);
+        stages.any(|stage| {
+            let mut tasks = stage.tasks.iter();
+            tasks.any(|task| !task.done && task.failed.len() >= attempts as usize)
+        })
+    }
+
     /// Returns all tasks that have a place.
     #[must_use]
     pub fn placed(&self) -> Vec<(work::Task, Place)> {
--- a/crates/marigoldpick-job/src/lead.rs
+++ b/crates/marigoldpick-job/src/lead.rs
@@ -35,6 +35,9 @@
 
 /// The runs that one term can number: 2^20.
 const RUN_BITS: u32 = 20;
+/// Holds without an answer after which a new lead no longer waits for a worker's first report with the
+/// jobs of its own term: one may be lost by itself.
+const UNHEARD_HOLDS: u32 = 2;
 /// Workers whose registration lapsed with the store are back within this time of its return.
 const REGISTRY_RETURN: Millis = Millis(2_500);
 
@@ -66,6 +69,28 @@
     Loaded(Option<&'a Record>),
 }
 
+/// `Doubt` tells of which jobs tasks may run unknown to the lead.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum Doubt {
+    /// Of none.
+    None,
+    /// Of those that were handed in before the term.
+    Earlier,
+    /// Of any.
+    All,
+}
+
+impl Doubt {
+    /// Tells whether tasks of a job may.
+    const fn covers(self, job: &Job) -> bool {
+        match self {
+            Self::None => false,
+            Self::Earlier => job.loaded,
+            Self::All => true,
+        }
+    }
+}
+
 /// `Note` is one decision, for the log.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct Note {
@@ -98,14 +123,16 @@
     recording: Vec<Recording>,
     /// Jobs of which a step may wait for a place, sorted.
     waiting: Vec<id::Job>,
+    /// Jobs with a task that has failed, of which it is not known whether it may be tried again; sorted.
+    unjudged: Vec<id::Job>,
     /// Whether a pass over the waiting work may place something.
     unscheduled: bool,
     /// When the last pass was.
     passed: Millis,
     /// The least time until the next pass.
     pause: Millis,
-    /// Whether starts may be ordered before the store has them.
-    unrecorded: bool,
+    /// Until when starts may be ordered before the store has them.
+    unrecorded: Millis,
     /// Whether an earlier lead may have given starts that the store does not have.
     doubtful: bool,
     /// Whether another lead has given orders.
@@ -147,7 +174,8 @@
             unscheduled: true,
             passed: Millis::ZERO,
             pause: Millis::ZERO,
-            unrecorded: false,
+            unrecorded: Millis::ZERO,
+            unjudged: Vec::new(),
             doubtful: false,
             deposed: false,
             speeds: Speeds::default(),
@@ -210,7 +238,10 @@
                 Err(at) => self.queues.insert(at, queue.clone()),
             }
         }
-        (0..self.jobs.len()).for_each(|at| self.measure(at));
+        for at in 0..self.jobs.len() {
+            self.measure(at);
+            self.note_failures(at);
+        }
         self.unscheduled = true;
     }
 
@@ -219,22 +250,48 @@
         self.askers.set(entries);
     }
 
-    /// Allows or forbids starts that the store has not recorded.
-    pub fn allow_unrecorded(&mut self, allowed: bool) {
-        self.unrecorded = allowed;
+    /// Allows starts that the store has not recorded until `until`.
+    ///
+    /// The permission ends by itself: a process that was paused meanwhile does not act on it.
+    pub fn allow_unrecorded(&mut self, until: Millis) {
+        self.unrecorded = until;
+    }
+
+    /// Forbids starts that the store has not recorded.
+    pub fn forbid_unrecorded(&mut self) {
+        self.unrecorded = Millis::ZERO;
+    }
+
+    /// Tells whether starts that the store has not recorded are allowed.
+    #[must_use]
+    pub fn allows_unrecorded(&self, now: Millis) -> bool {
+        now < self.unrecorded
     }
 
     /// Notes that an earlier lead may have given starts that the store does not have.
     ///
     /// Tasks of the jobs of that time are then started only once all workers have reported, or have
-    /// been silent for so long that nothing runs there any more.
+    /// been silent for so long that nothing runs there any more; those of newer jobs once each worker
+    /// has reported or has twice not answered, since until then the earlier lead may still be obeyed.
     pub fn doubt_records(&mut self) {
         self.doubtful = true;
     }
 
-    /// Tells whether tasks of the earlier lead's time may run where they are not recorded.
-    fn doubts_records(&self, now: Millis) -> bool {
-        self.doubtful && now < self.unknown_lapse() && !self.all_have_reported(now)
+    /// Tells whether tasks may run where they are not recorded, started by an earlier lead.
+    fn doubt(&self, now: Millis) -> Doubt {
+        if !self.doubtful || now >= self.unknown_lapse() {
+            return Doubt::None;
+        }
+        let is_awaited =
+            |worker: &Worker| worker.present && !worker.listed && worker.silent < UNHEARD_HOLDS;
+        if self.workers.is_empty() || self.workers.iter().any(is_awaited) {
+            return Doubt::All;
+        }
+        if self.all_have_reported(now) {
+            Doubt::None
+        } else {
+            Doubt::Earlier
+        }
     }
 
     fn all_have_reported(&self, now: Millis) -> bool {
@@ -273,6 +330,7 @@
         };
         self.jobs.insert(at, job);
         self.measure(at);
+        self.note_failures(at);
         self.reconsider(at);
         for (task, place) in placed {
             self.expect_run(&task, &place, now);
@@ -451,13 +509,14 @@
     /// Decides what is to be done at `now`.
     pub fn step(&mut self, now: Millis) -> Vec<Action> {
         self.lapse_silent(now);
+        self.judge_failures(now);
         self.give_stops();
         self.give_holds(now);
         if now >= self.next_pass() {
             self.schedule(now);
         }
         self.give_commit(now);
-        if self.unrecorded {
+        if self.allows_unrecorded(now) {
             self.start_recorded(now);
         }
         std::mem::take(&mut self.actions)
--- a/crates/marigoldpick-job/src/lead/report.rs
+++ b/crates/marigoldpick-job/src/lead/report.rs
@@ -187,9 +187,6 @@
             return;
         };
         let (gang, lasting) = (step.gang, step.lasting);
-        let attempts = self
-            .queue(&self.jobs[at].spec.queue)
-            .map_or(1, |queue| queue.attempts.max(1));
         let Some(stage) = self.jobs[at].stage_mut(end.task.part.occurrence, end.task.part.step)
         else {
             return;
@@ -222,11 +219,9 @@
                     task.failed.push(end.run);
                 }
                 task.avoid.push(worker.clone());
-                let failed = task.failed.len();
                 self.touch(at);
-                if failed >= attempts as usize {
-                    self.finish(at, work::Phase::Failed, now);
-                }
+                self.note_failures(at);
+                self.judge_failures(now);
             }
             _ => {
                 if let Some(task) = stage.tasks.get_mut(end.task.index as usize)
@@ -239,6 +234,43 @@
         }
     }
 
+    /// Notes that a job has to be judged if a task of it has failed.
+    pub(super) fn note_failures(&mut self, at: usize) {
+        let job = &self.jobs[at];
+        if job.phase.is_over() || !job.has_failed(1) {
+            return;
+        }
+        if let Err(place) = self.unjudged.binary_search(&job.id) {
+            self.unjudged.insert(place, job.id.clone());
+        }
+    }
+
+    /// Ends the jobs of which a task has failed as often as its queue allows.
+    ///
+    /// Nothing is decided while the queue is not known, nor while a worker that has not reported may
+    /// have finished the task.
+    pub(super) fn judge_failures(&mut self, now: Millis) {
+        if self.unjudged.is_empty() {
+            return;
+        }
+        let doubt = self.doubt(now);
+        for id in std::mem::take(&mut self.unjudged) {
+            let Some(at) = self.at(&id) else { continue };
+            let job = &self.jobs[at];
+            if job.phase.is_over() {
+                continue;
+            }
+            match self.queue(&job.spec.queue) {
+                Some(queue) if !doubt.covers(job) => {
+                    if job.has_failed(queue.attempts.max(1)) {
+                        self.finish(at, work::Phase::Failed, now);
+                    }
+                }
+                _ => self.unjudged.push(id),
+            }
+        }
+    }
+
     /// Stops the other runs of a task that is done.
     fn stop_copies(&mut self, at: usize, task: &Task, gang: bool) {
         if gang {
--- a/crates/marigoldpick-job/src/lead/schedule.rs
+++ b/crates/marigoldpick-job/src/lead/schedule.rs
@@ -76,7 +76,7 @@
     /// Returns the steps that wait; jobs of which none can wait before something changes are left out
     /// from then on.
     fn open_parts(&mut self, now: Millis) -> Vec<Open> {
-        let doubts = self.doubts_records(now);
+        let doubt = self.doubt(now);
         let mut open = Vec::new();
         let mut waiting = std::mem::take(&mut self.waiting);
         waiting.retain(|id| {
@@ -89,14 +89,14 @@
                 return true;
             };
             let before = open.len();
-            if !(doubts && job.loaded) {
+            if !doubt.covers(job) {
                 self.add_open(job, queue, now, &mut open);
             }
             let mut steps = job.spec.steps.iter();
             // A worker that falls silent changes nothing in the job.
             let is_watched = steps.any(|step| step.copies || step.lasting);
             let is_due_later = job.occurrences.iter().any(|o| now < o.due);
-            open.len() > before || is_watched || is_due_later || (doubts && job.loaded)
+            open.len() > before || is_watched || is_due_later || doubt.covers(job)
         });
         self.waiting = waiting;
         open
--- a/crates/marigoldpick-job/src/lead/start.rs
+++ b/crates/marigoldpick-job/src/lead/start.rs
@@ -16,7 +16,7 @@
             let stored = self
                 .job(&start.task.part.job)
                 .is_some_and(|job| job.stored >= start.change);
-            if !stored && !self.unrecorded {
+            if !stored && !self.allows_unrecorded(now) {
                 self.recording.push(start);
             } else if self.give_start(&start.worker, &start.task, start.run, now) {
                 given.push(start);
--- a/crates/marigoldpick-job/tests/lead/faults.rs
+++ b/crates/marigoldpick-job/tests/lead/faults.rs
@@ -5,7 +5,7 @@
 use marigoldpick_core::work::{Phase, Step};
 use marigoldpick_job::worker;
 
-use crate::world::{World, advised, job, name, queue, step};
+use crate::world::{World, advised, job, job_id, name, queue, step};
 
 /// Hands in a job of several steps each 50 ms.
 fn busy(world: &mut World, jobs: u32) {
@@ -440,3 +440,82 @@
     expect_that!(world.pool.done.len(), eq(3));
     expect_that!(world.pool.broken, is_empty());
 }
+
+/// Load pattern: the store comes back, another entry leads at once, and a job that the earlier lead has
+/// started without a record comes to the new one from the inbox, before all workers have reported.
+#[googletest::test]
+fn take_over_in_doubt_starts_no_later_job_before_workers_have_reported() {
+    let mut world = World::new(2);
+    world.run(100);
+    world.store_up = false;
+    world.lead.allow_unrecorded(Millis(2_000));
+    let id = world.submit(1, job(vec![step(1, 4_000, 3_000)]));
+    world.run(50);
+    let runs = (0..2).find(|at| world.pool.runs_on(*at) > 0);
+    let runs = runs.expect("a worker that runs the task");
+    world.cut[runs] = true;
+    world.take_over_before(std::slice::from_ref(&id));
+    world.lead.doubt_records();
+    world.run(400);
+    world.cut[runs] = false;
+    world.run(8_000);
+    expect_that!(world.pool.broken, is_empty());
+    expect_that!(world.phase(&id), some(eq(Phase::Completed)));
+}
+
+/// A process that was paused in an outage acts on no permission that it had before.
+#[googletest::test]
+fn allow_unrecorded_ends_by_itself() {
+    let mut world = World::new(2);
+    world.run(100);
+    world.store_up = false;
+    world.lead.allow_unrecorded(world.now + Millis(200));
+    world.run(300);
+    world.submit(1, job(vec![step(2, 4_000, 300)]));
+    world.run(500);
+    expect_that!(world.pool.started.len(), eq(0));
+    world.lead.allow_unrecorded(world.now + Millis(200));
+    world.run(50);
+    expect_that!(world.pool.started.len(), eq(2));
+}
+
+/// Load pattern: an entry that was started in an outage takes over before it has a configuration.
+#[googletest::test]
+fn failed_task_of_a_queue_that_is_not_known_ends_no_job() {
+    let mut world = World::new(2);
+    world.pool.hopeless.insert(job_id(1));
+    let id = world.submit(1, job(vec![step(1, 4_000, 400)]));
+    world.run(30);
+    expect_that!(world.pool.started.len(), eq(1));
+    let queues = std::mem::take(&mut world.queues);
+    world.take_over();
+    world.run(1_500);
+    expect_that!(world.phase(&id), not(some(eq(Phase::Failed))));
+    world.queues = queues;
+    world.lead.configure(&world.queues);
+    world.run(8_000);
+    // Its queue allows three attempts, and all of them fail.
+    expect_that!(world.phase(&id), some(eq(Phase::Failed)));
+    expect_that!(world.pool.started.len(), eq(3));
+}
+
+/// Load pattern: a lead's term ends before it could tell what a task's failures mean for the job.
+#[googletest::test]
+fn take_over_judges_the_failures_that_earlier_leads_recorded() {
+    let mut world = World::new(2);
+    world.pool.hopeless.insert(job_id(1));
+    let id = world.submit(1, job(vec![step(1, 4_000, 400)]));
+    world.run(20);
+    // This lead reads and records the failure, and can't judge it.
+    let queues = std::mem::take(&mut world.queues);
+    world.take_over();
+    world.run(500);
+    expect_true!(world.records[&id].contains("\"f\""));
+    let starts = world.pool.started.len();
+    world.queues = queues;
+    world.queues[0].attempts = 1;
+    world.take_over();
+    world.run(1_000);
+    expect_that!(world.phase(&id), some(eq(Phase::Failed)));
+    expect_that!(world.pool.started.len(), eq(starts));
+}
--- a/crates/marigoldpick-job/tests/lead/world.rs
+++ b/crates/marigoldpick-job/tests/lead/world.rs
@@ -163,6 +163,11 @@
 
     /// Another entry takes over with what the store has; orders under way still arrive.
     pub fn take_over(&mut self) {
+        self.take_over_before(&[]);
+    }
+
+    /// As `take_over`, with jobs that come to the new lead only once it has read the others.
+    pub fn take_over_before(&mut self, later: &[id::Job]) {
         self.term += 100;
         self.lead = Lead::new(self.settings, self.term, self.now);
         self.prepare();
@@ -172,7 +177,11 @@
             let record = self.records.get(id);
             let record = record.map(|text| Record::parse(text).expect("a record"));
             let wall = WALL + self.now.0;
-            let origin = Origin::Loaded(record.as_ref());
+            let origin = if later.contains(id) {
+                Origin::New
+            } else {
+                Origin::Loaded(record.as_ref())
+            };
             self.lead
                 .accept(id.clone(), Arc::clone(job), origin, wall, self.now);
         }
--- a/crates/marigoldpick-node/src/control.rs
+++ b/crates/marigoldpick-node/src/control.rs
@@ -14,6 +14,7 @@
 use marigoldpick_core::prelude::*;
 use marigoldpick_core::store::{Answer, Call, Fault, Store};
 use marigoldpick_core::work::peer;
+use marigoldpick_job::Lead;
 use marigoldpick_wire as wire;
 
 use crate::ask::{Ask, Shared};
@@ -47,6 +48,8 @@
     pub(crate) lead: RefCell<Option<Known>>,
     /// The lead's state when this entry leads.
     pub(crate) leading: RefCell<Option<Rc<Leading>>>,
+    /// The latest term of which this entry has heard from a lead.
+    pub(crate) newest_term: Cell<u64>,
     /// The other entries that were seen last.
     pub(crate) peers: RefCell<Vec<Member>>,
     /// The sessions in which this entry carries out orders for a lead.
@@ -78,6 +81,7 @@
             clock: System::new(),
             lead: RefCell::default(),
             leading: RefCell::default(),
+            newest_term: Cell::new(0),
             peers: RefCell::default(),
             sessions: RefCell::default(),
             others: RefCell::default(),
@@ -153,6 +157,10 @@
         }
         if reach.answers() {
             log::info!(target: "store", "event=store-regained after_ms={}", before.0);
+            // Another entry may lead since: from here on a start needs the store's record.
+            if let Some(leading) = self.leads() {
+                leading.change(Lead::forbid_unrecorded);
+            }
         } else {
             log::warn!(target: "store", "event=store-lost after_ms={}", before.0);
             task::spawn_local(Rc::clone(self).probe());
--- a/crates/marigoldpick-node/src/desk.rs
+++ b/crates/marigoldpick-node/src/desk.rs
@@ -76,7 +76,7 @@
             }
             peer::Call::Cancel(job) => peer::Answer::Receipt(self.cancel(&job, false).await),
             peer::Call::Succeed => {
-                if !self.check_store().await {
+                if !self.has_config() || !self.check_store().await {
                     return Err(Code::StoreAway);
                 }
                 log::info!(target: "node", "event=succession-asked");
--- a/crates/marigoldpick-node/src/dispatch.rs
+++ b/crates/marigoldpick-node/src/dispatch.rs
@@ -33,6 +33,7 @@
     /// Carries out a batch of orders for the lead; returns what is known by now of this and earlier ones.
     pub(crate) async fn relay_orders(self: &Rc<Self>, batch: Batch) -> Vec<Outcome> {
         let session = self.session(batch.session);
+        self.note_term(batch.term);
         for item in batch.items {
             task::spawn_local(Rc::clone(self).carry_out(Rc::clone(&session), batch.term, item));
         }
@@ -40,8 +41,7 @@
     }
 
     async fn carry_out(self: Rc<Self>, session: Rc<Session>, term: u64, item: Item) {
-        let workers = self.platform.workers();
-        let answer = workers.order(&item.target, term, item.order).await;
+        let answer = self.order_under(term, &item.target, item.order).await;
         session.add(Outcome {
             number: item.number,
             answer,
@@ -158,8 +158,23 @@
         if leading.is_over() {
             return Err(Fault::Away);
         }
-        let workers = self.platform.workers();
-        workers.order(target, leading.term(), order.clone()).await
+        self.order_under(leading.term(), target, order.clone())
+            .await
+    }
+
+    /// Gives an order to a worker unless a later term than its own is known here.
+    ///
+    /// A worker that has not heard of the later term would obey.
+    async fn order_under(&self, term: u64, target: &Target, order: Order) -> Answer {
+        if term < self.newest_term.get() {
+            return Err(Fault::Fenced);
+        }
+        self.platform.workers().order(target, term, order).await
+    }
+
+    /// Notes a term of which this entry has heard.
+    pub(crate) fn note_term(&self, term: u64) {
+        self.newest_term.set(self.newest_term.get().max(term));
     }
 
     fn relay_of(
--- a/crates/marigoldpick-node/src/driver.rs
+++ b/crates/marigoldpick-node/src/driver.rs
@@ -41,6 +41,9 @@
 const PROBE: Millis = Millis(150);
 /// The longest time for the question to succeed, whose receiver checks the store first.
 const SUCCEED: Millis = Millis(800);
+/// How long starts without records are allowed after most entries said that they don't reach the store:
+/// the pause between two such questions and the longest time of one.
+const UNRECORDED: Millis = Millis(1_200);
 /// Why a term ends whose lead does not reach the store.
 const STORE_LOST: &str = "store-lost-here";
 /// How long a worker that the registry lost in an outage of the store is kept: entries of living
@@ -169,7 +172,8 @@
     /// Where others reach it, one of them leads from now on. Where most entries live and none
     /// reaches it, nobody can take over, and work goes on without records.
     pub(crate) fn advise_lead(self: &Rc<Self>, leading: &Rc<Leading>, others: &Others) {
-        if self.store_age() < PATIENCE {
+        // The store may have answered while the others were asked.
+        if self.reaches_store() || self.store_age() < PATIENCE {
             return;
         }
         if let Some(successor) = others.reaching.first() {
@@ -180,11 +184,13 @@
             });
             return;
         }
-        let outage = others.most_are_cut_off();
-        if outage {
-            leading.confirm(self.now());
+        if others.most_are_cut_off() {
+            let now = self.now();
+            leading.confirm(now);
+            leading.change(|lead| lead.allow_unrecorded(now + UNRECORDED));
+        } else {
+            leading.change(Lead::forbid_unrecorded);
         }
-        leading.change(|lead| lead.allow_unrecorded(outage));
     }
 
     /// Asks another entry to lead, and ends the term for the cause `why` if it does.
--- a/crates/marigoldpick-node/src/election.rs
+++ b/crates/marigoldpick-node/src/election.rs
@@ -122,7 +122,7 @@
         }
         self.yield_to_earlier_lead().await;
         self.note_lead(None);
-        if self.is_draining() {
+        if self.is_draining() || !self.has_config() {
             task::sleep(RETRY.duration()).await;
             return Ok(());
         }
@@ -198,6 +198,11 @@
         }
     }
 
+    /// Tells whether there is a configuration: without one nothing can be decided for a queue.
+    pub(crate) fn has_config(&self) -> bool {
+        self.shared.config.load().is_some()
+    }
+
     pub(crate) fn is_draining(&self) -> bool {
         let draining = &self.shared.draining;
         draining.load(std::sync::atomic::Ordering::SeqCst)
@@ -288,6 +293,7 @@
             Err(fault) => return Err(fault),
         };
         log::info!(target: "node", "event=lead-taken term={term}");
+        self.note_term(term);
         *self.lead.borrow_mut() = Some(self.own());
         let now = self.now();
         let unsure = self.store_age() < OUTAGE_MEMORY;
--- a/crates/marigoldpick-node/src/health.rs
+++ b/crates/marigoldpick-node/src/health.rs
@@ -56,9 +56,6 @@
         }
         self.tell_retry(None);
         *self.others.borrow_mut() = Others::default();
-        if let Some(leading) = self.leads() {
-            leading.change(|lead| lead.allow_unrecorded(false));
-        }
     }
 
     /// Asks the other entries whether they reach the store, and draws the conclusions.
--- a/crates/marigoldpick-node/tests/node/main.rs
+++ b/crates/marigoldpick-node/tests/node/main.rs
@@ -1,5 +1,6 @@
 //! Nodes on loopback with the stand-in's store: acceptance, outcomes, cancels, take-over, outages.
 
+mod outages;
 mod relays;
 mod site;
 
--- a/crates/marigoldpick-node/tests/node/site.rs
+++ b/crates/marigoldpick-node/tests/node/site.rs
@@ -155,6 +155,8 @@
     silent: Arc<AtomicBool>,
     /// How many of the next writes are carried out and not answered.
     lost: Arc<AtomicUsize>,
+    /// Whether it answers nothing but what follows a key.
+    only_news: Arc<AtomicBool>,
 }
 
 impl store::Store for Link {
@@ -162,6 +164,11 @@
         if self.silent.load(Ordering::SeqCst) {
             return std::future::pending().await;
         }
+        let is_news = matches!(call, store::Call::Follow { .. });
+        if !is_news && self.only_news.load(Ordering::SeqCst) {
+            task::sleep(Duration::from_millis(400)).await;
+            return Err(store::Fault::Unknown);
+        }
         let is_write = matches!(call, store::Call::Commit { .. });
         let answer = self.store.call(call).await;
         let less = |left: usize| left.checked_sub(1);
@@ -183,6 +190,8 @@
     number: usize,
     /// Whether no order of this entry reaches a worker.
     cut: Arc<AtomicBool>,
+    /// Whether there is no configuration for this entry.
+    unconfigured: bool,
 }
 
 pub fn lock(fake: &Mutex<Fake>) -> MutexGuard<'_, Fake> {
@@ -264,6 +273,13 @@
 
 impl Source for Services {
     async fn follow(&self, revision: u64, wait: Millis) -> Result<News, store::Fault> {
+        if self.unconfigured {
+            task::sleep(Duration::from_millis(20)).await;
+            return Ok(News {
+                config: None,
+                revision: 0,
+            });
+        }
         if revision > 0 {
             task::sleep(wait.duration()).await;
             return Ok(News {
@@ -335,6 +351,10 @@
     pub lost: Vec<Arc<AtomicUsize>>,
     /// Whether the workers are out of a node's reach.
     pub cut: Vec<Arc<AtomicBool>>,
+    /// Whether the store tells a node nothing but what changed.
+    pub only_news: Vec<Arc<AtomicBool>>,
+    /// The node that has no configuration, if one hasn't.
+    unconfigured: Option<usize>,
     lead_lease: Option<Millis>,
     strengths: Vec<u32>,
 }
@@ -363,6 +383,16 @@
         site
     }
 
+    /// Starts a site whose strongest entry, the first, has no configuration.
+    pub fn start_unconfigured(entries: usize, workers: usize) -> Self {
+        let mut strengths = vec![500; entries];
+        strengths[0] = 1_000;
+        let mut site = Self::empty(workers, None, strengths);
+        site.unconfigured = Some(0);
+        site.nodes = (0..entries).map(|number| site.node(number)).collect();
+        site
+    }
+
     fn empty(workers: usize, lead_lease: Option<Millis>, strengths: Vec<u32>) -> Self {
         let text = "seed = 1\n[[domain]]\nname = \"a\"\nrack = []\n";
         let settings = settings::Settings::parse("standin.toml", text).expect("settings");
@@ -374,6 +404,8 @@
             silent: strengths.iter().map(|_| Arc::default()).collect(),
             lost: strengths.iter().map(|_| Arc::default()).collect(),
             cut: strengths.iter().map(|_| Arc::default()).collect(),
+            only_news: strengths.iter().map(|_| Arc::default()).collect(),
+            unconfigured: None,
             lead_lease,
             strengths,
         }
@@ -428,10 +460,12 @@
                 store: Store::new(&address, caller, marigoldpick_platform::Settings::default()),
                 silent: Arc::clone(&self.silent[number]),
                 lost: Arc::clone(&self.lost[number]),
+                only_news: Arc::clone(&self.only_news[number]),
             },
             fake: Arc::clone(&self.fake),
             number,
             cut: Arc::clone(&self.cut[number]),
+            unconfigured: self.unconfigured == Some(number),
         };
         // The port is free again at once, and the node takes it.
         let free = TcpListener::bind("127.0.0.1:0").expect("a free port");
