--- a/crates/marigoldpick-job/src/lead/advise.rs
+++ b/crates/marigoldpick-job/src/lead/advise.rs
@@ -144,7 +144,7 @@
                 }
                 Some(_) => {}
                 None => {
-                    let speed = self.speeds.permille(worker.node.kind.as_ref());
+                    let speed = self.speeds.permille(worker);
                     unknown.push((speed, fits, &worker.node.id));
                 }
             }
--- a/crates/marigoldpick-job/src/lead/report.rs
+++ b/crates/marigoldpick-job/src/lead/report.rs
@@ -297,9 +297,7 @@
             return;
         }
         let permille = now.since(run.confirmed).0 * 1_000 / estimate;
-        if let Some(kind) = self.workers[at].node.kind.clone() {
-            self.speeds.learn(&kind, permille.clamp(50, 10_000));
-        }
+        self.speeds.learn(&mut self.workers[at], permille);
     }
 
     /// Slows filling tasks down while a serving task on the worker is near its target.
--- a/crates/marigoldpick-job/src/place.rs
+++ b/crates/marigoldpick-job/src/place.rs
@@ -40,7 +40,7 @@
 
 /// Returns the cost of a worker that has room for the task, in milliseconds; less is better.
 ///
-/// `speed_permille` is how long tasks take on its kind of machine against the average.
+/// `speed_permille` is how long tasks take on it, in thousandths of their estimates.
 #[must_use]
 pub fn cost(wish: &Wish<'_>, worker: &Worker, free: &Amount, speed_permille: u64) -> u64 {
     let mut work = wish.step.estimate.0 * speed_permille / 1_000;
--- a/crates/marigoldpick-job/src/worker.rs
+++ b/crates/marigoldpick-job/src/worker.rs
@@ -7,6 +7,7 @@
 use marigoldpick_core::work::{Step, Task};
 
 use crate::settings::Settings;
+use crate::speed::Sample;
 
 /// Failures in a row after which a worker gets no work for a while.
 const FAILURES: u32 = 3;
@@ -132,6 +133,8 @@
     pub acknowledged: u64,
     /// Holds in a row that were not answered.
     pub silent: u32,
+    /// How long tasks took on it.
+    pub(crate) speed: Sample,
     /// Failures of tasks in a row.
     failures: u32,
     /// Until when it gets no work.
@@ -164,6 +167,7 @@
             next_hold: Millis::ZERO,
             acknowledged: 0,
             silent: 0,
+            speed: Sample::default(),
             failures: 0,
             quarantined: Millis::ZERO,
         }
