Name workers without room in questions whose names cost little; learn speeds from prompt ends alone

Three of ten workers are good for a step, a question takes 560 ms and a name 8 ms; questions were about the one or two workers with room, up to eleven for a job. What is good does not change, so that a longer question spares the next ones. Tasks that ended while their worker was cut off counted as slow ones; ends that come late no longer count.

--- a/crates/marigoldpick-job/src/lead/advise.rs
+++ b/crates/marigoldpick-job/src/lead/advise.rs
@@ -13,6 +13,7 @@
 use super::room::Room;
 use crate::action::Action;
 use crate::askers::Free;
+use crate::job::Stage;
 use crate::question::{self, Share};
 use crate::rank::Claim;
 use crate::worker::Worker;
@@ -157,10 +158,10 @@
         let wanted = (missing as u64 * WANTED_PERCENT).div_ceil(100);
         unknown.sort_by_key(|(speed, fits, _)| (*speed, u64::MAX - fits));
         let left = wanted - room_of_good;
-        let mut room = 0;
+        let mut found = 0;
         let enough = unknown.iter().position(|(_, fits, _)| {
-            room += fits;
-            room >= left
+            found += fits;
+            found >= left
         });
         // The workers that would do if all were good.
         let needed = enough.map_or(unknown.len(), |last| last + 1);
@@ -170,9 +171,39 @@
         let share = self.share(&job.spec.queue);
         let count = question::count(&policy, share, needed, most);
         asked.extend(unknown.iter().take(count).map(|(_, _, id)| (*id).clone()));
+        if count == unknown.len() && share.value() * (count as f64) < needed as f64 {
+            let most = question::extra(&policy).min(self.settings.advice_most - asked.len());
+            asked.extend(self.ask_ahead(room, step, stage, claim, most, now));
+        }
         asked
     }
 
+    /// Returns workers without room that nothing is known of, those that will have room first.
+    ///
+    /// Load pattern: a question costs far more than a name in it, and few workers have room. Which
+    /// workers are good does not change, so that what is learnt now spares a question later.
+    fn ask_ahead(
+        &self,
+        room: &Room,
+        step: &Step,
+        stage: &Stage,
+        claim: &Amount,
+        most: usize,
+        now: Millis,
+    ) -> Vec<id::Worker> {
+        let later = |worker: &&Worker| {
+            fits(worker.free(), claim) == 0
+                && fits(&worker.node.capacity, claim) > 0
+                && worker.suits(step)
+                && stage.tickets.find(&worker.node.id).is_none()
+        };
+        let workers = room.workers.iter().map(|at| &self.workers[*at]);
+        let mut later: Vec<&Worker> = workers.filter(later).collect();
+        later.sort_by_key(|worker| worker.expected_empty(now));
+        let first = later.into_iter().take(most);
+        first.map(|worker| worker.node.id.clone()).collect()
+    }
+
     /// Takes in the adviser's answer to a question that was asked through `asker`.
     pub fn advised(
         &mut self,
--- a/crates/marigoldpick-job/src/lead/hold.rs
+++ b/crates/marigoldpick-job/src/lead/hold.rs
@@ -141,7 +141,7 @@
                     now + settings.hold_gap
                 };
                 if let Some(report) = reply.report {
-                    self.read(at, report, sent, now);
+                    self.read(at, report, sent, !is_back, now);
                 }
             }
             Err(fault) => {
--- a/crates/marigoldpick-job/src/lead/report.rs
+++ b/crates/marigoldpick-job/src/lead/report.rs
@@ -17,14 +17,21 @@
 const EASE: u32 = 20;
 
 impl Lead {
-    /// Takes in a report that was asked for at `sent`.
-    pub(super) fn read(&mut self, at: usize, report: Report, sent: Millis, now: Millis) {
+    /// Takes in a report that was asked for at `sent`; `prompt` tells whether ends come as they happen.
+    pub(super) fn read(
+        &mut self,
+        at: usize,
+        report: Report,
+        sent: Millis,
+        prompt: bool,
+        now: Millis,
+    ) {
         let mut ended = report.ended;
         ended.sort_by_key(|end| end.number);
         for end in ended {
             if end.number > self.workers[at].seen {
                 self.workers[at].seen = end.number;
-                self.ended(at, &end, now);
+                self.ended(at, &end, prompt, now);
             }
         }
         for running in &report.running {
@@ -147,12 +154,13 @@
     }
 
     /// Takes in an end.
-    fn ended(&mut self, at: usize, end: &Ended, now: Millis) {
+    fn ended(&mut self, at: usize, end: &Ended, prompt: bool, now: Millis) {
         self.count.ends += 1;
         let run = self.workers[at].remove(&end.task, end.run);
         if let Some(run) = &run
             && end.how == How::Done
             && run.phase == Phase::Running
+            && prompt
         {
             self.learn_speed(at, run, now);
         }
--- a/crates/marigoldpick-job/src/question.rs
+++ b/crates/marigoldpick-job/src/question.rs
@@ -49,6 +49,18 @@
 /// What a second question takes beyond the adviser's time: the way there and back and the next pass.
 pub const ROUND_MS: f64 = 20.0;
 
+/// The part of a question's fixed time that workers without room may add to it, in percent.
+const EXTRA_PERCENT: f64 = 25.0;
+/// The most workers without room that a question names.
+const EXTRA_MOST: f64 = 32.0;
+
+/// Returns how many workers without room a question may name besides.
+#[must_use]
+pub fn extra(policy: &Policy) -> usize {
+    let each = policy.each_ms.max(f64::MIN_POSITIVE);
+    (policy.base_ms * EXTRA_PERCENT / 100.0 / each).min(EXTRA_MOST) as usize
+}
+
 /// Returns how many workers to name so that `needed` good ones are found in the least expected time.
 ///
 /// At most `most` are named. A question that finds too few is asked once more.
--- a/crates/marigoldpick-job/tests/lead/faults.rs
+++ b/crates/marigoldpick-job/tests/lead/faults.rs
@@ -265,7 +265,9 @@
     expect_that!(lost(&sent), eq(0));
     (0..8).for_each(|at| world.cut[at] = false);
     let healed = world.now;
-    busy(&mut world, 20);
+    // More than the other workers have room for.
+    world.submit(2_000, job(vec![step(20 * 16, 4_000, 400)]));
+    world.run(1_000);
     let again = |(at, worker): &&(Millis, usize)| *at > healed && *worker < 8;
     expect_that!(world.sent_starts.iter().filter(again).count(), gt(0));
     world.run(8_000);
--- a/crates/marigoldpick-job/tests/lead/work.rs
+++ b/crates/marigoldpick-job/tests/lead/work.rs
@@ -369,3 +369,24 @@
     expect_that!(passes * 6, le(1_500 / 5));
     expect_that!(world.pool.broken, is_empty());
 }
+
+/// Load pattern: workers are full but for one, few of them are good for a step, and a question takes
+/// longer than many names in it.
+#[googletest::test]
+fn questions_name_workers_without_room_too_where_a_name_costs_little() {
+    let mut world = World::new(10);
+    world.queues.push(advised(queue("wide", 1), 560.0, 8.0));
+    world.lead.configure(&world.queues);
+    world.submit(1, job(vec![step(9, 60_000, 20_000)]));
+    world.run(200);
+    let mut wide = job(vec![step(3, 60_000, 1_000)]);
+    wide.queue = name("wide");
+    let id = world.submit(2, wide);
+    world.run(1_000);
+    let known = world.lead.job(&id).map(|job| {
+        let stage = job.stage(0, 0).expect("a step");
+        stage.tickets.known.len()
+    });
+    expect_that!(known, some(eq(10)));
+    expect_that!(world.lead.count().questions, eq(1));
+}
