Start copies of tasks that will make their job late where they run

Cause: most slot-confirm jobs that are late have their last task on a slow worker (four of five), and two of five such jobs have steps that allow copies, which only a worker that did not answer had so far. Now a task whose expected end, by its progress or its worker's speed, is past the latest useful one is started on a worker where it ends sooner too.

--- a/crates/marigoldpick-job/src/lead.rs
+++ b/crates/marigoldpick-job/src/lead.rs
@@ -6,6 +6,7 @@
 
 mod advise;
 pub mod commit;
+mod copies;
 mod fleet;
 mod hold;
 mod losses;
--- /dev/null
+++ b/crates/marigoldpick-job/src/lead/copies.rs
@@ -0,0 +1,134 @@
+//! Copies of tasks that will end too late where they run.
+//!
+//! Load pattern: a few of a step's tasks have drawn a slow worker, or one that turned slow, and the
+//! others wait for them. Where copies are allowed and a faster worker has room, the task is started
+//! there as well; the run that ends first counts.
+
+use marigoldpick_core::prelude::*;
+use marigoldpick_core::work::{Part, Step};
+
+use super::Lead;
+use crate::job::{Job, Occurrence, Task};
+use crate::rank;
+use crate::worker::{Phase, Run, Worker};
+
+/// The progress from which on it tells more of a task's end than its worker's speed, in percent.
+const TELLING_PERCENT: u32 = 20;
+/// What a task that is past its expected end takes on, as a part of its estimate, in percent.
+const OVERDUE_PERCENT: u64 = 25;
+/// The time by which a copy has to be earlier: its record and its start take some 30 ms.
+const GAIN: Millis = Millis(80);
+
+impl Lead {
+    /// Returns the tasks of a step that run once, with a copy allowed, and will make their job late;
+    /// with the times when they are expected to end.
+    pub(super) fn lagging(
+        &self,
+        job: &Job,
+        part: &Part,
+        step: &Step,
+        now: Millis,
+    ) -> Vec<(u32, Millis)> {
+        if !step.copies || step.gang || step.lasting {
+            return Vec::new();
+        }
+        let occurrence = &job.occurrences[part.occurrence as usize];
+        let Some(queue) = self.queue(&job.spec.queue) else {
+            return Vec::new();
+        };
+        let end = rank::latest_end(job, step, occurrence, queue, now);
+        let is_late = |ends: &Millis| end.is_some_and(|end| *ends > end);
+        let stage = &occurrence.stages[part.step as usize];
+        (0..)
+            .zip(&stage.tasks)
+            .filter(|(_, task)| !task.done)
+            .filter_map(|(index, task)| Some((index, self.expected_end(task, part, index, now)?)))
+            .filter(|(_, ends)| is_late(ends))
+            .collect()
+    }
+
+    /// Tells whether a step has tasks that will make their job late where they run.
+    pub(super) fn has_lagging(
+        &self,
+        job: &Job,
+        occurrence: (u32, &Occurrence),
+        step: u32,
+        now: Millis,
+    ) -> bool {
+        let spec = &job.spec.steps[step as usize];
+        let (number, state) = occurrence;
+        if !spec.copies || state.stages[step as usize].left == 0 {
+            return false;
+        }
+        let part = Part {
+            job: job.id.clone(),
+            occurrence: number,
+            step,
+        };
+        !self.lagging(job, &part, spec, now).is_empty()
+    }
+
+    /// Returns when a task that runs in one place is expected to end.
+    fn expected_end(&self, task: &Task, part: &Part, index: u32, now: Millis) -> Option<Millis> {
+        let [place] = task.places.as_slice() else {
+            return None;
+        };
+        let worker = &self.workers[self.worker_at(&place.worker)?];
+        let run = &worker.runs[worker.find(&part.task(index), place.run).ok()?];
+        (run.phase == Phase::Running).then(|| expected_end(run, self.speeds.permille(worker), now))
+    }
+
+    /// Starts copies of tasks that lag on workers where they end sooner.
+    pub(super) fn place_copies(
+        &mut self,
+        part: &Part,
+        step: &Step,
+        spots: &mut [super::schedule::Spot],
+        now: Millis,
+    ) {
+        let Some(job) = self.job(&part.job) else {
+            return;
+        };
+        for (index, ends) in self.lagging(job, part, step, now) {
+            let Some(best) = self.best(part, step, index, spots) else {
+                return;
+            };
+            let at = spots[best].worker;
+            if now + self.time_on(part, step, at) + GAIN > ends || self.runs_on(part, index, at) {
+                continue;
+            }
+            spots[best].left -= 1;
+            self.next_run += 1;
+            let run = self.next_run;
+            let detail = format!("worker={} expected={}", self.workers[at].node.id, ends.since(now));
+            self.note("copy-placed", part.task(index).to_string(), detail);
+            self.claim(part, index, at, run, now);
+        }
+    }
+
+    fn runs_on(&self, part: &Part, index: u32, at: usize) -> bool {
+        let task = part.task(index);
+        let mut runs = self.workers[at].runs.iter();
+        runs.any(|run| run.task == task)
+    }
+
+    fn time_on(&self, part: &Part, step: &Step, at: usize) -> Millis {
+        let worker: &Worker = &self.workers[at];
+        let Some(job) = self.job(&part.job) else {
+            return Millis::MAX;
+        };
+        let wish = self.wish(job, part, step);
+        Millis(wish.time(worker, self.speeds.permille(worker)))
+    }
+}
+
+/// Returns when a run is expected to end, by its progress or by its worker's speed.
+fn expected_end(run: &Run, speed_permille: u64, now: Millis) -> Millis {
+    let worked = run.moved.since(run.confirmed);
+    let ends = if run.percent >= TELLING_PERCENT && worked > Millis::ZERO {
+        run.confirmed + Millis(worked.0 * 100 / u64::from(run.percent))
+    } else {
+        run.confirmed + Millis(run.estimate.0 * speed_permille / 1_000)
+    };
+    ends.max(now + Millis(run.estimate.0 * OVERDUE_PERCENT / 100))
+}
--- a/crates/marigoldpick-job/src/lead/schedule.rs
+++ b/crates/marigoldpick-job/src/lead/schedule.rs
@@ -38,10 +38,10 @@
 
 /// `Spot` is a worker that may take tasks of a step.
 #[derive(Clone, Debug)]
-struct Spot {
-    worker: usize,
+pub(super) struct Spot {
+    pub(super) worker: usize,
     /// The tasks of the step that may still be placed there.
-    left: u64,
+    pub(super) left: u64,
 }
 
 impl Lead {
@@ -110,7 +110,9 @@
             }
             for (step, stage) in occurrence.stages.iter().enumerate() {
                 let spec = &job.spec.steps[step];
+                let at = (number, occurrence);
                 let wants = stage.has_unplaced()
+                    || self.has_lagging(job, at, step as u32, now)
                     || (spec.copies && self.has_stranded(stage))
                     || (spec.lasting && self.count_failing(stage, now) > 0);
                 if !wants || !occurrence.is_ready(&job.spec, step) {
@@ -180,7 +182,10 @@
         } else {
             self.place_each(part, &step, &waiting, &mut spots, now)
         };
-        if placed > 0 {
+        if step.copies && placed == waiting.len() {
+            self.place_copies(part, &step, &mut spots, now);
+        }
+        if placed > 0 || step.copies {
             rooms[room].shrink(&self.workers);
         }
         let missing = waiting.len() - placed + failing;
@@ -253,15 +258,27 @@
             .collect()
     }
 
-    fn best(&self, part: &Part, step: &Step, index: u32, spots: &[Spot]) -> Option<usize> {
-        let job = self.job(&part.job)?;
-        let claim = &job.claims[part.step as usize];
-        let avoid = &job.task(&part.task(index))?.avoid;
-        let wish = Wish {
+    /// Returns what the tasks of a step look for.
+    pub(super) fn wish<'a>(&self, job: &'a Job, part: &Part, step: &'a Step) -> Wish<'a> {
+        Wish {
             step,
-            claim,
+            claim: &job.claims[part.step as usize],
             remote_permille: self.settings.remote_permille,
-        };
+        }
+    }
+
+    /// Returns the position of the best spot for a task.
+    pub(super) fn best(
+        &self,
+        part: &Part,
+        step: &Step,
+        index: u32,
+        spots: &[Spot],
+    ) -> Option<usize> {
+        let job = self.job(&part.job)?;
+        let avoid = &job.task(&part.task(index))?.avoid;
+        let wish = self.wish(job, part, step);
+        let claim = wish.claim;
         let mut best: Option<(bool, u64, usize)> = None;
         for (at, spot) in spots.iter().enumerate() {
             let worker = &self.workers[spot.worker];
@@ -355,7 +372,7 @@
         racks
     }
 
-    fn claim(&mut self, part: &Part, index: u32, worker: usize, run: u64, now: Millis) {
+    pub(super) fn claim(&mut self, part: &Part, index: u32, worker: usize, run: u64, now: Millis) {
         let task = part.task(index);
         let Some(entry) = self.run_of(&task, run, Phase::Recording, now) else {
             return;
--- a/crates/marigoldpick-job/src/place.rs
+++ b/crates/marigoldpick-job/src/place.rs
@@ -38,15 +38,25 @@
     pub remote_permille: u64,
 }
 
+impl Wish<'_> {
+    /// Returns how long the task takes on a worker, in milliseconds, by what is known of its speed.
+    #[must_use]
+    pub fn time(&self, worker: &Worker, speed_permille: u64) -> u64 {
+        let time = self.step.estimate.0 * speed_permille / 1_000;
+        if self.step.rack.is_some() && self.step.rack != worker.node.rack {
+            time * self.remote_permille / 1_000
+        } else {
+            time
+        }
+    }
+}
+
 /// Returns the cost of a worker that has room for the task, in milliseconds; less is better.
 ///
 /// `speed_permille` is how long tasks take on it, in thousandths of their estimates.
 #[must_use]
 pub fn cost(wish: &Wish<'_>, worker: &Worker, free: &Amount, speed_permille: u64) -> u64 {
-    let mut work = wish.step.estimate.0 * speed_permille / 1_000;
-    if wish.step.rack.is_some() && wish.step.rack != worker.node.rack {
-        work = work * wish.remote_permille / 1_000;
-    }
+    let work = wish.time(worker, speed_permille);
     let capacity = worker.node.capacity.millicores.max(1);
     let left = free.millicores.saturating_sub(wish.claim.millicores);
     let packing = PACKING * left / capacity + split(wish.claim, worker, free);
--- a/crates/marigoldpick-job/src/rank.rs
+++ b/crates/marigoldpick-job/src/rank.rs
@@ -67,7 +67,7 @@
 
 /// Returns the longest chain of estimated work over the steps that `counts`, advice included.
 fn chain(spec: &work::Job, queue: &Queue, counts: impl Fn(usize) -> bool) -> Millis {
-    let advice = queue.policy.map_or(Millis::ZERO, |p| p.span(ASKED));
+    let advice = advice_span(queue);
     let mut ends: Vec<Millis> = Vec::with_capacity(spec.steps.len());
     for (number, step) in spec.steps.iter().enumerate() {
         let before = step.after.iter().map(|before| ends[*before as usize]);
@@ -125,3 +125,26 @@
         deadline,
     }
 }
+
+/// Returns the latest end of a step's tasks with which the job keeps its worth: on time, or of use.
+///
+/// Nothing once its result is of no use any more.
+#[must_use]
+pub fn latest_end(
+    job: &Job,
+    step: &Step,
+    occurrence: &Occurrence,
+    queue: &Queue,
+    now: Millis,
+) -> Option<Millis> {
+    let after = occurrence.left.since(step.estimate + advice_span(queue));
+    [1, LATE]
+        .into_iter()
+        .map(|times| occurrence.due + job.objective.times(times) - after)
+        .find(|end| *end > now)
+}
+
+/// Returns the time of the question to the adviser that is counted for each step.
+fn advice_span(queue: &Queue) -> Millis {
+    queue.policy.map_or(Millis::ZERO, |p| p.span(ASKED))
+}
