--- a/crates/marigoldpick-job/src/lead.rs
+++ b/crates/marigoldpick-job/src/lead.rs
@@ -511,7 +511,7 @@
     pub fn step(&mut self, now: Millis) -> Vec<Action> {
         self.lapse_silent(now);
         self.judge_failures(now);
-        self.give_stops();
+        self.give_stops(now);
         self.give_holds(now);
         if now >= self.next_pass() {
             self.schedule(now);
--- a/crates/marigoldpick-job/src/lead/copies.rs
+++ b/crates/marigoldpick-job/src/lead/copies.rs
@@ -100,7 +100,11 @@
             spots[best].left -= 1;
             self.next_run += 1;
             let run = self.next_run;
-            let detail = format!("worker={} expected={}", self.workers[at].node.id, ends.since(now));
+            let detail = format!(
+                "worker={} expected={}",
+                self.workers[at].node.id,
+                ends.since(now)
+            );
             self.note("copy-placed", part.task(index).to_string(), detail);
             self.claim(part, index, at, run, now);
         }
--- a/crates/marigoldpick-job/src/lead/start.rs
+++ b/crates/marigoldpick-job/src/lead/start.rs
@@ -95,10 +95,14 @@
         Some(start)
     }
 
-    pub(super) fn give_stops(&mut self) {
+    /// Orders the stops that are due.
+    ///
+    /// Load pattern: a domain is cut off by resets, so that each order fails at once. Stops that are
+    /// repeated at once would be most of what the lead does.
+    pub(super) fn give_stops(&mut self, now: Millis) {
         for at in 0..self.workers.len() {
             let worker = &mut self.workers[at];
-            if !worker.has_stops || worker.node.address.is_empty() {
+            if !worker.has_stops || worker.node.address.is_empty() || now < worker.next_stop {
                 continue;
             }
             worker.has_stops = false;
@@ -271,6 +275,7 @@
             Err(_) => {
                 entry.phase = Phase::Stop;
                 self.workers[at].has_stops = true;
+                self.workers[at].next_stop = now + self.settings.hold_retry;
             }
         }
     }
--- a/crates/marigoldpick-job/src/worker.rs
+++ b/crates/marigoldpick-job/src/worker.rs
@@ -115,6 +115,8 @@
     pub runs: Vec<Run>,
     /// Whether one of them may have to be stopped.
     pub has_stops: bool,
+    /// When stops are ordered again after one that was not carried out.
+    pub next_stop: Millis,
     /// The number of the last end that was read.
     pub seen: u64,
     /// Ends that the store does not have yet: number, job and the job's change.
@@ -158,6 +160,7 @@
             free,
             runs: Vec::new(),
             has_stops: false,
+            next_stop: Millis::ZERO,
             seen: 0,
             unsettled: VecDeque::new(),
             suspect: false,
--- a/crates/marigoldpick-job/tests/lead/faults.rs
+++ b/crates/marigoldpick-job/tests/lead/faults.rs
@@ -521,3 +521,48 @@
     expect_that!(world.phase(&id), some(eq(Phase::Failed)));
     expect_that!(world.pool.started.len(), eq(starts));
 }
+
+/// Load pattern: workers are cut off by resets while their jobs are cancelled.
+#[googletest::test]
+fn stops_that_fail_at_once_are_not_repeated_at_once() {
+    let mut world = World::new(2);
+    let id = world.submit(1, job(vec![step(8, 4_000, 20_000)]));
+    world.run(200);
+    world.resets = true;
+    world.cut = vec![true; 2];
+    world.cancel(&id);
+    world.run(1_000);
+    // Eight runs, each four times a second at most.
+    expect_that!(world.sent_stops, ge(8));
+    expect_that!(world.sent_stops, le(8 * 5));
+    world.cut = vec![false; 2];
+    world.run(3_000);
+    expect_that!(world.pool.running().len(), eq(0));
+}
+
+/// Load pattern: fast workers are full for a moment, and tasks start on a slow one, where they will be
+/// late.
+#[googletest::test]
+fn copies_of_tasks_that_will_be_late_run_on_faster_workers() {
+    let mut world = World::new(2);
+    world.pool.workers[0].slowness = 3;
+    // Both workers are needed, and the lead learns how fast they are.
+    for number in 0..8 {
+        world.submit(1_000 + number, job(vec![step(12, 8_000, 400)]));
+        world.run(1_000);
+    }
+    world.submit(1, job(vec![step(8, 8_000, 300)]));
+    world.run(20);
+    let copies = Step {
+        copies: true,
+        ..step(4, 8_000, 600)
+    };
+    let id = world.submit(2, job(vec![copies]));
+    world.run(100);
+    expect_true!(world.pool.workers[0].runs_job(&id));
+    // On time is 1.5 times the estimate and 250 ms more.
+    world.run(1_150 - 100);
+    expect_that!(world.phase(&id), some(eq(Phase::Completed)));
+    world.run(3_000);
+    expect_that!(world.pool.running().len(), eq(0));
+}
--- a/crates/marigoldpick-job/tests/lead/world.rs
+++ b/crates/marigoldpick-job/tests/lead/world.rs
@@ -103,6 +103,10 @@
     jobs: BTreeMap<id::Job, Arc<Job>>,
     pub records: BTreeMap<id::Job, String>,
     pub cancels: BTreeSet<id::Job>,
+    /// Whether orders to workers that are cut off fail at once.
+    pub resets: bool,
+    /// Stops that the lead sent.
+    pub sent_stops: usize,
     /// Whether the store answers the lead.
     pub store_up: bool,
     /// The share of starts in a hundred that get no answer and are carried out late.
@@ -140,6 +144,8 @@
             jobs: BTreeMap::new(),
             records: BTreeMap::new(),
             cancels: BTreeSet::new(),
+            resets: false,
+            sent_stops: 0,
             store_up: true,
             late_percent: 0,
             holds_lost: false,
@@ -263,6 +269,12 @@
                 if is_start {
                     self.sent_starts.push((self.now, at));
                 }
+                self.sent_stops += usize::from(matches!(order, Order::Stop { .. }));
+                if self.resets && !self.reaches(at) {
+                    let failed = Message::Answer(target.id, order, Err(Fault::Away), self.now);
+                    self.send(WAY, failed);
+                    return;
+                }
                 let unheard =
                     Message::Answer(target.id, order.clone(), Err(Fault::Unknown), self.now);
                 let wait = match order {
--- a/crates/marigoldpick-standin/src/jobs/worker.rs
+++ b/crates/marigoldpick-standin/src/jobs/worker.rs
@@ -93,6 +93,8 @@
     pub failing: bool,
     /// Whether its tasks stand still.
     pub hung: bool,
+    /// How many times as long as their estimates its tasks take.
+    pub slowness: u64,
     /// Whether it refuses all starts as unhealthy.
     pub refusing: bool,
     /// How fast its clock runs, in thousandths of the true rate.
@@ -116,6 +118,7 @@
             up: true,
             failing: false,
             hung: false,
+            slowness: 1,
             refusing: false,
             clock_permille: 1_000,
             live: Vec::new(),
@@ -206,7 +209,8 @@
         let lapsed = self.lease < self.clock(now);
         let mut over = Vec::new();
         for mut live in std::mem::take(&mut self.live) {
-            let worked = if self.hung { Millis::ZERO } else { span };
+            let is_idle = self.hung || !now.0.is_multiple_of(self.slowness);
+            let worked = if is_idle { Millis::ZERO } else { span };
             let complete = !live.gang || whole(&live.task, live.run);
             let how = if lapsed {
                 Some(How::Lapsed)
