--- a/crates/marigoldpick-job/src/lead.rs
+++ b/crates/marigoldpick-job/src/lead.rs
@@ -489,6 +489,12 @@
         self.workers.binary_search_by(|w| w.node.id.cmp(id))
     }
 
+    /// Returns how long tasks take on a worker, in thousandths of their estimates.
+    fn permille(&self, worker: &Worker) -> u64 {
+        self.speeds
+            .permille(&worker.speed, worker.node.kind.as_ref())
+    }
+
     fn queue(&self, name: &Name) -> Option<&Queue> {
         let at = self.queues.binary_search_by(|queue| queue.name.cmp(name));
         at.ok().map(|at| &self.queues[at])
--- a/crates/marigoldpick-job/src/lead/advise.rs
+++ b/crates/marigoldpick-job/src/lead/advise.rs
@@ -147,7 +147,7 @@
                 }
                 Some(_) => {}
                 None => {
-                    let speed = self.speeds.permille(worker);
+                    let speed = self.permille(worker);
                     unknown.push((speed, fits, &worker.node.id));
                 }
             }
--- a/crates/marigoldpick-job/src/lead/copies.rs
+++ b/crates/marigoldpick-job/src/lead/copies.rs
@@ -75,7 +75,7 @@
         };
         let worker = &self.workers[self.worker_at(&place.worker)?];
         let run = &worker.runs[worker.find(&part.task(index), place.run).ok()?];
-        (run.phase == Phase::Running).then(|| expected_end(run, self.speeds.permille(worker), now))
+        (run.phase == Phase::Running).then(|| expected_end(run, self.permille(worker), now))
     }
 
     /// Starts copies of tasks that lag on workers where they end sooner.
@@ -122,7 +122,7 @@
             return Millis::MAX;
         };
         let wish = self.wish(job, part, step);
-        Millis(wish.time(worker, self.speeds.permille(worker)))
+        Millis(wish.time(worker, self.permille(worker)))
     }
 }
 
--- a/crates/marigoldpick-job/src/lead/report.rs
+++ b/crates/marigoldpick-job/src/lead/report.rs
@@ -5,7 +5,7 @@
 use marigoldpick_core::work::{self, Task};
 
 use super::Lead;
-use crate::worker::{Phase, Run};
+use crate::worker::{Phase, Run, Worker};
 
 /// A task that has not moved for this long stands still.
 const STALL: Millis = Millis(1_500);
@@ -305,7 +305,8 @@
             return;
         }
         let permille = now.since(run.confirmed).0 * 1_000 / estimate;
-        self.speeds.learn(&mut self.workers[at], permille);
+        let Worker { speed, node, .. } = &mut self.workers[at];
+        self.speeds.learn(speed, node.kind.as_ref(), permille);
     }
 
     /// Slows filling tasks down while a serving task on the worker is near its target.
--- a/crates/marigoldpick-job/src/lead/schedule.rs
+++ b/crates/marigoldpick-job/src/lead/schedule.rs
@@ -287,7 +287,7 @@
                 continue;
             }
             let failed_here = avoid.contains(&worker.node.id);
-            let speed = self.speeds.permille(worker);
+            let speed = self.permille(worker);
             let cost = cost(&wish, worker, free, speed);
             let candidate = (failed_here, cost, at);
             if best.is_none_or(|best| candidate < best) {
--- a/crates/marigoldpick-job/src/speed.rs
+++ b/crates/marigoldpick-job/src/speed.rs
@@ -5,8 +5,6 @@
 
 use marigoldpick_core::prelude::*;
 
-use crate::worker::Worker;
-
 /// The least and the greatest part of its estimate that a task counts with, in thousandths: one task
 /// whose estimate was wrong by far says little of its worker.
 const PERMILLE: (u64, u64) = (100, 4_000);
@@ -51,11 +49,11 @@
     /// The samples that the first guess counts as.
     const PRIOR: u64 = 4;
 
-    /// Takes in how long a task took on a worker, in thousandths of its estimate.
-    pub(crate) fn learn(&mut self, worker: &mut Worker, permille: u64) {
+    /// Takes in how long a task took on a worker of a kind, in thousandths of its estimate.
+    pub(crate) fn learn(&mut self, own: &mut Sample, kind: Option<&Name>, permille: u64) {
         let permille = permille.clamp(PERMILLE.0, PERMILLE.1);
-        worker.speed.learn(permille, Self::MANY_OF_WORKER);
-        let Some(kind) = &worker.node.kind else {
+        own.learn(permille, Self::MANY_OF_WORKER);
+        let Some(kind) = kind else {
             return;
         };
         match self.kinds.binary_search_by(|(have, _)| have.cmp(kind)) {
@@ -68,13 +66,13 @@
         }
     }
 
-    /// Returns how long tasks take on a worker, in thousandths of their estimates.
-    pub(crate) fn permille(&self, worker: &Worker) -> u64 {
-        let kind = worker.node.kind.as_ref().and_then(|kind| {
+    /// Returns how long tasks take on a worker of a kind, in thousandths of their estimates.
+    pub(crate) fn permille(&self, own: &Sample, kind: Option<&Name>) -> u64 {
+        let kind = kind.and_then(|kind| {
             let at = self.kinds.binary_search_by(|(have, _)| have.cmp(kind));
             at.ok().map(|at| self.kinds[at].1)
         });
         let of_kind = kind.unwrap_or_default().mean(1_000, Self::PRIOR);
-        worker.speed.mean(of_kind, Self::PRIOR)
+        own.mean(of_kind, Self::PRIOR)
     }
 }
