Bound what a question names and what a pass counts anew

A question that renews more good workers than one may name underflowed when workers without room were added; rooms are counted anew only where something was placed; amounts of work saturate.

--- a/crates/marigoldpick-job/src/lead.rs
+++ b/crates/marigoldpick-job/src/lead.rs
@@ -70,7 +70,8 @@
     Loaded(Option<&'a Record>),
 }
 
-/// `Doubt` tells of which jobs tasks may run unknown to the lead.
+/// `Doubt` tells of which jobs tasks may run unknown to the lead: an earlier lead has started them
+/// without a record.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 enum Doubt {
     /// Of none.
--- a/crates/marigoldpick-job/src/lead/advise.rs
+++ b/crates/marigoldpick-job/src/lead/advise.rs
@@ -176,7 +176,8 @@
         // Good workers without room now will have some; with many of them there is no need for more.
         let has_few = stage.tickets.all_valid(now).count() < AHEAD * missing;
         if has_few && count == unknown.len() && share.value() * (count as f64) < needed as f64 {
-            let most = question::extra(&policy).min(self.settings.advice_most - asked.len());
+            let most =
+                question::extra(&policy).min(self.settings.advice_most.saturating_sub(asked.len()));
             asked.extend(self.ask_ahead(room, step, stage, claim, most, now));
         }
         asked
--- a/crates/marigoldpick-job/src/lead/copies.rs
+++ b/crates/marigoldpick-job/src/lead/copies.rs
@@ -8,9 +8,10 @@
 use marigoldpick_core::work::{Part, Step};
 
 use super::Lead;
+use super::schedule::Spot;
 use crate::job::{Job, Occurrence, Task};
 use crate::rank;
-use crate::worker::{Phase, Run, Worker};
+use crate::worker::{Phase, Run};
 
 /// The progress from which on it tells more of a task's end than its worker's speed, in percent.
 const TELLING_PERCENT: u32 = 20;
@@ -78,20 +79,21 @@
         (run.phase == Phase::Running).then(|| expected_end(run, self.permille(worker), now))
     }
 
-    /// Starts copies of tasks that lag on workers where they end sooner.
+    /// Starts copies of tasks that lag on workers where they end sooner; returns how many.
     pub(super) fn place_copies(
         &mut self,
         part: &Part,
         step: &Step,
-        spots: &mut [super::schedule::Spot],
+        spots: &mut [Spot],
         now: Millis,
-    ) {
+    ) -> usize {
         let Some(job) = self.job(&part.job) else {
-            return;
+            return 0;
         };
+        let mut placed = 0;
         for (index, ends) in self.lagging(job, part, step, now) {
             let Some(best) = self.best(part, step, index, spots) else {
-                return;
+                break;
             };
             let at = spots[best].worker;
             if now + self.time_on(part, step, at) + GAIN > ends || self.runs_on(part, index, at) {
@@ -107,7 +109,9 @@
             );
             self.note("copy-placed", part.task(index).to_string(), detail);
             self.claim(part, index, at, run, now);
+            placed += 1;
         }
+        placed
     }
 
     fn runs_on(&self, part: &Part, index: u32, at: usize) -> bool {
@@ -117,7 +121,7 @@
     }
 
     fn time_on(&self, part: &Part, step: &Step, at: usize) -> Millis {
-        let worker: &Worker = &self.workers[at];
+        let worker = &self.workers[at];
         let Some(job) = self.job(&part.job) else {
             return Millis::MAX;
         };
--- a/crates/marigoldpick-job/src/lead/schedule.rs
+++ b/crates/marigoldpick-job/src/lead/schedule.rs
@@ -182,10 +182,12 @@
         } else {
             self.place_each(part, &step, &waiting, &mut spots, now)
         };
-        if step.copies && placed == waiting.len() {
-            self.place_copies(part, &step, &mut spots, now);
-        }
-        if placed > 0 || step.copies {
+        let copies = if placed == waiting.len() {
+            self.place_copies(part, &step, &mut spots, now)
+        } else {
+            0
+        };
+        if placed + copies > 0 {
             rooms[room].shrink(&self.workers);
         }
         let missing = waiting.len() - placed + failing;
--- a/crates/marigoldpick-job/src/rank.rs
+++ b/crates/marigoldpick-job/src/rank.rs
@@ -60,9 +60,10 @@
         let accelerators = step.needs.accelerators.iter().map(|a| u64::from(a.count));
         let millicores =
             step.needs.millicores + accelerators.sum::<u64>() * ACCELERATOR_CORES * 1_000;
-        u64::from(stage.left) * step.estimate.0 * millicores / 1_000
+        let each = step.estimate.0.saturating_mul(millicores) / 1_000;
+        each.saturating_mul(u64::from(stage.left))
     };
-    steps.map(work).sum()
+    steps.map(work).fold(0, u64::saturating_add)
 }
 
 /// Returns the longest chain of estimated work over the steps that `counts`, advice included.
