--- a/crates/marigoldpick-job/src/rank.rs
+++ b/crates/marigoldpick-job/src/rank.rs
@@ -1,8 +1,9 @@
 //! The order in which waiting work is served, by what callers lose while it waits.
 //!
-//! Load pattern: bursts of a short urgent kind beside long work that fills the pool. Within a
-//! priority, work that can still be on time goes first, the nearest deadline first; then work that
-//! is late but still of use; last what is of no use to its caller any more.
+//! Load pattern: bursts of a short urgent kind beside long work that fills the pool, and more of it
+//! than can be on time. Within a priority, work that can still be on time goes first, then work that is
+//! late but still of use, the least work left first; last what is of no use to its caller any more, the
+//! oldest first.
 
 use marigoldpick_core::prelude::*;
 use marigoldpick_core::work::{self, Step};
@@ -44,7 +45,7 @@
     pub priority: u32,
     /// What the result still is to the caller.
     pub usefulness: Use,
-    /// The work that is left, in core-milliseconds.
+    /// The work that is left while it is of use, in core-milliseconds.
     pub work: u64,
     /// The moment after which it is worth less.
     pub deadline: Millis,
@@ -122,7 +123,11 @@
         claim,
         priority: queue.priority,
         usefulness,
-        work: work_left(job, occurrence),
+        work: match usefulness {
+            Use::Full | Use::Late => work_left(job, occurrence),
+            // Accepted work has to be done: the oldest goes first, so that wide jobs come to their turn.
+            Use::None => 0,
+        },
         deadline,
     }
 }
--- a/crates/marigoldpick-job/tests/rank.rs
+++ b/crates/marigoldpick-job/tests/rank.rs
@@ -77,3 +77,12 @@
     expect_that!(rank_of(&fresh), lt(rank_of(&late)));
     expect_that!(rank_of(&late), lt(rank_of(&useless)));
 }
+
+/// Load pattern: a wide job waits behind smaller ones until it is of no use any more. It was accepted,
+/// and has to run once there is room.
+#[googletest::test]
+fn rank_puts_the_oldest_of_useless_work_first() {
+    let wide = job(1, 40, 0, 60_000);
+    let small = job(2, 2, 1, 50_000);
+    expect_that!(rank_of(&wide), lt(rank_of(&small)));
+}
