Write the records that starts wait for first

A commit holds 30 jobs, one is under way at a time, and they were taken in the order of their ids: starts waited 2.65 s for their record, their tickets expired, they were asked about again (1,140 questions in four seconds), and their room was kept from others.

--- a/crates/marigoldpick-job/src/lead/commit.rs
+++ b/crates/marigoldpick-job/src/lead/commit.rs
@@ -82,7 +82,7 @@
         if self.dirty.is_empty() && forgotten.is_empty() {
             return;
         }
-        let batch: Vec<id::Job> = self.dirty.drain(..self.dirty.len().min(MOST)).collect();
+        let batch = self.next_batch();
         let mut records = Vec::with_capacity(batch.len());
         for id in batch {
             if let Some(job) = self.job(&id) {
@@ -105,6 +105,25 @@
             .push(Action::Commit(Batch { records, forgotten }));
     }
 
+    /// Takes the changed jobs that are written next: those with starts that wait for it first.
+    ///
+    /// Load pattern: the store is slow, and more jobs change than a commit holds. Starts that wait for
+    /// their record keep room on workers from others, and their tickets expire meanwhile.
+    fn next_batch(&mut self) -> Vec<id::Job> {
+        let mut batch: Vec<id::Job> = Vec::new();
+        for start in &self.recording {
+            if batch.len() == MOST {
+                break;
+            }
+            if let Ok(at) = self.dirty.binary_search(&start.task.part.job) {
+                batch.push(self.dirty.remove(at));
+            }
+        }
+        let left = MOST - batch.len();
+        batch.extend(self.dirty.drain(..self.dirty.len().min(left)));
+        batch
+    }
+
     /// Returns jobs that have been over for long and whose runs are all gone.
     fn outdated(&self, now: Millis) -> Vec<id::Job> {
         let old = |job: &crate::job::Job| {
--- a/crates/marigoldpick-job/tests/lead/faults.rs
+++ b/crates/marigoldpick-job/tests/lead/faults.rs
@@ -566,3 +566,22 @@
     world.run(3_000);
     expect_that!(world.pool.running().len(), eq(0));
 }
+
+/// Load pattern: the store is slow, and the ends of more jobs than a commit holds wait to be recorded.
+#[googletest::test]
+fn starts_that_wait_for_their_record_are_written_before_ends() {
+    let mut world = World::new(12);
+    for number in 0..90 {
+        world.submit(number, job(vec![step(4, 1_000, 1_500)]));
+    }
+    world.run(1_400);
+    world.store_takes = Millis(400);
+    world.run(250);
+    let id = world.submit(9_999, job(vec![step(2, 1_000, 300)]));
+    // The commit that is under way and the next one.
+    world.run(900);
+    expect_true!(world.pool.started.iter().any(|s| s.task.part.job == id));
+    world.run(4_000);
+    expect_that!(world.pool.broken, is_empty());
+    expect_that!(world.pool.done.len(), eq(90 * 4 + 2));
+}
--- a/crates/marigoldpick-job/tests/lead/world.rs
+++ b/crates/marigoldpick-job/tests/lead/world.rs
@@ -107,6 +107,8 @@
     pub resets: bool,
     /// Stops that the lead sent.
     pub sent_stops: usize,
+    /// How long the store takes.
+    pub store_takes: Millis,
     /// Whether the store answers the lead.
     pub store_up: bool,
     /// The share of starts in a hundred that get no answer and are carried out late.
@@ -146,6 +148,7 @@
             cancels: BTreeSet::new(),
             resets: false,
             sent_stops: 0,
+            store_takes: STORE,
             store_up: true,
             late_percent: 0,
             holds_lost: false,
@@ -327,7 +330,7 @@
                     self.jobs.remove(&id);
                     self.records.remove(&id);
                 }
-                self.send(STORE, Message::Committed(Outcome::Stored));
+                self.send(self.store_takes, Message::Committed(Outcome::Stored));
             }
         }
     }
