Keep runs whose start answer does not say when the worker began

Change: only reports tell of a restart. A run that was ordered or running when the lead learns of one stays until a report of the restarted worker lists it or not.

--- a/crates/marigoldpick-job/src/lead/hold.rs
+++ b/crates/marigoldpick-job/src/lead/hold.rs
@@ -125,6 +125,12 @@
         }
         match answer {
             Ok(reply) => {
+                if reply.born > worker.node.born {
+                    let mut node = worker.node.clone();
+                    node.born = reply.born;
+                    self.update_node_at(at, node, now);
+                }
+                let worker = &mut self.workers[at];
                 worker.read_clock(reply.clock, &settings, now);
                 let is_back = !worker.is_responsive() || !worker.has_reported;
                 self.needs_pass |= is_back;
--- a/crates/marigoldpick-job/src/lead/registry.rs
+++ b/crates/marigoldpick-job/src/lead/registry.rs
@@ -62,7 +62,7 @@
     /// Handles a restart of a worker, which ended the runs that it had.
     ///
     /// The lead may have ordered starts since then that the restarted worker has carried out, or
-    /// will. Only a report of the restarted worker tells the confirmed runs apart; it is requested at
+    /// will. Only a report of the restarted worker tells which runs are there; it is requested at
     /// once.
     fn handle_restart(&mut self, at: usize, node: Node, now: Millis) {
         self.log(
@@ -83,13 +83,11 @@
             match run.phase {
                 // A start order that is still in flight could reach the restarted worker, so the
                 // run is stopped.
-                // The answer to the start will say which life of the worker has carried it out.
-                worker::Phase::Ordered => self.add_run(at, run),
                 worker::Phase::Unknown(_) | worker::Phase::Stop | worker::Phase::Stopping => {
                     run.phase = worker::Phase::Stop;
                     self.add_run(at, run);
                 }
-                worker::Phase::Running => {
+                worker::Phase::Ordered | worker::Phase::Running => {
                     run.outlived = true;
                     self.add_run(at, run);
                 }
--- a/crates/marigoldpick-job/src/lead/start.rs
+++ b/crates/marigoldpick-job/src/lead/start.rs
@@ -136,11 +136,6 @@
         let Some(at) = self.worker_index(worker) else {
             return;
         };
-        if let Ok(reply) = &answer
-            && reply.born > self.workers[at].node.born
-        {
-            self.handle_rebirth(at, order, reply.born, now);
-        }
         if let Ok(reply) = &answer
             && reply.report.is_none()
         {
@@ -157,21 +152,6 @@
         }
     }
 
-    /// Handles an answer that shows that the worker has restarted.
-    fn handle_rebirth(&mut self, at: usize, order: &Order, born: u64, now: Millis) {
-        // The restarted worker has carried out this start.
-        if let Order::Start(start) = order
-            && let Some(run) = self.workers[at].run_mut(&start.task, start.run)
-            && run.phase == Phase::Ordered
-        {
-            run.phase = Phase::Running;
-            run.confirmed_at = now;
-        }
-        let mut node = self.workers[at].node.clone();
-        node.born = born;
-        self.update_node_at(at, node, now);
-    }
-
     fn handle_start_reply(
         &mut self,
         at: usize,
@@ -180,17 +160,11 @@
         answer: Result<Reply, Fault>,
         now: Millis,
     ) {
-        let born = self.workers[at].node.born;
         let Some(entry) = self.workers[at].run_mut(task, run) else {
             return;
         };
         let is_stopping = !matches!(entry.phase, Phase::Ordered);
         match answer {
-            // The worker has restarted since it carried out the start.
-            Ok(reply) if reply.born < born => {
-                self.release_run(at, task, run);
-                self.stop_gang(task, run);
-            }
             Ok(_) => {
                 if !is_stopping {
                     entry.phase = Phase::Running;
--- a/crates/marigoldpick-job/src/worker.rs
+++ b/crates/marigoldpick-job/src/worker.rs
@@ -54,7 +54,8 @@
     pub phase: Phase,
     /// When the run was confirmed to be running.
     pub confirmed_at: Millis,
-    /// Whether the worker has restarted since. Unless the run began on the restarted worker, it has ended.
+    /// Whether the worker has restarted since the start was ordered. The run has ended unless a report
+    /// of the restarted worker lists it.
     pub outlived: bool,
     /// The estimated run time.
     pub estimate: Millis,
--- a/crates/marigoldpick-soak/src/fault.rs
+++ b/crates/marigoldpick-soak/src/fault.rs
@@ -86,6 +86,16 @@
     ];
 }
 
+/// The changes of teams that operators make in a run, under their names in the stand-in's control
+/// interface.
+///
+/// They are drawn apart from the other faults, so that a seed keeps the faults that it had.
+const TEAM_CHANGES: [&str; 2] = ["key-replaced", "limits-lowered"];
+/// The stream of random numbers from which changes of teams are drawn.
+const TEAM_STREAM: u64 = 1;
+/// The mean time between two changes of teams, in milliseconds.
+const MEAN_TEAM_GAP_MS: u64 = 2_000;
+
 /// `Fault` is one fault of a run.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct Fault {
@@ -128,6 +138,21 @@
             }
         })
         .collect();
+    faults.extend(draw_team_changes(seed, length));
     faults.sort_by_key(|fault| fault.at);
     faults
 }
+
+/// Draws the changes of teams in a run of `length` milliseconds.
+fn draw_team_changes(seed: u64, length: u64) -> Vec<Fault> {
+    let mut rng = ChaCha8Rng::seed_from_u64(seed);
+    rng.set_stream(TEAM_STREAM);
+    let latest = length.max(FIRST_FAULT_MS + 1);
+    let change = |_| Fault {
+        at: Millis(rng.random_range(FIRST_FAULT_MS..latest)),
+        kind: Kind::Platform(TEAM_CHANGES.choose(&mut rng).expect("there are changes")),
+        target: 0,
+        duration: Millis(rng.random_range(DURATION_MS)),
+    };
+    (0..length / MEAN_TEAM_GAP_MS).map(change).collect()
+}
--- a/crates/marigoldpick-standin/src/jobs/pool.rs
+++ b/crates/marigoldpick-standin/src/jobs/pool.rs
@@ -162,7 +162,8 @@
         let worker = &self.workers[at];
         Ok(Reply {
             clock: worker.clock(now),
-            born: worker.node.born,
+            // As on the users' platform, only reports say when the worker began.
+            born: report.as_ref().map_or(0, |_| worker.node.born),
             report,
         })
     }
