Split the lead: runs on workers, and unrecorded starts, in files of their own

No change of behaviour. The entry's settings can require keys by a name of our own, so that the soak needs no word of the platform.

--- a/crates/marigoldpick-job/src/lead.rs
+++ b/crates/marigoldpick-job/src/lead.rs
@@ -15,8 +15,10 @@
 mod report;
 mod reserve;
 mod room;
+mod runs;
 mod schedule;
 mod start;
+mod unrecorded;
 mod waiting;
 
 use std::sync::Arc;
@@ -31,24 +33,16 @@
 use crate::job::Job;
 use crate::question::Share;
 use crate::queue::Queue;
-use crate::quota::{Quotas, Unheard};
+use crate::quota::Quotas;
 use crate::rank;
 use crate::rate::Rates;
 use crate::record::Record;
 use crate::settings::Settings;
 use crate::speed::Slowdowns;
-use crate::worker::{self, Run, Worker};
+use crate::worker::{self, Worker};
 
 /// The number of bits of a run number that count the runs of one term, which allows 2^20 runs.
 const RUN_NUMBER_BITS: u32 = 20;
-/// While unrecorded starts are possible, a new lead waits for a worker's first report before it
-/// starts jobs of its own term. After this many unanswered holds it stops waiting for that worker;
-/// a single hold can be lost on its own.
-const MAX_UNANSWERED_HOLDS: u32 = 2;
-/// Workers whose registrations expired in an outage of the store register again within this time of
-/// the store's return, which the lead counts from the start of its term.
-const REGISTRY_RECOVERY: Millis = Millis(2_500);
-
 /// `Counters` counts the operations of a lead for metrics.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
 pub struct Counters {
@@ -77,28 +71,6 @@
     Loaded(Option<&'a Record>),
 }
 
-/// `UnrecordedRuns` says which jobs may have runs that an earlier lead started without a record.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-enum UnrecordedRuns {
-    /// No job.
-    None,
-    /// Jobs submitted before the term.
-    Earlier,
-    /// Every job.
-    All,
-}
-
-impl UnrecordedRuns {
-    /// Returns whether the job may have such runs.
-    const fn can_include(self, job: &Job) -> bool {
-        match self {
-            Self::None => false,
-            Self::Earlier => job.loaded,
-            Self::All => true,
-        }
-    }
-}
-
 /// `Decision` records one decision of the lead for the log.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct Decision {
@@ -281,88 +253,6 @@
         self.askers.set(entries);
     }
 
-    /// Allows starts that the store has not recorded until `until`.
-    ///
-    /// The permission expires on its own, so that a process that was paused meanwhile does not act
-    /// on it.
-    pub fn allow_unrecorded(&mut self, until: Millis) {
-        self.unrecorded_until = until;
-    }
-
-    /// Forbids starts that the store has not recorded.
-    pub fn forbid_unrecorded(&mut self) {
-        self.unrecorded_until = Millis::ZERO;
-    }
-
-    /// Returns whether starts that the store has not recorded are allowed.
-    #[must_use]
-    pub fn allows_unrecorded(&self, now: Millis) -> bool {
-        now < self.unrecorded_until
-    }
-
-    /// Declares that an earlier lead may have ordered starts without a record.
-    ///
-    /// Tasks of jobs from before the term then start only once every worker has reported, or has
-    /// been silent for so long that all its runs have ended. Tasks of newer jobs start once each
-    /// worker has reported or has left two holds unanswered: until then workers may still obey the
-    /// earlier lead.
-    pub fn expect_unrecorded_starts(&mut self) {
-        self.expects_unrecorded = true;
-    }
-
-    /// Returns which jobs may have runs that an earlier lead started without a record.
-    fn unrecorded_runs(&self, now: Millis) -> UnrecordedRuns {
-        if !self.expects_unrecorded || now >= self.unknown_lapse() {
-            return UnrecordedRuns::None;
-        }
-        let is_awaited = |worker: &Worker| {
-            worker.is_registered
-                && !worker.has_reported
-                && worker.unanswered_holds < MAX_UNANSWERED_HOLDS
-        };
-        if self.workers.is_empty() || self.workers.iter().any(is_awaited) {
-            return UnrecordedRuns::All;
-        }
-        if self.all_have_reported(now) {
-            UnrecordedRuns::None
-        } else {
-            UnrecordedRuns::Earlier
-        }
-    }
-
-    /// Returns what runs of an earlier lead may hold that this lead does not know of.
-    fn unheard(&self, now: Millis) -> Unheard {
-        let mut unheard = Amount::default();
-        if !self.expects_unrecorded || now >= self.unknown_lapse() {
-            return Unheard::UpTo(unheard);
-        }
-        if self.workers.is_empty() || now.since(self.term_start) < REGISTRY_RECOVERY {
-            return Unheard::Unbounded;
-        }
-        // The capacity of a worker that only a job's record names is unknown.
-        let mut largest = Amount::default();
-        for worker in &self.workers {
-            largest.widen(&worker.node.capacity);
-        }
-        for worker in self.workers.iter().filter(|worker| !worker.has_reported) {
-            let mut free = if worker.is_registered {
-                worker.node.capacity.clone()
-            } else {
-                largest.clone()
-            };
-            free.subtract(worker.used());
-            unheard.add(&free);
-        }
-        Unheard::UpTo(unheard)
-    }
-
-    fn all_have_reported(&self, now: Millis) -> bool {
-        now.since(self.term_start) >= REGISTRY_RECOVERY
-            && self.workers.iter().all(|worker| {
-                worker.has_reported || (!worker.is_registered && worker.runs.is_empty())
-            })
-    }
-
     /// Accepts a job that the store has.
     ///
     /// `wall` is the Unix time in milliseconds at `now`. Jobs from before the term must be accepted
@@ -439,69 +329,6 @@
             .count()
     }
 
-    /// Creates the worker's state of a run, with the claim and the attributes of its step.
-    fn new_run(&self, task: &Task, run: u64, phase: worker::Phase, now: Millis) -> Option<Run> {
-        let job = self.job(&task.part.job)?;
-        let step = job.step(&task.part)?;
-        Some(Run {
-            claim: job.claims[task.part.step as usize].clone(),
-            needs: step.needs.clone(),
-            team: job.spec.team.clone(),
-            estimate: step.estimate,
-            target: step.target,
-            fills: step.fills,
-            lasting: step.lasting,
-            gang: step.gang,
-            ..Run::new(task.clone(), run, phase, now)
-        })
-    }
-
-    /// Adds a run to a worker and charges its team.
-    fn add_run(&mut self, at: usize, run: Run) {
-        let (team, needs) = (run.team.clone(), run.needs.clone());
-        if self.workers[at].add(run)
-            && let Some(team) = team
-        {
-            self.quotas.charge(&team, &needs);
-        }
-    }
-
-    /// Removes a run from a worker, and from what its team holds.
-    fn remove_run(&mut self, at: usize, task: &Task, run: u64) -> Option<Run> {
-        let run = self.workers[at].remove(task, run)?;
-        if let Some(team) = &run.team {
-            self.quotas.refund(team, &run.needs);
-        }
-        Some(run)
-    }
-
-    /// Releases the claim and the placement of a run that has ended or never began.
-    fn release_run(&mut self, at: usize, task: &Task, run: u64) {
-        if self.remove_run(at, task, run).is_some() {
-            let id = self.workers[at].node.id.clone();
-            self.remove_place(task, run, &id);
-        }
-    }
-
-    /// Removes the placement of a run, so that its task waits again.
-    fn remove_place(&mut self, task: &Task, run: u64, worker: &id::Worker) {
-        self.needs_pass = true;
-        let Some(at) = self.job_index(&task.part.job) else {
-            return;
-        };
-        let Some(state) = self.jobs[at].task_mut(task) else {
-            return;
-        };
-        let before = state.places.len();
-        state
-            .places
-            .retain(|place| place.run != run || place.worker != *worker);
-        if state.places.len() != before && !self.jobs[at].phase.is_over() {
-            self.mark_changed(at);
-            self.mark_waiting(at);
-        }
-    }
-
     /// Ends a job and stops its remaining runs.
     fn finish_job(&mut self, at: usize, phase: Phase, now: Millis) {
         let placed = self.jobs[at].placed();
--- /dev/null
+++ b/crates/marigoldpick-job/src/lead/runs.rs
@@ -0,0 +1,78 @@
+//! The runs on workers: their claims on the workers, and what they add to their teams' use.
+
+use marigoldpick_core::prelude::*;
+use marigoldpick_core::work::Task;
+
+use super::Lead;
+use crate::worker::{self, Run};
+
+impl Lead {
+    /// Creates the worker's state of a run, with the claim and the attributes of its step.
+    pub(super) fn new_run(
+        &self,
+        task: &Task,
+        run: u64,
+        phase: worker::Phase,
+        now: Millis,
+    ) -> Option<Run> {
+        let job = self.job(&task.part.job)?;
+        let step = job.step(&task.part)?;
+        Some(Run {
+            claim: job.claims[task.part.step as usize].clone(),
+            needs: step.needs.clone(),
+            team: job.spec.team.clone(),
+            estimate: step.estimate,
+            target: step.target,
+            fills: step.fills,
+            lasting: step.lasting,
+            gang: step.gang,
+            ..Run::new(task.clone(), run, phase, now)
+        })
+    }
+
+    /// Adds a run to a worker and charges its team.
+    pub(super) fn add_run(&mut self, at: usize, run: Run) {
+        let (team, needs) = (run.team.clone(), run.needs.clone());
+        if self.workers[at].add(run)
+            && let Some(team) = team
+        {
+            self.quotas.charge(&team, &needs);
+        }
+    }
+
+    /// Removes a run from a worker, and from what its team holds.
+    pub(super) fn remove_run(&mut self, at: usize, task: &Task, run: u64) -> Option<Run> {
+        let run = self.workers[at].remove(task, run)?;
+        if let Some(team) = &run.team {
+            self.quotas.refund(team, &run.needs);
+        }
+        Some(run)
+    }
+
+    /// Releases the claim and the placement of a run that has ended or never began.
+    pub(super) fn release_run(&mut self, at: usize, task: &Task, run: u64) {
+        if self.remove_run(at, task, run).is_some() {
+            let id = self.workers[at].node.id.clone();
+            self.remove_place(task, run, &id);
+        }
+    }
+
+    /// Removes the placement of a run, so that its task waits again.
+    pub(super) fn remove_place(&mut self, task: &Task, run: u64, worker: &id::Worker) {
+        self.needs_pass = true;
+        let Some(at) = self.job_index(&task.part.job) else {
+            return;
+        };
+        let Some(state) = self.jobs[at].task_mut(task) else {
+            return;
+        };
+        let before = state.places.len();
+        state
+            .places
+            .retain(|place| place.run != run || place.worker != *worker);
+        if state.places.len() != before && !self.jobs[at].phase.is_over() {
+            self.mark_changed(at);
+            self.mark_waiting(at);
+        }
+    }
+}
--- /dev/null
+++ b/crates/marigoldpick-job/src/lead/unrecorded.rs
@@ -0,0 +1,126 @@
+//! Starts that are ordered before the store has recorded them, and what an earlier lead may have started
+//! in this way.
+//!
+//! Load pattern: the store is out, and another entry leads when it returns. Until the workers have
+//! reported, the new lead knows neither which tasks run nor what the teams hold.
+
+use marigoldpick_core::prelude::*;
+
+use super::Lead;
+use crate::job::Job;
+use crate::quota::Unheard;
+use crate::worker::Worker;
+
+/// While unrecorded starts are possible, a new lead waits for a worker's first report before it
+/// starts jobs of its own term. After this many unanswered holds it stops waiting for that worker;
+/// a single hold can be lost on its own.
+const MAX_UNANSWERED_HOLDS: u32 = 2;
+/// Workers whose registrations expired in an outage of the store register again within this time of
+/// the store's return, which the lead counts from the start of its term.
+pub(super) const REGISTRY_RECOVERY: Millis = Millis(2_500);
+
+/// `UnrecordedRuns` says which jobs may have runs that an earlier lead started without a record.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(super) enum UnrecordedRuns {
+    /// No job.
+    None,
+    /// Jobs submitted before the term.
+    Earlier,
+    /// Every job.
+    All,
+}
+
+impl UnrecordedRuns {
+    /// Returns whether the job may have such runs.
+    pub(super) const fn can_include(self, job: &Job) -> bool {
+        match self {
+            Self::None => false,
+            Self::Earlier => job.loaded,
+            Self::All => true,
+        }
+    }
+}
+
+impl Lead {
+    /// Allows starts that the store has not recorded until `until`.
+    ///
+    /// The permission expires on its own, so that a process that was paused meanwhile does not act
+    /// on it.
+    pub fn allow_unrecorded(&mut self, until: Millis) {
+        self.unrecorded_until = until;
+    }
+
+    /// Forbids starts that the store has not recorded.
+    pub fn forbid_unrecorded(&mut self) {
+        self.unrecorded_until = Millis::ZERO;
+    }
+
+    /// Returns whether starts that the store has not recorded are allowed.
+    #[must_use]
+    pub fn allows_unrecorded(&self, now: Millis) -> bool {
+        now < self.unrecorded_until
+    }
+
+    /// Declares that an earlier lead may have ordered starts without a record.
+    ///
+    /// Tasks of jobs from before the term then start only once every worker has reported, or has
+    /// been silent for so long that all its runs have ended. Tasks of newer jobs start once each
+    /// worker has reported or has left two holds unanswered: until then workers may still obey the
+    /// earlier lead.
+    pub fn expect_unrecorded_starts(&mut self) {
+        self.expects_unrecorded = true;
+    }
+
+    /// Returns which jobs may have runs that an earlier lead started without a record.
+    pub(super) fn unrecorded_runs(&self, now: Millis) -> UnrecordedRuns {
+        if !self.expects_unrecorded || now >= self.unknown_lapse() {
+            return UnrecordedRuns::None;
+        }
+        let is_awaited = |worker: &Worker| {
+            worker.is_registered
+                && !worker.has_reported
+                && worker.unanswered_holds < MAX_UNANSWERED_HOLDS
+        };
+        if self.workers.is_empty() || self.workers.iter().any(is_awaited) {
+            return UnrecordedRuns::All;
+        }
+        if self.all_have_reported(now) {
+            UnrecordedRuns::None
+        } else {
+            UnrecordedRuns::Earlier
+        }
+    }
+
+    /// Returns what runs of an earlier lead may hold that this lead does not know of.
+    pub(super) fn unheard(&self, now: Millis) -> Unheard {
+        let mut unheard = Amount::default();
+        if !self.expects_unrecorded || now >= self.unknown_lapse() {
+            return Unheard::UpTo(unheard);
+        }
+        if self.workers.is_empty() || now.since(self.term_start) < REGISTRY_RECOVERY {
+            return Unheard::Unbounded;
+        }
+        // The capacity of a worker that only a job's record names is unknown.
+        let mut largest = Amount::default();
+        for worker in &self.workers {
+            largest.widen(&worker.node.capacity);
+        }
+        for worker in self.workers.iter().filter(|worker| !worker.has_reported) {
+            let mut free = if worker.is_registered {
+                worker.node.capacity.clone()
+            } else {
+                largest.clone()
+            };
+            free.subtract(worker.used());
+            unheard.add(&free);
+        }
+        Unheard::UpTo(unheard)
+    }
+
+    fn all_have_reported(&self, now: Millis) -> bool {
+        now.since(self.term_start) >= REGISTRY_RECOVERY
+            && self.workers.iter().all(|worker| {
+                worker.has_reported || (!worker.is_registered && worker.runs.is_empty())
+            })
+    }
+}
--- a/crates/marigoldpick-soak/src/run.rs
+++ b/crates/marigoldpick-soak/src/run.rs
@@ -240,7 +240,7 @@
     format!(
         "entry = \"e{number}\"\ndomain = \"d{}\"\ncallers = \"{callers}\"\nready = \"{ready}\"\n\
          inner = \"{inner}\"\nmetrics = \"{metrics}\"\nstore = \"{store}\"\nadviser = \"{adviser}\"\n\
-         cores = {cores}\nlink_mbps = 100.0\ngrace_s = 6.0\ncontracts = [\"tenants\"]\n\n\
+         cores = {cores}\nlink_mbps = 100.0\ngrace_s = 6.0\nrequires_keys = true\n\n\
          [worker]\nlease_ms = 6000\nstop_ms = 400\nremote_slowdown = 2.0\n\n\
          [revocation]\nbound_ms = 3000\nconfig_ms = 2000\n",
         number % 3
