--- a/crates/marigoldpick-core/src/team.rs
+++ b/crates/marigoldpick-core/src/team.rs
@@ -135,6 +135,8 @@
     pub version: u64,
     /// The time since this version was last confirmed to be the newest; `None` if it never was.
     pub age: Option<Millis>,
+    /// The number of other entries that it knows, which may confirm the configuration for it.
+    pub peers: u32,
     /// The teams, sorted by name; `None` if the entry does not lead.
     pub teams: Option<Vec<Usage>>,
 }
--- a/crates/marigoldpick-node/src/control.rs
+++ b/crates/marigoldpick-node/src/control.rs
@@ -229,7 +229,11 @@
                     self.record_store_outcome(sent, None);
                     revision = update.revision;
                     if let Some(config) = update.config {
+                        let read = config.revision;
                         self.apply_config(config);
+                        if update.is_current {
+                            self.confirm_revision(read, sent);
+                        }
                     }
                 }
                 Err(fault) => {
@@ -249,25 +253,26 @@
     async fn confirm_config(self: Rc<Self>, bounds: Bounds) {
         let pause = Millis(bounds.reject.min(bounds.serve).0 / CONFIRMATIONS_PER_BOUND);
         loop {
-            let known = self.shared.config.load_full();
-            let known = known.map_or(0, |active| active.config.revision);
+            task::sleep(pause.duration()).await;
+            let Some(active) = self.shared.config.load_full() else {
+                continue;
+            };
+            let known = active.config.revision;
             let sent = self.now();
-            let answer = self.platform.source().confirm(known).await;
-            self.record_store_outcome(sent, answer.as_ref().err().copied());
-            let pause = match answer {
+            // A failure counts against the age alone, since an answer with a large configuration may take
+            // longer than a call.
+            match self.platform.source().confirm(known).await {
                 Ok(confirmed) => {
+                    self.record_store_outcome(sent, None);
                     if let Some(config) = confirmed.config {
                         self.apply_config(config);
                     }
                     self.confirm_revision(confirmed.revision, sent);
-                    pause
                 }
                 Err(fault) => {
                     log::debug!(target: "node", "event=config-unconfirmed why={fault}");
-                    CONFIG_RETRY
                 }
-            };
-            task::sleep(pause.duration()).await;
+            }
         }
     }
 
--- a/crates/marigoldpick-node/src/platform.rs
+++ b/crates/marigoldpick-node/src/platform.rs
@@ -22,6 +22,8 @@
     pub config: Option<Config>,
     /// The revision from which to watch next.
     pub revision: u64,
+    /// Whether the configuration was the newest when the call was made or later; a watch cannot tell.
+    pub is_current: bool,
 }
 
 /// `Confirmed` is the result of a current read of the configuration.
--- a/crates/marigoldpick-node/src/serve.rs
+++ b/crates/marigoldpick-node/src/serve.rs
@@ -66,6 +66,7 @@
                 .as_ref()
                 .and_then(|active| active.confirmed())
                 .map(|at| self.now().since(at)),
+            peers: u32::try_from(self.peers.borrow().len()).unwrap_or(u32::MAX),
             teams: self
                 .leadership()
                 .map(|leadership| leadership.read(|lead| lead.team_usage(shares))),
--- a/crates/marigoldpick-node/tests/node/access.rs
+++ b/crates/marigoldpick-node/tests/node/access.rs
@@ -49,6 +49,12 @@
     let cluster = Cluster::start_with_keys(3, BOUNDS);
     let cut = (cluster.lead() + 1) % 3;
     wait_for(&cluster, cut, "key-a", &Admission::Admitted(access_of("a")));
+    // An entry that is cut off before it has read the list of entries has nobody to ask.
+    let handle = cluster.nodes[cut].handle();
+    wait_until("the entry knows the others", || {
+        let overview = block_on(handle.teams());
+        overview.is_some_and(|overview| overview.peers == 2)
+    });
     cluster.only_watches[cut].store(true, Ordering::SeqCst);
     let began = std::time::Instant::now();
     while began.elapsed() < 2 * BOUNDS.serve.duration() {
--- a/crates/marigoldpick-node/tests/node/cluster.rs
+++ b/crates/marigoldpick-node/tests/node/cluster.rs
@@ -289,6 +289,7 @@
             return Ok(Update {
                 config: None,
                 revision: 0,
+                is_current: true,
             });
         }
         if revision > 0 {
@@ -296,11 +297,13 @@
             return Ok(Update {
                 config: None,
                 revision,
+                is_current: false,
             });
         }
         Ok(Update {
             config: Some(read_config(&self.config)),
             revision: 1,
+            is_current: true,
         })
     }
 
--- a/crates/marigoldpick/src/render.rs
+++ b/crates/marigoldpick/src/render.rs
@@ -17,8 +17,8 @@
     write_line(
         &mut out,
         format_args!(
-            "entry {}, configuration {}, {age}",
-            overview.entry, overview.version
+            "entry {}, configuration {}, {age}, {} other entries",
+            overview.entry, overview.version, overview.peers
         ),
     );
     let Some(teams) = &overview.teams else {
--- a/crates/marigoldpick/tests/client.rs
+++ b/crates/marigoldpick/tests/client.rs
@@ -237,6 +237,7 @@
         entry: id::Entry::new("e1").expect("a name"),
         version: 7,
         age: Some(Millis(640)),
+        peers: 2,
         teams: Some(vec![Usage {
             share: Share {
                 team: id::Team::new("a").expect("a name"),
@@ -259,7 +260,7 @@
     let text = render::teams(&read);
     expect_that!(
         text,
-        contains_substring("entry e1, configuration 7, confirmed 640 ms ago")
+        contains_substring("entry e1, configuration 7, confirmed 640 ms ago, 2 other entries")
     );
     expect_that!(
         text,
