--- a/crates/marigoldpick-job/src/job.rs
+++ b/crates/marigoldpick-job/src/job.rs
@@ -202,14 +202,23 @@
     }
 
     /// Returns the record to store.
+    ///
+    /// Of a job that is over it keeps the placements alone: runs that are being stopped still occupy their
+    /// workers when another lead takes over.
     #[must_use]
     pub fn record(&self) -> Record {
+        let is_over = self.phase.is_over();
         let mut parts = Vec::new();
-        if !self.phase.is_over() {
-            for (occurrence, state) in (0..).zip(&self.occurrences) {
-                for (step, stage) in (0..).zip(&state.stages) {
-                    parts.extend(stage.record(occurrence, step));
-                }
+        for (occurrence, state) in (0..).zip(&self.occurrences) {
+            for (step, stage) in (0..).zip(&state.stages) {
+                let part = stage.record(occurrence, step);
+                parts.extend(part.and_then(|part| {
+                    if is_over {
+                        part.only_places()
+                    } else {
+                        Some(part)
+                    }
+                }));
             }
         }
         Record {
--- a/crates/marigoldpick-job/src/lead.rs
+++ b/crates/marigoldpick-job/src/lead.rs
@@ -279,11 +279,7 @@
                 job.restore(record, now);
             }
         }
-        let placed = if job.phase.is_over() {
-            Vec::new()
-        } else {
-            job.placed()
-        };
+        let placed = job.placed();
         self.jobs.insert(at, job);
         self.update_estimates(at);
         self.record_failures(at);
--- a/crates/marigoldpick-job/src/lead/registry.rs
+++ b/crates/marigoldpick-job/src/lead/registry.rs
@@ -62,8 +62,9 @@
     /// Handles a restart of a worker, which ended the runs that it had.
     ///
     /// The lead may have ordered starts since then that the restarted worker has carried out, or
-    /// will. Only a report of the restarted worker tells which runs are there; it is requested at
-    /// once.
+    /// will. Only a report of the restarted worker tells which runs are there. It is requested
+    /// once the hold in flight has ended: that hold names an end of the worker's earlier life, and the
+    /// restarted worker would forget the ends of new runs up to that number.
     fn handle_restart(&mut self, at: usize, node: Node, now: Millis) {
         self.log(
             "worker-reborn",
@@ -102,11 +103,11 @@
                 self.add_run(at, run);
             }
         }
-        // A hold in flight may wait for seconds, so another one asks for the report.
-        self.workers[at].is_suspect = true;
     }
 
     /// Adds a run that an earlier lead recorded, whose state is unknown.
+    ///
+    /// If its job is over, the run is stopped once more.
     pub(super) fn expect_run(&mut self, task: &Task, place: &Place, now: Millis) {
         let at = self.search_worker(&place.worker).unwrap_or_else(|at| {
             let mut worker =
@@ -115,7 +116,14 @@
             self.workers.insert(at, worker);
             at
         });
-        let phase = worker::Phase::Unknown(now);
+        let is_over = self
+            .job(&task.part.job)
+            .is_some_and(|job| job.phase.is_over());
+        let phase = if is_over {
+            worker::Phase::Stop
+        } else {
+            worker::Phase::Unknown(now)
+        };
         if let Some(run) = self.new_run(task, place.run, phase, now) {
             self.add_run(at, run);
         }
--- a/crates/marigoldpick-job/src/lead/runs.rs
+++ b/crates/marigoldpick-job/src/lead/runs.rs
@@ -70,9 +70,15 @@
         state
             .places
             .retain(|place| place.run != run || place.worker != *worker);
-        if state.places.len() != before && !self.jobs[at].phase.is_over() {
+        if state.places.len() == before {
+            return;
+        }
+        if !self.jobs[at].phase.is_over() {
             self.mark_changed(at);
             self.mark_waiting(at);
+        } else if self.jobs[at].placed().is_empty() {
+            // The record names the placements of a job that is over until all of them are gone.
+            self.mark_changed(at);
         }
     }
 }
--- a/crates/marigoldpick-job/src/record.rs
+++ b/crates/marigoldpick-job/src/record.rs
@@ -37,6 +37,20 @@
     pub places: Vec<(u32, id::Worker, u64)>,
 }
 
+impl Part {
+    /// Returns the part with nothing but its placements; `None` if it has none.
+    #[must_use]
+    pub fn only_places(self) -> Option<Self> {
+        let part = Self {
+            occurrence: self.occurrence,
+            step: self.step,
+            places: self.places,
+            ..Self::default()
+        };
+        (!part.places.is_empty()).then_some(part)
+    }
+}
+
 /// Merges ascending task numbers into ranges.
 #[must_use]
 pub fn ranges(numbers: impl Iterator<Item = u32>) -> Vec<(u32, u32)> {
--- a/crates/marigoldpick-job/tests/lead/faults.rs
+++ b/crates/marigoldpick-job/tests/lead/faults.rs
@@ -628,3 +628,21 @@
     expect_that!(world.pool.started.len(), eq(3));
     expect_that!(world.pool.broken, is_empty());
 }
+
+/// Load pattern: jobs are cancelled, and another entry leads before their runs have stopped.
+#[googletest::test]
+fn take_over_counts_runs_of_cancelled_jobs_until_they_have_stopped() {
+    let mut world = World::new(1);
+    let first = world.submit(1, job(vec![step(16, 4_000, 20_000)]));
+    world.run(100);
+    expect_that!(world.pool.run_count(0), eq(16));
+    world.cancel(&first);
+    world.run(50);
+    world.take_over();
+    let next = world.submit(2, job(vec![step(16, 4_000, 300)]));
+    world.run(5_000);
+    expect_that!(world.phase(&next), some(eq(Phase::Completed)));
+    expect_that!(world.pool.broken, is_empty());
+    // Nothing of the cancelled job is left in its record.
+    expect_false!(world.records[&first].contains("\"p\""));
+}
