--- a/crates/marigoldpick-node/src/driver.rs
+++ b/crates/marigoldpick-node/src/driver.rs
@@ -22,10 +22,12 @@
 use crate::leadership::Leadership;
 use crate::peer_reports::PeerReports;
 use crate::platform::{Platform, Registry};
-use crate::step;
 
 /// The maximum time between two steps of the lead.
 const MAX_STEP_GAP: Millis = Millis(20);
+/// The minimum time between two steps of the lead, in which events are gathered, since each step looks
+/// at all workers.
+const MIN_STEP_GAP: Millis = Millis(3);
 /// The delay before a failed call to the store is retried.
 const STORE_RETRY: Millis = Millis(150);
 /// How long the store must be unreachable before the lead acts on it; a connection that was reset is
@@ -95,8 +97,7 @@
                 .read(|lead| lead.next_pass().since(self.now()))
                 .min(MAX_STEP_GAP);
             let _is_tick = timeout(wait.duration(), leadership.wait_for_update()).await;
-            let gap = step::min_gap(leadership.read(|lead| lead.workers().len()));
-            let remaining = (began + gap).since(self.now());
+            let remaining = (began + MIN_STEP_GAP).since(self.now());
             if remaining > Millis::ZERO {
                 task::sleep(remaining.duration()).await;
             }
--- a/crates/marigoldpick-node/src/lib.rs
+++ b/crates/marigoldpick-node/src/lib.rs
@@ -25,7 +25,6 @@
 pub mod retry;
 mod serve;
 pub mod settings;
-pub mod step;
 
 pub use config::Config;
 pub use node::{Handle, Node};
