--- a/crates/marigoldpick-node/src/control.rs
+++ b/crates/marigoldpick-node/src/control.rs
@@ -64,6 +64,8 @@
     pub(crate) peer_reports: RefCell<PeerReports>,
     /// Whether the store answers this entry.
     reachability: Cell<Reachability>,
+    /// When the store last answered a call on the configuration.
+    config_answered: Cell<Millis>,
     /// Held during a check of the store, so that concurrent checks share one call.
     store_check: Mutex<()>,
     /// Tells the election to campaign although there is a lead, since that lead asked to be replaced.
@@ -91,6 +93,7 @@
             sessions: RefCell::default(),
             peer_reports: RefCell::default(),
             reachability: Cell::default(),
+            config_answered: Cell::default(),
             store_check: Mutex::new(()),
             succession_sender,
             succession_receiver,
@@ -230,15 +233,23 @@
                     revision = update.revision;
                     if let Some(config) = update.config {
                         let read = config.revision;
-                        self.apply_config(config);
+                        let via = if update.is_current { "read" } else { "watch" };
+                        self.apply_config(config, via);
                         if update.is_current {
                             self.confirm_revision(read, sent);
                         }
                     }
+                    self.config_answered.set(self.now());
                 }
                 Err(fault) => {
                     self.record_store_outcome(sent, Some(fault));
-                    log::debug!(target: "node", "event=config-unread why={fault}");
+                    let silent = self.now().since(self.config_answered.get());
+                    log::info!(
+                        target: "node",
+                        "event=config-unread why={fault} waited_ms={} silent_ms={}",
+                        self.now().since(sent).0,
+                        silent.0
+                    );
                     task::sleep(CONFIG_RETRY.duration()).await;
                 }
             }
@@ -265,9 +276,10 @@
                 Ok(confirmed) => {
                     self.record_store_outcome(sent, None);
                     if let Some(config) = confirmed.config {
-                        self.apply_config(config);
+                        self.apply_config(config, "confirmation");
                     }
                     self.confirm_revision(confirmed.revision, sent);
+                    self.config_answered.set(self.now());
                 }
                 Err(fault) => {
                     log::debug!(target: "node", "event=config-unconfirmed why={fault}");
@@ -315,8 +327,8 @@
         }
     }
 
-    /// Puts a configuration in force, unless the present one is as new.
-    fn apply_config(&self, config: crate::Config) {
+    /// Puts a configuration in force, unless the present one is as new; `via` names the call that returned it.
+    fn apply_config(&self, config: crate::Config, via: &'static str) {
         let current = self.shared.config.load();
         if current
             .as_ref()
@@ -326,13 +338,17 @@
         }
         log::info!(
             target: "node",
-            "event=config-in-force version={} routes={} queues={} teams={} keys={}",
+            "event=config-in-force version={} revision={} via={via} silent_ms={} routes={} queues={} teams={} keys={}",
             config.version,
+            config.revision,
+            self.now().since(self.config_answered.get()).0,
             config.routes.len(),
             config.queues.len(),
             config.teams.shares().len(),
             config.teams.key_count()
         );
+        metrics::counter!("marigold_config_updates_total", "via" => via).increment(1);
+        metrics::gauge!("marigold_config_version").set(config.version as f64);
         let config = Arc::new(config);
         let confirmed = current.as_ref().and_then(|current| current.confirmed());
         let active = Active::new(Arc::clone(&config), confirmed);
