Confirm the configuration on every deployment

Cause suspected: the watch was the only way by which a change reached an entry where no contract bounds revocation. A watch whose connection dies without a reset is noticed after 3.7 s and asks again after 3.9 s, and one whose history the store drops without a word never brings the change. Deployments with revocation had confirmations for just this reason; the others had not.

Evidence: config_change_missed_by_the_watch_is_in_force_at_all_entries failed on the code before (timed out after 30 s: a change that the watch does not report was never in force), and passes now. The stand-in's confirmations now fail while its store is silent, as its other calls do; without that, lead_cut_off_from_the_store_is_replaced failed, since a silent store answered.

Why it works: each entry compares the revision of its configuration with the store's three times within the bound, over connections of its own, and a confirmation that fails is retried after 200 ms. A change is found after 1.7 s at most when one call is lost with its whole timeout.

--- a/crates/marigoldpick-node/src/control.rs
+++ b/crates/marigoldpick-node/src/control.rs
@@ -16,8 +16,7 @@
 use marigoldpick_job::Lead;
 use marigoldpick_wire as wire;
 
-use crate::access::Bounds;
-use crate::config::Active;
+use crate::config::{Active, confirmation_interval};
 use crate::keys;
 use crate::leadership::Leadership;
 use crate::member::Member;
@@ -28,8 +27,8 @@
 use crate::request::{Request, Shared};
 use crate::settings::Settings;
 
-/// The timeout of a watch on the configuration. A dead connection is noticed only when the watch times
-/// out, and a change has to be in force two seconds after an entry's links work again.
+/// The timeout of a watch on the configuration. Changes that a watch does not bring are found by the
+/// confirmations, which are more frequent.
 const CONFIG_WATCH_TIMEOUT: Millis = Millis(3_000);
 /// The store is not checked again if it answered a call that was sent within this time.
 const STORE_FRESH: Millis = Millis(100);
@@ -37,10 +36,6 @@
 const STORE_CHECK_TIMEOUT: Millis = Millis(500);
 /// The delay before a failed read of the configuration is retried.
 const CONFIG_RETRY: Millis = Millis(200);
-
-/// The number of reads of the configuration within the time for which one confirms it, so that two may
-/// fail without harm.
-const CONFIRMATIONS_PER_BOUND: u64 = 3;
 /// The factor in percent by which another entry's age of a confirmation is extended.
 const AGE_FACTOR_PERCENT: u64 = 105;
 
@@ -104,9 +99,7 @@
     pub(crate) async fn run(self: Rc<Self>, requests: Receiver<Request>) {
         self.publish_retry_after(None);
         task::spawn_local(Rc::clone(&self).follow_config());
-        if let Some(bounds) = self.settings.access.bounds {
-            task::spawn_local(Rc::clone(&self).confirm_config(bounds));
-        }
+        task::spawn_local(Rc::clone(&self).confirm_config());
         task::spawn_local(Rc::clone(&self).register());
         task::spawn_local(Rc::clone(&self).follow_members());
         task::spawn_local(Rc::clone(&self).elect());
@@ -256,15 +249,21 @@
         }
     }
 
-    /// Reads the configuration at regular intervals, so that a key that was taken away is refused in
-    /// time.
+    /// Confirms the configuration at regular intervals, so that a change is in force and a key that was taken
+    /// away is refused in time.
     ///
-    /// A watch without events confirms nothing: the store may have dropped the history that it
-    /// waited on.
-    async fn confirm_config(self: Rc<Self>, bounds: Bounds) {
-        let pause = Millis(bounds.reject.min(bounds.serve).0 / CONFIRMATIONS_PER_BOUND);
+    /// A watch without events confirms nothing: its connection may be dead, or the store may have dropped the
+    /// history that it waits on.
+    async fn confirm_config(self: Rc<Self>) {
+        let bound = match self.settings.access.bounds {
+            Some(bounds) => bounds.serve.min(bounds.reject),
+            None => self.settings.config_bound,
+        };
+        let interval = confirmation_interval(bound);
+        let mut pause = interval;
         loop {
             task::sleep(pause.duration()).await;
+            pause = interval;
             let Some(active) = self.shared.config.load_full() else {
                 continue;
             };
@@ -283,6 +282,10 @@
                 }
                 Err(fault) => {
                     log::debug!(target: "node", "event=config-unconfirmed why={fault}");
+                    // While the store is lost, a faster retry would only add calls.
+                    if self.can_reach_store() {
+                        pause = CONFIG_RETRY;
+                    }
                 }
             }
         }
--- a/crates/marigoldpick-node/src/settings.rs
+++ b/crates/marigoldpick-node/src/settings.rs
@@ -20,6 +20,8 @@
     pub job: marigoldpick_job::Settings,
     /// Whether callers need keys, and how fresh the configuration must be.
     pub access: access::Policy,
+    /// The time within which a new configuration must be in force if `access` has no bounds.
+    pub config_bound: Millis,
     /// The duration of the lead's lease, for which a dead lead is not replaced.
     pub lead_lease: Millis,
     /// The duration of the lease on an entry's registration.
@@ -45,6 +47,8 @@
             strength: 1_000,
             job: marigoldpick_job::Settings::default(),
             access: access::Policy::default(),
+            // The shortest bound of the platform's contracts.
+            config_bound: Millis(2_000),
             lead_lease: Millis(1_500),
             entry_lease: Millis(10_000),
             registry_interval: Millis(500),
--- a/crates/marigoldpick-node/tests/decisions.rs
+++ b/crates/marigoldpick-node/tests/decisions.rs
@@ -4,6 +4,7 @@
 use marigoldpick_core::control::Known;
 use marigoldpick_core::prelude::*;
 use marigoldpick_core::store::Fault;
+use marigoldpick_node::config::confirmation_interval;
 use marigoldpick_node::election::{campaign_delay, is_worth_handing_over};
 use marigoldpick_node::member::Member;
 use marigoldpick_node::reachability::Reachability;
@@ -122,3 +123,13 @@
     expect_true!(reachability.record(Millis(6), refused, Millis(6)));
     expect_false!(reachability.is_answering());
 }
+
+/// A connection dies right after a confirmation on it, and the next call on it fails only after 700 ms and is
+/// retried 200 ms later.
+#[googletest::test]
+fn confirmation_interval_leaves_time_for_a_lost_call() {
+    let bound = Millis(2_000);
+    let (timeout, retry, answer) = (Millis(700), Millis(200), Millis(100));
+    let longest = confirmation_interval(bound) + timeout + retry + answer;
+    expect_that!(longest, le(bound));
+}
--- a/crates/marigoldpick-node/tests/node/cluster.rs
+++ b/crates/marigoldpick-node/tests/node/cluster.rs
@@ -308,7 +308,11 @@
     }
 
     async fn confirm(&self, known: u64) -> Result<Confirmed, store::Fault> {
-        if self.store.only_watches.load(Ordering::SeqCst) {
+        let is_lost = || {
+            let faults = [&self.store.only_watches, &self.store.silent];
+            faults.iter().any(|fault| fault.load(Ordering::SeqCst))
+        };
+        if is_lost() {
             task::sleep(Duration::from_millis(100)).await;
             return Err(store::Fault::Unknown);
         }
@@ -466,6 +470,18 @@
         cluster
     }
 
+    /// Writes the next version of the configuration, with one more route.
+    pub fn add_route(&self, prefix: &str) {
+        let mut config = self.config.lock().unwrap_or_else(PoisonError::into_inner);
+        config.version += 1;
+        config.revision += 1;
+        let route = Route {
+            prefix: prefix.to_owned(),
+            ..config.routes[0].clone()
+        };
+        config.routes.push(route);
+    }
+
     /// Writes the next version of the configuration, with teams and one key of each.
     pub fn set_teams(&self, teams: &[(&str, &str)]) {
         let team = |(team, key): &(&str, &str)| Team {
--- a/crates/marigoldpick-node/tests/node/main.rs
+++ b/crates/marigoldpick-node/tests/node/main.rs
@@ -2,6 +2,7 @@
 
 mod access;
 mod cluster;
+mod configuration;
 mod outages;
 mod relays;
 
