--- a/crates/marigoldpick-job/src/lead/hold.rs
+++ b/crates/marigoldpick-job/src/lead/hold.rs
@@ -138,6 +138,7 @@
                     worker.record_first_report(&settings, now);
                 }
                 worker.unanswered_holds = 0;
+                worker.silent_since = None;
                 worker.is_suspect = false;
                 worker.has_reported = true;
                 worker.acknowledged_end = worker.acknowledged_end.max(seen);
@@ -151,6 +152,8 @@
                 }
             }
             Err(fault) => {
+                let lost = worker.earliest_loss(sent, wait, now);
+                worker.silent_since.get_or_insert(lost);
                 worker.unanswered_holds = worker.unanswered_holds.saturating_add(1);
                 worker.is_suspect = false;
                 // A single answer can be lost on its own, so the first retry follows at once.
@@ -217,6 +220,7 @@
             let runs = self.workers[at].runs.clone();
             self.log("worker-lapsed", id, format!("runs={}", runs.len()));
             for run in runs {
+                self.log_loss(at, &run, now);
                 self.release_run(at, &run.task, run.run);
             }
         }
--- a/crates/marigoldpick-job/src/lead/registry.rs
+++ b/crates/marigoldpick-job/src/lead/registry.rs
@@ -73,6 +73,9 @@
         );
         let id = node.id.clone();
         let settings = self.settings;
+        for run in self.workers[at].runs.clone() {
+            self.log_loss(at, &run, now);
+        }
         let unanswered = self.workers[at].take_unanswered_starts(&settings, now);
         // The restarted worker's clock is behind, so it shortens the lease in an order in flight only
         // to the longest that the platform allows.
--- a/crates/marigoldpick-job/src/lead/runs.rs
+++ b/crates/marigoldpick-job/src/lead/runs.rs
@@ -49,6 +49,20 @@
         Some(run)
     }
 
+    /// Logs a run that is lost with its worker, and how long it had worked by then.
+    pub(super) fn log_loss(&mut self, at: usize, run: &Run, now: Millis) {
+        let worker = &self.workers[at];
+        let lost = worker.silent_since.unwrap_or(now);
+        let detail = format!(
+            "worker={} run={} phase={:?} worked_ms={}",
+            worker.node.id,
+            run.run,
+            run.phase,
+            lost.since(run.confirmed_at).0
+        );
+        self.log("run-lost", run.task.to_string(), detail);
+    }
+
     /// Releases the claim and the placement of a run that has ended or never began.
     pub(super) fn release_run(&mut self, at: usize, task: &Task, run: u64) {
         if self.remove_run(at, task, run).is_some() {
--- a/crates/marigoldpick-job/src/worker.rs
+++ b/crates/marigoldpick-job/src/worker.rs
@@ -150,6 +150,8 @@
     pub acknowledged_end: u64,
     /// The number of consecutive holds without an answer.
     pub unanswered_holds: u32,
+    /// The earliest time at which the worker may have been lost, if its last hold got no answer.
+    pub silent_since: Option<Millis>,
     /// The run times of its tasks relative to their estimates.
     pub(crate) slowdown: DecayingMean,
     /// The number of consecutive task failures.
@@ -186,6 +188,7 @@
             next_hold: Millis::ZERO,
             acknowledged_end: 0,
             unanswered_holds: 0,
+            silent_since: None,
             slowdown: DecayingMean::default(),
             failures: 0,
             quarantined_until: Millis::ZERO,
@@ -251,6 +254,19 @@
         }
     }
 
+    /// Returns the earliest time at which a hold that failed now shows the worker to have been lost.
+    ///
+    /// A hold that fails before its wait is over had a connection until then. Otherwise the worker was
+    /// last known to be alive when it last answered.
+    #[must_use]
+    pub fn earliest_loss(&self, sent: Millis, wait: Millis, now: Millis) -> Millis {
+        if now.since(sent) < wait {
+            now
+        } else {
+            self.clock.map_or(sent, |(_, read)| read)
+        }
+    }
+
     /// Returns the free capacity.
     #[must_use]
     pub const fn free(&self) -> &Amount {
