Blame a task only for a crash that follows its start within 250 ms

Change: a run counts if its start was ordered or confirmed within 250 ms before its worker's connections broke, and a connection counts as broken if a hold failed sooner than it can time out.

Tests: restarts_of_workers_that_are_cut_off_are_not_blamed_on_tasks failed on the code before.

--- a/crates/marigoldpick-job/src/lead/crash.rs
+++ b/crates/marigoldpick-job/src/lead/crash.rs
@@ -56,23 +56,18 @@
         }
     }
 
-    /// Returns the tasks that had just started on a worker when it was lost.
-    pub(super) fn crash_suspects(&self, at: usize, now: Millis) -> Vec<Task> {
-        let worker = &self.workers[at];
-        let lost = worker.earliest_loss(now);
-        let settling = worker.runs.iter().filter(|run| run.is_settling(lost));
-        let mut tasks: Vec<Task> = settling.map(|run| self.blamed_task(&run.task)).collect();
-        tasks.extend(worker.crash_suspects.iter().cloned());
-        tasks.sort();
-        tasks.dedup();
-        tasks
-    }
-
-    /// Records that a worker whose connections broke may have crashed under the tasks that had just started.
+    /// Records that a worker whose connection broke now may have crashed under the tasks that had just started.
     ///
-    /// This is recorded before it is known, since the lead may change before the worker is back.
+    /// This is recorded before it is known, since the lead may change before the worker is back. A worker that
+    /// fell silent with its connections open may have been cut off, and no task is suspected.
     pub(super) fn suspect_crash(&mut self, at: usize, now: Millis) {
-        let suspects = self.crash_suspects(at, now);
+        let settling = self.workers[at]
+            .runs
+            .iter()
+            .filter(|run| run.is_settling(now));
+        let mut suspects: Vec<Task> = settling.map(|run| self.blamed_task(&run.task)).collect();
+        suspects.sort();
+        suspects.dedup();
         let worker = &mut self.workers[at];
         worker.crash_suspects.clone_from(&suspects);
         let id = worker.node.id.clone();
@@ -105,11 +100,10 @@
         }
     }
 
-    /// Counts the end of a worker as a crash under the tasks that had just started there.
+    /// Counts the end of a worker as a crash under the tasks that are suspected of it.
     pub(super) fn count_crash(&mut self, at: usize, now: Millis) {
-        let suspects = self.crash_suspects(at, now);
         let worker = &mut self.workers[at];
-        worker.crash_suspects.clear();
+        let suspects = std::mem::take(&mut worker.crash_suspects);
         let id = worker.node.id.clone();
         let is_alone = suspects.len() == 1;
         for task in suspects {
--- a/crates/marigoldpick-job/src/lead/hold.rs
+++ b/crates/marigoldpick-job/src/lead/hold.rs
@@ -231,7 +231,6 @@
             let id = worker.node.id.to_string();
             let runs = self.workers[at].runs.clone();
             self.log("worker-lapsed", id, format!("runs={}", runs.len()));
-            self.workers[at].crash_suspects = self.crash_suspects(at, now);
             for run in runs {
                 self.log_loss(at, &run, now);
                 self.release_run(at, &run.task, run.run);
--- a/crates/marigoldpick-job/src/lead/registry.rs
+++ b/crates/marigoldpick-job/src/lead/registry.rs
@@ -140,8 +140,7 @@
         } else {
             worker::Phase::Unknown(now)
         };
-        if let Some(mut run) = self.new_run(task, place.run, phase, now) {
-            run.is_inherited = true;
+        if let Some(run) = self.new_run(task, place.run, phase, now) {
             self.add_run(at, run);
         }
     }
--- a/crates/marigoldpick-job/src/lead/start.rs
+++ b/crates/marigoldpick-job/src/lead/start.rs
@@ -59,6 +59,7 @@
         };
         if let Some(entry) = self.workers[at].run_mut(task, run) {
             entry.phase = Phase::Ordered;
+            entry.ordered_at = Some(now);
         }
         self.counters.starts += 1;
         self.send_order(at, Order::Start(Box::new(order)));
--- a/crates/marigoldpick-job/src/worker.rs
+++ b/crates/marigoldpick-job/src/worker.rs
@@ -13,6 +13,8 @@
 const QUARANTINE_FAILURES: u32 = 3;
 /// A run that has worked for this time did not crash its worker by its start.
 pub(crate) const SETTLE_TIME: Millis = Millis(250);
+/// A call that fails within this time was refused or reset; connections and calls time out later.
+const BROKEN_CALL_TIME: Millis = Millis(300);
 /// A worker is new for this time. Workers that crash again and again for other reasons are.
 const NEW_WORKER_TIME: Millis = Millis(10_000);
 /// The quarantine after consecutive task failures.
@@ -56,6 +58,8 @@
     pub team: Option<id::Team>,
     /// The progress of the run's orders.
     pub phase: Phase,
+    /// When the start was ordered, if it was.
+    pub ordered_at: Option<Millis>,
     /// When the run was confirmed to be running.
     pub confirmed_at: Millis,
     /// Whether the worker has restarted since the start was ordered. The run has ended unless a report
@@ -71,8 +75,6 @@
     pub lasting: bool,
     /// Whether the task works only while all members of its gang run.
     pub gang: bool,
-    /// Whether an earlier lead ordered the start, at an unknown time.
-    pub is_inherited: bool,
     /// Whether the task may crash the worker, so that no other task starts there until the run has settled.
     pub on_trial: bool,
     /// The last ordered share of its processors that the run may use, in percent.
@@ -94,6 +96,7 @@
             needs: Amount::default(),
             team: None,
             phase,
+            ordered_at: None,
             confirmed_at: now,
             outlived: false,
             estimate: Millis::ZERO,
@@ -101,7 +104,6 @@
             fills: false,
             lasting: false,
             gang: false,
-            is_inherited: false,
             on_trial: false,
             pace: 100,
             percent: 0,
@@ -111,12 +113,17 @@
 }
 
 impl Run {
-    /// Returns whether the run may have crashed the worker if that was lost at `at`, because it had just started.
+    /// Returns whether the run has just started at `at`, so that it may be the cause if the worker crashes then.
+    ///
+    /// The run of an earlier lead counts as settled, since nobody knows when it started.
     #[must_use]
     pub fn is_settling(&self, at: Millis) -> bool {
+        let Some(ordered) = self.ordered_at else {
+            return false;
+        };
         match self.phase {
-            Phase::Ordered | Phase::Unknown(_) => !self.is_inherited,
-            Phase::Running => !self.is_inherited && at < self.confirmed_at + SETTLE_TIME,
+            Phase::Ordered | Phase::Unknown(_) => at < ordered + SETTLE_TIME,
+            Phase::Running => at < self.confirmed_at + SETTLE_TIME,
             Phase::Recording | Phase::Stop | Phase::Stopping | Phase::Stopped(_) => false,
         }
     }
@@ -292,13 +299,13 @@
     /// Records that a hold sent at `sent` with `wait` got no answer; returns whether the worker may just have
     /// crashed.
     ///
-    /// A hold that fails before its wait is over had a connection until then. Otherwise the worker was
-    /// last known to be alive when it last answered.
+    /// A hold that fails sooner than it can time out shows that the worker's connections broke, as in a crash.
+    /// Otherwise the worker was last known to be alive when it last answered.
     pub fn record_silence(&mut self, sent: Millis, wait: Millis, now: Millis) -> bool {
         if self.silent_since.is_some() {
             return false;
         }
-        let is_broken = now.since(sent) < wait;
+        let is_broken = now.since(sent) < wait.max(BROKEN_CALL_TIME);
         let since = if is_broken {
             Some(now)
         } else {
--- a/crates/marigoldpick-job/tests/lead/crashes.rs
+++ b/crates/marigoldpick-job/tests/lead/crashes.rs
@@ -233,6 +233,31 @@
     expect_completed(&world, &ids);
 }
 
+/// Starts get no answer, since the workers are cut off, and the workers restart behind the partition.
+#[googletest::test]
+fn restarts_of_workers_that_are_cut_off_are_not_blamed_on_tasks() {
+    let mut world = World::new(3);
+    world.run(1_000);
+    world.partitioned.fill(true);
+    let ids = [world.submit(1, job(vec![step(3, 10_000, 1_500)]))];
+    for _ in 0..4 {
+        world.run(1_000);
+        (0..3).for_each(|at| world.pool.crash(at));
+        world.run(5_000);
+        world.partitioned.fill(false);
+        // The next partition begins before the tasks that start now are confirmed.
+        let started = world.pool.started.len();
+        while world.pool.started.len() == started && world.now < Millis(120_000) {
+            world.run(1);
+        }
+        world.partitioned.fill(true);
+    }
+    world.partitioned.fill(false);
+    world.run(30_000);
+    expect_completed(&world, &ids);
+    expect_that!(world.pool.broken, is_empty());
+}
+
 /// Crashing and harmless tasks, crashes for other reasons, partitions and take-overs, drawn from seeds.
 #[googletest::test]
 fn crashing_tasks_stay_within_their_budget_in_any_order_of_faults() {
