Start no task under suspicion without a record of its crashes

Cause: in an outage starts go on without records, and so did those of a task that had just been seen to crash its worker.

Change: such a task starts only once the store has the record of its crashes. In an outage one crash at most goes unrecorded.

Test: crashing_task_starts_once_in_an_outage_of_the_store failed on the code before (three crashes in the outage, and the limit passed after it).

--- a/crates/marigoldpick-job/src/lead/crash.rs
+++ b/crates/marigoldpick-job/src/lead/crash.rs
@@ -174,6 +174,14 @@
         state.is_some_and(|state| state.suspected_crashes() > 0)
     }
 
+    /// Returns whether a task may crash its worker and the store does not take the record of it.
+    ///
+    /// Load pattern: the store is out, and another entry leads when it returns. The crashes that the earlier lead
+    /// saw in the outage are lost, so that a task under suspicion must not add to them.
+    pub(super) fn lacks_crash_record(&self, task: &Task, now: Millis) -> bool {
+        self.allows_unrecorded(now) && self.is_suspect(task)
+    }
+
     /// Returns the task on which crashes are counted: for a gang, whose members start together, its first.
     fn blamed_task(&self, task: &Task) -> Task {
         if self.is_gang(task) {
--- a/crates/marigoldpick-job/src/lead/start.rs
+++ b/crates/marigoldpick-job/src/lead/start.rs
@@ -16,7 +16,8 @@
             let stored = self
                 .job(&start.task.part.job)
                 .is_some_and(|job| job.stored_revision >= start.revision);
-            if !stored && !self.allows_unrecorded(now) {
+            let waits = !self.allows_unrecorded(now) || self.lacks_crash_record(&start.task, now);
+            if !stored && waits {
                 self.pending_starts.push(start);
             } else if self.order_start(&start.worker, &start.task, start.run, now) {
                 ordered.push(start);
--- a/crates/marigoldpick-job/tests/lead/crashes.rs
+++ b/crates/marigoldpick-job/tests/lead/crashes.rs
@@ -162,6 +162,27 @@
     expect_that!(world.pool.broken, is_empty());
 }
 
+/// The lead that saw the first crashes cannot record them, and another one takes over.
+#[googletest::test]
+fn crashing_task_starts_once_in_an_outage_of_the_store() {
+    let mut world = World::new(12);
+    world.run(1_000);
+    world.store_up = false;
+    world.lead.allow_unrecorded(Millis(8_000));
+    let copied = Step {
+        copies: true,
+        ..step(4, 4_000, 800)
+    };
+    let crashing = submit_crashing(&mut world, 1, vec![copied], 0);
+    world.run(7_000);
+    expect_that!(crashes_of(&world, &task_of(&crashing, 0)), eq(1));
+    world.take_over();
+    world.lead.expect_unrecorded_starts();
+    world.run(30_000);
+    expect_that!(world.phase(&crashing), some(eq(Phase::Failed)));
+    expect_that!(breaches(&world), is_empty());
+}
+
 /// Runs beside a crash are placed again as soon as another worker is at the address, before the lease ends.
 #[googletest::test]
 fn runs_of_a_replaced_worker_start_again_before_their_lease_lapses() {
