Check a worker's capacity again when a start is ordered

A placement waits for its record before its start is ordered, which takes seconds where the store is slow, and the capacity was looked at for the placement alone.

Change: a start is dropped, and its task placed again, if the worker's runs claim more than its capacity by then.

Test: start_is_dropped_when_the_capacity_has_shrunk_since_its_placement failed on the code before (two starts without room).

--- a/crates/marigoldpick-job/src/lead/start.rs
+++ b/crates/marigoldpick-job/src/lead/start.rs
@@ -53,7 +53,7 @@
             return false;
         }
         let Some(order) = self.start_order(at, task, run, now) else {
-            // The ticket has expired or the worker no longer takes work.
+            // The ticket has expired, or the worker no longer takes work or has less capacity.
             self.release_run(at, task, run);
             self.stop_gang(task, run);
             return false;
@@ -68,7 +68,7 @@
     }
 
     fn start_order(&mut self, at: usize, task: &Task, run: u64, now: Millis) -> Option<Start> {
-        if !self.workers[at].can_take_work(now) {
+        if !self.workers[at].can_take_work(now) || self.workers[at].is_overcommitted() {
             return None;
         }
         let settings = self.settings;
--- a/crates/marigoldpick-job/src/worker.rs
+++ b/crates/marigoldpick-job/src/worker.rs
@@ -363,6 +363,12 @@
         &self.used
     }
 
+    /// Returns whether its runs claim more than its capacity, which may have shrunk since they were placed.
+    #[must_use]
+    pub fn is_overcommitted(&self) -> bool {
+        !self.node.capacity.holds(&self.used)
+    }
+
     /// Applies a new entry of the registry.
     pub fn update(&mut self, node: Node) {
         self.node = node;
--- a/crates/marigoldpick-job/tests/lead/faults.rs
+++ b/crates/marigoldpick-job/tests/lead/faults.rs
@@ -646,3 +646,29 @@
     // Nothing of the cancelled job is left in its record.
     expect_false!(world.records[&first].contains("\"p\""));
 }
+
+/// The store is slow, and a worker's capacity shrinks between a placement and its record.
+#[googletest::test]
+fn start_is_dropped_when_the_capacity_has_shrunk_since_its_placement() {
+    let mut world = World::new(1);
+    world.run(1_000);
+    world.store_latency = Millis(3_000);
+    let id = world.submit(1, job(vec![step(4, 16_000, 300)]));
+    world.run(100);
+    world.pool.workers[0].node.capacity = Amount::new(32_000, 128_000);
+    world.run(6_000);
+    expect_that!(world.pool.broken, is_empty());
+    world.store_latency = Millis(4);
+    world.run(8_000);
+    expect_that!(world.phase(&id), some(eq(Phase::Completed)));
+    // Running tasks may exceed a capacity that shrinks under them, and nothing is added to them.
+    let second = world.submit(2, job(vec![step(2, 16_000, 2_000)]));
+    world.run(500);
+    world.pool.workers[0].node.capacity = Amount::new(16_000, 128_000);
+    world.submit(3, job(vec![step(1, 8_000, 300)]));
+    world.run(1_000);
+    world.pool.workers[0].node.capacity = Amount::new(64_000, 128_000);
+    world.run(8_000);
+    expect_that!(world.phase(&second), some(eq(Phase::Completed)));
+    expect_that!(world.pool.broken, is_empty());
+}
