Count crashes by run, and give up on none that is only possible

All connections of the entries were reset 0.2 s after a gang had started on six workers; each of them might have crashed under it, and three were enough to give it up.

Change: a crash counts by the run that had started, which the members of a gang share; so a rack that is lost under a gang counts once, too. Crashes that are only possible never fail a job: three of them, with those that are certain, keep the task waiting until it is known what became of the workers.

Tests: broken_connections_of_a_whole_gang_are_not_blamed_on_it and crash_of_all_workers_of_a_gang_counts_once failed on the code before.

--- a/crates/marigoldpick-job/src/job.rs
+++ b/crates/marigoldpick-job/src/job.rs
@@ -30,10 +30,11 @@
     pub places: Vec<Place>,
     /// Workers on which the task failed; other workers are preferred.
     pub avoid: Vec<id::Worker>,
-    /// The number of workers that crashed right after the task started there.
-    pub crashes: u32,
-    /// Workers whose connections broke right after the task started there; they may have crashed.
-    pub possible_crashes: Vec<id::Worker>,
+    /// The runs after whose start a worker crashed. Members of a gang share their run, so that each start of it
+    /// counts once.
+    pub crashed: Vec<u64>,
+    /// Placements whose workers' connections broke right after the start; they may have crashed.
+    pub possible_crashes: Vec<Place>,
     /// Whether the task is given up because of its crashes.
     pub is_given_up: bool,
 }
@@ -45,10 +46,14 @@
         !self.done && self.places.is_empty()
     }
 
-    /// Returns the number of workers that crashed or may have crashed under the task.
+    /// Returns the number of runs after whose start a worker crashed or may have crashed.
     #[must_use]
-    pub fn suspected_crashes(&self) -> u32 {
-        self.crashes + u32::try_from(self.possible_crashes.len()).unwrap_or(u32::MAX)
+    pub fn suspected_crashes(&self) -> usize {
+        let mut runs = self.crashed.clone();
+        runs.extend(self.possible_crashes.iter().map(|place| place.run));
+        runs.sort_unstable();
+        runs.dedup();
+        runs.len()
     }
 }
 
@@ -197,14 +202,17 @@
                     task.failed.push(*run);
                 }
             }
-            for (index, crashes) in &part.crashes {
+            for (index, run) in &part.crashed {
                 if let Some(task) = stage.tasks.get_mut(*index as usize) {
-                    task.crashes = *crashes;
+                    task.crashed.push(*run);
                 }
             }
-            for (index, worker) in &part.possible_crashes {
+            for (index, worker, run) in &part.possible_crashes {
                 if let Some(task) = stage.tasks.get_mut(*index as usize) {
-                    task.possible_crashes.push(worker.clone());
+                    task.possible_crashes.push(Place {
+                        worker: worker.clone(),
+                        run: *run,
+                    });
                 }
             }
             for (index, checkpoint) in &part.checkpoints {
@@ -309,9 +317,9 @@
         })
     }
 
-    /// Returns the workers that may have crashed under a task, each with the task.
+    /// Returns the placements whose workers may have crashed, each with its task.
     #[must_use]
-    pub fn possible_crashes(&self) -> Vec<(work::Task, id::Worker)> {
+    pub fn possible_crashes(&self) -> Vec<(work::Task, Place)> {
         self.collect(|task| &task.possible_crashes)
     }
 
@@ -363,15 +371,15 @@
             failed: tasks()
                 .flat_map(|(index, t)| t.failed.iter().map(move |run| (index, *run)))
                 .collect(),
-            crashes: tasks()
-                .filter(|(_, t)| !t.done && t.crashes > 0)
-                .map(|(index, t)| (index, t.crashes))
+            crashed: tasks()
+                .filter(|(_, t)| !t.done)
+                .flat_map(|(index, t)| t.crashed.iter().map(move |run| (index, *run)))
                 .collect(),
             possible_crashes: tasks()
                 .filter(|(_, t)| !t.done)
                 .flat_map(|(index, t)| {
-                    let workers = t.possible_crashes.iter();
-                    workers.map(move |worker| (index, worker.clone()))
+                    let places = t.possible_crashes.iter();
+                    places.map(move |place| (index, place.worker.clone(), place.run))
                 })
                 .collect(),
             checkpoints: tasks()
@@ -387,7 +395,7 @@
         };
         let is_empty = part.done.is_empty()
             && part.failed.is_empty()
-            && part.crashes.is_empty()
+            && part.crashed.is_empty()
             && part.possible_crashes.is_empty()
             && part.checkpoints.is_empty()
             && part.places.is_empty();
--- a/crates/marigoldpick-job/src/lead/crash.rs
+++ b/crates/marigoldpick-job/src/lead/crash.rs
@@ -10,13 +10,14 @@
 use marigoldpick_core::work::port::{Ended, Exit, Running};
 
 use super::Lead;
-use crate::job;
+use crate::job::{self, Place};
 use crate::worker::{Phase, SETTLE_TIME, Worker};
 
 /// A task is given up after this many crashes if no other run had just started at the last one.
-const MAX_CRASHES_ALONE: u32 = 2;
-/// A task is given up after this many crashes, whatever else had just started.
-const MAX_CRASHES: u32 = 3;
+const MAX_CRASHES_ALONE: usize = 2;
+/// A task is given up after this many crashes, whatever else had just started. It does not start while so many
+/// are suspected.
+const MAX_CRASHES: usize = 3;
 
 /// `Exposure` orders workers by what a start that may crash them puts at risk; less goes first.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord)]
@@ -65,37 +66,36 @@
             .runs
             .iter()
             .filter(|run| run.is_settling(now));
-        let mut suspects: Vec<Task> = settling.map(|run| self.blamed_task(&run.task)).collect();
+        let mut suspects: Vec<(Task, u64)> = settling
+            .map(|run| (self.blamed_task(&run.task), run.run))
+            .collect();
         suspects.sort();
         suspects.dedup();
         let worker = &mut self.workers[at];
         worker.crash_suspects.clone_from(&suspects);
         let id = worker.node.id.clone();
-        for task in suspects {
+        for (task, run) in suspects {
+            let worker = id.clone();
             self.update_crashes(&task, |state| {
-                if !state.possible_crashes.contains(&id) {
-                    state.possible_crashes.push(id.clone());
-                }
-                state.is_given_up |= state.suspected_crashes() >= MAX_CRASHES;
+                state.possible_crashes.push(Place { worker, run });
             });
         }
-        self.resolve_failures(now);
     }
 
     /// Attaches the possible crashes that an earlier lead recorded to their workers.
     pub(super) fn expect_crash_suspects(&mut self, at: usize, now: Millis) {
-        for (task, worker) in self.jobs[at].possible_crashes() {
-            let at = self.expect_worker(&worker, now);
-            self.workers[at].crash_suspects.push(task);
+        for (task, place) in self.jobs[at].possible_crashes() {
+            let at = self.expect_worker(&place.worker, now);
+            self.workers[at].crash_suspects.push((task, place.run));
         }
     }
 
     /// Clears the tasks that might have crashed a worker, which has survived them.
     pub(super) fn clear_crash_suspects(&mut self, at: usize) {
         let id = self.workers[at].node.id.clone();
-        for task in std::mem::take(&mut self.workers[at].crash_suspects) {
+        for (task, _) in std::mem::take(&mut self.workers[at].crash_suspects) {
             self.update_crashes(&task, |state| {
-                state.possible_crashes.retain(|have| *have != id)
+                state.possible_crashes.retain(|place| place.worker != id);
             });
         }
     }
@@ -106,12 +106,15 @@
         let suspects = std::mem::take(&mut worker.crash_suspects);
         let id = worker.node.id.clone();
         let is_alone = suspects.len() == 1;
-        for task in suspects {
+        for (task, run) in suspects {
             let crashes = self.update_crashes(&task, |state| {
-                state.possible_crashes.retain(|have| *have != id);
-                state.crashes += 1;
-                state.is_given_up |= state.suspected_crashes() >= MAX_CRASHES
-                    || (is_alone && state.crashes >= MAX_CRASHES_ALONE);
+                state.possible_crashes.retain(|place| place.worker != id);
+                if !state.crashed.contains(&run) {
+                    state.crashed.push(run);
+                }
+                let crashes = state.crashed.len();
+                state.is_given_up |=
+                    crashes >= MAX_CRASHES || (is_alone && crashes >= MAX_CRASHES_ALONE);
             });
             if let Some(crashes) = crashes {
                 let detail = format!("worker={id} crashes={crashes} alone={is_alone}");
@@ -122,18 +125,23 @@
     }
 
     /// Changes what is known of the crashes under an unfinished task, and returns their number.
-    fn update_crashes(&mut self, task: &Task, update: impl FnOnce(&mut job::Task)) -> Option<u32> {
+    fn update_crashes(
+        &mut self,
+        task: &Task,
+        update: impl FnOnce(&mut job::Task),
+    ) -> Option<usize> {
         let at = self.job_index(&task.part.job)?;
         let job = &mut self.jobs[at];
         if job.phase.is_over() {
             return None;
         }
         let state = job.task_mut(task).filter(|state| !state.done)?;
-        let before = (state.crashes, state.possible_crashes.len());
+        let before = (state.crashed.len(), state.possible_crashes.len());
         update(state);
-        let crashes = state.crashes;
+        let crashes = state.crashed.len();
         if before != (crashes, state.possible_crashes.len()) {
             self.mark_changed(at);
+            self.mark_waiting(at);
             self.record_failures(at);
         }
         Some(crashes)
@@ -161,7 +169,7 @@
         let blamed = self.blamed_task(task);
         self.update_crashes(&blamed, |state| {
             if !state.is_given_up {
-                state.crashes = 0;
+                state.crashed.clear();
                 state.possible_crashes.clear();
             }
         });
@@ -169,9 +177,19 @@
 
     /// Returns whether the task may crash the worker on which it starts.
     pub(super) fn is_suspect(&self, task: &Task) -> bool {
+        self.count_suspected_crashes(task) > 0
+    }
+
+    /// Returns whether a task may start: enough crashes under suspicion keep it waiting until more is known of
+    /// the workers, and so does a missing record of its crashes.
+    pub(super) fn may_start(&self, task: &Task, now: Millis) -> bool {
+        self.count_suspected_crashes(task) < MAX_CRASHES && !self.lacks_crash_record(task, now)
+    }
+
+    fn count_suspected_crashes(&self, task: &Task) -> usize {
         let job = self.job(&task.part.job);
         let state = job.and_then(|job| job.task(&self.blamed_task(task)));
-        state.is_some_and(|state| state.suspected_crashes() > 0)
+        state.map_or(0, job::Task::suspected_crashes)
     }
 
     /// Returns whether a task may crash its worker and the store does not take the record of it.
--- a/crates/marigoldpick-job/src/lead/schedule.rs
+++ b/crates/marigoldpick-job/src/lead/schedule.rs
@@ -190,7 +190,7 @@
                 task.is_unplaced() || (step.copies && self.is_on_unresponsive_worker(task))
             })
             .map(|(index, _)| index)
-            .filter(|index| !self.lacks_crash_record(&part.task(*index), now))
+            .filter(|index| self.may_start(&part.task(*index), now))
             .collect();
         if step.gang && waiting.len() != stage.tasks.len() {
             // Stops of earlier members must complete before the gang can start again.
--- a/crates/marigoldpick-job/src/record.rs
+++ b/crates/marigoldpick-job/src/record.rs
@@ -29,12 +29,12 @@
     /// Failed runs, as pairs of task and run.
     #[serde(rename = "f", default, skip_serializing_if = "Vec::is_empty")]
     pub failed: Vec<(u32, u64)>,
-    /// Tasks under which workers crashed, with the number of crashes.
+    /// Runs after whose start a worker crashed, as pairs of task and run.
     #[serde(rename = "x", default, skip_serializing_if = "Vec::is_empty")]
-    pub crashes: Vec<(u32, u32)>,
-    /// Tasks under which workers may have crashed, with these workers.
+    pub crashed: Vec<(u32, u64)>,
+    /// Runs after whose start a worker may have crashed, as task, worker and run.
     #[serde(rename = "y", default, skip_serializing_if = "Vec::is_empty")]
-    pub possible_crashes: Vec<(u32, id::Worker)>,
+    pub possible_crashes: Vec<(u32, id::Worker, u64)>,
     /// Checkpoints of unfinished tasks.
     #[serde(rename = "c", default, skip_serializing_if = "Vec::is_empty")]
     pub checkpoints: Vec<(u32, String)>,
--- a/crates/marigoldpick-job/src/worker.rs
+++ b/crates/marigoldpick-job/src/worker.rs
@@ -181,9 +181,9 @@
     pub unanswered_holds: u32,
     /// The earliest time at which the worker may have been lost, if its last hold got no answer.
     pub silent_since: Option<Millis>,
-    /// Tasks that had just started when the worker was lost; the loss counts as a crash under them once the
-    /// worker is known to have ended.
-    pub crash_suspects: Vec<Task>,
+    /// Tasks that had just started when the worker was lost, with their runs; the loss counts as a crash under
+    /// them once the worker is known to have ended.
+    pub crash_suspects: Vec<(Task, u64)>,
     /// Whether another incarnation is known to have taken this one's place.
     pub has_ended: bool,
     /// When the lead first knew of the incarnation.
--- a/crates/marigoldpick-job/tests/lead/crashes.rs
+++ b/crates/marigoldpick-job/tests/lead/crashes.rs
@@ -254,6 +254,46 @@
     expect_completed(&world, &ids);
 }
 
+/// All connections to workers break at once, right after the start of a gang on each of them.
+#[googletest::test]
+fn broken_connections_of_a_whole_gang_are_not_blamed_on_it() {
+    let mut world = World::new(6);
+    let gang = Step {
+        gang: true,
+        ..step(6, 40_000, 1_500)
+    };
+    world.run(1_000);
+    let ids = [world.submit(1, job(vec![gang]))];
+    while world.pool.started.len() < 6 && world.now < Millis(10_000) {
+        world.run(1);
+    }
+    world.run(50);
+    world.break_connections();
+    world.run(20_000);
+    expect_completed(&world, &ids);
+    expect_that!(world.pool.broken, is_empty());
+}
+
+/// The workers of a gang crash at once, right after its start.
+#[googletest::test]
+fn crash_of_all_workers_of_a_gang_counts_once() {
+    let mut world = World::new(6);
+    let gang = Step {
+        gang: true,
+        ..step(6, 40_000, 1_500)
+    };
+    world.run(1_000);
+    let ids = [world.submit(1, job(vec![gang]))];
+    while world.pool.started.len() < 6 && world.now < Millis(10_000) {
+        world.run(1);
+    }
+    world.run(50);
+    (0..6).for_each(|at| world.pool.crash(at));
+    world.run(30_000);
+    expect_completed(&world, &ids);
+    expect_that!(world.pool.broken, is_empty());
+}
+
 /// Starts get no answer, since the workers are cut off, and the workers restart behind the partition.
 #[googletest::test]
 fn restarts_of_workers_that_are_cut_off_are_not_blamed_on_tasks() {
--- a/crates/marigoldpick-job/tests/lead/world.rs
+++ b/crates/marigoldpick-job/tests/lead/world.rs
@@ -254,10 +254,13 @@
         self.lead.cancel(id, self.now);
     }
 
-    /// Restarts a worker under the same id, with its state lost.
-    ///
-    /// The holds that wait on it fail with their connections.
-    pub fn restart_worker(&mut self, at: usize) {
+    /// Breaks all connections to workers; the holds that wait on them fail.
+    pub fn break_connections(&mut self) {
+        (0..self.pool.workers.len()).for_each(|at| self.break_holds(at));
+    }
+
+    /// Lets the holds fail that wait on a worker.
+    fn break_holds(&mut self, at: usize) {
         let id = self.pool.workers[at].node.id.clone();
         for (_, _, message) in &mut self.in_flight {
             if let Message::Order(to, _, order @ Order::Hold { .. }, sent) = message
@@ -268,6 +271,13 @@
                 *message = Message::Answer(id.clone(), order, Err(Fault::Unknown), sent);
             }
         }
+    }
+
+    /// Restarts a worker under the same id, with its state lost.
+    ///
+    /// The holds that wait on it fail with their connections.
+    pub fn restart_worker(&mut self, at: usize) {
+        self.break_holds(at);
         let born = self.pool.workers[at].node.born + 1_000;
         self.pool.restart(at, born);
     }
