--- a/crates/marigoldpick-job/src/lead/crash.rs
+++ b/crates/marigoldpick-job/src/lead/crash.rs
@@ -46,7 +46,7 @@
         let runs = self.workers[at].runs.clone();
         let worker = &mut self.workers[at];
         worker.has_ended = true;
-        // Nothing more can be learnt from it.
+        // An ended worker has no runs that are not known yet.
         worker.has_reported = true;
         let id = worker.node.id.to_string();
         self.log("worker-ended", id, format!("runs={}", runs.len()));
--- a/crates/marigoldpick-job/src/lead/hold.rs
+++ b/crates/marigoldpick-job/src/lead/hold.rs
@@ -101,7 +101,7 @@
             Phase::Stopped(since) => Some((since + stop_bound).since(now)),
             _ => None,
         });
-        // A run on trial blocks other starts until a report shows that it has settled.
+        // The first report after a run on trial has settled clears its task.
         let trials = worker.runs.iter().filter_map(|run| {
             let settled = (run.confirmed_at + SETTLE_TIME).since(now);
             (run.on_trial && run.phase == Phase::Running && settled > Millis::ZERO)
