--- /dev/null
+++ b/review/standin/site.rs
@@ -0,0 +1,269 @@
+//! A small deployment: the entries as separate processes, and the stand-ins around them.
+
+use std::fs;
+use std::net::TcpListener;
+use std::path::{Path, PathBuf};
+use std::process::{Child, Command, Stdio};
+use std::thread;
+use std::time::{Duration, Instant};
+
+use crate::http::{self, Outcome, Server};
+use crate::json::{Json, map, number, text};
+use crate::minion::{Begun, History, Minion, Shape};
+use crate::record::Record;
+use crate::store::Store;
+
+/// The host of the callers' requests.
+const HOST: &str = "pick.example";
+/// How long a caller waits for an answer.
+pub const DEADLINE: Duration = Duration::from_millis(3_000);
+/// How long the entries may take to be ready.
+const START_TIMEOUT: Duration = Duration::from_secs(20);
+/// The program that the deploy file runs, from the root of the repository.
+const PROGRAM: &str = "target/release/marigold-platform";
+/// The variable with the path of the settings file.
+const SETTINGS_VARIABLE: &str = "MARIGOLDPICK_NODE_FILE";
+
+/// `Site` is a running deployment; its processes end with it.
+pub struct Site {
+    pub store: Store,
+    pub minions: Vec<Minion>,
+    pub history: History,
+    pub record: Record,
+    entries: Vec<Entry>,
+    folder: PathBuf,
+}
+
+struct Entry {
+    callers: String,
+    ready: String,
+    process: Child,
+    store: Server,
+    _adviser: Server,
+}
+
+impl Site {
+    /// Starts a deployment in a temporary folder; returns `None` if it isn't ready in time.
+    pub fn start(entries: usize, minions: usize, shape: Shape, record: &Record) -> Option<Self> {
+        let folder = std::env::temp_dir().join(format!("marigold-review-{}", std::process::id()));
+        fs::create_dir_all(&folder).ok()?;
+        let store = Store::new();
+        store.put("op/config", &config());
+        let history = History::default();
+        let minions = (0..minions)
+            .map(|at| Minion::start(at, shape, &store, &history, record))
+            .collect();
+        let mut site = Self {
+            store,
+            minions,
+            history,
+            record: record.clone(),
+            entries: Vec::new(),
+            folder,
+        };
+        for at in 0..entries {
+            let entry = site.start_entry(at)?;
+            site.entries.push(entry);
+        }
+        let end = Instant::now() + START_TIMEOUT;
+        let is_ready = |entry: &Entry| {
+            let limit = Duration::from_millis(500);
+            http::call(&entry.ready, "GET", "/readiness", &entry.ready, None, limit)
+                .is_some_and(|(status, _)| status == 200)
+        };
+        while !(site.entries.iter().all(is_ready) && site.store.last_reader().is_some()) {
+            if Instant::now() > end {
+                return None;
+            }
+            thread::sleep(Duration::from_millis(100));
+        }
+        record.line("all entries are ready");
+        Some(site)
+    }
+
+    fn start_entry(&self, at: usize) -> Option<Entry> {
+        let store = self.store.clone();
+        let store = Server::start(|| true, move |request| store.handle(at, &request));
+        // No queue of these sites has a policy, so that nobody asks.
+        let adviser = Server::start(|| true, |_| Outcome::Answer(429, Json::Null));
+        let ports: Vec<String> = free_ports(4);
+        let name = format!("front-{}", at + 1);
+        let zone = ["zone-a", "zone-b", "zone-c"][at % 3];
+        let settings = format!(
+            "entry = \"{name}\"\ndomain = \"{zone}\"\ncallers = \"{}\"\nready = \"{}\"\n\
+             inner = \"{}\"\nmetrics = \"{}\"\nstore = \"{}\"\nadviser = \"{}\"\ncores = 0.25\n\
+             link_mbps = 1000.0\ngrace_s = 6\ncontracts = [\"base\", \"drain\", \"config\", \
+             \"cost\", \"recover\", \"sched\", \"platform\"]\n\n[worker]\nlease_ms = 6000\n\
+             stop_ms = 900\nremote_slowdown = 2\n",
+            ports[0], ports[1], ports[2], ports[3], store.address, adviser.address
+        );
+        let file = self.folder.join(format!("{name}.toml"));
+        fs::write(&file, settings).ok()?;
+        let log = fs::File::create(self.folder.join(format!("{name}.log"))).ok()?;
+        let process = Command::new(Path::new(PROGRAM))
+            .env(SETTINGS_VARIABLE, &file)
+            .stdin(Stdio::null())
+            .stderr(log.try_clone().ok()?)
+            .stdout(log)
+            .spawn()
+            .ok()?;
+        Some(Entry {
+            callers: ports[0].clone(),
+            ready: ports[1].clone(),
+            process,
+            store,
+            _adviser: adviser,
+        })
+    }
+
+    /// Returns the number of open connections of an entry to the store.
+    pub fn store_connections(&self, entry: usize) -> usize {
+        self.entries[entry].store.connections()
+    }
+
+    pub fn name(&self, entry: usize) -> String {
+        format!("front-{}", entry + 1)
+    }
+
+    /// Sends a caller's request about a job to an entry, and records it with its answer.
+    pub fn call(
+        &self,
+        entry: usize,
+        method: &str,
+        job: &str,
+        body: Option<&Json>,
+    ) -> Option<(u16, Json)> {
+        let answer = self.call_quietly(entry, method, job, body);
+        let what = match &answer {
+            Some((status, body)) => format!("{status} {body}"),
+            None => "no answer".to_owned(),
+        };
+        let name = self.name(entry);
+        self.record
+            .line(&format!("{method} {job} at {name} -> {what}"));
+        answer
+    }
+
+    /// Sends a caller's request about a job to an entry.
+    pub fn call_quietly(
+        &self,
+        entry: usize,
+        method: &str,
+        job: &str,
+        body: Option<&Json>,
+    ) -> Option<(u16, Json)> {
+        let address = &self.entries[entry].callers;
+        http::call(
+            address,
+            method,
+            &format!("/jobs/{job}"),
+            HOST,
+            body,
+            DEADLINE,
+        )
+    }
+
+    /// Returns the starts of a job's tasks.
+    pub fn starts_of(&self, job: &str) -> Vec<Begun> {
+        let history = self.history.lock().unwrap();
+        let of_job = |begun: &&Begun| begun.task.split('.').next() == Some(job);
+        history.iter().filter(of_job).cloned().collect()
+    }
+
+    /// Records all starts of a job's tasks and their ends.
+    pub fn record_starts(&self, job: &str) {
+        for begun in self.starts_of(job) {
+            self.record_start(&begun);
+        }
+    }
+
+    /// Records a start and its end.
+    pub fn record_start(&self, begun: &Begun) {
+        let end = match begun.ended {
+            Some((at, how, number)) => {
+                let noted = if begun.is_noted {
+                    ", taken note of"
+                } else {
+                    ""
+                };
+                format!(
+                    "{how} at {:.3} (end {number}{noted})",
+                    self.record.seconds(at)
+                )
+            }
+            None => "runs".to_owned(),
+        };
+        let Begun {
+            task, run, minion, ..
+        } = begun;
+        self.record.line_at(
+            begun.at,
+            &format!("start of {task} run {run} on {minion}: {end}"),
+        );
+    }
+}
+
+impl Drop for Site {
+    fn drop(&mut self) {
+        for entry in &mut self.entries {
+            let _ = entry.process.kill();
+            let _ = entry.process.wait();
+        }
+        if std::env::var_os("KEEP").is_none() {
+            let _ = fs::remove_dir_all(&self.folder);
+        }
+    }
+}
+
+/// Returns free loopback addresses.
+fn free_ports(count: usize) -> Vec<String> {
+    let listeners: Vec<TcpListener> = (0..count)
+        .map(|_| TcpListener::bind("127.0.0.1:0").expect("a free port"))
+        .collect();
+    listeners
+        .iter()
+        .map(|listener| listener.local_addr().expect("an address").to_string())
+        .collect()
+}
+
+fn config() -> Json {
+    let route = map(vec![
+        ("Name", text("queue-a")),
+        ("Host", text(HOST)),
+        ("Prefix", text("/jobs/")),
+        ("Service", text("booking")),
+        ("Priority", number(0)),
+        ("MaxAttempts", number(4)),
+        ("Stretch", Json::Number(1.5)),
+        ("TargetLatencyMs", number(250)),
+    ]);
+    let service = map(vec![
+        ("Name", text("booking")),
+        ("AdmissionControl", Json::Bool(false)),
+    ]);
+    map(vec![
+        ("Version", number(3)),
+        ("Routes", Json::List(vec![route])),
+        ("Services", Json::List(vec![service])),
+        ("Limits", map(vec![("MaxBodyBytes", number(262_144))])),
+    ])
+}
+
+/// Returns the body of a job with one step.
+pub fn job(count: u64, cpu: u64, task: Duration) -> Json {
+    let step = map(vec![
+        ("Count", number(count)),
+        ("Cpu", number(cpu)),
+        ("MemMb", number(64)),
+        ("EstimatedMs", number(task.as_millis() as u64)),
+    ]);
+    map(vec![
+        ("Spec", text("work")),
+        ("Steps", Json::List(vec![step])),
+    ])
+}
+
+/// Returns the id of the job with a number.
+pub fn id(number: u64) -> String {
+    format!("{:016x}", 0x5c0e_7a21_0000_0000_u64 + number)
+}
