--- a/review/standin/case.rs
+++ b/review/standin/case.rs
@@ -557,3 +557,94 @@
     ));
     Some(second.is_empty())
 }
+
+/// The strongest machine loses power, and machines with slow links are left; LOST if nothing starts any more.
+pub fn slow_link(record: &Record, trouble: bool) -> Option<bool> {
+    use crate::json::{map, number, text};
+    use crate::site::Machine;
+    const DARK: Duration = Duration::from_millis(3_500);
+    /// The time after the loss of power from which all is calm.
+    const CALM: Duration = Duration::from_millis(12_000);
+    const JOBS: u64 = 600;
+    const SPEC_BYTES: usize = 2_400;
+    let shape = Shape {
+        cpu: 64_000,
+        task: millis(200),
+    };
+    let strong = Machine {
+        cores: 0.5,
+        link_mbps: 200.0,
+    };
+    let weak = Machine {
+        cores: 0.09,
+        link_mbps: 10.0,
+    };
+    let site = Site::start_with(&[strong, weak, weak], 3, shape, record)?;
+    thread::sleep(CONTACT);
+    let body = |size: usize| {
+        let step = map(vec![
+            ("Count", number(1)),
+            ("Cpu", number(100)),
+            ("MemMb", number(64)),
+            ("EstimatedMs", number(200)),
+        ]);
+        map(vec![
+            ("Spec", text("x".repeat(size))),
+            ("Steps", Json::List(vec![step])),
+        ])
+    };
+    let large = body(SPEC_BYTES);
+    let mut accepted = Vec::new();
+    for number in 0..JOBS {
+        let answer = site.call_quietly(0, "POST", &id(1_000 + number), Some(&large));
+        if answer.is_some_and(|(status, _)| status == 200) {
+            accepted.push(id(1_000 + number));
+        }
+        thread::sleep(millis(25));
+    }
+    record.line(&format!(
+        "{} jobs with a Spec of {SPEC_BYTES} bytes are accepted",
+        accepted.len()
+    ));
+    thread::sleep(millis(2_000));
+    let lead = site.store.last_reader()?;
+    record.line(&format!("{} leads", site.name(lead)));
+    let begun = Instant::now();
+    if trouble {
+        site.kill(lead);
+        record.line(&format!("{} loses power for 3.5 s", site.name(lead)));
+        thread::sleep(DARK);
+        site.restart(lead)?;
+        record.line(&format!("{} starts again", site.name(lead)));
+    }
+    let mut later = Vec::new();
+    let mut number = 10_000;
+    while begun.elapsed() < millis(40_000) {
+        number += 1;
+        let answer = site.call_quietly(number as usize % 3, "POST", &id(number), Some(&body(100)));
+        if answer.is_some_and(|(status, _)| status == 200) {
+            later.push((id(number), Instant::now()));
+        }
+        thread::sleep(millis(400));
+    }
+    thread::sleep(millis(2_000));
+    let mut late = 0;
+    for (job, at) in &later {
+        let first = site.starts_of(job).first().map(|start| start.at);
+        let waited = first
+            .unwrap_or_else(Instant::now)
+            .saturating_duration_since(*at);
+        let is_late = waited > millis(3_000) && at.duration_since(begun) > CALM;
+        late += usize::from(is_late);
+        let first = first.map_or_else(
+            || "none".to_owned(),
+            |at| format!("{:.3}", record.seconds(at)),
+        );
+        record.line_at(*at, &format!("job {job} is accepted; first start: {first}"));
+    }
+    record.line(&format!(
+        "{} later jobs were accepted; {late} waited for more than 3 s although all was calm",
+        later.len()
+    ));
+    Some(late > 0)
+}
--- a/review/standin/http.rs
+++ b/review/standin/http.rs
@@ -5,7 +5,7 @@
 use std::sync::atomic::{AtomicU64, Ordering};
 use std::sync::{Arc, Mutex};
 use std::thread;
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 use crate::json::Json;
 
@@ -46,6 +46,36 @@
     Close,
 }
 
+/// `Link` is a machine's network link, which its connections share.
+#[derive(Debug)]
+pub struct Link {
+    bytes_per_second: f64,
+    free_at: Mutex<Instant>,
+}
+
+impl Link {
+    pub fn new(mbps: f64) -> Arc<Self> {
+        Arc::new(Self {
+            bytes_per_second: mbps * 1e6 / 8.0,
+            free_at: Mutex::new(Instant::now()),
+        })
+    }
+
+    /// Waits until the link has carried `bytes` more.
+    fn carry(&self, bytes: usize) {
+        let span = Duration::from_secs_f64(bytes as f64 / self.bytes_per_second);
+        let end = {
+            let mut free_at = self.free_at.lock().unwrap();
+            *free_at = (*free_at).max(Instant::now()) + span;
+            *free_at
+        };
+        thread::sleep(end.saturating_duration_since(Instant::now()));
+    }
+}
+
+/// The most bytes of a connection that its link carries at a time.
+const CHUNK: usize = 4_096;
+
 /// `Server` listens at a loopback address with a free port.
 #[derive(Debug)]
 pub struct Server {
@@ -60,6 +90,15 @@
     pub fn start(
         accepts: impl Fn() -> bool + Send + Sync + 'static,
         handler: impl Fn(Request) -> Outcome + Send + Sync + 'static,
+    ) -> Self {
+        Self::start_behind(None, accepts, handler)
+    }
+
+    /// Starts a server whose answers go over a link.
+    pub fn start_behind(
+        link: Option<Arc<Link>>,
+        accepts: impl Fn() -> bool + Send + Sync + 'static,
+        handler: impl Fn(Request) -> Outcome + Send + Sync + 'static,
     ) -> Self {
         let listener = TcpListener::bind("127.0.0.1:0").expect("a free port");
         let address = listener.local_addr().expect("an address").to_string();
@@ -77,8 +116,9 @@
                 };
                 streams.lock().unwrap().push((number, copy));
                 let (handler, streams) = (Arc::clone(&handler), Arc::clone(&streams));
+                let link = link.clone();
                 thread::spawn(move || {
-                    serve(&stream, number, &*handler);
+                    serve(&stream, number, link.as_deref(), &*handler);
                     let _ = stream.shutdown(Shutdown::Both);
                     streams.lock().unwrap().retain(|(have, _)| *have != number);
                 });
@@ -100,7 +140,12 @@
     }
 }
 
-fn serve(stream: &TcpStream, number: u64, handler: &(impl Fn(Request) -> Outcome + ?Sized)) {
+fn serve(
+    stream: &TcpStream,
+    number: u64,
+    link: Option<&Link>,
+    handler: &(impl Fn(Request) -> Outcome + ?Sized),
+) {
     let _ = stream.set_nodelay(true);
     let Ok(copy) = stream.try_clone() else { return };
     let mut reader = BufReader::new(copy);
@@ -113,8 +158,13 @@
                     "HTTP/1.1 {status} X\r\nContent-Type: application/json\r\nContent-Length: {}\r\n\r\n",
                     body.len()
                 );
-                if writer.write_all((head + &body).as_bytes()).is_err() {
-                    return;
+                for chunk in (head + &body).as_bytes().chunks(CHUNK) {
+                    if let Some(link) = link {
+                        link.carry(chunk.len());
+                    }
+                    if writer.write_all(chunk).is_err() {
+                        return;
+                    }
                 }
             }
             Outcome::Silence => {
--- a/review/standin/main.rs
+++ b/review/standin/main.rs
@@ -31,6 +31,7 @@
         "long-schedule" => case::long_schedule(&record, trouble),
         "outage-restart" => case::outage_restart(&record, trouble),
         "removed-route" => case::removed_route(&record, trouble),
+        "slow-link" => case::slow_link(&record, trouble),
         "late-write" => case::late_write(&record, trouble),
         _ => None,
     };
--- a/review/standin/site.rs
+++ b/review/standin/site.rs
@@ -8,7 +8,7 @@
 use std::thread;
 use std::time::{Duration, Instant};
 
-use crate::http::{self, Outcome, Server};
+use crate::http::{self, Link, Outcome, Server};
 use crate::json::{Json, map, number, text};
 use crate::minion::{Begun, History, Minion, Shape};
 use crate::record::Record;
@@ -27,6 +27,19 @@
 /// The variable with the path of the settings file.
 const SETTINGS_VARIABLE: &str = "MARIGOLDPICK_NODE_FILE";
 
+/// `Machine` is the size of an entry's machine.
+#[derive(Clone, Copy, Debug)]
+pub struct Machine {
+    pub cores: f64,
+    pub link_mbps: f64,
+}
+
+/// The machines of the small deployments.
+const SMALL: Machine = Machine {
+    cores: 0.25,
+    link_mbps: 1_000.0,
+};
+
 /// `Site` is a running deployment; its processes end with it.
 pub struct Site {
     pub store: Store,
@@ -49,6 +62,16 @@
 impl Site {
     /// Starts a deployment in a temporary folder; returns `None` if it isn't ready in time.
     pub fn start(entries: usize, minions: usize, shape: Shape, record: &Record) -> Option<Self> {
+        Self::start_with(&vec![SMALL; entries], minions, shape, record)
+    }
+
+    /// Starts a deployment with machines of several sizes.
+    pub fn start_with(
+        machines: &[Machine],
+        minions: usize,
+        shape: Shape,
+        record: &Record,
+    ) -> Option<Self> {
         let folder = std::env::temp_dir().join(format!("marigold-review-{}", std::process::id()));
         fs::create_dir_all(&folder).ok()?;
         let store = Store::new();
@@ -65,8 +88,8 @@
             entries: Vec::new(),
             folder,
         };
-        for at in 0..entries {
-            let entry = site.start_entry(at)?;
+        for (at, machine) in machines.iter().enumerate() {
+            let entry = site.start_entry(at, *machine)?;
             site.entries.push(entry);
         }
         let end = Instant::now() + START_TIMEOUT;
@@ -85,9 +108,11 @@
         Some(site)
     }
 
-    fn start_entry(&self, at: usize) -> Option<Entry> {
+    fn start_entry(&self, at: usize, machine: Machine) -> Option<Entry> {
+        let Machine { cores, link_mbps } = machine;
+        let link = (link_mbps < SMALL.link_mbps).then(|| Link::new(link_mbps));
         let store = self.store.clone();
-        let store = Server::start(|| true, move |request| store.handle(at, &request));
+        let store = Server::start_behind(link, || true, move |request| store.handle(at, &request));
         // No queue of these sites has a policy, so that nobody asks.
         let adviser = Server::start(|| true, |_| Outcome::Answer(429, Json::Null));
         let ports: Vec<String> = free_ports(4);
@@ -95,8 +120,8 @@
         let zone = ["zone-a", "zone-b", "zone-c"][at % 3];
         let settings = format!(
             "entry = \"{name}\"\ndomain = \"{zone}\"\ncallers = \"{}\"\nready = \"{}\"\n\
-             inner = \"{}\"\nmetrics = \"{}\"\nstore = \"{}\"\nadviser = \"{}\"\ncores = 0.25\n\
-             link_mbps = 1000.0\ngrace_s = 6\ncontracts = [\"base\", \"drain\", \"config\", \
+             inner = \"{}\"\nmetrics = \"{}\"\nstore = \"{}\"\nadviser = \"{}\"\n\
+             cores = {cores}\nlink_mbps = {link_mbps}\ngrace_s = 6\ncontracts = [\"base\", \"drain\", \"config\", \
              \"cost\", \"recover\", \"sched\", \"platform\"]\n\n[worker]\nlease_ms = 6000\n\
              stop_ms = 900\nremote_slowdown = 2\n",
             ports[0], ports[1], ports[2], ports[3], store.address, adviser.address
--- a/review/standin/store.rs
+++ b/review/standin/store.rs
@@ -12,6 +12,8 @@
 const ANSWER_TIME: Duration = Duration::from_millis(4);
 /// The most items of a page.
 const PAGE: usize = 500;
+/// The most bytes of a page.
+const PAGE_BYTES: usize = 1_000_000;
 
 #[derive(Clone, Debug)]
 struct Item {
@@ -204,12 +206,15 @@
             .items
             .iter()
             .filter(|(key, _)| key.starts_with(prefix) && key.as_str() > after);
-        let mut items: Vec<Json> = found
-            .take(PAGE + 1)
-            .map(|(key, item)| item_body(key, item))
-            .collect();
-        let more = items.len() > PAGE;
-        items.truncate(PAGE);
+        let (mut items, mut bytes, mut more) = (Vec::new(), 0, false);
+        for (key, item) in found {
+            bytes += key.len() + item.value.len();
+            more = items.len() == PAGE || (bytes > PAGE_BYTES && !items.is_empty());
+            if more {
+                break;
+            }
+            items.push(item_body(key, item));
+        }
         Outcome::Answer(
             200,
             map(vec![
