--- a/review/standin/case.rs
+++ b/review/standin/case.rs
@@ -648,3 +648,79 @@
     ));
     Some(late > 0)
 }
+
+/// The lead loses power at the end of an outage, and a minion is cut off and unlisted; TWICE if its task starts again.
+pub fn unlisted(record: &Record, trouble: bool) -> Option<bool> {
+    use crate::json::{map, number, text};
+    const MINIONS: usize = 8;
+    let shape = Shape {
+        cpu: 8_000,
+        task: millis(1_000),
+    };
+    let site = Site::start(3, MINIONS, shape, record)?;
+    thread::sleep(CONTACT);
+    let id = id(1);
+    let step = |count: u64, estimate: u64, after: Vec<Json>| {
+        map(vec![
+            ("Count", number(count)),
+            ("Cpu", number(3_000)),
+            ("MemMb", number(64)),
+            ("EstimatedMs", number(estimate)),
+            ("After", Json::List(after)),
+        ])
+    };
+    let steps = vec![step(1, 3_000, vec![]), step(8, 9_000, vec![number(0)])];
+    let body = map(vec![
+        ("Spec", text("times 3000 9000")),
+        ("Steps", Json::List(steps)),
+    ]);
+    let (status, _) = site.call(0, "POST", &id, Some(&body))?;
+    if status != 200 {
+        return None;
+    }
+    thread::sleep(millis(1_000));
+    if trouble {
+        record.line("the store is down");
+        site.store.set_down(true, Duration::ZERO);
+        thread::sleep(millis(4_300));
+        let starts = site.starts_of(&id);
+        // The minion of the first step has an end to list, without which the second step can't go on.
+        let first = starts.first()?.minion.clone();
+        let running = starts
+            .iter()
+            .find(|start| start.ended.is_none() && start.minion != first)?;
+        site.minions
+            .iter()
+            .find(|minion| minion.id() == running.minion)?
+            .cut_from_all(millis(5_500));
+        thread::sleep(millis(100));
+        let lead = site.store.last_reader()?;
+        record.line(&format!("{} loses power for 3.5 s", site.name(lead)));
+        site.kill(lead);
+        thread::sleep(millis(100));
+        site.store.set_down(false, millis(4_500));
+        record.line("the store is back");
+        thread::sleep(millis(3_200));
+        site.restart(lead)?;
+        record.line(&format!("{} starts again", site.name(lead)));
+    }
+    let end = Instant::now() + millis(60_000);
+    let mut shown = String::new();
+    while Instant::now() < end && shown != "completed" {
+        thread::sleep(millis(1_000));
+        shown = state_of(site.call(1, "GET", &id, None));
+    }
+    thread::sleep(millis(1_000));
+    site.record_starts(&id);
+    let starts = site.starts_of(&id);
+    let overlap = |a: &Begun, b: &Begun| {
+        let end = |begun: &Begun| begun.ended.map(|(at, ..)| at);
+        a.task == b.task && a.run < b.run && end(a).is_none_or(|end| b.at < end)
+    };
+    let twice = starts
+        .iter()
+        .filter(|a| starts.iter().any(|b| overlap(a, b)))
+        .count();
+    record.line(&format!("{twice} tasks have had two runs at the same time"));
+    Some(twice > 0 || find_repeated(&site, &id, record))
+}
--- a/review/standin/main.rs
+++ b/review/standin/main.rs
@@ -32,6 +32,7 @@
         "outage-restart" => case::outage_restart(&record, trouble),
         "removed-route" => case::removed_route(&record, trouble),
         "slow-link" => case::slow_link(&record, trouble),
+        "unlisted" => case::unlisted(&record, trouble),
         "late-write" => case::late_write(&record, trouble),
         _ => None,
     };
--- a/review/standin/minion.rs
+++ b/review/standin/minion.rs
@@ -72,6 +72,8 @@
     is_up: bool,
     /// Until when no entry reaches the minion.
     cut_until: Option<Instant>,
+    /// Whether the minion doesn't reach the store meanwhile either.
+    is_cut_from_store: bool,
     fence: u64,
     lease_until: u64,
     runs: Vec<Run>,
@@ -190,10 +192,17 @@
         ));
     }
 
+    /// Cuts the minion off from all entries and the store; the platform removes its entry.
+    pub fn cut_from_all(&self, span: Duration) {
+        self.cut(span);
+        self.state.lock().unwrap().is_cut_from_store = true;
+        self.store.remove(&format!("servers/{}", self.id()));
+    }
+
     fn register(&self, sequence: u64) {
         let (id, born) = {
             let state = self.state.lock().unwrap();
-            if !state.is_up {
+            if !state.is_up || (state.is_cut() && state.is_cut_from_store) {
                 return;
             }
             (state.id.clone(), state.born)
@@ -410,6 +419,7 @@
             born: born.as_millis() as u64,
             is_up: true,
             cut_until: None,
+            is_cut_from_store: false,
             fence: 0,
             lease_until: 0,
             runs: Vec::new(),
