--- a/review/standin/case.rs
+++ b/review/standin/case.rs
@@ -9,7 +9,7 @@
 use crate::json::Json;
 use crate::minion::{Begun, Shape};
 use crate::record::Record;
-use crate::site::{Site, id, job};
+use crate::site::{Site, config, id, job};
 use crate::store::Fate;
 
 /// `ContactMs` of the deployment.
@@ -289,3 +289,256 @@
     callers.join().ok()?;
     outcome
 }
+
+/// A job is due each minute of a year; LOST if other accepted jobs have nothing running for 3 s.
+///
+/// The platform kills a process that exceeds its memory, and starts it again after a short delay.
+pub fn long_schedule(record: &Record, trouble: bool) -> Option<bool> {
+    const MINUTES_OF_A_YEAR: u64 = 525_600;
+    const MINUTES_OF_A_DAY: u64 = 1_440;
+    const MEMORY_KIB: u64 = 260 * 1_024;
+    const RESTART: Duration = Duration::from_millis(500);
+    let shape = Shape {
+        cpu: 8_000,
+        task: millis(500),
+    };
+    let site = Arc::new(Site::start(3, 3, shape, record)?);
+    let is_over = Arc::new(AtomicBool::new(false));
+    let watches: Vec<_> = (0..site.size())
+        .map(|entry| {
+            let (site, ended) = (Arc::clone(&site), Arc::clone(&is_over));
+            thread::spawn(move || {
+                let mut kills = 0;
+                while !ended.load(Ordering::SeqCst) {
+                    thread::sleep(millis(20));
+                    let memory = site.memory(entry);
+                    if memory > MEMORY_KIB {
+                        kills += 1;
+                        site.kill(entry);
+                        let name = site.name(entry);
+                        site.record.line(&format!(
+                            "{name} has {} MB, more than 260 MB: it is killed and restarts",
+                            memory / 1_024
+                        ));
+                        thread::sleep(RESTART);
+                        let _process = site.restart(entry);
+                    }
+                }
+                kills
+            })
+        })
+        .collect();
+    thread::sleep(CONTACT);
+    let schedule = id(1);
+    let times = if trouble {
+        MINUTES_OF_A_YEAR
+    } else {
+        MINUTES_OF_A_DAY
+    };
+    let Json::Map(mut fields) = job(8, 100, shape.task) else {
+        return None;
+    };
+    let now = std::time::SystemTime::now()
+        .duration_since(std::time::UNIX_EPOCH)
+        .ok()?;
+    for (name, value) in [
+        ("StartAtMs", now.as_millis() as u64 + 60_000),
+        ("IntervalMs", 60_000),
+        ("RepeatCount", times),
+    ] {
+        fields.push((name.to_owned(), Json::Number(value as f64)));
+    }
+    record.line(&format!(
+        "the job has 8 tasks and {times} occurrences, one each minute"
+    ));
+    site.call(0, "POST", &schedule, Some(&Json::Map(fields)));
+    let small = job(1, 500, shape.task);
+    let mut accepted: Vec<(String, Instant)> = Vec::new();
+    let end = Instant::now() + millis(60_000);
+    let mut number = 1_000;
+    while Instant::now() < end {
+        number += 1;
+        let answer = site.call_quietly(number as usize % 3, "POST", &id(number), Some(&small));
+        if answer.is_some_and(|(status, _)| status == 200) {
+            accepted.push((id(number), Instant::now()));
+        }
+        thread::sleep(millis(500));
+    }
+    let mut late = 0;
+    for (job, at) in &accepted {
+        let first = site.starts_of(job).first().map(|start| start.at);
+        let waited = first
+            .unwrap_or_else(Instant::now)
+            .saturating_duration_since(*at);
+        let is_late = waited > millis(3_000);
+        late += usize::from(is_late);
+        record.line_at(
+            *at,
+            &format!(
+                "job {job} is accepted; first start: {}",
+                first.map_or_else(
+                    || "none".to_owned(),
+                    |at| format!("{:.3}", record.seconds(at))
+                )
+            ),
+        );
+    }
+    is_over.store(true, Ordering::SeqCst);
+    let kills: Vec<usize> = watches
+        .into_iter()
+        .filter_map(|watch| watch.join().ok())
+        .collect();
+    record.line(&format!(
+        "{} other jobs were accepted, {late} had nothing running for 3 s; kills for memory by entry: {kills:?}",
+        accepted.len()
+    ));
+    Some(late > 0)
+}
+
+/// All entries restart at the end of an outage of the store while a minion is cut off; TWICE if its task starts again.
+pub fn outage_restart(record: &Record, trouble: bool) -> Option<bool> {
+    use crate::json::{map, number, text};
+    const MINIONS: usize = 8;
+    let shape = Shape {
+        cpu: 8_000,
+        task: millis(1_000),
+    };
+    let site = Site::start(3, MINIONS, shape, record)?;
+    thread::sleep(CONTACT);
+    let id = id(1);
+    let step = |count: u64, estimate: u64, after: Vec<Json>| {
+        map(vec![
+            ("Count", number(count)),
+            ("Cpu", number(3_000)),
+            ("MemMb", number(64)),
+            ("EstimatedMs", number(estimate)),
+            ("After", Json::List(after)),
+        ])
+    };
+    let steps = vec![step(1, 3_000, vec![]), step(8, 9_000, vec![number(0)])];
+    let body = map(vec![
+        ("Spec", text("times 3000 9000")),
+        ("Steps", Json::List(steps)),
+    ]);
+    let (status, _) = site.call(0, "POST", &id, Some(&body))?;
+    if status != 200 {
+        return None;
+    }
+    thread::sleep(millis(1_000));
+    if trouble {
+        record.line("the store is down");
+        site.store.set_down(true, Duration::ZERO);
+        thread::sleep(millis(4_000));
+        let starts = site.starts_of(&id);
+        // The minion of the first step has an end to list, without which the second step can't go on.
+        let first = starts.first()?.minion.clone();
+        let running = starts
+            .iter()
+            .find(|start| start.ended.is_none() && start.minion != first)?;
+        site.minions
+            .iter()
+            .find(|minion| minion.id() == running.minion)?
+            .cut(millis(5_500));
+        thread::sleep(millis(200));
+        record.line("the processes of all entries are killed");
+        (0..site.size()).for_each(|entry| site.kill(entry));
+        thread::sleep(millis(300));
+        site.store.set_down(false, millis(4_500));
+        record.line("the store is back");
+        thread::sleep(millis(200));
+        for entry in 0..site.size() {
+            site.restart(entry)?;
+        }
+        record.line("the processes of all entries start again");
+    }
+    let end = Instant::now() + millis(60_000);
+    let mut shown = String::new();
+    while Instant::now() < end && shown != "completed" {
+        thread::sleep(millis(1_000));
+        shown = state_of(site.call(1, "GET", &id, None));
+    }
+    thread::sleep(millis(1_000));
+    site.record_starts(&id);
+    let starts = site.starts_of(&id);
+    let overlap = |a: &Begun, b: &Begun| {
+        let end = |begun: &Begun| begun.ended.map(|(at, ..)| at);
+        a.task == b.task && a.run < b.run && end(a).is_none_or(|end| b.at < end)
+    };
+    let twice = starts
+        .iter()
+        .filter(|a| starts.iter().any(|b| overlap(a, b)))
+        .count();
+    record.line(&format!("{twice} tasks have had two runs at the same time"));
+    Some(twice > 0 || find_repeated(&site, &id, record))
+}
+
+/// A route with an accepted job is removed, and the lead is stopped and started; LOST if the job's next step never starts.
+pub fn removed_route(record: &Record, trouble: bool) -> Option<bool> {
+    use crate::json::{map, number, text};
+    const RESTART: Duration = Duration::from_millis(500);
+    let shape = Shape {
+        cpu: 8_000,
+        task: millis(1_000),
+    };
+    let site = Site::start(3, 3, shape, record)?;
+    thread::sleep(CONTACT);
+    let id = id(1);
+    let step = |count: u64, estimate: u64, after: Vec<Json>| {
+        map(vec![
+            ("Count", number(count)),
+            ("Cpu", number(1_000)),
+            ("MemMb", number(64)),
+            ("EstimatedMs", number(estimate)),
+            ("After", Json::List(after)),
+        ])
+    };
+    let steps = vec![step(1, 12_000, vec![]), step(4, 1_000, vec![number(0)])];
+    let body = map(vec![
+        ("Spec", text("times 12000 1000")),
+        ("Steps", Json::List(steps)),
+    ]);
+    let (status, _) = site.call(0, "POST", &format!("work/{id}"), Some(&body))?;
+    if status != 200 {
+        return None;
+    }
+    thread::sleep(millis(1_000));
+    if trouble {
+        site.store.put("op/config", &config(9, &["jobs"]));
+        record.line(
+            "version 9 of the configuration is acknowledged; it has no route /work/ any more",
+        );
+        thread::sleep(millis(2_500));
+        let lead = site.store.last_reader()?;
+        record.line(&format!("{} gets SIGTERM", site.name(lead)));
+        site.stop(lead);
+        record.line(&format!("the process of {} has ended", site.name(lead)));
+        thread::sleep(RESTART);
+        site.restart(lead)?;
+        record.line(&format!("the process of {} starts again", site.name(lead)));
+    }
+    // Step 0 ends 12 s after its start; all is calm from 3 s after the restart on.
+    thread::sleep(millis(30_000));
+    let probe = crate::site::id(2);
+    site.call(0, "POST", &probe, Some(&job(1, 1_000, shape.task)));
+    thread::sleep(millis(3_000));
+    site.call(0, "GET", &probe, None);
+    site.call(1, "GET", &id, None);
+    site.record_starts(&id);
+    site.record_starts(&probe);
+    let of_step = |step: &str| {
+        let starts = site.starts_of(&id);
+        starts
+            .into_iter()
+            .filter(move |s| s.task.split('.').nth(2) == Some(step))
+            .collect::<Vec<_>>()
+    };
+    let first = of_step("0").first()?.ended?;
+    let (second, waited) = (of_step("1"), first.0.elapsed());
+    record.line(&format!(
+        "step 0 ended as {} {:.1} s ago, {} tasks of step 1 have started",
+        first.1,
+        waited.as_secs_f64(),
+        second.len()
+    ));
+    Some(second.is_empty())
+}
--- a/review/standin/main.rs
+++ b/review/standin/main.rs
@@ -28,6 +28,9 @@
         "crashes" => case::crashes(&record, trouble),
         "silent-watch" => case::silent_watch(&record, trouble),
         "many-ends" => case::many_ends(&record, trouble),
+        "long-schedule" => case::long_schedule(&record, trouble),
+        "outage-restart" => case::outage_restart(&record, trouble),
+        "removed-route" => case::removed_route(&record, trouble),
         "late-write" => case::late_write(&record, trouble),
         _ => None,
     };
