--- a/review/standin/case.rs
+++ b/review/standin/case.rs
@@ -437,7 +437,7 @@
         ("Spec", text("times 12000 1000")),
         ("Steps", Json::List(steps)),
     ]);
-    let (status, _) = site.call(0, "POST", &format!("work/{id}"), Some(&body))?;
+    let (status, _) = site.call(0, "POST", &format!("orders/{id}"), Some(&body))?;
     if status != 200 {
         return None;
     }
@@ -445,7 +445,7 @@
     if trouble {
         site.store.put("op/config", &config(9, &["jobs"]));
         record.line(
-            "version 9 of the configuration is acknowledged; it has no route /work/ any more",
+            "version 9 of the configuration is acknowledged; it has no route orders any more",
         );
         thread::sleep(millis(2_500));
         let lead = site.store.last_reader()?;
--- a/review/standin/site.rs
+++ b/review/standin/site.rs
@@ -75,7 +75,7 @@
         let folder = std::env::temp_dir().join(format!("marigold-review-{}", std::process::id()));
         fs::create_dir_all(&folder).ok()?;
         let store = Store::new();
-        store.put("op/config", &config(3, &["jobs", "work"]));
+        store.put("op/config", &config(3, &["jobs", "orders"]));
         let history = History::default();
         let minions = (0..minions)
             .map(|at| Minion::start(at, shape, &store, &history, record))
