--- a/crates/marigoldpick-job/src/lead.rs
+++ b/crates/marigoldpick-job/src/lead.rs
@@ -33,7 +33,7 @@
 use marigoldpick_core::work::{self, Part, Phase, Task};
 
 use crate::action::Action;
-use crate::askers::Askers;
+use crate::askers::{self, Askers};
 use crate::job::{self, Job};
 use crate::question::Share;
 use crate::queue::Queue;
@@ -293,8 +293,8 @@
     }
 
     /// Sets the entries that can ask the adviser, sorted by id.
-    pub fn set_askers(&mut self, entries: &[id::Entry]) {
-        self.askers.set(entries);
+    pub fn set_askers(&mut self, members: &[askers::Member]) {
+        self.askers.set(members);
     }
 
     /// Accepts a job that the store has.
--- a/crates/marigoldpick-job/tests/lead/world.rs
+++ b/crates/marigoldpick-job/tests/lead/world.rs
@@ -11,6 +11,7 @@
 use marigoldpick_core::work::port::{Advice, Fault, Node, Order, Reply};
 use marigoldpick_core::work::{Job, Part, Phase, Schedule, Step};
 use marigoldpick_job::action::Action;
+use marigoldpick_job::askers::Member;
 use marigoldpick_job::lead::Origin;
 use marigoldpick_job::lead::commit::Outcome;
 use marigoldpick_job::queue::Policy;
@@ -197,7 +198,10 @@
     fn configure_lead(&mut self) {
         self.lead.set_queues(&self.queues);
         self.lead.set_teams(&self.shares);
-        let askers = ["e1", "e2", "e3"].map(|name| id::Entry::new(name).expect("a name"));
+        let askers = ["e1", "e2", "e3"].map(|name| Member {
+            entry: id::Entry::new(name).expect("a name"),
+            domain: id::Domain::new("d1").expect("a name"),
+        });
         self.lead.set_askers(&askers);
     }
 
--- a/crates/marigoldpick-node/src/leadership.rs
+++ b/crates/marigoldpick-node/src/leadership.rs
@@ -5,7 +5,7 @@
 
 use async_channel::{Receiver, Sender};
 use marigoldpick_core::prelude::*;
-use marigoldpick_job::Lead;
+use marigoldpick_job::{Lead, askers};
 
 use crate::config::Config;
 use crate::relay::Relay;
@@ -143,8 +143,8 @@
         });
     }
 
-    pub(crate) fn set_askers(&self, entries: &[id::Entry]) {
-        self.update(|lead| lead.set_askers(entries));
+    pub(crate) fn set_askers(&self, members: &[askers::Member]) {
+        self.update(|lead| lead.set_askers(members));
     }
 
     /// Wakes the loop of the term.
--- a/crates/marigoldpick-node/src/members.rs
+++ b/crates/marigoldpick-node/src/members.rs
@@ -7,6 +7,7 @@
 use marigoldpick_core::excerpt::Excerpt;
 use marigoldpick_core::prelude::*;
 use marigoldpick_core::store::{Answer, Call, Expect};
+use marigoldpick_job::askers;
 
 use crate::control::Control;
 use crate::keys;
@@ -153,13 +154,17 @@
     }
 
     /// Returns all entries that can query the adviser, sorted by name.
-    pub(crate) fn askers(&self) -> Vec<id::Entry> {
+    pub(crate) fn askers(&self) -> Vec<askers::Member> {
+        let own = askers::Member {
+            entry: self.settings.entry.clone(),
+            domain: self.settings.domain.clone(),
+        };
         let peers = self.peers.borrow();
-        let mut askers: Vec<id::Entry> = peers
-            .iter()
-            .map(|member| member.known.entry.clone())
-            .collect();
-        askers.push(self.settings.entry.clone());
+        let others = peers.iter().map(|member| askers::Member {
+            entry: member.known.entry.clone(),
+            domain: member.known.domain.clone(),
+        });
+        let mut askers: Vec<askers::Member> = others.chain([own]).collect();
         askers.sort();
         askers
     }
