Read what is stored by several calls at once

A new lead read 1,500 to 2,000 jobs and as many records in pages of 500, one page after the other, in which nothing starts. Each page pays for the ramp-up of its connection again.

The first page of each prefix is read as before. If more follow, the rest is split by the leading digit of the ids, with at most eight reads in flight, fewer on a link on which the first pages were slow or a read has failed. Pages that were read are kept when another one fails, and the watch begins at the lowest revision of all pages. Jobs whose ids do not begin with a hexadecimal digit are refused, since such reads don't find them; the platform refuses them already.

On a fake store with a round trip of 9 ms, 2,000 jobs and records are read within seven round trips with eight reads in flight, and a store of 400 jobs with three calls.

--- a/crates/marigoldpick-node/src/inbox.rs
+++ b/crates/marigoldpick-node/src/inbox.rs
@@ -4,7 +4,6 @@
 use std::sync::Arc;
 
 use async_std::task;
-use futures::future::join3;
 use marigoldpick_core::clock::time_of_day;
 use marigoldpick_core::excerpt::Excerpt;
 use marigoldpick_core::prelude::*;
@@ -17,6 +16,7 @@
 use crate::control::Control;
 use crate::keys;
 use crate::leadership::Leadership;
+use crate::listing::{self, Listing, MAX_READS};
 use crate::platform::Platform;
 use crate::submission;
 
@@ -27,23 +27,23 @@
 /// The delay before a failed call to the store is retried.
 const STORE_RETRY: Millis = Millis(150);
 
-/// `Listing` is what has been read of the keys with a prefix, sorted.
+/// `Snapshot` is what has been read of the jobs, their records and the roster.
 #[derive(Debug)]
-struct Listing {
-    prefix: &'static str,
-    items: Vec<Item>,
-    /// The store's revision at the first page.
-    revision: Option<u64>,
-    is_complete: bool,
+pub(crate) struct Snapshot {
+    inbox: Listing,
+    records: Listing,
+    roster: Listing,
+    /// The maximum number of reads in flight.
+    width: usize,
 }
 
-impl Listing {
-    const fn new(prefix: &'static str) -> Self {
+impl Default for Snapshot {
+    fn default() -> Self {
         Self {
-            prefix,
-            items: Vec::new(),
-            revision: None,
-            is_complete: false,
+            inbox: Listing::new(keys::INBOX),
+            records: Listing::new(keys::RECORDS),
+            roster: Listing::new(keys::ROSTER),
+            width: MAX_READS,
         }
     }
 }
@@ -53,17 +53,21 @@
     ///
     /// Retries until it succeeds; returns nothing if the term ends first.
     pub(crate) async fn load_inbox(self: &Rc<Self>, leadership: &Leadership) -> Option<u64> {
-        let mut inbox = Listing::new(keys::INBOX);
-        let mut records = Listing::new(keys::RECORDS);
-        let mut roster = Listing::new(keys::ROSTER);
+        let mut snapshot = Snapshot::default();
         while !leadership.is_over() {
-            let reads = join3(
-                self.read_on(&mut inbox),
-                self.read_on(&mut records),
-                self.read_on(&mut roster),
-            );
-            if let (Ok(revision), Ok(_), Ok(_)) = reads.await {
-                self.apply_listings(leadership, &inbox, &records, &roster);
+            let Snapshot {
+                inbox,
+                records,
+                roster,
+                width,
+            } = &mut snapshot;
+            if self
+                .read_on(&mut [inbox, records, roster], width)
+                .await
+                .is_ok()
+            {
+                let revision = snapshot.inbox.revision();
+                self.apply_snapshot(leadership, snapshot);
                 return Some(revision);
             }
             task::sleep(STORE_RETRY.duration()).await;
@@ -72,73 +76,46 @@
     }
 
     /// Passes what is stored to a new lead.
-    fn apply_listings(
-        &self,
-        leadership: &Leadership,
-        inbox: &Listing,
-        records: &Listing,
-        roster: &Listing,
-    ) {
+    fn apply_snapshot(&self, leadership: &Leadership, snapshot: Snapshot) {
         let now = self.now();
-        leadership.update(|lead| lead.inherit_roster(read_roster(&roster.items), now));
-        self.apply_inbox(leadership, &inbox.items, &records.items);
-        let (term, items) = (leadership.term(), inbox.items.len());
-        log::info!(target: "node", "event=lead-loaded term={term} items={items} records={}", records.items.len());
+        let roster = snapshot.roster.into_items();
+        leadership.update(|lead| lead.inherit_roster(read_roster(&roster), now));
+        let (inbox, records) = (snapshot.inbox.into_items(), snapshot.records.into_items());
+        self.apply_inbox(leadership, &inbox, &records);
+        let (term, items) = (leadership.term(), inbox.len());
+        log::info!(target: "node", "event=lead-loaded term={term} items={items} records={}", records.len());
     }
 
-    /// Reads the remaining pages of a listing; returns the revision of its first page.
+    /// Reads the remaining pages of listings, with at most `width` reads in flight.
     ///
-    /// A watch from that revision also covers the changes made while later pages were read. The pages that were
-    /// read are kept if one fails.
-    async fn read_on(self: &Rc<Self>, listing: &mut Listing) -> Result<u64, Fault> {
-        loop {
-            if let (Some(revision), true) = (listing.revision, listing.is_complete) {
-                return Ok(revision);
-            }
-            match self.read_page(listing).await {
-                Ok((items, more, revision)) => {
-                    listing.revision.get_or_insert(revision);
-                    listing.items.extend(items);
-                    listing.is_complete = !more;
-                }
-                Err(fault) => {
-                    let (prefix, items) = (listing.prefix, listing.items.len());
-                    log::warn!(target: "node", "event=load-retry prefix={prefix} items={items} why={fault}");
-                    return Err(fault);
-                }
-            }
-        }
-    }
-
-    /// Reads the next page of a listing: its items, whether more follow, and the store's revision.
-    async fn read_page(
+    /// The pages that were read are kept if one fails. Fewer reads are then in flight, since they may have shared a
+    /// link that is too slow for all of them.
+    async fn read_on(
         self: &Rc<Self>,
-        listing: &Listing,
-    ) -> Result<(Vec<Item>, bool, u64), Fault> {
-        let last = listing.items.last();
-        let call = Call::Range {
-            prefix: listing.prefix.to_owned(),
-            after: last.map(|item| item.key.clone()).unwrap_or_default(),
-            stale: false,
-            large: true,
-        };
-        match self.call_store(call).await? {
-            Answer::Page {
-                items,
-                more,
-                revision,
-            } => Ok((items, more, revision)),
-            _ => Err(Fault::Unknown),
+        listings: &mut [&mut Listing],
+        width: &mut usize,
+    ) -> Result<(), Fault> {
+        let call = |call| self.call_store(call);
+        let began = self.now();
+        if listing::read_first(listings, call).await? {
+            *width = (*width).min(listing::read_width(self.now().since(began)));
+        }
+        let result = listing::read_rest(listings, *width, call).await;
+        if result.is_err() {
+            *width = listing::narrower(*width);
         }
+        result
     }
 
     /// Reads the whole inbox again; returns the revision from which to watch it, unless the term ends first.
     async fn reread_inbox(self: &Rc<Self>, leadership: &Leadership) -> Option<u64> {
         let mut inbox = Listing::new(keys::INBOX);
+        let mut width = MAX_READS;
         while !leadership.is_over() {
-            if let Ok(revision) = self.read_on(&mut inbox).await {
-                log::info!(target: "node", "event=inbox-reread items={}", inbox.items.len());
-                self.apply_inbox(leadership, &inbox.items, &[]);
+            if self.read_on(&mut [&mut inbox], &mut width).await.is_ok() {
+                let revision = inbox.revision();
+                log::info!(target: "node", "event=inbox-reread items={}", inbox.count());
+                self.apply_inbox(leadership, &inbox.into_items(), &[]);
                 return Some(revision);
             }
             task::sleep(STORE_RETRY.duration()).await;
--- a/crates/marigoldpick-node/src/keys.rs
+++ b/crates/marigoldpick-node/src/keys.rs
@@ -47,3 +47,29 @@
 pub fn record(id: &id::Job) -> String {
     format!("{RECORDS}{id}")
 }
+
+/// The digits with which the id of a job begins, ascending. Callers' requests are refused if their id is not
+/// hexadecimal; the case of its digits is kept.
+const LEADING_DIGITS: &str = "0123456789ABCDEFabcdef";
+
+/// Returns whether reads that are split by the leading digit of the ids find the job.
+#[must_use]
+pub fn is_listed(id: &id::Job) -> bool {
+    id.as_str().starts_with(|c| LEADING_DIGITS.contains(c))
+}
+
+/// Returns the ranges into which the keys with a prefix are split for reading, ascending; none if they are few.
+#[must_use]
+pub fn split(prefix: &str) -> Vec<String> {
+    let groups: &[&str] = match prefix {
+        INBOX => &[CANCELS, JOBS],
+        RECORDS => &[RECORDS],
+        _ => &[],
+    };
+    let split = |group: &&str| {
+        let group = (*group).to_owned();
+        let digits = LEADING_DIGITS.chars();
+        digits.map(move |digit| format!("{group}{digit}"))
+    };
+    groups.iter().flat_map(split).collect()
+}
--- a/crates/marigoldpick-node/src/lib.rs
+++ b/crates/marigoldpick-node/src/lib.rs
@@ -15,6 +15,7 @@
 mod inbox;
 pub mod keys;
 mod leadership;
+pub mod listing;
 pub mod member;
 mod members;
 mod node;
--- a/crates/marigoldpick-node/src/serve.rs
+++ b/crates/marigoldpick-node/src/serve.rs
@@ -143,8 +143,8 @@
         let queue = active
             .as_ref()
             .and_then(|active| active.config.queue(&job.queue));
-        // Only the settings of its queue tell a lead how to run the job.
-        let Some(queue) = queue else {
+        // Only the settings of its queue tell a lead how to run the job, and a lead has to find the job.
+        let Some(queue) = queue.filter(|_| keys::is_listed(id)) else {
             return Receipt::Refused;
         };
         let value = submission::write(job, queue);
--- a/crates/marigoldpick-node/tests/node/main.rs
+++ b/crates/marigoldpick-node/tests/node/main.rs
@@ -6,6 +6,7 @@
 mod handover;
 mod outages;
 mod relays;
+mod takeover;
 
 use std::sync::atomic::Ordering;
 
