Report the phases of a takeover

What a takeover costs was only seen from the distance between log lines of several kinds.

A new lead writes one line, lead-ready, with the milliseconds of its claim, of reading and applying what is stored, until a worker has reported and until a start was ordered, and records them in marigold_takeover_seconds. Where nothing waits, the line is written two seconds after the stored jobs were applied.

A test of the decision covers a complete and an idle takeover.

--- a/crates/marigoldpick-job/src/lead.rs
+++ b/crates/marigoldpick-job/src/lead.rs
@@ -58,6 +58,8 @@
     pub questions: u64,
     /// Holds sent.
     pub holds: u64,
+    /// Reports of workers received.
+    pub reports: u64,
     /// Commits sent to the store.
     pub commits: u64,
     /// Scheduling passes over the waiting steps.
--- a/crates/marigoldpick-job/src/lead/hold.rs
+++ b/crates/marigoldpick-job/src/lead/hold.rs
@@ -146,6 +146,7 @@
         }
         match answer {
             Ok(reply) => {
+                self.counters.reports += 1;
                 let has_restarted = reply.born > worker.node.born;
                 if has_restarted {
                     let mut node = worker.node.clone();
--- a/crates/marigoldpick-node/src/driver.rs
+++ b/crates/marigoldpick-node/src/driver.rs
@@ -88,6 +88,7 @@
             }
             self.log_notes(leadership);
             published = publish_counts(leadership, published);
+            leadership.report_phases(&published, self.now());
             if began.since(work_published) >= WORK_METRICS_INTERVAL {
                 self.publish_work(leadership);
                 work_published = began;
--- a/crates/marigoldpick-node/src/inbox.rs
+++ b/crates/marigoldpick-node/src/inbox.rs
@@ -17,6 +17,7 @@
 use crate::keys;
 use crate::leadership::Leadership;
 use crate::listing::{self, Listing, MAX_READS};
+use crate::phases::Phase;
 use crate::platform::Platform;
 use crate::submission;
 
@@ -67,7 +68,9 @@
                 .is_ok()
             {
                 let revision = snapshot.inbox.revision();
+                leadership.end_phase(Phase::Read, self.now());
                 self.apply_snapshot(leadership, snapshot);
+                leadership.end_phase(Phase::Apply, self.now());
                 return Some(revision);
             }
             task::sleep(STORE_RETRY.duration()).await;
--- a/crates/marigoldpick-node/src/leadership.rs
+++ b/crates/marigoldpick-node/src/leadership.rs
@@ -6,8 +6,10 @@
 use async_channel::{Receiver, Sender};
 use marigoldpick_core::prelude::*;
 use marigoldpick_job::Lead;
+use marigoldpick_job::lead::Counters;
 
 use crate::config::Config;
+use crate::phases::{Phase, Phases};
 use crate::relay::Relay;
 use crate::settings::Settings;
 
@@ -29,6 +31,8 @@
     writes: Cell<u64>,
     /// Why the term is over, if it is.
     end_reason: Cell<Option<&'static str>>,
+    /// The phases of the takeover with which the term began.
+    phases: Cell<Phases>,
     /// The entries that relay orders, sorted by failure domain.
     pub(crate) relays: RefCell<Vec<Rc<Relay>>>,
     wake_sender: Sender<()>,
@@ -36,6 +40,7 @@
 }
 
 impl Leadership {
+    /// Creates the state of a term that was claimed at `now`; `confirmed` is when the campaign began.
     pub(crate) fn new(
         settings: &Settings,
         term: u64,
@@ -45,6 +50,8 @@
         now: Millis,
     ) -> Self {
         let (wake_sender, wake_receiver) = async_channel::bounded(1);
+        let mut phases = Phases::new(confirmed);
+        phases.end(Phase::Claim, now);
         Self {
             lead: RefCell::new(Lead::new(settings.job, term, now)),
             term,
@@ -55,6 +62,7 @@
             chain: Cell::new(term),
             writes: Cell::new(0),
             end_reason: Cell::new(None),
+            phases: Cell::new(phases),
             relays: RefCell::default(),
             wake_sender,
             wake_receiver,
@@ -147,6 +155,34 @@
         self.update(|lead| lead.set_askers(entries));
     }
 
+    /// Records the end of a phase of the takeover.
+    pub(crate) fn end_phase(&self, phase: Phase, now: Millis) {
+        let mut phases = self.phases.get();
+        phases.end(phase, now);
+        self.phases.set(phases);
+    }
+
+    /// Records the phases that the lead's counts show to have ended, and reports the takeover once it is complete.
+    pub(crate) fn report_phases(&self, counters: &Counters, now: Millis) {
+        let mut phases = self.phases.get();
+        if counters.reports > 0 {
+            phases.end(Phase::FirstReport, now);
+        }
+        if counters.starts > 0 {
+            phases.end(Phase::FirstStart, now);
+        }
+        let is_due = phases.take_report(now);
+        self.phases.set(phases);
+        if !is_due {
+            return;
+        }
+        log::info!(target: "node", "event=lead-ready term={} {phases}", self.term);
+        for (phase, duration) in phases.durations() {
+            metrics::histogram!("marigold_takeover_seconds", "phase" => phase.name())
+                .record(duration.duration().as_secs_f64());
+        }
+    }
+
     /// Wakes the loop of the term.
     fn wake_loop(&self) {
         // A full channel means that a wake-up is already pending.
--- a/crates/marigoldpick-node/src/lib.rs
+++ b/crates/marigoldpick-node/src/lib.rs
@@ -20,6 +20,7 @@
 mod members;
 mod node;
 mod peer_reports;
+pub mod phases;
 pub mod platform;
 mod probe;
 pub mod reachability;
--- a/crates/marigoldpick-node/tests/decisions.rs
+++ b/crates/marigoldpick-node/tests/decisions.rs
@@ -11,6 +11,7 @@
 use marigoldpick_node::election::{campaign_delay, is_worth_handing_over};
 use marigoldpick_node::handover::{claimant, remaining_after};
 use marigoldpick_node::member::Member;
+use marigoldpick_node::phases::{Phase, Phases};
 use marigoldpick_node::reachability::Reachability;
 use marigoldpick_node::{relay, retry};
 
@@ -176,3 +177,27 @@
     expect_that!(claimant("e1"), none());
     expect_that!(claimant("/00000000000000aa"), none());
 }
+
+/// A phase that did not end must not be counted, and a takeover is reported once.
+#[googletest::test]
+fn phases_report_once_at_the_first_start_or_two_seconds_after_the_jobs_are_applied() {
+    let mut phases = Phases::new(Millis(100));
+    phases.end(Phase::Claim, Millis(120));
+    phases.end(Phase::Read, Millis(300));
+    phases.end(Phase::Apply, Millis(310));
+    expect_false!(phases.take_report(Millis(320)));
+    let mut idle = phases;
+    expect_true!(idle.take_report(Millis(2_310)));
+    expect_that!(
+        idle.to_string(),
+        eq(
+            "claim_ms=20 read_ms=180 apply_ms=10 first_report_ms=none first_start_ms=none total_ms=210"
+        )
+    );
+    phases.end(Phase::FirstReport, Millis(350));
+    phases.end(Phase::FirstStart, Millis(360));
+    phases.end(Phase::FirstStart, Millis(900));
+    expect_that!(phases.duration(Phase::FirstStart), some(eq(Millis(10))));
+    expect_true!(phases.take_report(Millis(900)));
+    expect_false!(phases.take_report(Millis(3_000)));
+}
