--- a/crates/marigoldpick-soak/src/lib.rs
+++ b/crates/marigoldpick-soak/src/lib.rs
@@ -3,8 +3,8 @@
 //! The stand-in of the platform checks the system's guarantees during the run.
 
 pub mod fault;
-mod port;
-mod process;
+pub mod port;
+pub mod process;
 pub mod run;
 
 pub use fault::{Fault, Kind};
--- a/crates/marigoldpick-soak/src/port.rs
+++ b/crates/marigoldpick-soak/src/port.rs
@@ -17,7 +17,7 @@
 ///
 /// # Errors
 /// Fails when other processes hold all blocks of ports.
-pub(crate) fn allocate() -> std::io::Result<String> {
+pub fn allocate() -> std::io::Result<String> {
     let block = OWN_BLOCK.get_or_init(reserve_block);
     let Some((first, _)) = block else {
         return Err(std::io::Error::other("no block of ports is free"));
--- a/crates/marigoldpick-soak/src/process.rs
+++ b/crates/marigoldpick-soak/src/process.rs
@@ -10,7 +10,7 @@
 
 /// `Process` is a running program; it is killed when it is dropped.
 #[derive(Debug)]
-pub(crate) struct Process {
+pub struct Process {
     child: Child,
 }
 
@@ -19,7 +19,7 @@
     ///
     /// # Errors
     /// Fails when the program is missing or the log file cannot be written.
-    pub(crate) fn start(program: &str, settings: &Path) -> io::Result<Self> {
+    pub fn start(program: &str, settings: &Path) -> io::Result<Self> {
         let log = open_log(settings)?;
         let child = Command::new(find_program(program)?)
             .arg("--settings")
@@ -35,7 +35,7 @@
     ///
     /// # Errors
     /// Fails as [`Process::start`] does.
-    pub(crate) fn start_and_read(program: &str, settings: &Path) -> io::Result<(Self, String)> {
+    pub fn start_and_read(program: &str, settings: &Path) -> io::Result<(Self, String)> {
         let mut child = Command::new(find_program(program)?)
             .arg("--settings")
             .arg(settings)
@@ -54,13 +54,19 @@
     ///
     /// # Errors
     /// Fails when the process has ended and has been reaped.
-    pub(crate) fn signal(&self, signal: Signal) -> io::Result<()> {
+    pub fn signal(&self, signal: Signal) -> io::Result<()> {
         let id = i32::try_from(self.child.id()).map_err(io::Error::other)?;
         kill(Pid::from_raw(id), signal).map_err(io::Error::from)
     }
 
+    /// Returns the process's id.
+    #[must_use]
+    pub fn id(&self) -> u32 {
+        self.child.id()
+    }
+
     /// Returns whether the process has ended.
-    pub(crate) fn has_ended(&mut self) -> bool {
+    pub fn has_ended(&mut self) -> bool {
         matches!(self.child.try_wait(), Ok(Some(_)))
     }
 }
