Bound what all clients of HTTP together can make an entry hold

async-h1 reads a line of a head without a bound, and nothing bounded what all connections held together, the time that a request took to arrive, or the number of connections. Some hundred clients could end a process.

The new crate marigoldpick-http reads requests for the three listeners of the platform's entry. It bounds a head before it is buffered (size, lines, empty lines, time), bodies while they arrive, idle connections and readers that do not read. One budget for the process, derived from the machine's memory and descriptors (`[intake]`), decides in pure code which connections are closed for newer ones and which requests are refused with 503. Heads up to 16,384 bytes are served, and requests in one write are answered in order. A job's list of steps is bounded while it is parsed, since a step takes a hundred times the memory of its text.

--- a/crates/marigoldpick-node/src/config.rs
+++ b/crates/marigoldpick-node/src/config.rs
@@ -49,6 +49,12 @@
     pub teams: Directory,
     /// The maximum size of a request body, in bytes.
     pub body_limit: usize,
+    /// The maximum size of a request head, in bytes; zero if the operators set none.
+    pub head_limit: usize,
+    /// The time in which the head of a request must be accepted if it arrives; zero if none is set.
+    pub head_wait: Millis,
+    /// The time for which an idle connection must be kept; zero if none is set.
+    pub idle_wait: Millis,
 }
 
 impl Config {
