Order waiting work by the cost of its delay where callers compete

With more work than room, urgent work without value ran before other queues' work that could be on time, wide jobs waited until they expired, and excess work of any priority waited behind all other work.

An order can now be chosen: with `cost` the step goes first whose delay costs callers most for the work that it still needs. It weighs the worth that is lost soon, the priority, excess and the size of the job.

Not yet played on a site.

--- a/crates/marigoldpick-job/src/lead/schedule.rs
+++ b/crates/marigoldpick-job/src/lead/schedule.rs
@@ -137,7 +137,8 @@
                 if !wants || !occurrence.is_ready(&job.spec, step) {
                     continue;
                 }
-                let rank = rank(job, step, occurrence, queue, now);
+                let order = self.settings.order;
+                let rank = rank(order, job, step, occurrence, queue, now);
                 let part = Part {
                     job: job.id.clone(),
                     occurrence: number,
--- a/crates/marigoldpick-job/src/lib.rs
+++ b/crates/marigoldpick-job/src/lib.rs
@@ -9,6 +9,7 @@
 pub mod action;
 pub mod advice;
 pub mod askers;
+pub mod delay;
 pub mod job;
 pub mod lead;
 pub mod place;
--- a/crates/marigoldpick-job/src/rank.rs
+++ b/crates/marigoldpick-job/src/rank.rs
@@ -5,17 +5,34 @@
 //! work. Within a priority, work that can still be on time goes
 //! first, then late work that still has value, each with the least remaining work first. Expired
 //! work, which has lost its value to the caller, goes last, the oldest first.
+//!
+//! With [`Order::Cost`] the cost of delaying work decides instead, see [`crate::delay`].
+
+use std::cmp::Reverse;
 
 use marigoldpick_core::prelude::*;
 use marigoldpick_core::work::{self, Step};
+use serde::{Deserialize, Serialize};
 
+use crate::delay;
 use crate::job::{Job, Occurrence, Stage};
 use crate::queue::Queue;
 
 /// The number of workers assumed for a question to the adviser in a job's time objective.
 const ASSUMED_WORKERS: usize = 30;
 /// A job counts as late up to this multiple of its objective, and as expired after it.
-const LATE_FACTOR: u64 = 3;
+pub(crate) const LATE_FACTOR: u64 = 3;
+
+/// `Order` says what decides between waiting work of different jobs.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(rename_all = "kebab-case")]
+pub enum Order {
+    /// The priority of the queue, for work within the rates of its team.
+    #[default]
+    Priority,
+    /// What it costs callers to delay the work, for each core-second that it needs.
+    Cost,
+}
 
 /// `Timeliness` is how useful the result still is to the caller.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
@@ -42,6 +59,8 @@
 pub struct Rank {
     /// Whether the work goes before the order of the queues.
     pub precedence: Precedence,
+    /// The cost of delaying the work, the greatest first; zero with [`Order::Priority`].
+    pub delay_cost: Reverse<u64>,
     /// Whether the job exceeds the rate of its team; other teams' work goes first.
     pub excess: bool,
     /// The queue's priority.
@@ -57,14 +76,18 @@
 /// The number of cores that an accelerator counts as.
 const ACCELERATOR_CORES: u64 = 8;
 
+/// Returns the millicores that a task of a step counts as, accelerators included.
+pub(crate) fn millicores_counted(step: &Step) -> u64 {
+    let accelerators = step.needs.accelerators.iter().map(|a| u64::from(a.count));
+    let accelerated = accelerators.sum::<u64>() * ACCELERATOR_CORES * 1_000;
+    step.needs.millicores.saturating_add(accelerated)
+}
+
 /// Returns the remaining work of an occurrence, in core-milliseconds.
 fn remaining_work(job: &Job, occurrence: &Occurrence) -> u64 {
     let steps = job.spec.steps.iter().zip(&occurrence.stages);
     let work = |(step, stage): (&Step, &Stage)| {
-        let accelerators = step.needs.accelerators.iter().map(|a| u64::from(a.count));
-        let accelerated = accelerators.sum::<u64>() * ACCELERATOR_CORES * 1_000;
-        let millicores = step.needs.millicores.saturating_add(accelerated);
-        let each = step.estimate.0.saturating_mul(millicores) / 1_000;
+        let each = step.estimate.0.saturating_mul(millicores_counted(step)) / 1_000;
         each.saturating_mul(u64::from(stage.unfinished))
     };
     steps.map(work).fold(0, u64::saturating_add)
@@ -107,7 +130,14 @@
 /// Load pattern: lasting tasks fail or lose their worker while other queues have a backlog. Their
 /// users have no service until they run again, so they go first, and a lasting job never expires.
 #[must_use]
-pub fn rank(job: &Job, step: usize, occurrence: &Occurrence, queue: &Queue, now: Millis) -> Rank {
+pub fn rank(
+    order: Order,
+    job: &Job,
+    step: usize,
+    occurrence: &Occurrence,
+    queue: &Queue,
+    now: Millis,
+) -> Rank {
     let lasting = job.spec.steps[step].lasting;
     let on_time_limit = occurrence.due + job.objective;
     let late_limit = occurrence.due + job.objective.times(LATE_FACTOR);
@@ -126,6 +156,10 @@
     };
     Rank {
         precedence,
+        delay_cost: Reverse(match order {
+            Order::Priority => 0,
+            Order::Cost => delay::cost(job, step, occurrence, queue, now),
+        }),
         excess: job.excess,
         priority: queue.priority,
         timeliness,
--- a/crates/marigoldpick-job/src/settings.rs
+++ b/crates/marigoldpick-job/src/settings.rs
@@ -3,6 +3,8 @@
 use marigoldpick_core::prelude::*;
 use serde::{Deserialize, Serialize};
 
+use crate::rank::Order;
+
 /// How much longer a lease may last on a worker than the lead intended, because the worker's clock
 /// drifts between two readings.
 const LEASE_SLACK: Millis = Millis(300);
@@ -54,6 +56,8 @@
     pub advice_most: usize,
     /// The slowest rate of a worker's clock, in thousandths of the true rate.
     pub clock_permille: u64,
+    /// What decides between waiting work of different jobs.
+    pub order: Order,
 }
 
 impl Default for Settings {
@@ -74,6 +78,7 @@
             retention: Millis(150_000),
             advice_most: 100,
             clock_permille: 980,
+            order: Order::Priority,
         }
     }
 }
--- a/crates/marigoldpick-job/tests/rank.rs
+++ b/crates/marigoldpick-job/tests/rank.rs
@@ -7,7 +7,7 @@
 use marigoldpick_core::work::{self, Step};
 use marigoldpick_job::Queue;
 use marigoldpick_job::job::Job;
-use marigoldpick_job::rank::{Rank, objective, rank, time_left};
+use marigoldpick_job::rank::{Order, Rank, objective, rank, time_left};
 
 const WALL: u64 = 1_780_000_000_000;
 const NOW: Millis = Millis(100_000);
@@ -54,7 +54,7 @@
 }
 
 fn rank_of(job: &Job) -> Rank {
-    rank(job, 0, &job.occurrences[0], &queue(), NOW)
+    rank(Order::Priority, job, 0, &job.occurrences[0], &queue(), NOW)
 }
 
 /// Load pattern: there is more work than can be on time. If deadlines decided, jobs that are nearly
@@ -89,3 +89,58 @@
     let small = job(2, 2, 1, 50_000);
     expect_that!(rank_of(&wide), lt(rank_of(&small)));
 }
+
+fn cost_rank_of(job: &Job, priority: u32) -> Rank {
+    let queue = Queue {
+        priority,
+        ..queue()
+    };
+    rank(Order::Cost, job, 0, &job.occurrences[0], &queue, NOW)
+}
+
+/// Expired work of an urgent queue must not take room from other work that can be on time.
+#[googletest::test]
+fn rank_by_cost_puts_expired_work_behind_useful_work_of_less_priority() {
+    let expired = job(1, 2, 1, 60_000);
+    let fresh = job(2, 8, 0, 0);
+    expect_that!(cost_rank_of(&fresh, 2), lt(cost_rank_of(&expired, 0)));
+}
+
+/// Accepted work must run in the end although overload lasts, here after five minutes.
+#[googletest::test]
+fn rank_by_cost_lets_expired_work_go_first_in_the_end() {
+    let (expired, mut fresh) = (job(1, 400, 0, 0), job(2, 400, 0, 0));
+    let now = NOW + Millis(300_000);
+    fresh.occurrences[0].due = now;
+    let queue = Queue {
+        priority: 2,
+        ..queue()
+    };
+    let rank_of = |job: &Job| rank(Order::Cost, job, 0, &job.occurrences[0], &queue, now);
+    expect_that!(rank_of(&expired), lt(rank_of(&fresh)));
+}
+
+/// A job that lacks one of eight tasks needs little to be of use to its caller.
+#[googletest::test]
+fn rank_by_cost_puts_nearly_done_work_before_new_work_of_higher_priority() {
+    let nearly_done = job(1, 8, 7, 0);
+    let new = job(2, 8, 0, 0);
+    expect_that!(cost_rank_of(&nearly_done, 1), lt(cost_rank_of(&new, 0)));
+}
+
+/// Work that has slack loses nothing while work that becomes late soon goes first.
+#[googletest::test]
+fn rank_by_cost_puts_work_that_is_late_soon_before_work_with_slack() {
+    let (hurried, mut relaxed) = (job(1, 8, 0, 500), job(2, 8, 0, 0));
+    relaxed.objective = Millis(20_000);
+    expect_that!(cost_rank_of(&hurried, 1), lt(cost_rank_of(&relaxed, 1)));
+}
+
+/// Excess work goes after like work, and before work that needs far more.
+#[googletest::test]
+fn rank_by_cost_puts_excess_work_behind_like_work() {
+    let (mut excess, like, large) = (job(1, 2, 0, 0), job(2, 2, 0, 0), job(3, 400, 0, 0));
+    excess.excess = true;
+    expect_that!(cost_rank_of(&like, 0), lt(cost_rank_of(&excess, 0)));
+    expect_that!(cost_rank_of(&excess, 0), lt(cost_rank_of(&large, 2)));
+}
