Repeat orders to workers that get no response in time

For some seconds one order in twenty gets no response and is carried out 2 to 12 s later, or never. A start then waited for its timeout, a stop and the end of the stop, and a lost long poll delayed all ends of its worker.

A start or stop without a response is sent again to the same worker with the same run, at most twice, and an overdue hold is followed by a probe whose answer lets the next hold begin. Orders carry a number, so that the outcomes of several orders for one run or worker are told apart. A refusal of a start that was sent more than once releases nothing. Lost starts are stopped again when the worker restarts under its id, also if their run has ended. Both settings are off by default.

The simulated world of the tests no longer hands answers to an earlier lead's orders to the present lead, which may use the same numbers. One test names the number of the hold that it answers.

--- a/crates/marigoldpick-job/src/action.rs
+++ b/crates/marigoldpick-job/src/action.rs
@@ -16,6 +16,8 @@
         target: Target,
         /// The order.
         order: Order,
+        /// The number of the order, which its answer is told apart by.
+        number: u64,
     },
     /// Asks the adviser through an entry; the answer goes to [`crate::Lead::handle_advice`].
     Ask {
--- a/crates/marigoldpick-job/src/lead.rs
+++ b/crates/marigoldpick-job/src/lead.rs
@@ -15,6 +15,7 @@
 mod losses;
 mod quota;
 mod registry;
+mod repeat;
 mod report;
 mod reserve;
 mod room;
@@ -58,6 +59,12 @@
     pub questions: u64,
     /// Holds sent.
     pub holds: u64,
+    /// Starts sent again after no answer came.
+    pub start_retries: u64,
+    /// Stops sent again after no answer came.
+    pub stop_retries: u64,
+    /// Probes sent because a hold's answer was overdue.
+    pub hold_retries: u64,
     /// Commits sent to the store.
     pub commits: u64,
     /// Scheduling passes over the waiting steps.
@@ -96,6 +103,8 @@
     /// What is known of the leases that earlier leads granted.
     inherited: lease::Inherited,
     next_run: u64,
+    /// The number of the last order.
+    last_order: u64,
     queues: Vec<Queue>,
     quotas: Quotas,
     rates: Rates,
@@ -168,6 +177,7 @@
                 now + settings.term_grace + settings.inherited_lease(),
             ),
             next_run: term << RUN_NUMBER_BITS,
+            last_order: 0,
             queues: Vec::new(),
             quotas: Quotas::default(),
             rates: Rates::default(),
@@ -493,9 +503,17 @@
         });
     }
 
-    fn send_order(&mut self, worker: usize, order: Order) {
+    /// Sends an order and returns its number.
+    fn send_order(&mut self, worker: usize, order: Order) -> u64 {
         let target = self.workers[worker].target();
-        self.actions.push(Action::Order { target, order });
+        self.last_order += 1;
+        let number = self.last_order;
+        self.actions.push(Action::Order {
+            target,
+            order,
+            number,
+        });
+        number
     }
 
     /// Advances the lead to `now` and returns the actions to take.
@@ -504,6 +522,7 @@
         self.end_expectation(now);
         self.resolve_failures(now);
         self.order_stops(now);
+        self.repeat_orders(now);
         self.send_holds(now);
         if now >= self.next_pass() {
             self.run_pass(now);
--- a/crates/marigoldpick-job/src/lead/hold.rs
+++ b/crates/marigoldpick-job/src/lead/hold.rs
@@ -4,7 +4,8 @@
 use marigoldpick_core::work::port::{Fault, Order, Reply};
 
 use super::Lead;
-use crate::worker::{Phase, SETTLE_TIME, Worker};
+use crate::open::{Hold, Probe, Source};
+use crate::worker::{BROKEN_CALL_TIME, Phase, SETTLE_TIME, Worker};
 
 /// The longest time between holds of a worker without runs.
 const IDLE_HOLD_INTERVAL: Millis = Millis(5_000);
@@ -19,19 +20,26 @@
 const SUSPECT_DOMAIN_MIN_PERCENT: usize = 20;
 
 impl Lead {
-    /// Sends the holds that are due, and probes to suspect workers whose hold is still waiting.
+    /// Sends the holds that are due, and probes to workers that are suspect or whose hold is overdue.
     pub(super) fn send_holds(&mut self, now: Millis) {
         for at in 0..self.workers.len() {
             let worker = &self.workers[at];
             if worker.node.address.is_empty() || worker.has_ended {
                 continue;
             }
-            if worker.hold_in_flight {
-                if worker.is_suspect && !worker.probe_in_flight && worker.hold_wait > Millis::ZERO {
-                    self.send_probe(at);
+            if let Some(hold) = &worker.holds.current {
+                let is_overdue = worker.is_responsive()
+                    && !(hold.is_probed || hold.is_outdated)
+                    && hold.is_overdue(self.settings.hold_overdue, now);
+                let is_suspect = worker.is_suspect && hold.wait > Millis::ZERO;
+                if worker.holds.probe.is_none() && (is_suspect || is_overdue) {
+                    self.send_probe(at, is_overdue);
                 }
                 continue;
             }
+            if worker.holds.awaits_outdated() {
+                continue;
+            }
             if now < worker.next_hold && !worker.is_suspect {
                 continue;
             }
@@ -53,18 +61,30 @@
     }
 
     /// Requests a report at once while another hold is waiting.
-    fn send_probe(&mut self, at: usize) {
-        let worker = &mut self.workers[at];
-        worker.probe_in_flight = true;
+    ///
+    /// Load pattern: one order in twenty gets no answer. A lost hold would delay the ends of its worker's runs by its
+    /// timeout, so that the answer to a probe lets the next hold begin.
+    fn send_probe(&mut self, at: usize, is_for_overdue: bool) {
         self.counters.holds += 1;
-        self.send_order(
-            at,
-            Order::Hold {
-                until: None,
-                seen: 0,
-                wait: Millis::ZERO,
-            },
-        );
+        let probe = Order::Hold {
+            until: None,
+            seen: 0,
+            wait: Millis::ZERO,
+        };
+        let number = self.send_order(at, probe);
+        let holds = &mut self.workers[at].holds;
+        holds.probe = Some(Probe {
+            number,
+            is_for_overdue,
+        });
+        if is_for_overdue {
+            if let Some(hold) = &mut holds.current {
+                hold.is_probed = true;
+            }
+            self.counters.hold_retries += 1;
+            let id = self.workers[at].node.id.to_string();
+            self.log("hold-overdue", id, String::new());
+        }
     }
 
     fn send_hold(&mut self, at: usize, now: Millis) {
@@ -121,29 +141,37 @@
         let earlier_stops = worker.stops_until.map(|until| until.since(now));
         let waits = stops.chain(trials).chain(earlier_stops);
         let wait = waits.fold(wait, Millis::min);
-        worker.hold_in_flight = true;
-        worker.hold_wait = wait;
         self.counters.holds += 1;
-        self.send_order(at, Order::Hold { until, seen, wait });
+        let number = self.send_order(at, Order::Hold { until, seen, wait });
+        self.workers[at].holds.current = Some(Hold {
+            number,
+            sent: now,
+            wait,
+            is_outdated: false,
+            is_probed: false,
+        });
     }
 
     pub(super) fn handle_hold_reply(
         &mut self,
         at: usize,
-        (seen, wait): (u64, Millis),
+        (number, seen, wait): (u64, u64, Millis),
         answer: Result<Reply, Fault>,
         sent: Millis,
         now: Millis,
     ) {
         let settings = self.settings;
         let worker = &mut self.workers[at];
-        let mut is_outdated = false;
-        if worker.probe_in_flight && wait == Millis::ZERO {
-            worker.probe_in_flight = false;
-        } else {
-            worker.hold_in_flight = false;
-            is_outdated = std::mem::take(&mut worker.hold_is_outdated);
-        }
+        let Some(source) = worker.holds.close(number) else {
+            return;
+        };
+        let is_outdated = matches!(source, Source::Hold { is_outdated: true });
+        let is_for_overdue = matches!(
+            source,
+            Source::Probe {
+                is_for_overdue: true
+            }
+        );
         match answer {
             Ok(reply) => {
                 let has_restarted = reply.born > worker.node.born;
@@ -167,6 +195,10 @@
                 worker.silent_since = None;
                 worker.is_suspect = false;
                 worker.has_reported = true;
+                if matches!(source, Source::Probe { .. }) {
+                    worker.holds.replace_overdue(settings.hold_overdue, now);
+                }
+                let is_stale = worker.record_report(number, reply.clock);
                 if !has_restarted && !is_outdated {
                     worker.acknowledged_end = worker.acknowledged_end.max(seen);
                 }
@@ -176,10 +208,15 @@
                     now + settings.hold_gap
                 };
                 self.clear_crash_suspects(at);
-                if let Some(report) = reply.report {
-                    self.handle_report(at, report, sent, !is_back, now);
+                if let Some(report) = reply.report
+                    && !is_stale
+                {
+                    let is_prompt = !is_back && !is_for_overdue;
+                    self.handle_report(at, report, sent, is_prompt, now);
                 }
             }
+            // The hold beside the probe tells whether the worker is silent, unless connections broke.
+            Err(Fault::Unknown) if is_for_overdue && now.since(sent) >= BROKEN_CALL_TIME => {}
             Err(fault) => {
                 let may_have_crashed = worker.record_silence(sent, wait, now);
                 worker.unanswered_holds = worker.unanswered_holds.saturating_add(1);
--- a/crates/marigoldpick-job/src/lead/registry.rs
+++ b/crates/marigoldpick-job/src/lead/registry.rs
@@ -26,7 +26,7 @@
         let is_awaited = |worker: &Worker| {
             worker.is_registered
                 || !worker.runs.is_empty()
-                || worker.hold_in_flight
+                || !worker.holds.is_empty()
                 || (!worker.has_ended && now < worker.lapse + FORGET_DELAY + settings.lease)
         };
         for at in 0..self.workers.len() {
@@ -103,7 +103,11 @@
         for run in self.workers[at].runs.clone() {
             self.log_loss(at, &run, now);
         }
-        let unanswered = self.workers[at].take_unanswered_starts(&settings, now);
+        let mut unanswered = self.workers[at].take_unanswered_starts(&settings, now);
+        if settings.start_retry > Millis::ZERO {
+            // A run that has ended may have been started by another order than one that is still open.
+            unanswered.extend(self.workers[at].orders.starts());
+        }
         // The restarted worker's clock is behind, so it shortens the lease in an order in flight only
         // to the longest that the platform allows.
         let lapse = now + settings.longest_true_span(settings.longest_lease);
@@ -118,6 +122,13 @@
                     run.phase = worker::Phase::Stop;
                     self.add_run(at, run);
                 }
+                worker::Phase::Ordered | worker::Phase::Running
+                    if run.attempts.has_repeated_start()
+                        && unanswered.contains(&(run.task.clone(), run.run)) =>
+                {
+                    run.phase = worker::Phase::Stop;
+                    self.add_run(at, run);
+                }
                 worker::Phase::Ordered | worker::Phase::Running => {
                     run.outlived = true;
                     self.add_run(at, run);
--- a/crates/marigoldpick-job/src/lead/start.rs
+++ b/crates/marigoldpick-job/src/lead/start.rs
@@ -5,6 +5,7 @@
 use marigoldpick_core::work::{self, Task};
 
 use super::{Lead, PendingStart};
+use crate::open::Kind;
 use crate::worker::{Phase, Run};
 
 impl Lead {
@@ -66,13 +67,24 @@
         if let Some(entry) = self.workers[at].run_mut(task, run) {
             entry.phase = Phase::Ordered;
             entry.ordered_at = Some(now);
+            entry.attempts.begin(now);
         }
         self.counters.starts += 1;
-        self.send_order(at, Order::Start(Box::new(order)));
+        let number = self.send_order(at, Order::Start(Box::new(order)));
+        self.workers[at].orders.add(number, Kind::Start, task, run);
         true
     }
 
-    fn start_order(&mut self, at: usize, task: &Task, run: u64, now: Millis) -> Option<Start> {
+    /// Returns the order that starts a run, and extends the worker's lease for it.
+    ///
+    /// Returns `None` if the start is not valid now.
+    pub(super) fn start_order(
+        &mut self,
+        at: usize,
+        task: &Task,
+        run: u64,
+        now: Millis,
+    ) -> Option<Start> {
         if !self.workers[at].can_take_work(now) || self.workers[at].is_overcommitted() {
             return None;
         }
@@ -133,21 +145,27 @@
                     worker.has_stops = true;
                 } else {
                     run.phase = Phase::Stopping;
+                    run.attempts.begin(now);
                     due.push((at, run.task.clone(), run.run));
                 }
             }
         }
         for (at, task, run) in due {
             self.log("stop-ordered", task.to_string(), format!("run={run}"));
-            self.send_order(at, Order::Stop { task, run });
+            let order = Order::Stop {
+                task: task.clone(),
+                run,
+            };
+            let number = self.send_order(at, order);
+            self.workers[at].orders.add(number, Kind::Stop, &task, run);
         }
     }
 
-    /// Handles the answer to an order that was sent at `sent`.
+    /// Handles the answer to the order with `number`, which was sent at `sent`.
     pub fn handle_reply(
         &mut self,
         worker: &id::Worker,
-        order: &Order,
+        (order, number): (&Order, u64),
         answer: Result<Reply, Fault>,
         sent: Millis,
         now: Millis,
@@ -167,10 +185,17 @@
         }
         match order {
             Order::Hold { seen, wait, .. } => {
-                self.handle_hold_reply(at, (*seen, *wait), answer, sent, now)
+                self.handle_hold_reply(at, (number, *seen, *wait), answer, sent, now);
+            }
+            Order::Start(start) => {
+                self.workers[at].orders.close(number);
+                self.handle_start_reply(at, &start.task, start.run, answer, now);
+            }
+            Order::Stop { task, run } => {
+                if self.workers[at].orders.close(number) {
+                    self.handle_stop_reply(at, task, *run, answer, now);
+                }
             }
-            Order::Start(start) => self.handle_start_reply(at, &start.task, start.run, answer, now),
-            Order::Stop { task, run } => self.handle_stop_reply(at, task, *run, answer, now),
             Order::Pace { .. } => {}
         }
     }
@@ -183,12 +208,31 @@
         answer: Result<Reply, Fault>,
         now: Millis,
     ) {
-        let Some(entry) = self.workers[at].run_mut(task, run) else {
+        let settings = self.settings;
+        let worker = &mut self.workers[at];
+        let is_open = worker.orders.has(Kind::Start, task, run);
+        let is_lost = answer == Err(Fault::Unknown);
+        let Some(entry) = worker.run_mut(task, run) else {
+            // Another order has started the run, which has ended.
+            if is_lost && settings.start_retry > Millis::ZERO {
+                worker.record_unanswered_start(task, run, &settings, now);
+            }
             return;
         };
+        if let Err(fault) = answer
+            && entry.attempts.has_repeated_start()
+        {
+            entry.attempts.is_refused |= !is_lost;
+            if is_lost {
+                worker.record_unanswered_start(task, run, &settings, now);
+            }
+            self.handle_failed_repeat(at, (task, run), fault, is_open, now);
+            return;
+        }
         let is_stopping = !matches!(entry.phase, Phase::Ordered);
         match answer {
             Ok(_) => {
+                entry.attempts.is_confirmed = true;
                 if !is_stopping {
                     entry.phase = Phase::Running;
                     entry.confirmed_at = now;
@@ -201,7 +245,6 @@
                 if !is_stopping {
                     entry.phase = Phase::Unknown(now);
                 }
-                let settings = self.settings;
                 self.workers[at].record_unanswered_start(task, run, &settings, now);
                 self.workers[at].hold_soon(now);
                 self.log("start-unanswered", task.to_string(), format!("run={run}"));
@@ -215,6 +258,41 @@
         }
     }
 
+    /// Handles the failure of one of several starts that were sent for a run.
+    ///
+    /// A refusal says nothing about the other orders. The run counts as unanswered once none of them, which `is_open`
+    /// tells, can be answered any more.
+    fn handle_failed_repeat(
+        &mut self,
+        at: usize,
+        (task, run): (&Task, u64),
+        fault: Fault,
+        is_open: bool,
+        now: Millis,
+    ) {
+        let Some(entry) = self.workers[at].run_mut(task, run) else {
+            return;
+        };
+        if entry.attempts.is_confirmed || entry.phase == Phase::Running {
+            return;
+        }
+        let is_unanswered = !is_open && entry.phase == Phase::Ordered;
+        if is_unanswered {
+            entry.phase = Phase::Unknown(now);
+        }
+        if fault != Fault::Unknown {
+            self.log("start-refused", task.to_string(), format!("why={fault}"));
+            self.apply_refusal(at, task, fault, now);
+        }
+        if is_unanswered {
+            self.log("start-unanswered", task.to_string(), format!("run={run}"));
+        }
+        if is_unanswered || fault == Fault::Unknown {
+            self.workers[at].hold_soon(now);
+            self.mark_suspect(at);
+        }
+    }
+
     fn handle_start_refusal(
         &mut self,
         at: usize,
@@ -223,6 +301,13 @@
         fault: Fault,
         now: Millis,
     ) {
+        self.release_run(at, task, run);
+        self.stop_gang(task, run);
+        self.apply_refusal(at, task, fault, now);
+    }
+
+    /// Applies what a refused start says about its worker and its ticket.
+    fn apply_refusal(&mut self, at: usize, task: &Task, fault: Fault, now: Millis) {
         let worker = &mut self.workers[at];
         match fault {
             Fault::Unhealthy => worker.quarantine_unhealthy(now),
@@ -234,8 +319,6 @@
             _ => {}
         }
         let id = worker.node.id.clone();
-        self.release_run(at, task, run);
-        self.stop_gang(task, run);
         if fault == Fault::Ticket
             && let Some(job) = self.job_index(&task.part.job)
             && let Some(stage) = self.jobs[job].stage_mut(task.part.occurrence, task.part.step)
@@ -295,6 +378,7 @@
         answer: Result<Reply, Fault>,
         now: Millis,
     ) {
+        let is_open = self.workers[at].orders.has(Kind::Stop, task, run);
         let Some(entry) = self.workers[at].run_mut(task, run) else {
             return;
         };
@@ -310,6 +394,8 @@
             Err(Fault::Restarted) => {
                 self.release_run(at, task, run);
             }
+            // Another order may still be answered.
+            Err(_) if is_open => {}
             Err(_) => {
                 entry.phase = Phase::Stop;
                 self.workers[at].has_stops = true;
--- a/crates/marigoldpick-job/src/lib.rs
+++ b/crates/marigoldpick-job/src/lib.rs
@@ -11,6 +11,7 @@
 pub mod askers;
 pub mod job;
 pub mod lead;
+pub mod open;
 pub mod place;
 pub mod question;
 pub mod queue;
--- a/crates/marigoldpick-job/src/settings.rs
+++ b/crates/marigoldpick-job/src/settings.rs
@@ -38,6 +38,12 @@
     pub hold_gap: Millis,
     /// The backoff after a hold without an answer.
     pub hold_retry: Millis,
+    /// How long after a start or a stop without an answer it is sent again; zero for never.
+    ///
+    /// Healthy workers answer within a few milliseconds beyond the round trip.
+    pub start_retry: Millis,
+    /// How long a hold's answer may be late, beyond its wait, before a probe is sent beside it; zero for ever.
+    pub hold_overdue: Millis,
     /// The least time between two commits, which groups changes.
     pub commit_gap: Millis,
     /// The backoff before a commit without an answer is retried.
@@ -67,6 +73,8 @@
             hold_wait: Millis(2_000),
             hold_gap: Millis(100),
             hold_retry: Millis(250),
+            start_retry: Millis::ZERO,
+            hold_overdue: Millis::ZERO,
             commit_gap: Millis(20),
             commit_retry: Millis(100),
             term_grace: Millis(3_000),
--- a/crates/marigoldpick-job/src/worker.rs
+++ b/crates/marigoldpick-job/src/worker.rs
@@ -6,6 +6,7 @@
 use marigoldpick_core::work::port::{Node, Target};
 use marigoldpick_core::work::{Part, Step, Task};
 
+use crate::open::{Attempts, Holds, Kind, Orders};
 use crate::settings::Settings;
 use crate::speed::DecayingMean;
 
@@ -14,7 +15,7 @@
 /// A run that has worked for this time did not crash its worker by its start.
 pub(crate) const SETTLE_TIME: Millis = Millis(250);
 /// A call that fails within this time was refused or reset; connections and calls time out later.
-const BROKEN_CALL_TIME: Millis = Millis(300);
+pub(crate) const BROKEN_CALL_TIME: Millis = Millis(300);
 /// A worker is new for this time. Workers that crash again and again for other reasons are.
 const NEW_WORKER_TIME: Millis = Millis(10_000);
 /// The quarantine after consecutive task failures.
@@ -60,8 +61,10 @@
     pub phase: Phase,
     /// The revision of its job from which on the job's record names the run; the greatest number if none does.
     pub recorded_by: u64,
-    /// When the start was ordered, if it was.
+    /// When the start was last ordered, if it was.
     pub ordered_at: Option<Millis>,
+    /// The orders that were sent for the run.
+    pub attempts: Attempts,
     /// When the run was confirmed to be running.
     pub confirmed_at: Millis,
     /// Whether the worker has restarted since the start was ordered. The run has ended unless a report
@@ -100,6 +103,7 @@
             phase,
             recorded_by: 0,
             ordered_at: None,
+            attempts: Attempts::default(),
             confirmed_at: now,
             outlived: false,
             estimate: Millis::ZERO,
@@ -195,14 +199,12 @@
     /// A worker becomes suspect when a start gets no answer or does not reach it, or when many
     /// workers of its failure domain are unresponsive.
     pub is_suspect: bool,
-    /// Whether a probe is in flight: a hold without a wait, beside another hold.
-    pub probe_in_flight: bool,
-    /// Whether a hold is in flight.
-    pub hold_in_flight: bool,
-    /// Whether the hold in flight was sent to an earlier life of the worker, whose ends had other numbers.
-    pub hold_is_outdated: bool,
-    /// The wait of the hold in flight.
-    pub hold_wait: Millis,
+    /// The open orders for its runs.
+    pub orders: Orders,
+    /// The holds in flight.
+    pub holds: Holds,
+    /// The number of the last hold that brought a report, and the worker's clock in it.
+    last_report: (u64, Millis),
     /// The time when the next hold is due.
     pub next_hold: Millis,
     /// The last end that an answered hold allowed the worker to forget.
@@ -256,10 +258,9 @@
             unrecorded_ends: VecDeque::new(),
             unanswered_starts: Vec::new(),
             is_suspect: false,
-            probe_in_flight: false,
-            hold_in_flight: false,
-            hold_is_outdated: false,
-            hold_wait: Millis::ZERO,
+            orders: Orders::default(),
+            holds: Holds::default(),
+            last_report: (0, Millis::ZERO),
             next_hold: Millis::ZERO,
             acknowledged_end: 0,
             unanswered_holds: 0,
@@ -549,6 +550,38 @@
         recent.map(|(task, run, _)| (task, run)).collect()
     }
 
+    /// Returns the runs whose start or stop is to be sent again, `interval` after the last order.
+    ///
+    /// A worker that is not responsive gets none, and neither does one whose life is over or in question.
+    #[must_use]
+    pub fn due_repeats(&self, interval: Millis, now: Millis) -> Vec<(Kind, Task, u64)> {
+        if self.orders.is_empty() || !self.is_responsive() || self.has_ended || !self.has_reported {
+            return Vec::new();
+        }
+        let due = |run: &Run| {
+            let kind = match run.phase {
+                Phase::Ordered => Kind::Start,
+                Phase::Stopping => Kind::Stop,
+                _ => return None,
+            };
+            let is_due = run.attempts.is_due(kind, interval, now)
+                && !(kind == Kind::Start && run.outlived)
+                && self.orders.has(kind, &run.task, run.run);
+            is_due.then(|| (kind, run.task.clone(), run.run))
+        };
+        self.runs.iter().filter_map(due).collect()
+    }
+
+    /// Records a report in the answer to the hold with `number`; returns whether a later one has been processed.
+    pub fn record_report(&mut self, number: u64, clock: Millis) -> bool {
+        let (last_number, last_clock) = self.last_report;
+        let is_stale = number < last_number && clock < last_clock;
+        if !is_stale {
+            self.last_report = (number, clock);
+        }
+        is_stale
+    }
+
     /// Records whether a task failed or succeeded; consecutive failures quarantine the worker.
     pub fn record_outcome(&mut self, failed: bool, now: Millis) {
         if !failed {
@@ -588,19 +621,16 @@
 
     /// Resets the state after a restart of the worker and returns its former runs.
     ///
-    /// The holds in flight, the waiver and the quarantine stay.
+    /// The holds and starts in flight, the waiver and the quarantine stay.
     pub fn reset(&mut self, node: Node, lapse: Millis, now: Millis) -> Vec<Run> {
         let runs = std::mem::take(&mut self.runs);
-        let (hold_in_flight, hold_wait, probe_in_flight) =
-            (self.hold_in_flight, self.hold_wait, self.probe_in_flight);
+        let (holds, orders) = (self.holds.outdated(), self.orders.take_starts());
         let (quarantined_until, is_waived) = (self.quarantined_until, self.is_waived);
         *self = Self::new(node, lapse, now);
         self.has_restarted = true;
         self.is_waived = is_waived;
-        self.hold_in_flight = hold_in_flight;
-        self.hold_is_outdated = hold_in_flight;
-        self.hold_wait = hold_wait;
-        self.probe_in_flight = probe_in_flight;
+        self.holds = holds;
+        self.orders = orders;
         self.quarantined_until = quarantined_until;
         runs
     }
--- a/crates/marigoldpick-job/tests/lead/main.rs
+++ b/crates/marigoldpick-job/tests/lead/main.rs
@@ -5,6 +5,7 @@
 mod leases;
 mod numbers;
 mod outages;
+mod repeats;
 mod teams;
 mod work;
 mod world;
--- a/crates/marigoldpick-job/tests/lead/numbers.rs
+++ b/crates/marigoldpick-job/tests/lead/numbers.rs
@@ -148,6 +148,11 @@
         seen: 0,
         wait: Millis::ZERO,
     };
+    let id = worker_id(worker);
+    let of_id = |have: &&marigoldpick_job::worker::Worker| have.node.id == id;
+    let state = world.lead.workers().iter().find(of_id);
+    let in_flight = state.and_then(|worker| worker.holds.current.as_ref());
+    let number = in_flight.expect("a hold in flight").number;
     let born = world.pool.workers[worker].node.born;
     let reply = Reply {
         clock,
@@ -156,7 +161,7 @@
     };
     world
         .lead
-        .handle_reply(&worker_id(worker), &hold, Ok(reply), world.now, world.now);
+        .handle_reply(&id, (&hold, number), Ok(reply), world.now, world.now);
 }
 
 #[googletest::test]
--- a/crates/marigoldpick-job/tests/lead/world.rs
+++ b/crates/marigoldpick-job/tests/lead/world.rs
@@ -9,7 +9,7 @@
 use marigoldpick_core::team::{Limit, Share};
 use marigoldpick_core::work::lease::Bound;
 use marigoldpick_core::work::port::{Advice, Fault, Node, Order, Reply};
-use marigoldpick_core::work::{Job, Part, Phase, Schedule, Step};
+use marigoldpick_core::work::{Job, Part, Phase, Schedule, Step, Task};
 use marigoldpick_job::action::Action;
 use marigoldpick_job::lead::Origin;
 use marigoldpick_job::lead::commit::Outcome;
@@ -95,11 +95,14 @@
     queue
 }
 
+/// An order with its number.
+type Sent = (Order, u64);
+
 /// `Message` is a message in flight.
 #[derive(Clone, Debug)]
 enum Message {
-    Order(usize, u64, Order, Millis),
-    Answer(id::Worker, Order, Result<Reply, Fault>, Millis),
+    Order(usize, u64, Sent, Millis),
+    Answer(id::Worker, Sent, Result<Reply, Fault>, Millis),
     Advised(id::Entry, Part, Vec<id::Worker>, Advice),
     Committed(Outcome),
 }
@@ -140,10 +143,18 @@
     pub late_percent: u32,
     /// Whether starts get no answer and are carried out 600 ms late.
     pub answers_lost: bool,
+    /// Whether starts are carried out at once and their answers are lost.
+    pub answers_lost_at_once: bool,
     /// Whether all holds are lost: they get no answer and are never carried out.
     pub holds_lost: bool,
     /// The percentage of holds that are lost in this way.
     pub lost_holds_percent: u32,
+    /// The percentage of orders of all kinds that get no answer; see `lose_answer`.
+    pub unanswered_percent: u32,
+    /// Whether some of these orders are carried out at once, and only their answers are lost.
+    pub executes_unanswered: bool,
+    /// The starts that were lost in this way, with their times.
+    pub unanswered_starts: Vec<(Task, u64, Millis)>,
     /// Starts that the lead sent, with time and worker, whether they arrived or not.
     pub sent_starts: Vec<(Millis, usize)>,
     in_flight: Vec<(Millis, u64, Message)>,
@@ -153,6 +164,15 @@
 }
 
 impl World {
+    /// Creates a world whose lead repeats orders without an answer.
+    pub fn with_retries(workers: usize) -> Self {
+        let mut world = Self::new(workers);
+        world.settings.start_retry = Millis(150);
+        world.settings.hold_overdue = Millis(150);
+        world.take_over();
+        world
+    }
+
     pub fn new(workers: usize) -> Self {
         let settings = Settings::default();
         let queues = vec![queue("fast", 0), queue("slow", 2)];
@@ -184,6 +204,10 @@
             holds_lost: false,
             lost_holds_percent: 0,
             answers_lost: false,
+            answers_lost_at_once: false,
+            unanswered_percent: 0,
+            executes_unanswered: true,
+            unanswered_starts: Vec::new(),
             sent_starts: Vec::new(),
             in_flight: Vec::new(),
             sequence: 0,
@@ -288,9 +312,10 @@
     /// Lets the holds fail that wait on a worker.
     fn break_holds(&mut self, at: usize) {
         let id = self.pool.workers[at].node.id.clone();
+        let own_term = self.lead.term();
         for (_, _, message) in &mut self.in_flight {
-            if let Message::Order(to, _, order @ Order::Hold { .. }, sent) = message
-                && *to == at
+            if let Message::Order(to, term, order @ (Order::Hold { .. }, _), sent) = message
+                && (*to, *term) == (at, own_term)
                 && *sent > Millis::ZERO
             {
                 let (order, sent) = (order.clone(), *sent);
@@ -304,6 +329,11 @@
     /// The holds that wait on it fail with their connections.
     pub fn restart_worker(&mut self, at: usize) {
         self.break_holds(at);
+        // A hold that outlives its worker acknowledges ends of the next life, since the platform's orders name no life.
+        let is_hold = |order: &Sent| matches!(order.0, Order::Hold { .. });
+        self.in_flight.retain(|(_, _, message)| {
+            !matches!(message, Message::Order(to, _, order, Millis::ZERO) if *to == at && is_hold(order))
+        });
         let born = self.pool.workers[at].node.born + 1_000;
         self.pool.restart(at, born);
     }
@@ -349,9 +379,35 @@
         (self.random_state >> 33) as u32 % 100
     }
 
+    /// Returns true in `percent` of the calls; the order of random numbers stays the same where it is zero.
+    fn random_percent_below(&mut self, percent: u32) -> bool {
+        percent > 0 && self.random_percent() < percent
+    }
+
+    /// Lets an order without an answer be carried out at once, 2 to 12 s later, or never.
+    fn lose_answer(&mut self, at: usize, (order, number): Sent) {
+        let delay = match self.random_percent() {
+            0..25 if self.executes_unanswered => ONE_WAY_DELAY,
+            0..70 => Millis(2_000 + u64::from(self.random_percent()) * 100),
+            _ => Millis::MAX,
+        };
+        if let Order::Start(start) = &order {
+            let lost = (start.task.clone(), start.run, self.now);
+            self.unanswered_starts.push(lost);
+        }
+        if delay < Millis::MAX {
+            let late = Message::Order(at, self.lead.term(), (order, number), Millis::ZERO);
+            self.send(delay, late);
+        }
+    }
+
     fn perform(&mut self, action: Action) {
         match action {
-            Action::Order { target, order } => {
+            Action::Order {
+                target,
+                order,
+                number,
+            } => {
                 let mut workers = self.pool.workers.iter();
                 let at = workers.position(|worker| worker.node.address == target.address);
                 let Some(at) = at else { return };
@@ -364,15 +420,22 @@
                 if let Some(fault) = refusal
                     && self.is_connected(at)
                 {
+                    let order = (order, number);
                     let refused = Message::Answer(target.id, order, Err(fault), self.now);
                     self.send(ONE_WAY_DELAY + ONE_WAY_DELAY, refused);
                     return;
                 }
                 let is_start = matches!(order, Order::Start(_));
+                let is_stop = matches!(order, Order::Stop { .. });
+                let wait = match order {
+                    Order::Hold { wait, .. } => Some(wait),
+                    Order::Start(_) | Order::Stop { .. } | Order::Pace { .. } => None,
+                };
+                let order = (order, number);
                 if is_start {
                     self.sent_starts.push((self.now, at));
                 }
-                self.sent_stops += usize::from(matches!(order, Order::Stop { .. }));
+                self.sent_stops += usize::from(is_stop);
                 if self.resets_connections && !self.is_reachable(at) {
                     let failed = Message::Answer(target.id, order, Err(Fault::Away), self.now);
                     self.send(ONE_WAY_DELAY, failed);
@@ -380,10 +443,11 @@
                 }
                 let timed_out =
                     Message::Answer(target.id, order.clone(), Err(Fault::Unknown), self.now);
-                let wait = match order {
-                    Order::Hold { wait, .. } => Some(wait),
-                    Order::Start(_) | Order::Stop { .. } | Order::Pace { .. } => None,
-                };
+                if self.is_reachable(at) && self.random_percent_below(self.unanswered_percent) {
+                    self.send(ORDER_TIMEOUT + wait.unwrap_or_default(), timed_out);
+                    self.lose_answer(at, order);
+                    return;
+                }
                 let lost = wait.is_some()
                     && (self.holds_lost || self.random_percent() < self.lost_holds_percent);
                 if !self.is_reachable(at) || lost {
@@ -392,6 +456,10 @@
                     self.send(ORDER_TIMEOUT, timed_out);
                     let late = Message::Order(at, self.lead.term(), order, Millis::ZERO);
                     self.send(ORDER_TIMEOUT + Millis(2), late);
+                } else if is_start && self.answers_lost_at_once {
+                    self.send(ORDER_TIMEOUT, timed_out);
+                    let unanswered = Message::Order(at, self.lead.term(), order, Millis::ZERO);
+                    self.send(ONE_WAY_DELAY, unanswered);
                 } else if is_start && self.random_percent() < self.late_percent {
                     self.send(ORDER_TIMEOUT, timed_out);
                     self.send(
@@ -477,7 +545,8 @@
             match message {
                 Message::Order(at, term, order, sent) => self.execute_order(at, term, order, sent),
                 Message::Answer(worker, order, answer, sent) => {
-                    self.lead.handle_reply(&worker, &order, answer, sent, now);
+                    let order = (&order.0, order.1);
+                    self.lead.handle_reply(&worker, order, answer, sent, now);
                 }
                 Message::Advised(asker, part, workers, advice) => {
                     self.lead
@@ -491,24 +560,26 @@
     /// Carries out an order on a worker; an order with a `sent` time of zero gets no answer.
     ///
     /// Connections to a worker break when it crashes.
-    fn execute_order(&mut self, at: usize, term: u64, order: Order, sent: Millis) {
+    fn execute_order(&mut self, at: usize, term: u64, order: Sent, sent: Millis) {
         let id = self.pool.workers[at].node.id.clone();
+        // Another lead knows nothing of the order, and may use the same number.
+        let is_awaited = sent > Millis::ZERO && term == self.lead.term();
         if self.pool.workers[at].returns_at.is_some() && self.is_connected(at) {
-            if sent > Millis::ZERO {
+            if is_awaited {
                 let broken = Message::Answer(id, order, Err(Fault::Unknown), sent);
                 self.send(ONE_WAY_DELAY, broken);
             }
             return;
         }
         if !self.is_reachable(at) {
-            if sent > Millis::ZERO {
+            if is_awaited {
                 let timed_out = Message::Answer(id, order, Err(Fault::Unknown), sent);
                 self.send(ORDER_TIMEOUT, timed_out);
             }
             return;
         }
         // A hold that waits is answered when its wait is over, or once a run has ended.
-        if let Order::Hold { seen, wait, until } = &order
+        if let Order::Hold { seen, wait, until } = &order.0
             && *wait > Millis::ZERO
             && sent > Millis::ZERO
             && self.now.since(sent) < *wait
@@ -520,8 +591,8 @@
             self.send(Millis(5), again);
             return;
         }
-        let answer = self.pool.order(at, term, &order);
-        if sent > Millis::ZERO {
+        let answer = self.pool.order(at, term, &order.0);
+        if is_awaited {
             self.send(ONE_WAY_DELAY, Message::Answer(id, order, answer, sent));
         }
     }
--- a/crates/marigoldpick-node/src/driver.rs
+++ b/crates/marigoldpick-node/src/driver.rs
@@ -144,8 +144,12 @@
     fn execute(self: &Rc<Self>, leadership: &Rc<Leadership>, action: Action) {
         let (this, leadership) = (Rc::clone(self), Rc::clone(leadership));
         match action {
-            Action::Order { target, order } => {
-                task::spawn_local(this.deliver(leadership, target, order));
+            Action::Order {
+                target,
+                order,
+                number,
+            } => {
+                task::spawn_local(this.deliver(leadership, target, (order, number)));
             }
             Action::Ask {
                 asker,
@@ -161,15 +165,21 @@
         }
     }
 
-    /// Delivers an order and reports the answer to the lead.
-    async fn deliver(self: Rc<Self>, leadership: Rc<Leadership>, target: Target, order: Order) {
+    /// Delivers an order, given with its number, and reports the answer to the lead.
+    async fn deliver(
+        self: Rc<Self>,
+        leadership: Rc<Leadership>,
+        target: Target,
+        (order, number): (Order, u64),
+    ) {
         let sent = self.now();
         let domain = leadership.read(|lead| lead.domain_of(&target.id).cloned());
         let answer = self
             .send_order(&leadership, domain.as_ref(), &target, &order)
             .await;
         let now = self.now();
-        leadership.update(|lead| lead.handle_reply(&target.id, &order, answer, sent, now));
+        leadership
+            .update(|lead| lead.handle_reply(&target.id, (&order, number), answer, sent, now));
     }
 
     /// Queries the adviser through the entry `asker` and reports the answer to the lead.
@@ -413,6 +423,17 @@
             metrics::counter!(name).increment(now - before);
         }
     }
+    let retries = [
+        ("start", now.start_retries, before.start_retries),
+        ("stop", now.stop_retries, before.stop_retries),
+        ("hold", now.hold_retries, before.hold_retries),
+    ];
+    for (order, now, before) in retries {
+        if now > before {
+            metrics::counter!("marigold_order_retries_total", "order" => order)
+                .increment(now - before);
+        }
+    }
     now
 }
 
