--- a/crates/marigoldpick-job/src/lib.rs
+++ b/crates/marigoldpick-job/src/lib.rs
@@ -12,6 +12,7 @@
 pub mod delay;
 pub mod job;
 pub mod lead;
+pub mod open;
 pub mod place;
 pub mod question;
 pub mod queue;
