--- a/crates/marigoldpick-bench/src/cost/rig.rs
+++ b/crates/marigoldpick-bench/src/cost/rig.rs
@@ -189,6 +189,7 @@
             requests: 20_000,
             span: Span::default(),
             ownership: self.shape.ownership.clone(),
+            intake: Default::default(),
         };
         let text = toml::to_string(&settings).expect("settings are TOML");
         let file = self.directory.join(format!("{name}.toml"));
--- a/crates/marigoldpick-entry/src/entry.rs
+++ b/crates/marigoldpick-entry/src/entry.rs
@@ -10,6 +10,8 @@
 use marigoldpick_core::clock::System;
 use marigoldpick_core::control::Known;
 use marigoldpick_core::prelude::*;
+use marigoldpick_http::Intake;
+use marigoldpick_http::budget::Port;
 use marigoldpick_platform::{Caller, Store, Vms, Workers};
 use marigoldpick_wire as wire;
 use serde::Serialize;
@@ -173,11 +175,16 @@
         };
         let operate = {
             let api = operators::Api::new(sender.clone(), recorder.clone(), exposition);
-            task::spawn(async move {
-                if let Err(error) = api.server().listen(operators).await {
-                    log::error!(target: "entry", "The operators' listener failed; error={error}.");
-                }
-            })
+            let bounds = settings.intake;
+            let terms = move || bounds.terms(operators::MAX_BODY_BYTES);
+            let intake = Intake::start(bounds);
+            task::spawn(marigoldpick_http::serve(
+                intake,
+                Port::Operators,
+                operators,
+                api.server(),
+                terms,
+            ))
         };
         log::info!(target: "entry", "Started; entry={} domain={}.", known.entry, known.domain);
         Ok(Self {
--- a/crates/marigoldpick-entry/src/operators.rs
+++ b/crates/marigoldpick-entry/src/operators.rs
@@ -3,6 +3,7 @@
 use async_channel::Sender;
 use marigoldpick_core::operator::{Cancel, Confirm, Drain, PlanRequest, Problem};
 use marigoldpick_core::prelude::*;
+use marigoldpick_http::{Failure, read_body};
 use serde::Serialize;
 use serde::de::DeserializeOwned;
 use tide::utils::After;
@@ -13,7 +14,7 @@
 use crate::recorder::Recorder;
 
 /// The maximum size of a call's body.
-const MAX_BODY_BYTES: u64 = 4 << 20;
+pub(crate) const MAX_BODY_BYTES: usize = 4 << 20;
 
 /// `Api` is the state that the request handlers share.
 #[derive(Clone, Debug)]
@@ -184,18 +185,12 @@
 }
 
 async fn body<T: DeserializeOwned>(request: &mut Request<Api>) -> Outcome<T> {
-    let length = request.len().unwrap_or(0);
-    if u64::try_from(length).unwrap_or(u64::MAX) > MAX_BODY_BYTES {
-        return Err(Problem::new(Code::TooLarge, "the body has more than 4 MiB"));
-    }
-    let mut bytes = Vec::new();
-    let mut reader = futures::AsyncReadExt::take(request.take_body(), MAX_BODY_BYTES + 1);
-    futures::AsyncReadExt::read_to_end(&mut reader, &mut bytes)
-        .await
-        .map_err(|error| Problem::new(Code::BadRequest, error.to_string()))?;
-    if bytes.len() as u64 > MAX_BODY_BYTES {
-        return Err(Problem::new(Code::TooLarge, "the body has more than 4 MiB"));
-    }
+    let read = read_body(request.take_body(), MAX_BODY_BYTES).await;
+    let bytes = read.map_err(|why| match why {
+        Failure::BodyTooLarge => Problem::new(Code::TooLarge, "the body has more than 4 MiB"),
+        Failure::NoRoom => Problem::new(Code::NotAccepted, why.to_string()),
+        _ => Problem::new(Code::BadRequest, why.to_string()),
+    })?;
     serde_json::from_slice(&bytes).map_err(|error| {
         let unknown = error.to_string().contains("unknown field");
         let code = if unknown {
--- a/crates/marigoldpick-entry/src/settings.rs
+++ b/crates/marigoldpick-entry/src/settings.rs
@@ -44,6 +44,9 @@
     /// Settings of leases, heartbeats and logs, which must be the same at all entries of a site.
     #[serde(default)]
     pub ownership: marigoldpick_shard::Settings,
+    /// The bounds on what clients of the operators' interface can make the process hold.
+    #[serde(default)]
+    pub intake: marigoldpick_http::Settings,
 }
 
 /// `Peer` is another entry that the settings name.
@@ -122,6 +125,7 @@
         verify_event_limit("requests", self.requests)?;
         self.verify_peers()?;
         self.span.verify()?;
+        self.intake.verify()?;
         self.ownership.verify()
     }
 
--- a/crates/marigoldpick-entry/tests/path/site.rs
+++ b/crates/marigoldpick-entry/tests/path/site.rs
@@ -218,5 +218,6 @@
         requests: 1_000,
         span: marigoldpick_entry::settings::Span::default(),
         ownership: marigoldpick_shard::Settings::default(),
+        intake: Default::default(),
     }
 }
--- a/crates/marigoldpick-http/src/connection.rs
+++ b/crates/marigoldpick-http/src/connection.rs
@@ -6,15 +6,16 @@
 use async_std::net::Shutdown;
 use async_std::task;
 use futures::io::{AsyncReadExt, AsyncWriteExt, BufReader};
-use http_types::headers::CONNECTION;
+use http_types::headers::{CONNECTION, RETRY_AFTER};
 use http_types::{Body, Method, Response};
 use marigoldpick_core::prelude::*;
 
 use crate::budget::{BASE_BYTES, Stage};
+use crate::failure::RETRY_AFTER_S;
 use crate::head::{self, Head, Length};
 use crate::reader::{Home, Reader};
 use crate::wire::Wire;
-use crate::{Service, Terms};
+use crate::{Failure, Service, Terms};
 
 /// The size of the pieces in which an answer is written, in bytes.
 const PIECE_BYTES: usize = 4_096;
@@ -96,10 +97,12 @@
     head.request.set_body(Body::from_reader(reader, length));
     let mut response = service.respond(head.request).await;
     let wire = home.lock().unwrap_or_else(PoisonError::into_inner).take()?;
-    if let Some(failure) = wire.failure
-        && failure.status() != response.status()
-    {
-        response = failure.response();
+    if wire.failure == Some(Failure::NoRoom) {
+        if response.status() != Failure::NoRoom.status() {
+            response = Failure::NoRoom.response();
+        } else if response.header(RETRY_AFTER).is_none() {
+            response.insert_header(RETRY_AFTER, RETRY_AFTER_S);
+        }
     }
     Some((wire, response))
 }
--- a/crates/marigoldpick-http/src/failure.rs
+++ b/crates/marigoldpick-http/src/failure.rs
@@ -5,7 +5,7 @@
 use http_types::{Response, StatusCode, mime};
 
 /// The value of the header `Retry-After`, in seconds.
-const RETRY_AFTER_S: &str = "1";
+pub(crate) const RETRY_AFTER_S: &str = "1";
 
 /// `Failure` is why a request could not be read.
 #[derive(Clone, Copy, Debug, Display, PartialEq, Eq)]
