Bound what the frames in arrival at the inner port hold

capnp allocates a frame's segments and fills them with zeros once it has read the frame's table. A frame may have 32 MiB, so that four packed bytes on a connection took as much; nothing bounded the sum over the 1,024 connections.

The server now asks a budget (the one of marigoldpick-http) between the table and the allocation: 44 MiB for all frames in arrival, of which the largest one fits into the share of large ones. A frame that has been arriving for over a second is closed for a newer one; frames up to 4 KiB ask nothing.

The new test announces frames of 4,194,303 words on 40 connections and sends no more.

--- a/crates/marigoldpick-wire/src/lib.rs
+++ b/crates/marigoldpick-wire/src/lib.rs
@@ -5,6 +5,7 @@
 //! types of calls and answers are those of marigoldpick-core; only this crate converts them to and
 //! from the generated types of the schema.
 
+mod arrival;
 mod call;
 mod client;
 mod convert;
--- a/crates/marigoldpick-wire/src/link.rs
+++ b/crates/marigoldpick-wire/src/link.rs
@@ -182,7 +182,7 @@
             .await
             .map_err(|_source| Error::Away)?;
         stream.set_nodelay(true).map_err(|_source| Error::Away)?;
-        let mut system = RpcSystem::new(network(&stream, Side::Client), None);
+        let mut system = RpcSystem::new(network(&stream, Side::Client, None), None);
         let bootstrap: peer::Client = system.bootstrap(Side::Server);
         let connection = Connection {
             stream,
--- a/crates/marigoldpick-wire/src/server.rs
+++ b/crates/marigoldpick-wire/src/server.rs
@@ -1,6 +1,5 @@
 //! The server, which answers calls of other entries.
 
-use std::cell::RefCell;
 use std::io;
 use std::net::{SocketAddr, TcpListener};
 use std::rc::Rc;
@@ -15,6 +14,7 @@
 use marigoldpick_core::prelude::*;
 
 use crate::VERSION;
+use crate::arrival::Arrivals;
 use crate::call::{Answer, Call};
 use crate::convert::{self, Malformed};
 use crate::partition::Partition;
@@ -95,20 +95,15 @@
     partition: Partition,
 }
 
-/// `Streams` holds the open connections, which the server closes when it ends.
-type Streams = Rc<RefCell<Vec<(u64, TcpStream)>>>;
-
 impl<H: Handler> Host<H> {
     async fn run(self, listener: async_std::net::TcpListener, ended: async_channel::Receiver<()>) {
-        let streams = Streams::default();
-        let mut next = 0;
+        let arrivals = Arrivals::new(MAX_CONNECTIONS);
         loop {
             let accept = std::pin::pin!(listener.accept());
             let end = std::pin::pin!(ended.recv());
             match select(accept, end).await {
                 Either::Left((Ok((stream, _)), _)) => {
-                    next += 1;
-                    self.serve(stream, next, &streams);
+                    self.serve(stream, &arrivals);
                 }
                 Either::Left((Err(error), _)) => {
                     log::warn!(target: "wire", "accept failed: {error}");
@@ -117,30 +112,26 @@
                 Either::Right(_) => break,
             }
         }
-        for (_, stream) in streams.borrow().iter() {
-            close(stream);
-        }
+        arrivals.close_all();
     }
 
-    fn serve(&self, stream: TcpStream, number: u64, streams: &Streams) {
-        if streams.borrow().len() >= MAX_CONNECTIONS {
+    fn serve(&self, stream: TcpStream, arrivals: &Arrivals) {
+        let Some(place) = arrivals.open(&stream) else {
             log::warn!(target: "wire", "connection limit reached; closing a new connection");
             return;
-        }
+        };
         if let Err(error) = stream.set_nodelay(true) {
             log::debug!(target: "wire", "new connection lost: {error}");
             return;
         }
-        streams.borrow_mut().push((number, stream.clone()));
         let bootstrap: peer::Client = capnp_rpc::new_client(Bootstrap { host: self.clone() });
-        let system = RpcSystem::new(network(&stream, Side::Server), Some(bootstrap.client));
-        let streams = Rc::clone(streams);
+        let network = network(&stream, Side::Server, Some(place));
+        let system = RpcSystem::new(network, Some(bootstrap.client));
         task::spawn_local(async move {
             if let Err(error) = system.await {
                 log::warn!(target: "wire", "connection closed: {error}");
             }
             close(&stream);
-            streams.borrow_mut().retain(|(known, _)| *known != number);
         });
     }
 }
--- a/crates/marigoldpick-wire/src/stream.rs
+++ b/crates/marigoldpick-wire/src/stream.rs
@@ -12,21 +12,29 @@
 use futures::io::{AsyncRead, AsyncWrite, BufReader, BufWriter};
 use metrics::Counter;
 
+use crate::arrival::{Gauge, Place};
+
 /// The largest frame, in words of eight bytes: 32 MiB.
 const MAX_FRAME_WORDS: usize = 4 << 20;
 /// The deepest nesting of pointers in a frame.
 const MAX_NESTING: i32 = 32;
 
 /// The reader of incoming frames, which are packed since most of their bytes are zero.
-type Incoming = PackedRead<BufReader<Metered>>;
+type Incoming = Gauge<PackedRead<BufReader<Metered>>>;
 
-/// Makes the network of one side; a frame beyond the limits ends the connection.
-pub(crate) fn network(stream: &TcpStream, side: Side) -> Box<VatNetwork<Incoming>> {
+/// Makes the network of one side; a frame beyond the limits, or beyond the room that `place` has, ends
+/// the connection.
+pub(crate) fn network(
+    stream: &TcpStream,
+    side: Side,
+    place: Option<Place>,
+) -> Box<VatNetwork<Incoming>> {
     let mut options = ReaderOptions::new();
     options
         .traversal_limit_in_words(Some(MAX_FRAME_WORDS))
         .nesting_limit(MAX_NESTING);
     let reader = PackedRead::new(BufReader::new(Metered::new(stream)));
+    let reader = Gauge::new(reader, place);
     let writer = PackedWrite::new(BufWriter::new(Metered::new(stream)));
     Box::new(VatNetwork::new(reader, writer, side, options))
 }
--- a/crates/marigoldpick-wire/tests/wire/faults.rs
+++ b/crates/marigoldpick-wire/tests/wire/faults.rs
@@ -1,11 +1,12 @@
 //! Tests of peers that are unreachable, unresponsive, cut off, restarted, of another version, or
 //! send malformed data.
 
-use std::io::{Read, Write};
+use std::io::{ErrorKind, Read, Write};
 use std::net::{SocketAddr, TcpStream};
 use std::sync::Arc;
 use std::sync::atomic::{AtomicBool, Ordering};
 use std::thread;
+use std::time::Duration;
 
 use async_std::task::{block_on, spawn};
 use futures::future::join_all;
@@ -275,6 +276,32 @@
     }
 }
 
+/// Strangers announce the largest frames and send nothing more. Each was given 32 MiB at once.
+#[googletest::test]
+fn announced_frames_hold_no_more_than_the_bound() {
+    let (server, to) = serve(&Script::new());
+    // One segment of 4,194,303 words, packed: a tag for each word, then its bytes that are not zero.
+    let announcement = [0b0111_0000, 0xff, 0xff, 0x3f];
+    let strangers: Vec<TcpStream> = (0..40)
+        .map(|_| {
+            let mut stream = TcpStream::connect(server.address()).expect("a connection");
+            stream.write_all(&announcement).expect("written");
+            let wait = Some(Duration::from_millis(100));
+            stream.set_read_timeout(wait).expect("a timeout");
+            stream
+        })
+        .collect();
+    let client = client(Settings::default());
+    let answer = block_on(client.call(&to, entries(1), LONG));
+    expect_that!(answer, eq(&sequence(1)));
+    // A connection that is still open is silent; one that was ended is at its end.
+    let open = strangers
+        .into_iter()
+        .filter_map(|mut stream| stream.read(&mut [0; 8]).err())
+        .filter(|error| error.kind() == ErrorKind::WouldBlock);
+    expect_that!(open.count(), eq(1));
+}
+
 #[googletest::test]
 fn malformed_answer_to_the_first_message_is_away() {
     let socket = listener();
