Decide from a summary of the backlog whether a job can end in time

Accepted work waits until its result has lost its value when a burst, or a team above its rate, brings more work than there is room for. Nothing could turn it away before it was stored.

The lead now summarises on request, at most every 250 ms, what waits for each service by excess, priority and size, with the usable capacity and the rate measured over 3 s. `admission::decide` compares the expected end of a new job with three times its objective. What is unknown counts for the job. Nothing uses the decision yet.

--- a/crates/marigoldpick-core/src/work.rs
+++ b/crates/marigoldpick-core/src/work.rs
@@ -16,6 +16,7 @@
 use crate::resource::Amount;
 
 pub mod lease;
+pub mod load;
 pub mod peer;
 pub mod port;
 pub mod relay;
--- a/crates/marigoldpick-job/src/lead.rs
+++ b/crates/marigoldpick-job/src/lead.rs
@@ -12,6 +12,7 @@
 mod evacuate;
 mod hold;
 mod lease;
+mod load;
 mod losses;
 mod quota;
 mod registry;
@@ -29,6 +30,7 @@
 
 use marigoldpick_core::prelude::*;
 use marigoldpick_core::team::Share as TeamShare;
+use marigoldpick_core::work::load::Summary;
 use marigoldpick_core::work::port::Order;
 use marigoldpick_core::work::{self, Part, Phase, Task};
 
@@ -43,6 +45,7 @@
 use crate::record::Record;
 use crate::settings::Settings;
 use crate::speed::Slowdowns;
+use crate::throughput::Throughput;
 use crate::worker::{self, Worker};
 
 /// The number of bits of a run number that count the runs of one term, which allows 2^20 runs.
@@ -139,6 +142,9 @@
     /// Whether another lead has taken over.
     deposed: bool,
     slowdowns: Slowdowns,
+    throughput: Throughput,
+    /// The last summary of the waiting work, and when it was computed.
+    load: Option<(Millis, Summary)>,
     losses: losses::LossRate,
     actions: Vec<Action>,
     decisions: Vec<Decision>,
@@ -194,6 +200,8 @@
             may_lack_records: false,
             deposed: false,
             slowdowns: Slowdowns::default(),
+            throughput: Throughput::default(),
+            load: None,
             losses: losses::LossRate::default(),
             actions: Vec::new(),
             decisions: Vec::new(),
--- a/crates/marigoldpick-job/src/lead/report.rs
+++ b/crates/marigoldpick-job/src/lead/report.rs
@@ -228,13 +228,16 @@
         let index = if gang { 0 } else { end.task.index };
         match end.how {
             Exit::Done if !lasting => {
+                let unfinished = stage.unfinished;
                 if gang {
                     (0..stage.tasks.len() as u32).for_each(|index| stage.finish_task(index));
                 } else {
                     stage.finish_task(end.task.index);
                 }
-                if stage.unfinished == 0 {
-                    let detail = format!("tasks={}", stage.tasks.len());
+                let (left, tasks) = (stage.unfinished, stage.tasks.len());
+                self.record_throughput(at, &end.task.part, unfinished - left, now);
+                if left == 0 {
+                    let detail = format!("tasks={tasks}");
                     self.log("step-done", end.task.part.to_string(), detail);
                     self.update_estimates(at);
                     self.mark_waiting(at);
--- a/crates/marigoldpick-job/src/lib.rs
+++ b/crates/marigoldpick-job/src/lib.rs
@@ -7,6 +7,7 @@
 //! order starts without a record; see [`Lead::allow_unrecorded`].
 
 pub mod action;
+pub mod admission;
 pub mod advice;
 pub mod askers;
 pub mod job;
@@ -20,6 +21,7 @@
 pub mod record;
 pub mod settings;
 mod speed;
+pub mod throughput;
 pub mod worker;
 
 pub use action::Action;
--- a/crates/marigoldpick-job/src/rank.rs
+++ b/crates/marigoldpick-job/src/rank.rs
@@ -15,7 +15,7 @@
 /// The number of workers assumed for a question to the adviser in a job's time objective.
 const ASSUMED_WORKERS: usize = 30;
 /// A job counts as late up to this multiple of its objective, and as expired after it.
-const LATE_FACTOR: u64 = 3;
+pub const LATE_FACTOR: u64 = 3;
 
 /// `Timeliness` is how useful the result still is to the caller.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
@@ -57,15 +57,27 @@
 /// The number of cores that an accelerator counts as.
 const ACCELERATOR_CORES: u64 = 8;
 
+/// Returns the processors of an amount in thousandths of a core, with the cores that its accelerators count as.
+#[must_use]
+pub fn counted_millicores(amount: &Amount) -> u64 {
+    let accelerators = amount.accelerators.iter().map(|a| u64::from(a.count));
+    let accelerated = accelerators.sum::<u64>() * ACCELERATOR_CORES * 1_000;
+    amount.millicores.saturating_add(accelerated)
+}
+
+/// Returns the estimated work of one task of a step, in core-milliseconds.
+#[must_use]
+pub fn task_work(step: &Step) -> u64 {
+    let millicores = counted_millicores(&step.needs);
+    step.estimate.0.saturating_mul(millicores) / 1_000
+}
+
 /// Returns the remaining work of an occurrence, in core-milliseconds.
-fn remaining_work(job: &Job, occurrence: &Occurrence) -> u64 {
+#[must_use]
+pub fn remaining_work(job: &Job, occurrence: &Occurrence) -> u64 {
     let steps = job.spec.steps.iter().zip(&occurrence.stages);
     let work = |(step, stage): (&Step, &Stage)| {
-        let accelerators = step.needs.accelerators.iter().map(|a| u64::from(a.count));
-        let accelerated = accelerators.sum::<u64>() * ACCELERATOR_CORES * 1_000;
-        let millicores = step.needs.millicores.saturating_add(accelerated);
-        let each = step.estimate.0.saturating_mul(millicores) / 1_000;
-        each.saturating_mul(u64::from(stage.unfinished))
+        task_work(step).saturating_mul(u64::from(stage.unfinished))
     };
     steps.map(work).fold(0, u64::saturating_add)
 }
@@ -96,12 +108,24 @@
     Millis((work.0 as f64 * queue.stretch) as u64) + queue.target
 }
 
+/// Returns the critical path of all steps.
+#[must_use]
+pub fn full_time(spec: &work::Job, queue: &Queue) -> Millis {
+    critical_path(spec, queue, |_| true)
+}
+
 /// Returns the critical path of the unfinished steps.
 #[must_use]
 pub fn time_left(spec: &work::Job, occurrence: &Occurrence, queue: &Queue) -> Millis {
     critical_path(spec, queue, |step| occurrence.stages[step].unfinished > 0)
 }
 
+/// Returns whether an occurrence will end after its result has lost its value.
+#[must_use]
+pub fn is_expired(job: &Job, occurrence: &Occurrence, now: Millis) -> bool {
+    now + occurrence.time_left > occurrence.due + job.objective.times(LATE_FACTOR)
+}
+
 /// Ranks a step of one occurrence of a job.
 ///
 /// Load pattern: lasting tasks fail or lose their worker while other queues have a backlog. Their
--- a/crates/marigoldpick-job/src/rate.rs
+++ b/crates/marigoldpick-job/src/rate.rs
@@ -30,13 +30,18 @@
         (rate * BURST.0 as f64 / SECOND_MS).max(MIN_BURST)
     }
 
+    /// Returns the tokens at `wall`, in milliseconds since 1970.
+    fn tokens_at(&self, wall: u64) -> f64 {
+        let passed = wall.saturating_sub(self.refilled);
+        let refill = passed as f64 * self.rate / SECOND_MS;
+        (self.tokens + refill).min(Self::capacity(self.rate))
+    }
+
     /// Takes a token for a job accepted at `accepted`; returns whether there was one.
     fn take(&mut self, accepted: u64) -> bool {
         // Entries' clocks differ slightly, so a job may be older than the last refill.
-        let passed = accepted.saturating_sub(self.refilled);
+        self.tokens = self.tokens_at(accepted);
         self.refilled = self.refilled.max(accepted);
-        let refill = passed as f64 * self.rate / SECOND_MS;
-        self.tokens = (self.tokens + refill).min(Self::capacity(self.rate));
         if self.tokens < 1.0 {
             return false;
         }
@@ -72,6 +77,14 @@
         }
     }
 
+    /// Returns the teams whose next job would be excess at `wall`, in milliseconds since 1970; sorted.
+    #[must_use]
+    pub fn above_rate(&self, wall: u64) -> Vec<id::Team> {
+        let is_empty = |bucket: &&Bucket| bucket.tokens_at(wall) < 1.0;
+        let above = self.buckets.iter().filter(is_empty);
+        above.map(|bucket| bucket.team.clone()).collect()
+    }
+
     /// Counts a job accepted at `accepted`, in milliseconds since 1970; returns whether it is excess.
     ///
     /// Jobs must be counted in the order of their acceptance. A job without a team, or of a team
