--- a/crates/marigoldpick-core/src/store.rs
+++ b/crates/marigoldpick-core/src/store.rs
@@ -204,6 +204,22 @@
     Gone,
 }
 
+impl Answer {
+    /// Returns the highest revision that the answer shows the store to have had.
+    #[must_use]
+    pub fn revision(&self) -> Option<u64> {
+        match self {
+            Self::Item(item) | Self::Conflict(item) => item.as_ref().map(|item| item.revision),
+            Self::Items { revision, .. }
+            | Self::Page { revision, .. }
+            | Self::Changes { revision, .. }
+            | Self::Written(revision) => Some(*revision),
+            Self::Rivals(items) => items.iter().map(|item| item.revision).max(),
+            Self::Compacted | Self::Lease(_) | Self::Gone => None,
+        }
+    }
+}
+
 /// `Condition` is a condition of a `Commit`.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 #[serde(deny_unknown_fields)]
--- a/crates/marigoldpick-core/src/work/peer.rs
+++ b/crates/marigoldpick-core/src/work/peer.rs
@@ -6,6 +6,7 @@
 use serde::{Deserialize, Serialize};
 
 use super::lease::Handover;
+use super::load::Summary;
 use super::port::Advice;
 use super::{Access, Job, Part, Phase, relay};
 use crate::clock::Millis;
@@ -60,6 +61,8 @@
     },
     /// Passes orders of the lead on to workers; answered by [`Answer::Relayed`].
     Relay(relay::Batch),
+    /// Asks the lead for the summary of the waiting work; answered by [`Answer::Load`].
+    Load,
 }
 
 /// `Answer` is the response to a [`Call`].
@@ -89,6 +92,8 @@
     /// Answers [`Call::Relay`] with the outcomes that are new since the last answer, also those of
     /// orders in earlier batches.
     Relayed(Vec<relay::Outcome>),
+    /// Answers [`Call::Load`].
+    Load(Summary),
     /// Answers [`Call::Yield`]; `None` if the last term of the answering entry was not under that claim.
     Leases(Option<Handover>),
 }
@@ -114,6 +119,11 @@
     Taken,
     /// nothing was stored, and nothing will be
     Refused,
+    /// it could not end in time, so it was not stored and will not be; it may be repeated after {after}
+    Rejected {
+        /// The delay after which the caller may submit it again.
+        after: Millis,
+    },
     /// it may have been stored, or may be stored later
     Unknown,
 }
--- a/crates/marigoldpick-node/src/control.rs
+++ b/crates/marigoldpick-node/src/control.rs
@@ -16,6 +16,7 @@
 use marigoldpick_job::Lead;
 use marigoldpick_wire as wire;
 
+use crate::admission;
 use crate::config::{Active, confirmation_interval};
 use crate::election::Claim;
 use crate::handover::Remainder;
@@ -63,6 +64,8 @@
     pub(crate) peers: RefCell<Vec<Member>>,
     /// The sessions in which this entry relays orders for a lead.
     pub(crate) sessions: RefCell<Vec<Rc<Session>>>,
+    /// What this entry knows for the admission of jobs.
+    pub(crate) admission: admission::State,
     /// The reports of the other entries on the store, gathered while this entry does not reach it.
     pub(crate) peer_reports: RefCell<PeerReports>,
     /// Whether the store answers this entry.
@@ -99,6 +102,7 @@
             newest_term: Cell::new(0),
             peers: RefCell::default(),
             sessions: RefCell::default(),
+            admission: admission::State::default(),
             peer_reports: RefCell::default(),
             reachability: Cell::default(),
             denied: Cell::default(),
@@ -132,6 +136,10 @@
         let sent = self.now();
         let answer = self.platform.store().call(call).await;
         self.record_store_outcome(sent, answer.as_ref().err().copied());
+        if let Some(revision) = answer.as_ref().ok().and_then(Answer::revision) {
+            let seen = &self.shared.seen_revision;
+            seen.fetch_max(revision, Ordering::SeqCst);
+        }
         answer
     }
 
--- a/crates/marigoldpick-node/src/inbox.rs
+++ b/crates/marigoldpick-node/src/inbox.rs
@@ -261,8 +261,11 @@
     }
 }
 
-/// Parses a job and its id; one that is malformed is logged and left out.
+/// Parses a job and its id; one that is malformed is logged and left out, and the marker of a rejected one is left out.
 fn read_or_log_job(item: &Item) -> Option<(id::Job, work::Job)> {
+    if submission::is_marker(&item.value) {
+        return None;
+    }
     match read_job(item) {
         Ok(job) => Some(job),
         Err(why) => {
--- a/crates/marigoldpick-node/src/lib.rs
+++ b/crates/marigoldpick-node/src/lib.rs
@@ -5,6 +5,8 @@
 //! it through a leased key in the store.
 
 pub mod access;
+mod admission;
+pub mod attempt;
 pub mod attestation;
 pub mod config;
 mod control;
--- a/crates/marigoldpick-node/src/node.rs
+++ b/crates/marigoldpick-node/src/node.rs
@@ -89,8 +89,9 @@
 
     /// Stores a job.
     pub async fn submit(&self, id: id::Job, job: Arc<Job>) -> Receipt {
+        let seen = self.shared.seen_revision.load(Ordering::SeqCst);
         let answer = self
-            .send_request(|reply| Request::Submit(id, job, reply))
+            .send_request(|reply| Request::Submit(id, job, seen, reply))
             .await;
         answer.unwrap_or(Receipt::Refused)
     }
--- a/crates/marigoldpick-node/src/request.rs
+++ b/crates/marigoldpick-node/src/request.rs
@@ -17,8 +17,8 @@
 /// `Request` is a request to the control thread.
 #[derive(Debug)]
 pub(crate) enum Request {
-    /// Stores a job.
-    Submit(id::Job, Arc<Job>, oneshot::Sender<Receipt>),
+    /// Stores a job that was submitted when the store had the given revision or a higher one.
+    Submit(id::Job, Arc<Job>, u64, oneshot::Sender<Receipt>),
     /// Cancels a job that the caller may cancel.
     Cancel(id::Job, Access, oneshot::Sender<Receipt>),
     /// Returns the phase of a job that the caller may see.
@@ -50,6 +50,8 @@
     pub(crate) draining: AtomicBool,
     /// Whether callers can be served here; false until the store has answered once.
     pub(crate) connected: AtomicBool,
+    /// The highest revision that the store is known to have had.
+    pub(crate) seen_revision: AtomicU64,
     /// The delay after which a caller that is refused now should retry, in milliseconds.
     pub(crate) retry_after: AtomicU64,
 }
--- a/crates/marigoldpick-node/src/serve.rs
+++ b/crates/marigoldpick-node/src/serve.rs
@@ -6,6 +6,7 @@
 
 use async_std::future::timeout;
 use futures::channel::oneshot;
+use marigoldpick_core::clock::time_of_day;
 use marigoldpick_core::control::Known;
 use marigoldpick_core::excerpt::Excerpt;
 use marigoldpick_core::prelude::*;
@@ -14,9 +15,12 @@
 use marigoldpick_core::work::peer::{self, Receipt};
 use marigoldpick_core::work::port::{Adviser, Refusal};
 use marigoldpick_core::work::{Access, Job, Phase};
+use marigoldpick_job::admission::Estimate;
 use marigoldpick_job::record::Record;
 use rand::seq::IndexedRandom;
 
+use crate::admission::count_outcome;
+use crate::attempt::{Attempt, Next};
 use crate::control::Control;
 use crate::keys;
 use crate::platform::Platform;
@@ -31,8 +35,8 @@
     pub(crate) async fn serve(self: Rc<Self>, request: Request) {
         // `send_answer` ignores callers that no longer wait for the answer.
         match request {
-            Request::Submit(id, job, reply) => {
-                let receipt = self.submit(&id, &job, true).await;
+            Request::Submit(id, job, seen, reply) => {
+                let receipt = self.submit(&id, &job, seen, true).await;
                 log::info!(target: "node", "event=job-handed-in id={id} queue={} outcome=\"{receipt}\"", job.queue);
                 send_answer(reply, receipt);
             }
@@ -100,7 +104,8 @@
                 peer::Answer::Waiting(leadership.read(|lead| lead.waiting(&queue)) as u64)
             }
             peer::Call::Submit { job, spec } => {
-                peer::Answer::Receipt(self.submit(&job, &spec, false).await)
+                // It is not known what the store had when the other entry received the job.
+                peer::Answer::Receipt(self.submit(&job, &spec, 0, false).await)
             }
             peer::Call::Cancel { job, access } => {
                 peer::Answer::Receipt(self.cancel(&job, &access, false).await)
@@ -120,6 +125,7 @@
             }
             peer::Call::Yield { holder } => peer::Answer::Leases(self.yield_term(&holder)),
             peer::Call::Relay(batch) => peer::Answer::Relayed(self.relay_orders(batch).await),
+            peer::Call::Load => peer::Answer::Load(self.summarize_load().ok_or(Code::NotLead)?),
             peer::Call::Ping => self.build_pong(self.check_store().await),
         })
     }
@@ -137,8 +143,17 @@
         }
     }
 
-    /// Stores a job; with `may_forward` through another entry if this one does not reach the store.
-    async fn submit(self: &Rc<Self>, id: &id::Job, job: &Arc<Job>, may_forward: bool) -> Receipt {
+    /// Stores a job, or rejects it if it can't end in time; with `may_forward` through another entry if this one does
+    /// not reach the store.
+    ///
+    /// `seen` is a revision that the store had before the job arrived; zero if none is known.
+    async fn submit(
+        self: &Rc<Self>,
+        id: &id::Job,
+        job: &Arc<Job>,
+        seen: u64,
+        may_forward: bool,
+    ) -> Receipt {
         let active = self.shared.config.load_full();
         let queue = active
             .as_ref()
@@ -148,13 +163,69 @@
             return Receipt::Refused;
         };
         let value = submission::write(job, queue);
-        let call = may_forward.then(|| peer::Call::Submit {
-            job: id.clone(),
-            spec: Arc::clone(job),
-        });
-        let is_same_team = |item: &Item| belongs_to(item, job.team.as_ref());
-        self.write_or_forward(keys::job(id), value, is_same_team, call)
-            .await
+        let rejection = self.assess(id, job, queue);
+        let mut attempt = Attempt::new(id, job, seen, rejection.map(|(_, after)| after));
+        let own = self.write_job(id, &value, &mut attempt).await;
+        report_rejection(
+            id,
+            job,
+            rejection.map(|(estimate, _)| estimate),
+            &attempt,
+            own,
+        );
+        match own {
+            Receipt::Refused | Receipt::Unknown if may_forward => {
+                let call = peer::Call::Submit {
+                    job: id.clone(),
+                    spec: Arc::clone(job),
+                };
+                merge_receipts(own, self.forward(call).await)
+            }
+            _ => own,
+        }
+    }
+
+    /// Writes a job's key: the job, or a marker that it is rejected.
+    async fn write_job(
+        self: &Rc<Self>,
+        id: &id::Job,
+        value: &str,
+        attempt: &mut Attempt,
+    ) -> Receipt {
+        let end = self.now() + self.settings.store_timeout;
+        // A store that is known to be unreachable is not tried, so the caller is refused at once.
+        while self.can_reach_store() && self.now() + WRITE_RETRY < end {
+            let next = match attempt.marker() {
+                None => {
+                    let call = conditional_write(keys::job(id), value, attempt.expect(), None);
+                    attempt.apply(self.call_store_until(call, end).await)
+                }
+                Some(after) => match self.marker_lease().await {
+                    None => attempt.give_up_marker(),
+                    Some(lease) => {
+                        let value =
+                            submission::write_marker(&self.settings.entry, time_of_day(), after);
+                        let key = keys::job(id);
+                        let call = conditional_write(key, &value, attempt.expect(), Some(lease));
+                        attempt.apply(self.call_store_until(call, end).await)
+                    }
+                },
+            };
+            match next {
+                Next::Done(receipt) => return receipt,
+                Next::Again => {}
+                Next::Renew => self.drop_marker_lease(),
+                Next::Retry => async_std::task::sleep(WRITE_RETRY.duration()).await,
+            }
+        }
+        attempt.receipt()
+    }
+
+    /// Calls the store, and waits for its answer until `end`.
+    async fn call_store_until(self: &Rc<Self>, call: Call, end: Millis) -> Result<Answer, Fault> {
+        let remaining = end.since(self.now());
+        let answer = timeout(remaining.duration(), self.call_store(call)).await;
+        answer.unwrap_or(Err(Fault::Unknown))
     }
 
     /// Cancels a job; with `may_forward` through another entry if this one does not reach the store.
@@ -171,28 +242,15 @@
             // The job may belong to another team, which only an entry that can read it can tell.
             (Err(_), Some(call)) if self.settings.access.requires_keys => self.forward(call).await,
             (_, call) => {
-                let value = String::from("1");
-                self.write_or_forward(keys::cancel(id), value, |_| true, call)
-                    .await
+                let own = self.create_key(keys::cancel(id), "1").await;
+                match (own, call) {
+                    (Receipt::Stored, _) | (_, None) => own,
+                    (_, Some(call)) => merge_receipts(own, self.forward(call).await),
+                }
             }
         }
     }
 
-    /// Writes a key; if that fails and there is a `call`, has another entry write it.
-    async fn write_or_forward(
-        self: &Rc<Self>,
-        key: String,
-        value: String,
-        is_same: impl Fn(&Item) -> bool,
-        call: Option<peer::Call>,
-    ) -> Receipt {
-        let own = self.create_key(key, value, is_same).await;
-        match (own, call) {
-            (Receipt::Stored | Receipt::Taken, _) | (_, None) => own,
-            (_, Some(call)) => merge_receipts(own, self.forward(call).await),
-        }
-    }
-
     /// Forwards a write to another entry that reaches the store.
     async fn forward(&self, call: peer::Call) -> Receipt {
         let Some(peer) = self.choose_reaching_peer() else {
@@ -212,37 +270,15 @@
         peer_reports.reaching.choose(&mut rand::rng()).cloned()
     }
 
-    /// Creates a key; one that exists already counts as written if `is_same` holds for it, and as taken
-    /// otherwise.
-    async fn create_key(
-        self: &Rc<Self>,
-        key: String,
-        value: String,
-        is_same: impl Fn(&Item) -> bool,
-    ) -> Receipt {
-        let call = Call::Commit {
-            expect: vec![Condition {
-                key: key.clone(),
-                expect: Expect::Absent,
-            }],
-            puts: vec![Write {
-                key,
-                value,
-                lease: None,
-            }],
-            deletes: Vec::new(),
-        };
+    /// Creates a key; one that exists already counts as written.
+    async fn create_key(self: &Rc<Self>, key: String, value: &str) -> Receipt {
+        let call = conditional_write(key, value, Expect::Absent, None);
         let mut receipt = Receipt::Refused;
-        let limit = self.settings.store_timeout;
-        let end = self.now() + limit;
+        let end = self.now() + self.settings.store_timeout;
         // A store that is known to be unreachable is not tried, so the caller is refused at once.
         while self.can_reach_store() && self.now() + WRITE_RETRY < end {
-            let remaining = end.since(self.now());
-            let answer = timeout(remaining.duration(), self.call_store(call.clone())).await;
-            match answer.unwrap_or(Err(Fault::Unknown)) {
-                Ok(Answer::Written(_)) => return Receipt::Stored,
-                Ok(Answer::Rivals(items)) if items.iter().all(&is_same) => return Receipt::Stored,
-                Ok(Answer::Rivals(_)) => return Receipt::Taken,
+            match self.call_store_until(call.clone(), end).await {
+                Ok(Answer::Written(_) | Answer::Rivals(_)) => return Receipt::Stored,
                 Ok(_) | Err(Fault::Unknown) => receipt = Receipt::Unknown,
                 Err(Fault::Away | Fault::Overloaded | Fault::Invalid) => {}
             }
@@ -305,7 +341,7 @@
         }
         let key = keys::job(id);
         match self.call_store(Call::Get { key }).await? {
-            Answer::Item(item) => Ok(item.map(|_| Phase::Queued)),
+            Answer::Item(item) => Ok(item.filter(is_job).map(|_| Phase::Queued)),
             _ => Err(Fault::Unknown),
         }
     }
@@ -316,7 +352,9 @@
         let Answer::Item(item) = self.call_store(Call::Get { key }).await? else {
             return Err(Fault::Unknown);
         };
-        let Some(item) = item else { return Ok(false) };
+        let Some(item) = item.filter(is_job) else {
+            return Ok(false);
+        };
         match serde_json::from_str::<Job>(&item.value) {
             Ok(job) => Ok(access.permits(&job)),
             Err(error) => {
@@ -339,7 +377,7 @@
     }
 
     /// Calls the lead; returns nothing if there is none, it is this entry, or it does not answer.
-    async fn ask_lead(&self, call: peer::Call) -> Option<peer::Answer> {
+    pub(crate) async fn ask_lead(&self, call: peer::Call) -> Option<peer::Answer> {
         let lead = self.lead.borrow().clone()?;
         if lead.entry == self.settings.entry {
             return None;
@@ -355,16 +393,62 @@
     match (first, second) {
         (_, Receipt::Stored) | (Receipt::Stored, _) => Receipt::Stored,
         (_, Receipt::Taken) | (Receipt::Taken, _) => Receipt::Taken,
+        // The other entry's marker keeps a first write without an answer from taking effect.
+        (_, rejected @ Receipt::Rejected { .. }) => rejected,
         (Receipt::Unknown, _) | (_, Receipt::Unknown) => Receipt::Unknown,
         (Receipt::Refused, other) => other,
         (first, _) => first,
     }
 }
 
-/// Returns whether the value of a job's key is a job of `team`.
-fn belongs_to(item: &Item, team: Option<&id::Team>) -> bool {
-    let job = serde_json::from_str::<Job>(&item.value);
-    job.is_ok_and(|job| job.team.as_ref() == team)
+/// Returns whether a job's key has a job, and not the marker of a rejected one.
+fn is_job(item: &Item) -> bool {
+    !submission::is_marker(&item.value)
+}
+
+/// Builds the write of one key under a condition.
+fn conditional_write(key: String, value: &str, expect: Expect, lease: Option<u64>) -> Call {
+    Call::Commit {
+        expect: vec![Condition {
+            key: key.clone(),
+            expect,
+        }],
+        puts: vec![Write {
+            key,
+            value: value.to_owned(),
+            lease,
+        }],
+        deletes: Vec::new(),
+    }
+}
+
+/// Logs and counts what became of a decision to reject a job, and a rejection without such a decision.
+fn report_rejection(
+    id: &id::Job,
+    job: &Job,
+    estimate: Option<Estimate>,
+    attempt: &Attempt,
+    receipt: Receipt,
+) {
+    let queue = &job.queue;
+    match (receipt, estimate) {
+        (Receipt::Rejected { after }, _) if attempt.is_raced() => {
+            count_outcome("raced");
+            log::info!(target: "node", "event=job-raced id={id} queue={queue} after_ms={}", after.0);
+        }
+        (Receipt::Rejected { after }, Some(estimate)) => {
+            count_outcome("rejected");
+            log::info!(
+                target: "node",
+                "event=job-rejected id={id} queue={queue} after_ms={} {estimate}", after.0
+            );
+        }
+        (Receipt::Stored | Receipt::Taken, Some(_)) if attempt.marker().is_some() => {
+            count_outcome("known");
+        }
+        (_, Some(_)) => count_outcome("unmarked"),
+        (_, None) => {}
+    }
 }
 
 /// Sends an answer; a caller that no longer waits for it is ignored.
--- a/crates/marigoldpick-node/src/settings.rs
+++ b/crates/marigoldpick-node/src/settings.rs
@@ -20,6 +20,8 @@
     pub job: marigoldpick_job::Settings,
     /// Whether callers need keys, and how fresh the configuration must be.
     pub access: access::Policy,
+    /// Whether jobs that can't end in time are rejected when they are submitted.
+    pub admission: bool,
     /// The time within which a new configuration must be in force if `access` has no bounds.
     pub config_bound: Millis,
     /// The duration of the lead's lease, for which a dead lead is not replaced.
@@ -47,6 +49,7 @@
             strength: 1_000,
             job: marigoldpick_job::Settings::default(),
             access: access::Policy::default(),
+            admission: false,
             // The shortest bound of the platform's contracts.
             config_bound: Millis(2_000),
             lead_lease: Millis(1_500),
--- a/crates/marigoldpick-node/tests/node/cluster.rs
+++ b/crates/marigoldpick-node/tests/node/cluster.rs
@@ -496,6 +496,8 @@
     access: access::Policy,
     lead_lease: Option<Millis>,
     strengths: Vec<u32>,
+    /// Whether entries reject jobs that can't end in time.
+    admission: bool,
 }
 
 impl Cluster {
@@ -553,6 +555,17 @@
         cluster
     }
 
+    /// Starts a cluster whose entries reject jobs that can't end in time.
+    pub fn start_with_admission(entries: usize, workers: usize) -> Self {
+        let mut cluster = Self::new(workers, None, vec![1_000; entries]);
+        cluster.admission = true;
+        cluster.nodes = (0..entries)
+            .map(|number| cluster.start_node(number))
+            .collect();
+        cluster.await_lead();
+        cluster
+    }
+
     /// Writes the next version of the configuration, with one more route.
     pub fn add_route(&self, prefix: &str) {
         let mut config = self.config.lock().unwrap_or_else(PoisonError::into_inner);
@@ -620,6 +633,7 @@
             access: access::Policy::default(),
             lead_lease,
             strengths,
+            admission: false,
         }
     }
 
@@ -673,7 +687,7 @@
     }
 
     /// Reads a key from the store, if the store has it.
-    fn read_key(&self, key: &str) -> Option<String> {
+    pub fn read_key(&self, key: &str) -> Option<String> {
         let caller = Caller {
             domain: id::Domain::new("a").expect("a name"),
             entry: id::Entry::new("test").expect("a name"),
@@ -719,6 +733,7 @@
             let mut settings = Settings::new(entry.clone(), domain.clone(), inner);
             settings.strength = self.strengths[number];
             settings.access = self.access;
+            settings.admission = self.admission;
             settings.lead_lease = self.lead_lease.unwrap_or(settings.lead_lease);
             match Node::start(services.clone(), settings) {
                 Err(error) if error.kind() == std::io::ErrorKind::AddrInUse => {}
--- a/crates/marigoldpick-node/tests/node/main.rs
+++ b/crates/marigoldpick-node/tests/node/main.rs
@@ -1,6 +1,7 @@
 //! Nodes on loopback with the stand-in's store: submission, outcomes, cancels, take-over, outages.
 
 mod access;
+mod admission;
 mod cluster;
 mod configuration;
 mod handover;
--- a/crates/marigoldpick-wire/schema/peer.capnp
+++ b/crates/marigoldpick-wire/schema/peer.capnp
@@ -246,6 +246,7 @@
     succeed @11 :Void;
     relay @12 :Json;
     yield @15 :Text;
+    load @16 :Void;
   }
   team @13 :Text;  # Of the caller's key; empty if there is none.
   openQueue @14 :Text;  # The queue of the caller's route; empty if the route needs a key.
@@ -270,6 +271,8 @@
     busy @7 :Void;
     relayed @8 :Json;
     leases @11 :Json;  # Empty if the last term of the entry was not under the claim in the call.
+    load @13 :Json;
+    rejected @14 :Millis;  # Also answers a submission: the delay after which it may be repeated.
   }
 }
 
--- a/crates/marigoldpick-wire/src/convert/jobs.rs
+++ b/crates/marigoldpick-wire/src/convert/jobs.rs
@@ -48,6 +48,7 @@
         Call::Succeed => to.set_succeed(()),
         Call::Yield { holder } => to.set_yield(holder),
         Call::Relay(batch) => to.set_relay(&to_json(batch)?),
+        Call::Load => to.set_load(()),
     }
     Ok(())
 }
@@ -102,6 +103,7 @@
             holder: read_text(holder)?.to_owned(),
         },
         Which::Relay(batch) => Call::Relay(from_json(batch)?),
+        Which::Load(()) => Call::Load,
     })
 }
 
@@ -131,14 +133,17 @@
             Some(Phase::Cancelled) => schema::JobPhase::Cancelled,
         }),
         Answer::Waiting(jobs) => to.set_waiting(*jobs),
+        Answer::Receipt(Receipt::Rejected { after }) => to.set_rejected(after.0),
         Answer::Receipt(receipt) => to.set_receipt(match receipt {
             Receipt::Stored => schema::JobReceipt::Stored,
             Receipt::Absent => schema::JobReceipt::Absent,
             Receipt::Taken => schema::JobReceipt::Taken,
             Receipt::Refused => schema::JobReceipt::Refused,
-            Receipt::Unknown => schema::JobReceipt::Unknown,
+            // The arm above carries rejections with their delay.
+            Receipt::Rejected { .. } | Receipt::Unknown => schema::JobReceipt::Unknown,
         }),
         Answer::Relayed(outcomes) => to.set_relayed(&to_json(outcomes)?),
+        Answer::Load(summary) => to.set_load(&to_json(summary)?),
         Answer::Leases(None) => to.set_leases(&[]),
         Answer::Leases(Some(handover)) => to.set_leases(&to_json(handover)?),
         Answer::Pong {
@@ -192,6 +197,10 @@
             schema::JobReceipt::Unknown => Receipt::Unknown,
         }),
         Which::Relayed(outcomes) => Answer::Relayed(from_json(outcomes)?),
+        Which::Load(summary) => Answer::Load(from_json(summary)?),
+        Which::Rejected(after) => Answer::Receipt(Receipt::Rejected {
+            after: Millis(after),
+        }),
         Which::Leases(handover) => Answer::Leases(match handover? {
             [] => None,
             text => from_json(Ok(text))?,
--- a/crates/marigoldpick-wire/src/peer_capnp.rs
+++ b/crates/marigoldpick-wire/src/peer_capnp.rs
@@ -14581,7 +14581,9 @@
 }
 
 pub mod jobs_call {
-    pub use self::Which::{Advise, Cancel, Phase, Ping, Relay, Submit, Succeed, Waiting, Yield};
+    pub use self::Which::{
+        Advise, Cancel, Load, Phase, Ping, Relay, Submit, Succeed, Waiting, Yield,
+    };
 
     #[derive(Copy, Clone)]
     pub struct Owned(());
@@ -14779,6 +14781,7 @@
                         ::core::option::Option::None,
                     ),
                 )),
+                9 => ::core::result::Result::Ok(Load(())),
                 x => ::core::result::Result::Err(::capnp::NotInSchema(x)),
             }
         }
@@ -15067,6 +15070,10 @@
             !self.builder.is_pointer_field_null(0)
         }
         #[inline]
+        pub fn set_load(&mut self, _value: ()) {
+            self.builder.set_data_field::<u16>(8, 9);
+        }
+        #[inline]
         pub fn which(self) -> ::core::result::Result<WhichBuilder<'a>, ::capnp::NotInSchema> {
             match self.builder.get_data_field::<u16>(8) {
                 0 => ::core::result::Result::Ok(Advise(self.builder.into())),
@@ -15103,6 +15110,7 @@
                         ::core::option::Option::None,
                     ),
                 )),
+                9 => ::core::result::Result::Ok(Load(())),
                 x => ::core::result::Result::Err(::capnp::NotInSchema(x)),
             }
         }
@@ -15120,101 +15128,108 @@
     }
     impl Pipeline {}
     mod _private {
-        pub(crate) static ENCODED_NODE: [::capnp::Word; 169] = [
+        pub(crate) static ENCODED_NODE: [::capnp::Word; 184] = [
             ::capnp::word(0, 0, 0, 0, 5, 0, 6, 0),
             ::capnp::word(29, 5, 136, 184, 33, 162, 167, 202),
             ::capnp::word(11, 0, 0, 0, 1, 0, 3, 0),
             ::capnp::word(60, 53, 128, 185, 120, 25, 102, 144),
-            ::capnp::word(4, 0, 7, 0, 0, 0, 9, 0),
+            ::capnp::word(4, 0, 7, 0, 0, 0, 10, 0),
             ::capnp::word(8, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(21, 0, 0, 0, 162, 0, 0, 0),
             ::capnp::word(29, 0, 0, 0, 7, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(25, 0, 0, 0, 111, 2, 0, 0),
+            ::capnp::word(25, 0, 0, 0, 167, 2, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(112, 101, 101, 114, 46, 99, 97, 112),
             ::capnp::word(110, 112, 58, 74, 111, 98, 115, 67),
             ::capnp::word(97, 108, 108, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 1, 0, 1, 0),
-            ::capnp::word(44, 0, 0, 0, 3, 0, 4, 0),
+            ::capnp::word(48, 0, 0, 0, 3, 0, 4, 0),
             ::capnp::word(0, 0, 255, 255, 0, 0, 0, 0),
             ::capnp::word(1, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(188, 98, 161, 223, 79, 86, 211, 136),
-            ::capnp::word(37, 1, 0, 0, 58, 0, 0, 0),
+            ::capnp::word(65, 1, 0, 0, 58, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(1, 0, 254, 255, 0, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 5, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(13, 1, 0, 0, 50, 0, 0, 0),
+            ::capnp::word(41, 1, 0, 0, 50, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(8, 1, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(20, 1, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(36, 1, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(48, 1, 0, 0, 2, 0, 1, 0),
             ::capnp::word(2, 0, 253, 255, 0, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 6, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(17, 1, 0, 0, 66, 0, 0, 0),
+            ::capnp::word(45, 1, 0, 0, 66, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(12, 1, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(24, 1, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(40, 1, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(52, 1, 0, 0, 2, 0, 1, 0),
             ::capnp::word(3, 0, 252, 255, 0, 0, 0, 0),
             ::capnp::word(1, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(19, 2, 12, 178, 125, 159, 218, 171),
-            ::capnp::word(21, 1, 0, 0, 58, 0, 0, 0),
+            ::capnp::word(49, 1, 0, 0, 58, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(4, 0, 251, 255, 0, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 9, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(253, 0, 0, 0, 58, 0, 0, 0),
+            ::capnp::word(25, 1, 0, 0, 58, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(248, 0, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(4, 1, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(20, 1, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(32, 1, 0, 0, 2, 0, 1, 0),
             ::capnp::word(5, 0, 250, 255, 0, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 10, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(1, 1, 0, 0, 42, 0, 0, 0),
+            ::capnp::word(29, 1, 0, 0, 42, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(252, 0, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(8, 1, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(24, 1, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(36, 1, 0, 0, 2, 0, 1, 0),
             ::capnp::word(6, 0, 249, 255, 0, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 11, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(5, 1, 0, 0, 66, 0, 0, 0),
+            ::capnp::word(33, 1, 0, 0, 66, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(0, 1, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(12, 1, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(28, 1, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(40, 1, 0, 0, 2, 0, 1, 0),
             ::capnp::word(7, 0, 248, 255, 0, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 12, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(9, 1, 0, 0, 50, 0, 0, 0),
+            ::capnp::word(37, 1, 0, 0, 50, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(4, 1, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(16, 1, 0, 0, 2, 0, 1, 0),
-            ::capnp::word(9, 0, 0, 0, 2, 0, 0, 0),
+            ::capnp::word(32, 1, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(44, 1, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(10, 0, 0, 0, 2, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 13, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(13, 1, 0, 0, 42, 0, 0, 0),
+            ::capnp::word(41, 1, 0, 0, 42, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(8, 1, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(20, 1, 0, 0, 2, 0, 1, 0),
-            ::capnp::word(10, 0, 0, 0, 3, 0, 0, 0),
+            ::capnp::word(36, 1, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(48, 1, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(11, 0, 0, 0, 3, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 14, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(17, 1, 0, 0, 82, 0, 0, 0),
+            ::capnp::word(45, 1, 0, 0, 82, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(16, 1, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(28, 1, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(44, 1, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(56, 1, 0, 0, 2, 0, 1, 0),
             ::capnp::word(8, 0, 247, 255, 0, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 15, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(25, 1, 0, 0, 50, 0, 0, 0),
+            ::capnp::word(53, 1, 0, 0, 50, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(20, 1, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(32, 1, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(48, 1, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(60, 1, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(9, 0, 246, 255, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 1, 0, 16, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(57, 1, 0, 0, 42, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(52, 1, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(64, 1, 0, 0, 2, 0, 1, 0),
             ::capnp::word(97, 100, 118, 105, 115, 101, 0, 0),
             ::capnp::word(112, 104, 97, 115, 101, 0, 0, 0),
             ::capnp::word(12, 0, 0, 0, 0, 0, 0, 0),
@@ -15290,6 +15305,14 @@
             ::capnp::word(12, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(108, 111, 97, 100, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
         ];
         pub(crate) fn get_field_types(index: u16) -> ::capnp::introspect::Type {
             match index {
@@ -15304,6 +15327,7 @@
                 8 => <::capnp::text::Owned as ::capnp::introspect::Introspect>::introspect(),
                 9 => <::capnp::text::Owned as ::capnp::introspect::Introspect>::introspect(),
                 10 => <::capnp::text::Owned as ::capnp::introspect::Introspect>::introspect(),
+                11 => <() as ::capnp::introspect::Introspect>::introspect(),
                 _ => ::capnp::introspect::panic_invalid_field_index(index),
             }
         }
@@ -15323,8 +15347,8 @@
                 MEMBERS_BY_NAME,
             );
         pub(crate) static NONUNION_MEMBERS: &[u16] = &[8, 9];
-        pub(crate) static MEMBERS_BY_DISCRIMINANT: &[u16] = &[0, 1, 2, 3, 4, 5, 6, 7, 10];
-        pub(crate) static MEMBERS_BY_NAME: &[u16] = &[0, 4, 9, 1, 5, 7, 3, 6, 8, 2, 10];
+        pub(crate) static MEMBERS_BY_DISCRIMINANT: &[u16] = &[0, 1, 2, 3, 4, 5, 6, 7, 10, 11];
+        pub(crate) static MEMBERS_BY_NAME: &[u16] = &[0, 4, 11, 9, 1, 5, 7, 3, 6, 8, 2, 10];
         pub(crate) const TYPE_ID: u64 = 0xcaa7_a221_b888_051d;
     }
     pub enum Which<A0, A1, A2, A3, A4, A5, A6> {
@@ -15337,6 +15361,7 @@
         Succeed(()),
         Relay(A5),
         Yield(A6),
+        Load(()),
     }
     pub type WhichReader<'a> = Which<
         crate::peer_capnp::jobs_call::advise::Reader<'a>,
@@ -16186,7 +16211,9 @@
 }
 
 pub mod jobs_answer {
-    pub use self::Which::{Advice, Busy, Leases, Phase, Pong, Receipt, Relayed, Waiting};
+    pub use self::Which::{
+        Advice, Busy, Leases, Load, Phase, Pong, Receipt, Rejected, Relayed, Waiting,
+    };
 
     #[derive(Copy, Clone)]
     pub struct Owned(());
@@ -16305,6 +16332,13 @@
             !self.reader.get_pointer_field(0).is_null()
         }
         #[inline]
+        pub fn has_load(&self) -> bool {
+            if self.reader.get_data_field::<u16>(4) != 8 {
+                return false;
+            }
+            !self.reader.get_pointer_field(0).is_null()
+        }
+        #[inline]
         pub fn which(self) -> ::core::result::Result<WhichReader<'a>, ::capnp::NotInSchema> {
             match self.reader.get_data_field::<u16>(4) {
                 0 => ::core::result::Result::Ok(Advice(self.reader.into())),
@@ -16329,6 +16363,13 @@
                         ::core::option::Option::None,
                     ),
                 )),
+                8 => ::core::result::Result::Ok(Load(
+                    ::capnp::traits::FromPointerReader::get_from_pointer(
+                        &self.reader.get_pointer_field(0),
+                        ::core::option::Option::None,
+                    ),
+                )),
+                9 => ::core::result::Result::Ok(Rejected(self.reader.get_data_field::<u64>(0))),
                 x => ::core::result::Result::Err(::capnp::NotInSchema(x)),
             }
         }
@@ -16494,6 +16535,28 @@
             !self.builder.is_pointer_field_null(0)
         }
         #[inline]
+        pub fn set_load(&mut self, value: ::capnp::data::Reader<'_>) {
+            self.builder.set_data_field::<u16>(4, 8);
+            self.builder.reborrow().get_pointer_field(0).set_data(value);
+        }
+        #[inline]
+        pub fn init_load(self, size: u32) -> ::capnp::data::Builder<'a> {
+            self.builder.set_data_field::<u16>(4, 8);
+            self.builder.get_pointer_field(0).init_data(size)
+        }
+        #[inline]
+        pub fn has_load(&self) -> bool {
+            if self.builder.get_data_field::<u16>(4) != 8 {
+                return false;
+            }
+            !self.builder.is_pointer_field_null(0)
+        }
+        #[inline]
+        pub fn set_rejected(&mut self, value: u64) {
+            self.builder.set_data_field::<u16>(4, 9);
+            self.builder.set_data_field::<u64>(0, value);
+        }
+        #[inline]
         pub fn which(self) -> ::core::result::Result<WhichBuilder<'a>, ::capnp::NotInSchema> {
             match self.builder.get_data_field::<u16>(4) {
                 0 => ::core::result::Result::Ok(Advice(self.builder.into())),
@@ -16518,6 +16581,13 @@
                         ::core::option::Option::None,
                     ),
                 )),
+                8 => ::core::result::Result::Ok(Load(
+                    ::capnp::traits::FromPointerBuilder::get_from_pointer(
+                        self.builder.get_pointer_field(0),
+                        ::core::option::Option::None,
+                    ),
+                )),
+                9 => ::core::result::Result::Ok(Rejected(self.builder.get_data_field::<u64>(0))),
                 x => ::core::result::Result::Err(::capnp::NotInSchema(x)),
             }
         }
@@ -16535,80 +16605,94 @@
     }
     impl Pipeline {}
     mod _private {
-        pub(crate) static ENCODED_NODE: [::capnp::Word; 123] = [
+        pub(crate) static ENCODED_NODE: [::capnp::Word; 154] = [
             ::capnp::word(0, 0, 0, 0, 5, 0, 6, 0),
             ::capnp::word(170, 83, 36, 248, 153, 168, 232, 158),
             ::capnp::word(11, 0, 0, 0, 1, 0, 5, 0),
             ::capnp::word(60, 53, 128, 185, 120, 25, 102, 144),
-            ::capnp::word(1, 0, 7, 0, 0, 0, 8, 0),
+            ::capnp::word(1, 0, 7, 0, 0, 0, 10, 0),
             ::capnp::word(4, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(21, 0, 0, 0, 178, 0, 0, 0),
             ::capnp::word(29, 0, 0, 0, 7, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(25, 0, 0, 0, 199, 1, 0, 0),
+            ::capnp::word(25, 0, 0, 0, 55, 2, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(112, 101, 101, 114, 46, 99, 97, 112),
             ::capnp::word(110, 112, 58, 74, 111, 98, 115, 65),
             ::capnp::word(110, 115, 119, 101, 114, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 1, 0, 1, 0),
-            ::capnp::word(32, 0, 0, 0, 3, 0, 4, 0),
+            ::capnp::word(40, 0, 0, 0, 3, 0, 4, 0),
             ::capnp::word(0, 0, 255, 255, 0, 0, 0, 0),
             ::capnp::word(1, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(193, 115, 157, 33, 127, 192, 82, 223),
-            ::capnp::word(209, 0, 0, 0, 58, 0, 0, 0),
+            ::capnp::word(9, 1, 0, 0, 58, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(1, 0, 254, 255, 0, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 2, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(185, 0, 0, 0, 50, 0, 0, 0),
+            ::capnp::word(241, 0, 0, 0, 50, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(180, 0, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(192, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(236, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(248, 0, 0, 0, 2, 0, 1, 0),
             ::capnp::word(2, 0, 253, 255, 0, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 3, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(189, 0, 0, 0, 66, 0, 0, 0),
+            ::capnp::word(245, 0, 0, 0, 66, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(184, 0, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(196, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(240, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(252, 0, 0, 0, 2, 0, 1, 0),
             ::capnp::word(3, 0, 252, 255, 0, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 4, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(193, 0, 0, 0, 66, 0, 0, 0),
+            ::capnp::word(249, 0, 0, 0, 66, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(188, 0, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(200, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(244, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(0, 1, 0, 0, 2, 0, 1, 0),
             ::capnp::word(4, 0, 251, 255, 0, 0, 0, 0),
             ::capnp::word(1, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(141, 244, 125, 81, 183, 128, 208, 170),
-            ::capnp::word(197, 0, 0, 0, 42, 0, 0, 0),
+            ::capnp::word(253, 0, 0, 0, 42, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(5, 0, 250, 255, 0, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 7, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(173, 0, 0, 0, 42, 0, 0, 0),
+            ::capnp::word(229, 0, 0, 0, 42, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(168, 0, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(180, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(224, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(236, 0, 0, 0, 2, 0, 1, 0),
             ::capnp::word(6, 0, 249, 255, 0, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 8, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(177, 0, 0, 0, 66, 0, 0, 0),
+            ::capnp::word(233, 0, 0, 0, 66, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(172, 0, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(184, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(228, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(240, 0, 0, 0, 2, 0, 1, 0),
             ::capnp::word(7, 0, 248, 255, 0, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 11, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(181, 0, 0, 0, 58, 0, 0, 0),
+            ::capnp::word(237, 0, 0, 0, 58, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(232, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(244, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(8, 0, 247, 255, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 1, 0, 13, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(241, 0, 0, 0, 42, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(176, 0, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(188, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(236, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(248, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(9, 0, 246, 255, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 1, 0, 14, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(245, 0, 0, 0, 74, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(244, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(0, 1, 0, 0, 2, 0, 1, 0),
             ::capnp::word(97, 100, 118, 105, 99, 101, 0, 0),
             ::capnp::word(112, 104, 97, 115, 101, 0, 0, 0),
             ::capnp::word(15, 0, 0, 0, 0, 0, 0, 0),
@@ -16659,6 +16743,23 @@
             ::capnp::word(13, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(108, 111, 97, 100, 0, 0, 0, 0),
+            ::capnp::word(13, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(13, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(1, 0, 0, 0, 2, 0, 0, 0),
+            ::capnp::word(114, 101, 106, 101, 99, 116, 101, 100),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(9, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(9, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
         ];
         pub(crate) fn get_field_types(index: u16) -> ::capnp::introspect::Type {
             match index {
@@ -16670,6 +16771,8 @@
                 5 => <() as ::capnp::introspect::Introspect>::introspect(),
                 6 => <::capnp::data::Owned as ::capnp::introspect::Introspect>::introspect(),
                 7 => <::capnp::data::Owned as ::capnp::introspect::Introspect>::introspect(),
+                8 => <::capnp::data::Owned as ::capnp::introspect::Introspect>::introspect(),
+                9 => <u64 as ::capnp::introspect::Introspect>::introspect(),
                 _ => ::capnp::introspect::panic_invalid_field_index(index),
             }
         }
@@ -16689,11 +16792,11 @@
                 MEMBERS_BY_NAME,
             );
         pub(crate) static NONUNION_MEMBERS: &[u16] = &[];
-        pub(crate) static MEMBERS_BY_DISCRIMINANT: &[u16] = &[0, 1, 2, 3, 4, 5, 6, 7];
-        pub(crate) static MEMBERS_BY_NAME: &[u16] = &[0, 5, 7, 1, 4, 3, 6, 2];
+        pub(crate) static MEMBERS_BY_DISCRIMINANT: &[u16] = &[0, 1, 2, 3, 4, 5, 6, 7, 8, 9];
+        pub(crate) static MEMBERS_BY_NAME: &[u16] = &[0, 5, 7, 8, 1, 4, 3, 9, 6, 2];
         pub(crate) const TYPE_ID: u64 = 0x9ee8_a899_f824_53aa;
     }
-    pub enum Which<A0, A1, A2, A3> {
+    pub enum Which<A0, A1, A2, A3, A4> {
         Advice(A0),
         Phase(::core::result::Result<crate::peer_capnp::JobPhase, ::capnp::NotInSchema>),
         Waiting(u64),
@@ -16702,18 +16805,22 @@
         Busy(()),
         Relayed(A2),
         Leases(A3),
+        Load(A4),
+        Rejected(u64),
     }
     pub type WhichReader<'a> = Which<
         crate::peer_capnp::jobs_answer::advice::Reader<'a>,
         crate::peer_capnp::jobs_answer::pong::Reader<'a>,
         ::capnp::Result<::capnp::data::Reader<'a>>,
         ::capnp::Result<::capnp::data::Reader<'a>>,
+        ::capnp::Result<::capnp::data::Reader<'a>>,
     >;
     pub type WhichBuilder<'a> = Which<
         crate::peer_capnp::jobs_answer::advice::Builder<'a>,
         crate::peer_capnp::jobs_answer::pong::Builder<'a>,
         ::capnp::Result<::capnp::data::Builder<'a>>,
         ::capnp::Result<::capnp::data::Builder<'a>>,
+        ::capnp::Result<::capnp::data::Builder<'a>>,
     >;
 
     pub mod advice {
--- a/crates/marigoldpick-wire/tests/wire/jobs.rs
+++ b/crates/marigoldpick-wire/tests/wire/jobs.rs
@@ -9,6 +9,7 @@
 use googletest::prelude::*;
 use marigoldpick_core::prelude::*;
 use marigoldpick_core::work::lease::{Bound, Handover};
+use marigoldpick_core::work::load::{Service, Summary};
 use marigoldpick_core::work::peer::{Answer, Call, Confirmation, Receipt};
 use marigoldpick_core::work::port::{
     Advice, Ended, Exit, Fault, Order, Reply, Report, Running, Start, Target, Ticket,
@@ -118,6 +119,7 @@
             holder: "n0/00000000000000aa".to_owned(),
         },
         Call::Relay(batch()),
+        Call::Load,
     ]
 }
 
@@ -178,6 +180,24 @@
     }
 }
 
+fn summary() -> Summary {
+    let mut service = Service {
+        name: name("s"),
+        millicores: 8_000,
+        free_percent: 3,
+        finished: Some(7_500),
+        waiting: Vec::new(),
+    };
+    service.add(false, 0, 40, 1_200);
+    service.add(true, 2, 44, 1 << 40);
+    Summary {
+        age: Millis(120),
+        led_for: Millis(90_000),
+        services: vec![service],
+        above_rate: vec![name("t")],
+    }
+}
+
 fn answers() -> Vec<Answer> {
     let phases = [
         Phase::Queued,
@@ -192,6 +212,9 @@
         Receipt::Taken,
         Receipt::Refused,
         Receipt::Unknown,
+        Receipt::Rejected {
+            after: Millis(2_500),
+        },
     ];
     let mut answers = vec![
         Answer::Advice(Advice {
@@ -218,6 +241,8 @@
         Answer::Leases(None),
         Answer::Leases(Some(Handover::default())),
         Answer::Leases(Some(handover())),
+        Answer::Load(Summary::default()),
+        Answer::Load(summary()),
     ];
     answers.extend(phases.map(|phase| Answer::Phase(Some(phase))));
     answers.extend(receipts.map(Answer::Receipt));
