--- a/crates/marigoldpick-job/src/delay.rs
+++ b/crates/marigoldpick-job/src/delay.rs
@@ -11,7 +11,7 @@
 
 use crate::job::{Job, Occurrence, Stage};
 use crate::queue::Queue;
-use crate::rank::{LATE_FACTOR, millicores_counted};
+use crate::rank::{LATE_FACTOR, task_work};
 
 /// The worth of a late result as a part of that of one on time, as callers value it.
 const LATE_WORTH: f64 = 0.2;
@@ -47,7 +47,7 @@
 
 /// Returns the work of one task, in core-seconds.
 fn work_of_task(step: &Step) -> f64 {
-    step.estimate.0 as f64 * millicores_counted(step) as f64 / 1e6
+    task_work(step) as f64 / 1e3
 }
 
 fn work(job: &Job, occurrence: &Occurrence) -> Work {
