--- a/crates/marigoldpick-job/src/lead/load.rs
+++ b/crates/marigoldpick-job/src/lead/load.rs
@@ -11,7 +11,7 @@
 use super::Lead;
 use super::unrecorded::UnrecordedRuns;
 use crate::job::{Job, Occurrence, Stage, Task};
-use crate::rank::{self, counted_millicores, task_work};
+use crate::rank::{self, Order, counted_millicores, task_work};
 use crate::worker::Worker;
 
 /// The least time between two computations of the summary.
@@ -118,11 +118,17 @@
                 self.add_waiting_job(&self.jobs[at], unrecorded, &mut services, now);
             }
         }
+        // By cost, small urgent excess work goes before long work of other teams. It is then estimated
+        // like other work of its queue, which errs towards admitting it.
+        let above_rate = match self.settings.order {
+            Order::Priority => self.rates.above_rate(wall),
+            Order::Cost => Vec::new(),
+        };
         Summary {
             age: Millis::ZERO,
             led_for,
             services,
-            above_rate: self.rates.above_rate(wall),
+            above_rate,
         }
     }
 
