Let a successor read what is stored before its claim

In a planned handover nothing started for 0.63 s: the lead ended its term when its successor had agreed, and the successor read all jobs and records after its claim.

The successor now reads first, for at most 500 ms, and answers then. The lead works on and, from the answer on, holds its commits back for at most 500 ms, since each one changes the key on which the claim is conditioned; it ends its term when the successor asks it to yield, or when a commit is refused. A claim that a commit has overtaken is repeated. After the claim the successor applies what has changed since its reads until the revision of the claim; without the history it reads again. A successor that dies before its claim leaves the lead in place. A term that was offered is confirmed by a renewal only if the lead's key still has its claim: the claim of a successor leaves the earlier lease alive.

Tests delay each page by 200 ms after it was read, while callers submit jobs.

--- a/crates/marigoldpick-node/src/control.rs
+++ b/crates/marigoldpick-node/src/control.rs
@@ -28,6 +28,7 @@
 use crate::relay::Session;
 use crate::request::{Request, Shared};
 use crate::settings::Settings;
+use crate::succession::Succession;
 
 /// The timeout of a watch on the configuration. Changes that a watch does not bring are found by the
 /// confirmations, which are more frequent.
@@ -74,8 +75,12 @@
     /// Held during a check of the store, so that concurrent checks share one call.
     store_check: Mutex<()>,
     /// Tells the election to campaign although there is a lead, since that lead asked to be replaced.
-    pub(crate) succession_sender: Sender<()>,
-    pub(crate) succession_receiver: Receiver<()>,
+    pub(crate) succession_sender: Sender<Succession>,
+    pub(crate) succession_receiver: Receiver<Succession>,
+    /// Held while what is stored is read for a request to take over.
+    pub(crate) preparation: Mutex<()>,
+    /// When that was last done, unless a campaign has ended since.
+    pub(crate) prepared: Cell<Option<Millis>>,
 }
 
 impl<P: Platform> Control<P> {
@@ -106,6 +111,8 @@
             store_check: Mutex::new(()),
             succession_sender,
             succession_receiver,
+            preparation: Mutex::new(()),
+            prepared: Cell::default(),
         })
     }
 
--- a/crates/marigoldpick-node/src/driver.rs
+++ b/crates/marigoldpick-node/src/driver.rs
@@ -22,6 +22,7 @@
 use crate::leadership::Leadership;
 use crate::peer_reports::PeerReports;
 use crate::platform::{Platform, Registry};
+use crate::snapshot::Snapshot;
 
 /// The maximum time between two steps of the lead.
 const MAX_STEP_GAP: Millis = Millis(20);
@@ -39,8 +40,6 @@
 /// The timeout of a probe by a lead whose commit is slow. A healthy store answers in about ten
 /// milliseconds, or a little more on a busy machine.
 const PROBE_TIMEOUT: Millis = Millis(150);
-/// The timeout of a request to take over the lead; its receiver checks the store first.
-const SUCCEED_TIMEOUT: Millis = Millis(800);
 /// How long starts without records are allowed after most entries reported that they do not reach the
 /// store. It covers the pause between two polls of the entries and the timeout of one poll.
 const UNRECORDED_ALLOWANCE: Millis = Millis(1_200);
@@ -60,10 +59,16 @@
 
 impl<P: Platform> Control<P> {
     /// Runs the lead until the term ends, and returns the reason.
-    pub(crate) async fn run_term(self: &Rc<Self>, leadership: &Rc<Leadership>) -> &'static str {
+    ///
+    /// `snapshot` is what was read of the store before the claim.
+    pub(crate) async fn run_term(
+        self: &Rc<Self>,
+        leadership: &Rc<Leadership>,
+        snapshot: Snapshot,
+    ) -> &'static str {
         // The teams' rates apply to the jobs as these are loaded.
         self.configure_lead(leadership);
-        let Some(revision) = self.load_inbox(leadership).await else {
+        let Some(revision) = self.load_inbox(leadership, snapshot).await else {
             return leadership.end_reason().unwrap_or("not-loaded");
         };
         self.configure_lead(leadership);
@@ -76,7 +81,7 @@
         let mut work_published = Millis::ZERO;
         loop {
             if leadership.read(Lead::is_deposed) {
-                leadership.end("fenced");
+                leadership.end_as_replaced("fenced");
             }
             if let Some(why) = leadership.end_reason() {
                 return why;
@@ -232,7 +237,8 @@
             let (this, leadership, successor) =
                 (Rc::clone(self), Rc::clone(leadership), successor.clone());
             task::spawn_local(async move {
-                this.offer_lead(&leadership, &successor, STORE_LOST_REASON)
+                let _is_agreed = this
+                    .offer_lead(&leadership, &successor, STORE_LOST_REASON)
                     .await;
             });
             return;
@@ -246,29 +252,6 @@
         }
     }
 
-    /// Asks another entry to take over, and ends the term with the reason `why` if that entry agrees.
-    pub(crate) async fn offer_lead(
-        self: &Rc<Self>,
-        leadership: &Rc<Leadership>,
-        successor: &Known,
-        why: &'static str,
-    ) {
-        if leadership.is_over() {
-            return;
-        }
-        let asked = self
-            .call_peer(successor, peer::Call::Succeed, SUCCEED_TIMEOUT)
-            .await;
-        log::info!(
-            target: "node",
-            "event=lead-offered term={} to={} answered={}",
-            leadership.term(), successor.entry, asked.is_ok()
-        );
-        if asked.is_ok() {
-            leadership.end(why);
-        }
-    }
-
     /// Calls the store, and seeks a successor for the lead while the call is not answered.
     ///
     /// Load pattern: only the lead is cut off from the store. Nothing starts until another entry leads,
@@ -300,7 +283,8 @@
         if let Some(successor) = reports.reaching.first()
             && !self.has_store_answered_since(since)
         {
-            self.offer_lead(leadership, successor, STORE_LOST_REASON)
+            let _is_agreed = self
+                .offer_lead(leadership, successor, STORE_LOST_REASON)
                 .await;
         }
     }
@@ -313,7 +297,13 @@
     }
 
     /// Commits a batch of records, unless the chain's key has changed since this lead's last write.
+    ///
+    /// While a successor is about to claim the lead, the batch waits; if the term ends meanwhile it is not sent.
     async fn commit(self: Rc<Self>, leadership: Rc<Leadership>, batch: Batch) {
+        self.wait_for_commits(&leadership).await;
+        if leadership.is_over() {
+            return;
+        }
         let head = Head {
             holder: leadership.holder.clone(),
             number: leadership.next_write_number(),
--- a/crates/marigoldpick-node/src/election.rs
+++ b/crates/marigoldpick-node/src/election.rs
@@ -18,6 +18,7 @@
 use crate::leadership::Leadership;
 use crate::member::Member;
 use crate::platform::Platform;
+use crate::snapshot::Snapshot;
 
 /// The timeout of a watch on the lead's key; a dead connection is noticed only when the watch times out.
 const WATCH_TIMEOUT: Millis = Millis(4_000);
@@ -44,6 +45,9 @@
 const MAX_OFFERS: usize = 3;
 /// The reason for the end of a term whose lead is about to stop.
 const DRAINING_REASON: &str = "draining";
+/// How often a successor claims the lead. A lead that has not yet heard of it commits at most each 20 ms, so that a
+/// claim fails for about one in three if its entry is 9 ms away from the store.
+const MAX_CLAIMS: usize = 8;
 /// The number of renewals during the duration of the lead's lease.
 const RENEWALS_PER_LEASE: u64 = 4;
 
@@ -147,10 +151,17 @@
         else {
             return Err(Fault::Unknown);
         };
+        self.prepared.set(None);
         if let Some(item) = items.first() {
             self.record_lead(Some(item));
             return self.await_vacancy(revision).await;
         }
+        let succession = self.succession_receiver.try_recv().ok();
+        if let Some(snapshot) = succession.and_then(|s| self.check_succession(s)) {
+            // The lead has asked for a successor and has ended its term since.
+            self.record_lead(None);
+            return self.campaign(false, snapshot).await;
+        }
         self.yield_to_earlier_lead().await;
         self.record_lead(None);
         if self.is_draining() || !self.has_config() {
@@ -170,7 +181,7 @@
             0
         };
         task::sleep((wait + Millis(jitter)).duration()).await;
-        self.campaign(false).await
+        self.campaign(false, Snapshot::default()).await
     }
 
     /// Gives an earlier lead whose lease lapsed during a store outage the time to claim its key again.
@@ -198,15 +209,16 @@
     /// Load pattern: a rolling restart while the store is slow. Without a hand-over, the lead's key would be
     /// removed, the other entries would see that, and one would campaign: each step is a call of a few
     /// hundred milliseconds in which nothing starts. The lead goes on scheduling until the other entry has
-    /// answered that it is ready, or the request to it has failed.
+    /// claimed the lead or the request to it has failed, at most for 2.9 s: three requests and one claim.
     pub(crate) async fn hand_over(self: &Rc<Self>, leadership: Rc<Leadership>) {
         let mut peers = self.peers.borrow().clone();
         peers.sort_by_key(|member| std::cmp::Reverse(member.strength));
         for successor in peers.iter().take(MAX_OFFERS) {
-            self.offer_lead(&leadership, &successor.known, DRAINING_REASON)
+            let is_agreed = self
+                .offer_lead(&leadership, &successor.known, DRAINING_REASON)
                 .await;
-            if leadership.is_over() {
-                return;
+            if is_agreed || leadership.is_over() {
+                break;
             }
         }
         leadership.end(DRAINING_REASON);
@@ -233,7 +245,8 @@
                 "event=stronger-entry entry={} strength={} own={}",
                 strongest.known.entry, strongest.strength, self.settings.strength
             );
-            self.offer_lead(leadership, &strongest.known, "handed-over")
+            let _is_agreed = self
+                .offer_lead(leadership, &strongest.known, "handed-over")
                 .await;
         }
     }
@@ -260,8 +273,13 @@
             let succession = std::pin::pin!(self.succession_receiver.recv());
             let answer = match select(std::pin::pin!(self.call_store(follow)), succession).await {
                 Either::Left((answer, _)) => answer?,
-                Either::Right(_) if self.is_draining() => continue,
-                Either::Right(_) => return self.campaign(true).await,
+                Either::Right((succession, _)) => {
+                    let succession = succession.ok();
+                    match succession.and_then(|s| self.check_succession(s)) {
+                        Some(snapshot) => return self.campaign(true, snapshot).await,
+                        None => continue,
+                    }
+                }
             };
             match answer {
                 Answer::Changes {
@@ -304,8 +322,13 @@
 
     /// Tries to become the lead, and if successful leads until the term ends.
     ///
-    /// With `replaces_lead` the claim replaces the key of the present lead, which asked for it.
-    async fn campaign(self: &Rc<Self>, replaces_lead: bool) -> Result<(), Fault> {
+    /// With `replaces_lead` the claim replaces the key of the present lead, which asked for it. `snapshot` is what has
+    /// been read of the store so far.
+    async fn campaign(
+        self: &Rc<Self>,
+        replaces_lead: bool,
+        snapshot: Snapshot,
+    ) -> Result<(), Fault> {
         let key = keys::CHAIN.to_owned();
         let expect = if replaces_lead {
             Expect::Any
@@ -329,19 +352,12 @@
             rand::rng().random::<u64>()
         );
         let earlier = chain.as_ref().and_then(holder_of);
+        let claimed = self.claim(&holder, expect, chain, lease).await?;
+        let Some((term, chain)) = claimed else {
+            return Ok(());
+        };
         let head = chain.as_ref().and_then(read_head);
         let is_first = chain.is_none();
-        let chain = chain.map_or(Expect::Absent, |item| Expect::Revision(item.revision));
-        let commit = self.build_claim(&holder, expect, chain, lease);
-        let term = match self.call_store(commit).await {
-            Ok(Answer::Written(term)) => term,
-            Ok(_) => return Ok(()),
-            Err(Fault::Unknown) => match self.find_claim(&holder).await? {
-                Some(term) => term,
-                None => return Ok(()),
-            },
-            Err(fault) => return Err(fault),
-        };
         log::info!(target: "node", "event=lead-taken term={term}");
         self.record_term(term);
         *self.lead.borrow_mut() = Some(self.own_entry());
@@ -366,7 +382,7 @@
             let (this, leadership) = (Rc::clone(self), Rc::clone(&leadership));
             task::spawn_local(this.rule_out_unrecorded_starts(leadership, head.entries));
         }
-        let outcome = self.run_term(&leadership).await;
+        let outcome = self.run_term(&leadership, snapshot).await;
         leadership.end("ended");
         self.keep_remainder(&leadership);
         *self.tenure.borrow_mut() = None;
@@ -376,6 +392,40 @@
         Ok(())
     }
 
+    /// Makes the claim `holder`; returns its term and the value of the chain's key that it has replaced, if it succeeds.
+    ///
+    /// A lead that asked for its replacement may commit until it knows that the claim is under way. The claim is then
+    /// repeated on condition of that commit, unless another claim has replaced the lead's.
+    async fn claim(
+        self: &Rc<Self>,
+        holder: &str,
+        lead: Expect,
+        mut chain: Option<Item>,
+        lease: u64,
+    ) -> Result<Option<(u64, Option<Item>)>, Fault> {
+        let earlier = chain.as_ref().and_then(holder_of);
+        for _ in 0..MAX_CLAIMS {
+            let expect = chain.as_ref().map(|item| Expect::Revision(item.revision));
+            let commit = self.build_claim(holder, lead, expect.unwrap_or(Expect::Absent), lease);
+            match self.call_store(commit).await {
+                Ok(Answer::Written(term)) => return Ok(Some((term, chain))),
+                Ok(Answer::Rivals(items)) if lead == Expect::Any => {
+                    chain = items.into_iter().find(|item| item.key == keys::CHAIN);
+                    if chain.as_ref().and_then(holder_of) != earlier {
+                        return Ok(None);
+                    }
+                }
+                Ok(_) => return Ok(None),
+                Err(Fault::Unknown) => {
+                    let term = self.find_claim(holder).await?;
+                    return Ok(term.map(|term| (term, chain)));
+                }
+                Err(fault) => return Err(fault),
+            }
+        }
+        Ok(None)
+    }
+
     /// Builds the commit that writes the keys of the lead and the chain for the claim `holder`.
     fn build_claim(&self, holder: &str, lead: Expect, chain: Expect, lease: u64) -> Call {
         let claim = Claim {
@@ -456,6 +506,25 @@
         }
     }
 
+    /// Returns whether the lead's key is still that of the term, and ends the term if another claim has replaced it.
+    ///
+    /// Without an offer no other entry replaces the key while its lease lasts. After one the lease may be renewed
+    /// although a successor leads, which must not confirm the term.
+    async fn holds_lead_key(self: &Rc<Self>, leadership: &Leadership) -> bool {
+        if !leadership.has_offered() {
+            return true;
+        }
+        let key = keys::LEAD.to_owned();
+        match self.call_store(Call::Get { key }).await {
+            Ok(Answer::Item(Some(item))) if is_held_by(&item, &leadership.holder) => true,
+            Ok(Answer::Item(Some(_))) => {
+                leadership.end_as_replaced("another-leads");
+                false
+            }
+            Ok(_) | Err(_) => false,
+        }
+    }
+
     /// Renews the lead's lease until the term ends, then revokes it.
     ///
     /// Each renewal confirms the term, which ends if it is not confirmed within the `term_grace` setting. If
@@ -466,7 +535,10 @@
             let sent = self.now();
             let lease = leadership.lease.get();
             match self.call_store(Call::Renew { lease }).await {
-                Ok(Answer::Lease(_)) => leadership.confirm(sent),
+                Ok(Answer::Lease(_)) if self.holds_lead_key(&leadership).await => {
+                    leadership.confirm(sent);
+                }
+                Ok(Answer::Lease(_)) => {}
                 Ok(_) => self.reclaim(&leadership).await,
                 Err(_) => {}
             }
--- a/crates/marigoldpick-node/src/handover.rs
+++ b/crates/marigoldpick-node/src/handover.rs
@@ -93,7 +93,7 @@
     pub(crate) fn yield_term(&self, holder: &str) -> Option<Handover> {
         let tenure = self.tenure.borrow().clone();
         if let Some(leadership) = tenure.filter(|leadership| leadership.holder == holder) {
-            leadership.end(REPLACED_REASON);
+            leadership.end_as_replaced(REPLACED_REASON);
             self.keep_remainder(&leadership);
         }
         self.remaining_leases(holder)
--- a/crates/marigoldpick-node/src/inbox.rs
+++ b/crates/marigoldpick-node/src/inbox.rs
@@ -7,7 +7,7 @@
 use marigoldpick_core::clock::time_of_day;
 use marigoldpick_core::excerpt::Excerpt;
 use marigoldpick_core::prelude::*;
-use marigoldpick_core::store::{Answer, Call, Change, Fault, Item};
+use marigoldpick_core::store::{Answer, Call, Change, Item};
 use marigoldpick_core::work;
 use marigoldpick_job::lead::Origin;
 use marigoldpick_job::lead::roster::Part;
@@ -16,9 +16,10 @@
 use crate::control::Control;
 use crate::keys;
 use crate::leadership::Leadership;
-use crate::listing::{self, Listing, MAX_READS};
+use crate::listing::{Listing, MAX_READS};
 use crate::phases::Phase;
 use crate::platform::Platform;
+use crate::snapshot::Snapshot;
 use crate::submission;
 
 /// The timeout of a watch on the inbox.
@@ -28,86 +29,29 @@
 /// The delay before a failed call to the store is retried.
 const STORE_RETRY: Millis = Millis(150);
 
-/// `Snapshot` is what has been read of the jobs, their records and the roster.
-#[derive(Debug)]
-pub(crate) struct Snapshot {
-    inbox: Listing,
-    records: Listing,
-    roster: Listing,
-    /// The maximum number of reads in flight.
-    width: usize,
-}
-
-impl Default for Snapshot {
-    fn default() -> Self {
-        Self {
-            inbox: Listing::new(keys::INBOX),
-            records: Listing::new(keys::RECORDS),
-            roster: Listing::new(keys::ROSTER),
-            width: MAX_READS,
-        }
-    }
-}
-
 impl<P: Platform> Control<P> {
-    /// Loads the inbox and the records of its jobs; returns the revision from which to watch the inbox.
+    /// Loads the inbox and the records of its jobs, of which `snapshot` may have been read before the claim; returns
+    /// the revision from which to watch the inbox.
     ///
     /// Retries until it succeeds; returns nothing if the term ends first.
-    pub(crate) async fn load_inbox(self: &Rc<Self>, leadership: &Leadership) -> Option<u64> {
-        let mut snapshot = Snapshot::default();
-        while !leadership.is_over() {
-            let Snapshot {
-                inbox,
-                records,
-                roster,
-                width,
-            } = &mut snapshot;
-            if self
-                .read_on(&mut [inbox, records, roster], width)
-                .await
-                .is_ok()
-            {
-                let revision = snapshot.inbox.revision();
-                leadership.end_phase(Phase::Read, self.now());
-                self.apply_snapshot(leadership, snapshot);
-                leadership.end_phase(Phase::Apply, self.now());
-                return Some(revision);
-            }
-            task::sleep(STORE_RETRY.duration()).await;
-        }
-        None
-    }
-
-    /// Passes what is stored to a new lead.
-    fn apply_snapshot(&self, leadership: &Leadership, snapshot: Snapshot) {
+    pub(crate) async fn load_inbox(
+        self: &Rc<Self>,
+        leadership: &Leadership,
+        snapshot: Snapshot,
+    ) -> Option<u64> {
+        let ahead = snapshot.count();
+        let snapshot = self.complete_snapshot(leadership, snapshot).await?;
+        leadership.end_phase(Phase::Read, self.now());
+        let revision = snapshot.inbox.revision();
         let now = self.now();
         let roster = snapshot.roster.into_items();
         leadership.update(|lead| lead.inherit_roster(read_roster(&roster), now));
         let (inbox, records) = (snapshot.inbox.into_items(), snapshot.records.into_items());
         self.apply_inbox(leadership, &inbox, &records);
-        let (term, items) = (leadership.term(), inbox.len());
-        log::info!(target: "node", "event=lead-loaded term={term} items={items} records={}", records.len());
-    }
-
-    /// Reads the remaining pages of listings, with at most `width` reads in flight.
-    ///
-    /// The pages that were read are kept if one fails. Fewer reads are then in flight, since they may have shared a
-    /// link that is too slow for all of them.
-    async fn read_on(
-        self: &Rc<Self>,
-        listings: &mut [&mut Listing],
-        width: &mut usize,
-    ) -> Result<(), Fault> {
-        let call = |call| self.call_store(call);
-        let began = self.now();
-        if listing::read_first(listings, call).await? {
-            *width = (*width).min(listing::read_width(self.now().since(began)));
-        }
-        let result = listing::read_rest(listings, *width, call).await;
-        if result.is_err() {
-            *width = listing::narrower(*width);
-        }
-        result
+        leadership.end_phase(Phase::Apply, self.now());
+        let (term, items, records) = (leadership.term(), inbox.len(), records.len());
+        log::info!(target: "node", "event=lead-loaded term={term} items={items} records={records} ahead={ahead}");
+        Some(revision)
     }
 
     /// Reads the whole inbox again; returns the revision from which to watch it, unless the term ends first.
--- a/crates/marigoldpick-node/src/leadership.rs
+++ b/crates/marigoldpick-node/src/leadership.rs
@@ -31,6 +31,12 @@
     writes: Cell<u64>,
     /// Why the term is over, if it is.
     end_reason: Cell<Option<&'static str>>,
+    /// Why the lead is being offered to another entry, if it is.
+    offer: Cell<Option<&'static str>>,
+    /// Whether the lead was offered to another entry in this term, which may claim it at any time.
+    has_offered: Cell<bool>,
+    /// Until when commits are held back for the claim of a successor.
+    commits_held_until: Cell<Millis>,
     /// The phases of the takeover with which the term began.
     phases: Cell<Phases>,
     /// The entries that relay orders, sorted by failure domain.
@@ -62,6 +68,9 @@
             chain: Cell::new(term),
             writes: Cell::new(0),
             end_reason: Cell::new(None),
+            offer: Cell::new(None),
+            has_offered: Cell::new(false),
+            commits_held_until: Cell::new(Millis::ZERO),
             phases: Cell::new(phases),
             relays: RefCell::default(),
             wake_sender,
@@ -115,6 +124,34 @@
         self.wake_loop();
     }
 
+    /// Ends the term since another claim has replaced its own; the reason is that of an offer, or else `why`.
+    pub(crate) fn end_as_replaced(&self, why: &'static str) {
+        self.end(self.offer.get().unwrap_or(why));
+    }
+
+    /// Records that the lead is being offered to another entry, for the reason `why`.
+    pub(crate) fn begin_offer(&self, why: &'static str) {
+        self.offer.set(Some(why));
+        self.has_offered.set(true);
+    }
+
+    pub(crate) fn end_offer(&self) {
+        self.offer.set(None);
+    }
+
+    /// Returns whether another entry may have claimed the lead because it was offered.
+    pub(crate) const fn has_offered(&self) -> bool {
+        self.has_offered.get()
+    }
+
+    pub(crate) fn hold_commits_until(&self, until: Millis) {
+        self.commits_held_until.set(until);
+    }
+
+    pub(crate) fn holds_commits(&self, now: Millis) -> bool {
+        now < self.commits_held_until.get()
+    }
+
     /// Records that the term was confirmed at `at`.
     ///
     /// `at` is the send time of a call that the store answered, or the time at which most entries reported
--- a/crates/marigoldpick-node/src/lib.rs
+++ b/crates/marigoldpick-node/src/lib.rs
@@ -29,7 +29,9 @@
 pub mod retry;
 mod serve;
 pub mod settings;
+mod snapshot;
 pub mod submission;
+mod succession;
 
 pub use config::Config;
 pub use node::{Handle, Node};
--- a/crates/marigoldpick-node/src/serve.rs
+++ b/crates/marigoldpick-node/src/serve.rs
@@ -106,6 +106,7 @@
                 peer::Answer::Receipt(self.cancel(&job, &access, false).await)
             }
             peer::Call::Succeed => {
+                let asked = self.now();
                 // An entry that is about to stop would have to hand the lead over again.
                 if self.is_draining() {
                     return Err(Code::NotRunDraining);
@@ -114,8 +115,10 @@
                     return Err(Code::StoreAway);
                 }
                 log::info!(target: "node", "event=succession-asked");
-                // A full channel means that a succession request is already pending.
-                let _is_asked = self.succession_sender.try_send(());
+                self.prepare_succession(asked).await;
+                if self.is_draining() {
+                    return Err(Code::NotRunDraining);
+                }
                 self.build_pong(true)
             }
             peer::Call::Yield { holder } => peer::Answer::Leases(self.yield_term(&holder)),
--- a/crates/marigoldpick-node/tests/node/cluster.rs
+++ b/crates/marigoldpick-node/tests/node/cluster.rs
@@ -1,7 +1,7 @@
 //! A test cluster: the stand-in's store, fake workers in memory, and nodes on loopback.
 
 use std::net::TcpListener;
-use std::sync::atomic::{AtomicBool, AtomicUsize, Ordering};
+use std::sync::atomic::{AtomicBool, AtomicU64, AtomicUsize, Ordering};
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::time::{Duration, Instant};
 
@@ -20,6 +20,7 @@
 use marigoldpick_job::queue::Policy;
 use marigoldpick_node::access::{self, Directory, Team};
 use marigoldpick_node::config::{Config, Route};
+use marigoldpick_node::keys;
 use marigoldpick_node::platform::{Confirmed, Platform, Registry, Source, Update};
 use marigoldpick_node::{Node, Settings};
 use marigoldpick_platform::{Caller, Store};
@@ -223,6 +224,10 @@
     only_watches: Arc<AtomicBool>,
     /// Whether reads of large pages get no answer in time.
     is_slow: Arc<AtomicBool>,
+    /// How long answers to reads of large pages take after they were made, in milliseconds.
+    page_delay_ms: Arc<AtomicU64>,
+    /// The number of next watches of what a lead reads that are answered without the history.
+    lost_histories: Arc<AtomicUsize>,
 }
 
 impl store::Store for FaultyStore {
@@ -242,9 +247,22 @@
             return Err(store::Fault::Unknown);
         }
         let is_write = matches!(call, store::Call::Commit { .. });
-        let answer = self.store.call(call).await;
+        let is_large = matches!(call, store::Call::Range { large: true, .. });
         let decrement = |left: usize| left.checked_sub(1);
         let order = Ordering::SeqCst;
+        if matches!(&call, store::Call::Follow { prefix, .. } if prefix != keys::LEAD)
+            && self
+                .lost_histories
+                .fetch_update(order, order, decrement)
+                .is_ok()
+        {
+            return Ok(store::Answer::Compacted);
+        }
+        let answer = self.store.call(call).await;
+        if is_large {
+            let delay = self.page_delay_ms.load(order);
+            task::sleep(Duration::from_millis(delay)).await;
+        }
         if is_write
             && self
                 .lost_answers
@@ -488,6 +506,10 @@
     pub only_watches: Vec<Arc<AtomicBool>>,
     /// Whether a node's reads of large pages get no answer in time.
     pub slow: Vec<Arc<AtomicBool>>,
+    /// How long answers to any node's reads of large pages take after they were made, in milliseconds.
+    pub page_delay_ms: Arc<AtomicU64>,
+    /// The number of a node's next watches of what a lead reads that are answered without the history.
+    pub lost_histories: Vec<Arc<AtomicUsize>>,
     /// The position of the node without a configuration, if there is one.
     unconfigured: Option<usize>,
     /// The newest configuration.
@@ -615,6 +637,8 @@
             cut_off: strengths.iter().map(|_| Arc::default()).collect(),
             only_watches: strengths.iter().map(|_| Arc::default()).collect(),
             slow: strengths.iter().map(|_| Arc::default()).collect(),
+            page_delay_ms: Arc::default(),
+            lost_histories: strengths.iter().map(|_| Arc::default()).collect(),
             unconfigured: None,
             config: Arc::new(Mutex::new(first_config())),
             access: access::Policy::default(),
@@ -704,6 +728,8 @@
                 lost_answers: Arc::clone(&self.lost_answers[number]),
                 only_watches: Arc::clone(&self.only_watches[number]),
                 is_slow: Arc::clone(&self.slow[number]),
+                page_delay_ms: Arc::clone(&self.page_delay_ms),
+                lost_histories: Arc::clone(&self.lost_histories[number]),
             },
             fake_workers: Arc::clone(&self.fake_workers),
             number,
--- a/crates/marigoldpick-node/tests/node/takeover.rs
+++ b/crates/marigoldpick-node/tests/node/takeover.rs
@@ -2,14 +2,22 @@
 
 use std::cell::RefCell;
 use std::collections::BTreeMap;
+use std::sync::atomic::Ordering;
+use std::thread;
 use std::time::Duration;
 
 use async_std::task;
 use googletest::prelude::*;
 use marigoldpick_core::prelude::*;
-use marigoldpick_core::store::{Answer, Call, Fault, Item};
+use marigoldpick_core::store::{Answer, Call, Change, Fault, Item};
+use marigoldpick_core::work::peer::{self, Receipt};
+use marigoldpick_core::work::{Phase, Task};
 use marigoldpick_node::keys;
 use marigoldpick_node::listing::{self, Listing, MAX_READS, read_width};
+use marigoldpick_wire as wire;
+use marigoldpick_wire::Handler as _;
+
+use crate::cluster::{Cluster, lock, wait_until};
 
 /// The round trip to the store.
 const ROUND_TRIP: Duration = Duration::from_millis(9);
@@ -167,3 +175,183 @@
     expect_that!(listing::narrower(2), eq(1));
     expect_that!(listing::narrower(1), eq(1));
 }
+
+fn item(key: &str, revision: u64) -> Item {
+    Item {
+        key: format!("{}{key}", keys::RECORDS),
+        value: revision.to_string(),
+        revision,
+    }
+}
+
+fn removed(key: &str, revision: u64) -> Change {
+    let key = item(key, revision).key;
+    Change::Removed { key, revision }
+}
+
+/// Changes that a page includes already must not undo later ones, nor bring back what was removed.
+#[googletest::test]
+fn apply_keeps_the_newest_state_of_each_key() {
+    let mut listing = Listing::new(keys::RECORDS);
+    let page = |_| async {
+        Ok(Answer::Page {
+            items: vec![item("1", 8), item("2", 3), item("3", 4), item("5", 2)],
+            more: false,
+            revision: 8,
+        })
+    };
+    let read = task::block_on(listing::read_first(&mut [&mut listing], page));
+    expect_that!(read, ok(eq(false)));
+    let written = |key, revision| Change::Written(item(key, revision));
+    let changes = vec![
+        removed("1", 5),
+        written("1", 8),
+        written("2", 9),
+        written("4", 10),
+        removed("3", 11),
+        written("0", 12),
+        removed("0", 13),
+    ];
+    listing.apply(changes, 13);
+    expect_that!(listing.revision(), eq(13));
+    expect_that!(
+        listing.into_items(),
+        eq(&vec![
+            item("1", 8),
+            item("2", 9),
+            item("4", 10),
+            item("5", 2)
+        ])
+    );
+}
+
+fn succeed(cluster: &Cluster, at: usize) -> thread::JoinHandle<()> {
+    let handle = cluster.nodes[at].handle().clone();
+    thread::spawn(move || {
+        let call = wire::Call::Jobs(peer::Call::Succeed);
+        // A process that ends meanwhile gives no answer.
+        let _answer = task::block_on(handle.handle(call));
+    })
+}
+
+/// Submits jobs while `change` is made, and expects that each runs once, to completion.
+fn expect_nothing_lost(cluster: &Cluster, change: impl FnOnce()) {
+    const JOBS: u32 = 60;
+    const TASKS: u32 = 2;
+    // What a successor reads before its claim is outdated when it arrives.
+    cluster.page_delay_ms.store(200, Ordering::SeqCst);
+    let last = cluster.nodes.len() - 1;
+    let ids = thread::scope(|scope| {
+        let submit = scope.spawn(|| {
+            let submit = |number| {
+                thread::sleep(Duration::from_millis(20));
+                let (id, receipt) = cluster.submit(last, number, TASKS, 60);
+                assert_eq!(receipt, Receipt::Stored);
+                id
+            };
+            (1..=JOBS).map(submit).collect::<Vec<id::Job>>()
+        });
+        thread::sleep(Duration::from_millis(300));
+        change();
+        submit.join().expect("submissions")
+    });
+    for id in &ids {
+        cluster.wait_for_phase(last, id, Phase::Completed);
+    }
+    let fake_workers = lock(&cluster.fake_workers);
+    let mut tasks: Vec<&Task> = fake_workers.starts.iter().map(|(task, _)| task).collect();
+    tasks.sort();
+    tasks.dedup();
+    expect_that!(tasks.len(), eq((JOBS * TASKS * 2) as usize));
+    expect_that!(fake_workers.starts.len(), eq(tasks.len()));
+    expect_that!(fake_workers.violations, is_empty());
+}
+
+/// Load pattern: a rolling restart while callers submit jobs. Records that change between the read and the claim must
+/// not be lost, or their tasks would run again.
+#[googletest::test]
+fn hand_over_during_submissions_loses_and_doubles_nothing() {
+    let cluster = Cluster::start_with_strengths(&[1_000; 3], 8);
+    let first = cluster.lead();
+    expect_nothing_lost(&cluster, || {
+        cluster.nodes[first].handle().drain();
+        wait_until("another entry leads", || {
+            cluster.lead_if_any().is_some_and(|lead| lead != first)
+        });
+    });
+}
+
+/// The store has dropped the changes between the read and the claim.
+#[googletest::test]
+fn hand_over_without_the_history_loses_and_doubles_nothing() {
+    let cluster = Cluster::start_with_strengths(&[1_000; 2], 8);
+    cluster.lost_histories[1].store(3, Ordering::SeqCst);
+    expect_nothing_lost(&cluster, || {
+        let asked = succeed(&cluster, 1);
+        wait_until("the other entry leads", || cluster.lead_if_any() == Some(1));
+        asked.join().expect("an answer");
+    });
+    expect_that!(cluster.lost_histories[1].load(Ordering::SeqCst), eq(0));
+}
+
+/// A successor that dies while it reads must not cost the earlier lead its term.
+#[googletest::test]
+fn successor_that_dies_before_its_claim_leaves_the_lead_in_place() {
+    let mut cluster = Cluster::start_with_strengths(&[1_000; 2], 3);
+    expect_that!(cluster.lead(), eq(0));
+    let holder = cluster.holder();
+    cluster.slow[1].store(true, Ordering::SeqCst);
+    let asked = succeed(&cluster, 1);
+    thread::sleep(Duration::from_millis(100));
+    // The request keeps the process alive until it is answered, but the store hears nothing more of it.
+    cluster.silent[1].store(true, Ordering::SeqCst);
+    cluster.kill(1);
+    asked.join().expect("an answer");
+    thread::sleep(Duration::from_millis(1_000));
+    let (id, _) = cluster.submit(0, 1, 2, 50);
+    cluster.wait_for_phase(0, &id, Phase::Completed);
+    expect_that!(cluster.holder(), eq(&holder));
+    expect_that!(lock(&cluster.fake_workers).violations, is_empty());
+}
+
+/// A successor that dies after its claim is replaced when its lease ends.
+#[googletest::test]
+fn successor_that_dies_after_its_claim_is_replaced() {
+    let mut cluster = Cluster::start_with_strengths(&[1_000; 2], 3);
+    let (id, _) = cluster.submit(0, 1, 2, 1_000);
+    cluster.wait_for_phase(0, &id, Phase::Running);
+    cluster.slow[1].store(true, Ordering::SeqCst);
+    let asked = succeed(&cluster, 1);
+    wait_until("the successor has claimed", || {
+        cluster.lead_if_any() == Some(1)
+    });
+    asked.join().expect("an answer");
+    cluster.kill(1);
+    cluster.wait_for_phase(0, &id, Phase::Completed);
+    expect_that!(cluster.lead(), eq(0));
+    expect_that!(lock(&cluster.fake_workers).starts.len(), eq(4));
+    expect_that!(lock(&cluster.fake_workers).violations, is_empty());
+}
+
+/// Load pattern: two entries are stopped at once, and the one that is asked to take over ends first.
+#[googletest::test]
+fn lead_that_drains_asks_another_entry_if_its_successor_dies() {
+    let mut cluster = Cluster::start_with_strengths(&[1_000, 1_100, 1_000], 3);
+    // A lead reads the list of the others each second.
+    thread::sleep(Duration::from_millis(1_500));
+    let (id, _) = cluster.submit(2, 1, 2, 1_000);
+    cluster.wait_for_phase(2, &id, Phase::Running);
+    cluster.slow[1].store(true, Ordering::SeqCst);
+    cluster.nodes[0].handle().drain();
+    thread::sleep(Duration::from_millis(100));
+    expect_that!(cluster.holder(), starts_with("e0/"));
+    // The call in flight may keep the process alive, but the store hears nothing more of it.
+    cluster.silent[1].store(true, Ordering::SeqCst);
+    cluster.kill(1);
+    wait_until("the third entry leads", || {
+        cluster.holder().starts_with("e2/")
+    });
+    cluster.wait_for_phase(1, &id, Phase::Completed);
+    expect_that!(lock(&cluster.fake_workers).starts.len(), eq(4));
+    expect_that!(lock(&cluster.fake_workers).violations, is_empty());
+}
