Load ended jobs without a state of their tasks

Most stored jobs have ended when a new lead loads them, and nothing starts until all have been passed to it. Half of the time went into a state for each task, which for an ended job only matters where its record still names runs.

A job whose record says that it has ended and that names no run is loaded without that state, and is no longer marked as waiting. Its phase, record and time of retention are as before.

The tests of the package pass.

--- a/crates/marigoldpick-job/src/job.rs
+++ b/crates/marigoldpick-job/src/job.rs
@@ -69,7 +69,7 @@
 /// `Stage` is the state of a step in one occurrence.
 #[derive(Clone, Debug)]
 pub struct Stage {
-    /// The tasks by number.
+    /// The tasks by number; empty in a job that had ended before the term, unless its record has some state of them.
     pub tasks: Vec<Task>,
     /// The number of unfinished tasks.
     pub unfinished: u32,
@@ -89,6 +89,16 @@
         }
     }
 
+    /// Creates the stage of a job that has ended and of whose tasks nothing is recorded.
+    fn ended(step: &Step) -> Self {
+        Self {
+            tasks: Vec::new(),
+            unfinished: step.count,
+            tickets: Tickets::default(),
+            over_quota: false,
+        }
+    }
+
     /// Returns whether some task is unfinished and has no placement.
     #[must_use]
     pub fn has_unplaced(&self) -> bool {
@@ -161,6 +171,39 @@
     /// `wall` is the Unix time in milliseconds at `now`.
     #[must_use]
     pub fn new(id: id::Job, spec: Arc<work::Job>, wall: u64, now: Millis) -> Self {
+        Self::with_stages(id, spec, Stage::new, wall, now)
+    }
+
+    /// Creates the state of a job from its record, if the store has one.
+    ///
+    /// Load pattern: most stored jobs have ended, and a new lead loads all of them before it starts work. Such a job
+    /// has no state of its tasks unless its record has some.
+    #[must_use]
+    pub fn load(
+        id: id::Job,
+        spec: Arc<work::Job>,
+        record: Option<&Record>,
+        wall: u64,
+        now: Millis,
+    ) -> Self {
+        let has_tasks =
+            record.is_none_or(|record| !record.phase.is_over() || !record.parts.is_empty());
+        let stage = if has_tasks { Stage::new } else { Stage::ended };
+        let mut job = Self::with_stages(id, spec, stage, wall, now);
+        job.loaded = true;
+        if let Some(record) = record {
+            job.restore(record, now);
+        }
+        job
+    }
+
+    fn with_stages(
+        id: id::Job,
+        spec: Arc<work::Job>,
+        stage: fn(&Step) -> Stage,
+        wall: u64,
+        now: Millis,
+    ) -> Self {
         let age = wall.saturating_sub(spec.accepted);
         let local = |at: u64| match at.checked_sub(wall) {
             Some(ahead) => now + Millis(ahead),
@@ -172,7 +215,7 @@
                     let waited = schedule.every.times(u64::from(number));
                     local(schedule.first.saturating_add(waited.0))
                 }),
-                stages: spec.steps.iter().map(Stage::new).collect(),
+                stages: spec.steps.iter().map(stage).collect(),
                 time_left: Millis::ZERO,
             })
             .collect();
--- a/crates/marigoldpick-job/src/lead.rs
+++ b/crates/marigoldpick-job/src/lead.rs
@@ -315,21 +315,20 @@
         let Err(at) = self.jobs.binary_search_by(|job| job.id.cmp(&id)) else {
             return;
         };
-        let mut job = Job::new(id, spec, wall, now);
+        let mut job = match origin {
+            Origin::New => Job::new(id, spec, wall, now),
+            Origin::Loaded(record) => Job::load(id, spec, record, wall, now),
+        };
         job.excess = self
             .rates
             .is_excess(job.spec.team.as_ref(), job.spec.accepted);
-        if let Origin::Loaded(record) = origin {
-            job.loaded = true;
-            if let Some(record) = record {
-                job.restore(record, now);
-            }
-        }
         let placed = job.placed();
         self.jobs.insert(at, job);
         self.update_estimates(at);
         self.record_failures(at);
-        self.mark_waiting(at);
+        if !self.jobs[at].phase.is_over() {
+            self.mark_waiting(at);
+        }
         for (task, place) in placed {
             self.expect_run(&task, &place, now);
         }
--- a/crates/marigoldpick-job/tests/lead/main.rs
+++ b/crates/marigoldpick-job/tests/lead/main.rs
@@ -3,6 +3,7 @@
 mod crashes;
 mod faults;
 mod leases;
+mod load;
 mod numbers;
 mod outages;
 mod teams;
