--- a/crates/marigoldpick-job/tests/lead/main.rs
+++ b/crates/marigoldpick-job/tests/lead/main.rs
@@ -4,6 +4,7 @@
 mod faults;
 mod leases;
 mod load;
+mod loading;
 mod numbers;
 mod outages;
 mod repeats;
