Explain where a job would go, and why, without accepting it

Operators could see that a job waits, but not behind what, nor which workers qualify for a new kind of job. The lead now answers that from the state that decides, by the functions that decide: rank, limits, candidates and their costs are the ones of the scheduling pass, which were split so that a job can be passed in that the lead has not accepted.

Entries answer it to operators at /v1/where, and `marigold where` prints it. An entry that does not lead tells who leads and what it knows of the configuration; the command asks the entries named until one leads.

--- a/crates/marigoldpick-bench/src/main.rs
+++ b/crates/marigoldpick-bench/src/main.rs
@@ -2,6 +2,7 @@
 
 mod cost;
 mod load;
+mod locate;
 mod place;
 mod route;
 
@@ -29,6 +30,8 @@
     Load(load::Arguments),
     #[options(help = "request placement: decisions against plain balancers")]
     Route(route::Arguments),
+    #[options(help = "job placement: the time to explain where a job would go")]
+    Where(locate::Arguments),
 }
 
 fn main() -> ExitCode {
@@ -38,6 +41,7 @@
         Some(Command::Place(arguments)) => place::run(&arguments),
         Some(Command::Load(arguments)) => load::run(&arguments),
         Some(Command::Route(arguments)) => route::run(&arguments),
+        Some(Command::Where(arguments)) => locate::run(&arguments),
         None => {
             println!("{}", Arguments::usage());
             ExitCode::FAILURE
--- a/crates/marigoldpick-core/src/work.rs
+++ b/crates/marigoldpick-core/src/work.rs
@@ -15,6 +15,7 @@
 use crate::name::Name;
 use crate::resource::Amount;
 
+pub mod explain;
 pub mod lease;
 pub mod peer;
 pub mod port;
--- a/crates/marigoldpick-job/src/lead.rs
+++ b/crates/marigoldpick-job/src/lead.rs
@@ -10,6 +10,7 @@
 mod copies;
 mod crash;
 mod evacuate;
+mod explain;
 mod hold;
 mod lease;
 mod losses;
@@ -454,10 +455,7 @@
             return;
         };
         if !job.phase.is_over() {
-            job.objective = rank::objective(&job.spec, queue);
-            for occurrence in &mut job.occurrences {
-                occurrence.time_left = rank::time_left(&job.spec, occurrence, queue);
-            }
+            rank::estimate(job, queue);
         }
     }
 
--- a/crates/marigoldpick-job/src/lead/advise.rs
+++ b/crates/marigoldpick-job/src/lead/advise.rs
@@ -13,7 +13,7 @@
 use super::waiting::WaitingStep;
 use crate::action::Action;
 use crate::askers::Availability;
-use crate::job::Stage;
+use crate::job::{Job, Stage};
 use crate::question::{self, Share};
 use crate::rank::Precedence;
 use crate::worker::Worker;
@@ -71,7 +71,7 @@
             return;
         }
         self.counters.looks += room.workers.len() as u64;
-        let mut workers = self.choose_workers(at, part, missing, room, basis, now);
+        let mut workers = self.choose_workers(&self.jobs[at], part, missing, room, basis, now);
         if workers.is_empty() {
             self.delay_question(at, part, now + FULL_RETRY);
             return;
@@ -109,16 +109,15 @@
     ///
     /// Known good workers with capacity and an expired ticket come first, then unknown ones with
     /// capacity, and then busy ones if too few good workers are known.
-    fn choose_workers(
+    pub(super) fn choose_workers(
         &self,
-        at: usize,
+        job: &Job,
         part: &Part,
         missing: usize,
         room: &Room,
         basis: Basis,
         now: Millis,
     ) -> Vec<id::Worker> {
-        let job = &self.jobs[at];
         let (Some(step), Some(stage), Some(policy)) = (
             job.step(part),
             job.stage(part.occurrence, part.step),
--- /dev/null
+++ b/crates/marigoldpick-job/src/lead/explain.rs
@@ -0,0 +1,323 @@
+//! Explains where a job would go if it were accepted now, without accepting it.
+//!
+//! Load pattern: operators ask why jobs of a queue wait, or what a new kind of job would meet, while
+//! the site works. The answer comes from the lead's state by the functions that decide. It changes
+//! nothing, charges no rate or limit and sends nothing. Work that waits and goes before the job is
+//! counted, but not placed: what it takes meanwhile is not known.
+
+use std::sync::Arc;
+
+use marigoldpick_core::prelude::*;
+use marigoldpick_core::work::explain::{
+    Ahead, Candidate as Place, Outcome, Placement, Question, Reason, Step as Answer,
+};
+use marigoldpick_core::work::{self, Part, Step};
+
+use super::Lead;
+use super::advise::{Basis, spread_allowance};
+use super::quota::is_held_back;
+use super::room::Room;
+use super::schedule::{Candidate, Choice};
+use super::waiting::WaitingStep;
+use crate::job::Job;
+use crate::queue::Queue;
+use crate::rank;
+use crate::worker::Worker;
+
+/// The id of the job while it is explained; callers' ids are hexadecimal.
+const EXPLAINED_ID: &str = "explained";
+/// The most waiting steps that are named as going before a step.
+const MAX_NAMED: usize = 5;
+
+/// `Plan` is where the tasks of a step would start.
+#[derive(Debug, Default)]
+struct Plan {
+    /// The position of each task's worker.
+    workers: Vec<usize>,
+    /// The best and the next best worker for the first task, with their costs.
+    first: Vec<(usize, u64)>,
+    /// The number of candidates on other racks than the one to which a gang is kept.
+    elsewhere: usize,
+}
+
+impl Lead {
+    /// Explains what would happen to a job that is accepted now; `None` if its queue is unknown.
+    ///
+    /// `wall` is the Unix time in milliseconds at `now`.
+    #[must_use]
+    pub fn explain(&self, spec: Arc<work::Job>, wall: u64, now: Millis) -> Option<Placement> {
+        let queue = self.queue(&spec.queue)?;
+        let mut job = Job::new(id::Job::new(EXPLAINED_ID).ok()?, spec, wall, now);
+        let team = job.spec.team.clone();
+        job.excess = self.rates.would_be_excess(team.as_ref(), wall);
+        rank::estimate(&mut job, queue);
+        let waiting = self.ranked_steps(now);
+        let mut own = Vec::new();
+        if !self.unrecorded_runs(now).can_include(&job) {
+            self.add_waiting_steps(&job, queue, now, &mut own);
+        }
+        own.sort_by_key(|step| step.rank);
+        let rooms = Room::of(&self.workers, now);
+        let room = Room::find(&rooms, &queue.service).map(|at| &rooms[at]);
+        let mut planned = vec![Amount::default(); self.workers.len()];
+        let mut oldest = None;
+        let mut steps = Vec::new();
+        for queued in &own {
+            let candidates = room.map_or_else(Vec::new, |room| {
+                let step = &job.spec.steps[queued.part.step as usize];
+                self.candidates_of(&job, &queued.part, step, room, now)
+            });
+            let ages = candidates.iter().map(|candidate| {
+                let worker = &self.workers[candidate.worker];
+                report_age(worker, now).unwrap_or(Millis::MAX)
+            });
+            oldest = oldest.max(ages.max());
+            let candidates = candidates.into_iter().map(|candidate| Candidate {
+                planned: planned[candidate.worker].clone(),
+                ..candidate
+            });
+            let candidates: Vec<Candidate> = candidates.collect();
+            let mut answer = self.explain_step(&job, queue, queued, room, &candidates, now);
+            let plan = self.plan(&job, &queued.part, &answer, candidates, now);
+            for worker in &plan.workers {
+                planned[*worker].add(&job.claims[queued.part.step as usize]);
+            }
+            self.add_plan(&mut answer, &plan, now);
+            self.add_line(&mut answer, &waiting, queued);
+            steps.push(answer);
+        }
+        Some(Placement {
+            excess: job.excess,
+            objective: job.objective,
+            waiting: waiting.len(),
+            steps,
+            term_age: now.since(self.term_start),
+            pass_age: now.since(self.last_pass),
+            report_age: oldest,
+        })
+    }
+
+    /// Returns the waiting steps of all jobs in the order of their ranks.
+    fn ranked_steps(&self, now: Millis) -> Vec<WaitingStep> {
+        let unrecorded = self.unrecorded_runs(now);
+        let mut queued = Vec::new();
+        for job in self.waiting.iter().filter_map(|id| self.job(id)) {
+            let queue = self.queue(&job.spec.queue);
+            if let Some(queue) = queue
+                && !job.phase.is_over()
+                && !unrecorded.can_include(job)
+            {
+                self.add_waiting_steps(job, queue, now, &mut queued);
+            }
+        }
+        queued.sort_by_key(|step| step.rank);
+        queued
+    }
+
+    /// Explains a step as far as it does not depend on where its tasks go.
+    fn explain_step(
+        &self,
+        job: &Job,
+        queue: &Queue,
+        queued: &WaitingStep,
+        room: Option<&Room>,
+        candidates: &[Candidate],
+        now: Millis,
+    ) -> Answer {
+        let part = &queued.part;
+        let step = &job.spec.steps[part.step as usize];
+        let held = is_held_back(queued, job.spec.team.as_ref(), &self.held_gangs);
+        let tasks = (0..step.count).filter(|index| self.may_start(&part.task(*index), now));
+        let waiting = tasks.count();
+        let admitted = if held {
+            0
+        } else {
+            self.admitted_tasks(job, step, waiting)
+        };
+        let question = queue.policy.zip(room).map(|(policy, room)| {
+            let named = self.choose_workers(job, part, admitted, room, Basis::Free, now);
+            Question {
+                workers: named.len(),
+                span: policy.span(named.len()),
+            }
+        });
+        Answer {
+            number: part.step,
+            tasks: step.count,
+            outcome: match (admitted, &question) {
+                (0, _) => Outcome::Limit,
+                (_, Some(question)) if question.workers > 0 => Outcome::Advice,
+                _ => Outcome::Room,
+            },
+            behind: 0,
+            before: Vec::new(),
+            qualified: candidates.len(),
+            excluded: self.count_excluded(job, queue, part, candidates, now),
+            admitted: u32::try_from(admitted).unwrap_or(u32::MAX),
+            worker: None,
+            next: None,
+            places: Vec::new(),
+            question,
+        }
+    }
+
+    /// Counts the workers of the queue's service that are no candidates, by the first reason.
+    fn count_excluded(
+        &self,
+        job: &Job,
+        queue: &Queue,
+        part: &Part,
+        candidates: &[Candidate],
+        now: Millis,
+    ) -> Vec<(Reason, usize)> {
+        let step = &job.spec.steps[part.step as usize];
+        let claim = &job.claims[part.step as usize];
+        let reason = |worker: &Worker| {
+            if !worker.is_registered {
+                Reason::Unlisted
+            } else if worker.node.draining {
+                Reason::Draining
+            } else if worker.quarantined_until > now {
+                Reason::Slow
+            } else if !worker.can_take_work(now) {
+                Reason::Silent
+            } else if !worker.node.capacity.holds(claim) {
+                Reason::Size
+            } else if !worker.has_label_for(step) {
+                Reason::Label
+            } else if spread_allowance(step, worker, &part.task(0)) == 0 {
+                Reason::Spread
+            } else if !worker.free().holds(claim) || queue.policy.is_none() {
+                Reason::Full
+            } else {
+                Reason::Advice
+            }
+        };
+        let mut counts: Vec<(Reason, usize)> = Vec::new();
+        for (at, worker) in self.workers.iter().enumerate() {
+            let is_candidate = candidates.binary_search_by_key(&at, |c| c.worker).is_ok();
+            if worker.node.service != queue.service || is_candidate {
+                continue;
+            }
+            add_count(&mut counts, reason(worker), 1);
+        }
+        counts
+    }
+
+    /// Returns where the admitted tasks of a step would start.
+    fn plan(
+        &self,
+        job: &Job,
+        part: &Part,
+        answer: &Answer,
+        candidates: Vec<Candidate>,
+        now: Millis,
+    ) -> Plan {
+        let step = &job.spec.steps[part.step as usize];
+        if !step.gang {
+            return self.plan_each(job, part, answer.admitted, candidates, now);
+        }
+        if answer.admitted < step.count {
+            return Plan::default();
+        }
+        for rack in self.racks(step, &candidates) {
+            let on_rack =
+                |c: &&Candidate| rack.is_none() || self.workers[c.worker].node.rack == rack;
+            let usable: Vec<Candidate> = candidates.iter().filter(on_rack).cloned().collect();
+            let elsewhere = candidates.len() - usable.len();
+            let plan = self.plan_each(job, part, step.count, usable, now);
+            if plan.workers.len() == step.count as usize {
+                return Plan { elsewhere, ..plan };
+            }
+        }
+        Plan::default()
+    }
+
+    fn plan_each(
+        &self,
+        job: &Job,
+        part: &Part,
+        tasks: u32,
+        mut candidates: Vec<Candidate>,
+        now: Millis,
+    ) -> Plan {
+        let step: &Step = &job.spec.steps[part.step as usize];
+        let mut plan = Plan::default();
+        for index in 0..tasks {
+            let choices = self.choices(job, part, step, index, &candidates, now);
+            let best = if index == 0 {
+                let mut choices: Vec<Choice> = choices.collect();
+                choices.sort_unstable();
+                let workers = choices.iter().map(|c| (candidates[c.at].worker, c.cost));
+                plan.first = workers.take(2).collect();
+                choices.first().copied()
+            } else {
+                choices.min()
+            };
+            let Some(best) = best else { break };
+            let candidate = &mut candidates[best.at];
+            candidate.left -= 1;
+            candidate.planned.add(&job.claims[part.step as usize]);
+            plan.workers.push(candidate.worker);
+        }
+        plan
+    }
+
+    /// Adds to the answer where the tasks would start.
+    fn add_plan(&self, answer: &mut Answer, plan: &Plan, now: Millis) {
+        let mut first = plan.first.iter().map(|(at, cost)| {
+            let worker = &self.workers[*at];
+            Place {
+                worker: worker.node.id.clone(),
+                cost_ms: *cost,
+                report_age: report_age(worker, now),
+            }
+        });
+        (answer.worker, answer.next) = (first.next(), first.next());
+        let mut workers = plan.workers.clone();
+        workers.sort_unstable();
+        let places = workers.chunk_by(|a, b| a == b);
+        answer.places = places
+            .map(|same| (self.workers[same[0]].node.id.clone(), same.len() as u32))
+            .collect();
+        if plan.elsewhere > 0 {
+            answer.qualified -= plan.elsewhere;
+            add_count(&mut answer.excluded, Reason::Rack, plan.elsewhere);
+        }
+        answer.outcome = match plan.workers.len() as u32 {
+            0 => answer.outcome,
+            placed if placed == answer.tasks => Outcome::Starts,
+            _ => Outcome::StartsInPart,
+        };
+    }
+
+    /// Adds to the answer which waiting steps go before the step.
+    ///
+    /// Of equal ranks the earlier id goes first, and that of the job is not known.
+    fn add_line(&self, answer: &mut Answer, waiting: &[WaitingStep], queued: &WaitingStep) {
+        answer.behind = waiting.partition_point(|step| step.rank <= queued.rank);
+        let before = waiting.iter().take(answer.behind.min(MAX_NAMED));
+        answer.before = before
+            .filter_map(|step| {
+                let job = self.job(&step.part.job)?;
+                Some(Ahead {
+                    job: job.id.clone(),
+                    queue: job.spec.queue.clone(),
+                    team: job.spec.team.clone(),
+                    claim: job.claims[step.part.step as usize].clone(),
+                })
+            })
+            .collect();
+    }
+}
+
+fn report_age(worker: &Worker, now: Millis) -> Option<Millis> {
+    worker.clock.map(|(_, arrived)| now.since(arrived))
+}
+
+fn add_count(counts: &mut Vec<(Reason, usize)>, reason: Reason, more: usize) {
+    match counts.binary_search_by_key(&reason, |(have, _)| *have) {
+        Ok(at) => counts[at].1 += more,
+        Err(at) => counts.insert(at, (reason, more)),
+    }
+}
--- a/crates/marigoldpick-job/src/lead/schedule.rs
+++ b/crates/marigoldpick-job/src/lead/schedule.rs
@@ -1,5 +1,7 @@
 //! The scheduling pass, which places waiting steps in the order of their rank.
 
+use std::borrow::Cow;
+
 use marigoldpick_core::prelude::*;
 use marigoldpick_core::work::{Part, Step};
 
@@ -15,7 +17,7 @@
 use crate::place::{Demand, cost};
 use crate::queue::Queue;
 use crate::rank::{Precedence, rank};
-use crate::worker::Phase;
+use crate::worker::{Phase, Worker};
 
 /// Workers whose registrations expired in an outage of the store register again within this time of
 /// the store's return, which the lead counts from the start of its term.
@@ -48,6 +50,31 @@
     pub(super) worker: usize,
     /// How many more tasks of the step may be placed there.
     pub(super) left: u64,
+    /// What an explanation has planned there so far; zero in a pass.
+    pub(super) planned: Amount,
+}
+
+impl Candidate {
+    /// Returns the capacity of the worker that is free besides what is planned.
+    pub(super) fn free<'a>(&self, worker: &'a Worker) -> Cow<'a, Amount> {
+        if self.planned.is_zero() {
+            return Cow::Borrowed(worker.free());
+        }
+        let mut free = worker.free().clone();
+        free.subtract(&self.planned);
+        Cow::Owned(free)
+    }
+}
+
+/// `Choice` says how well a candidate suits a task; the least is best.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+pub(super) struct Choice {
+    failed_here: bool,
+    exposure: Exposure,
+    /// The cost of the worker for the task.
+    pub(super) cost: u64,
+    /// The position of the candidate.
+    pub(super) at: usize,
 }
 
 impl Lead {
@@ -116,7 +143,7 @@
     }
 
     /// Adds the waiting steps of a job.
-    fn add_waiting_steps(
+    pub(super) fn add_waiting_steps(
         &self,
         job: &Job,
         queue: &Queue,
@@ -304,9 +331,20 @@
 
     /// Returns the workers that can take tasks of the step.
     fn candidates(&self, part: &Part, step: &Step, room: &Room, now: Millis) -> Vec<Candidate> {
-        let Some(job) = self.job(&part.job) else {
-            return Vec::new();
-        };
+        self.job(&part.job).map_or_else(Vec::new, |job| {
+            self.candidates_of(job, part, step, room, now)
+        })
+    }
+
+    /// Returns the workers that can take tasks of a step of `job`.
+    pub(super) fn candidates_of(
+        &self,
+        job: &Job,
+        part: &Part,
+        step: &Step,
+        room: &Room,
+        now: Millis,
+    ) -> Vec<Candidate> {
         let Some(stage) = job.stage(part.occurrence, part.step) else {
             return Vec::new();
         };
@@ -323,7 +361,11 @@
                 return None;
             }
             let left = spread_allowance(step, worker, &first);
-            (left > 0).then_some(Candidate { worker: at, left })
+            (left > 0).then(|| Candidate {
+                worker: at,
+                left,
+                planned: Amount::default(),
+            })
         };
         if queue.is_none_or(|queue| queue.policy.is_none()) {
             return room
@@ -358,33 +400,45 @@
         candidates: &[Candidate],
         now: Millis,
     ) -> Option<usize> {
-        let job = self.job(&part.job)?;
-        let task = job.task(&part.task(index))?;
-        let is_suspect = self.is_suspect(&part.task(index));
+        let choices = self.choices(self.job(&part.job)?, part, step, index, candidates, now);
+        choices.min().map(|choice| choice.at)
+    }
+
+    /// Returns how well each candidate that can take a task of `job` suits it.
+    pub(super) fn choices<'a>(
+        &'a self,
+        job: &'a Job,
+        part: &'a Part,
+        step: &'a Step,
+        index: u32,
+        candidates: &'a [Candidate],
+        now: Millis,
+    ) -> impl Iterator<Item = Choice> + 'a {
+        let name = part.task(index);
+        let is_suspect = self.is_suspect(&name);
         let gang = step.gang.then_some(part);
         let demand = self.demand(job, part, step);
-        let claim = demand.claim;
-        let mut best: Option<(bool, Exposure, u64, usize)> = None;
-        for (at, candidate) in candidates.iter().enumerate() {
+        let task = job.task(&name);
+        let positions = candidates.iter().enumerate();
+        positions.filter_map(move |(at, candidate)| {
             let worker = &self.workers[candidate.worker];
-            let free = worker.free();
-            if candidate.left == 0 || !free.holds(claim) || worker.has_trial(gang, now) {
-                continue;
+            let free = candidate.free(worker);
+            if candidate.left == 0 || !free.holds(demand.claim) || worker.has_trial(gang, now) {
+                return None;
             }
-            let failed_here = task.avoid.contains(&worker.node.id);
             let exposure = if is_suspect {
                 Exposure::of(worker, now)
             } else {
                 Exposure::default()
             };
             let slowdown = self.slowdown_permille(worker);
-            let cost = cost(&demand, worker, free, slowdown);
-            let choice = (failed_here, exposure, cost, at);
-            if best.is_none_or(|best| choice < best) {
-                best = Some(choice);
-            }
-        }
-        best.map(|(_, _, _, at)| at)
+            Some(Choice {
+                failed_here: task?.avoid.contains(&worker.node.id),
+                exposure,
+                cost: cost(&demand, worker, &free, slowdown),
+                at,
+            })
+        })
     }
 
     /// Places tasks one by one and stops at the first that does not fit, since all have the same
@@ -452,7 +506,7 @@
     /// Returns the racks to try for a gang; single racks first if the step prefers one rack.
     ///
     /// `None` stands for the workers of all racks.
-    fn racks(&self, step: &Step, candidates: &[Candidate]) -> Vec<Option<Name>> {
+    pub(super) fn racks(&self, step: &Step, candidates: &[Candidate]) -> Vec<Option<Name>> {
         if !step.one_rack {
             return vec![None];
         }
--- a/crates/marigoldpick-job/src/rank.rs
+++ b/crates/marigoldpick-job/src/rank.rs
@@ -125,6 +125,14 @@
     critical_path(spec, queue, |step| occurrence.stages[step].unfinished > 0)
 }
 
+/// Sets what a job's rank depends on: its time objective and its remaining critical path.
+pub fn estimate(job: &mut Job, queue: &Queue) {
+    job.objective = objective(&job.spec, queue);
+    for occurrence in &mut job.occurrences {
+        occurrence.time_left = time_left(&job.spec, occurrence, queue);
+    }
+}
+
 /// Ranks a step of one occurrence of a job.
 ///
 /// Load pattern: lasting tasks fail or lose their worker while other queues have a backlog. Their
--- a/crates/marigoldpick-job/src/rate.rs
+++ b/crates/marigoldpick-job/src/rate.rs
@@ -83,4 +83,14 @@
             _ => false,
         }
     }
+
+    /// Returns whether a job accepted at `accepted` would be excess, without counting it.
+    #[must_use]
+    pub fn would_be_excess(&self, team: Option<&id::Team>, accepted: u64) -> bool {
+        let found = team.map(|team| self.buckets.binary_search_by(|b| b.team.cmp(team)));
+        match found {
+            Some(Ok(at)) => !self.buckets[at].clone().take(accepted),
+            _ => false,
+        }
+    }
 }
--- a/crates/marigoldpick-node/src/node.rs
+++ b/crates/marigoldpick-node/src/node.rs
@@ -11,7 +11,7 @@
 use marigoldpick_core::prelude::*;
 use marigoldpick_core::team::Overview;
 use marigoldpick_core::work::peer::Receipt;
-use marigoldpick_core::work::{Access, Job, Phase};
+use marigoldpick_core::work::{Access, Job, Phase, explain};
 use marigoldpick_wire as wire;
 
 use crate::access;
@@ -131,6 +131,12 @@
         self.send_request(Request::Teams).await
     }
 
+    /// Returns where a job would go, without accepting it; nothing if the control thread does not take the request.
+    pub async fn explain(&self, job: Arc<Job>) -> Option<explain::Answer> {
+        self.send_request(|reply| Request::Explain(job, reply))
+            .await
+    }
+
     /// Sends a request to the control thread and waits for the answer.
     ///
     /// Returns nothing if too many requests wait, in which case this one has no effect, or if the control
--- a/crates/marigoldpick-node/src/request.rs
+++ b/crates/marigoldpick-node/src/request.rs
@@ -9,7 +9,7 @@
 use marigoldpick_core::prelude::*;
 use marigoldpick_core::team::Overview;
 use marigoldpick_core::work::peer::{Answer, Call, Receipt};
-use marigoldpick_core::work::{Access, Job, Phase};
+use marigoldpick_core::work::{Access, Job, Phase, explain};
 
 use crate::access;
 use crate::config::Active;
@@ -31,6 +31,8 @@
     Waiting(Name, oneshot::Sender<Result<u64, Code>>),
     /// Returns what this entry knows of the teams.
     Teams(oneshot::Sender<Overview>),
+    /// Returns where a job would go, without accepting it.
+    Explain(Arc<Job>, oneshot::Sender<explain::Answer>),
     /// Handles a call of another entry.
     Peer(Call, oneshot::Sender<Result<Answer, Code>>),
     /// Announces that the process is about to end; a lead hands its term over.
--- a/crates/marigoldpick-node/src/serve.rs
+++ b/crates/marigoldpick-node/src/serve.rs
@@ -6,6 +6,7 @@
 
 use async_std::future::timeout;
 use futures::channel::oneshot;
+use marigoldpick_core::clock::time_of_day;
 use marigoldpick_core::control::Known;
 use marigoldpick_core::excerpt::Excerpt;
 use marigoldpick_core::prelude::*;
@@ -13,10 +14,12 @@
 use marigoldpick_core::team::Overview;
 use marigoldpick_core::work::peer::{self, Receipt};
 use marigoldpick_core::work::port::{Adviser, Refusal};
-use marigoldpick_core::work::{Access, Job, Phase};
+use marigoldpick_core::work::{Access, Job, Phase, explain};
+use marigoldpick_job::quota;
 use marigoldpick_job::record::Record;
 use rand::seq::IndexedRandom;
 
+use crate::config::Config;
 use crate::control::Control;
 use crate::keys;
 use crate::platform::Platform;
@@ -44,6 +47,7 @@
             Request::Phase(id, access, reply) => send_answer(reply, self.phase(&id, &access).await),
             Request::Waiting(queue, reply) => send_answer(reply, self.waiting(queue).await),
             Request::Teams(reply) => send_answer(reply, self.teams()),
+            Request::Explain(job, reply) => send_answer(reply, self.explain(job)),
             Request::Peer(call, reply) => send_answer(reply, self.serve_peer(call).await),
             Request::Drain => {
                 log::info!(target: "node", "event=draining");
@@ -76,6 +80,35 @@
         }
     }
 
+    /// Returns where a job would go, without accepting it.
+    ///
+    /// The admission is that of the configuration that this entry knows; the placement is the lead's.
+    fn explain(&self, job: Arc<Job>) -> explain::Answer {
+        let active = self.shared.config.load_full();
+        let config = active.as_ref().map(|active| &active.config);
+        let now = self.now();
+        let lead = self.lead.borrow().clone();
+        explain::Answer {
+            entry: self.settings.entry.clone(),
+            lead: lead.map(|lead| lead.entry),
+            version: config.map_or(0, |config| config.version),
+            config_age: active
+                .as_ref()
+                .and_then(|active| active.confirmed())
+                .map(|at| now.since(at)),
+            admission: explain::Admission {
+                rejected_by: config.map_or_else(
+                    || Some("no configuration yet".to_owned()),
+                    |config| find_bound(config, &job),
+                ),
+                retry_after: None,
+            },
+            placement: self.leadership().and_then(|leadership| {
+                leadership.read(|lead| lead.explain(job, time_of_day(), now))
+            }),
+        }
+    }
+
     /// Handles a call of another entry.
     async fn serve_peer(self: &Rc<Self>, call: peer::Call) -> Result<peer::Answer, Code> {
         Ok(match call {
@@ -350,6 +383,23 @@
     }
 }
 
+/// Returns the bound of the configuration that rejects a job, if there is one.
+fn find_bound(config: &Config, job: &Job) -> Option<String> {
+    if config.queue(&job.queue).is_none() {
+        return Some(format!("no queue {}", job.queue));
+    }
+    let team = job.team.as_ref()?;
+    let mut shares = config.teams.shares().iter();
+    let Some(share) = shares.find(|share| share.team == *team) else {
+        return Some(format!("no team {team}"));
+    };
+    let step = quota::find_unservable(&share.limit, job)?;
+    let limit = share.limit;
+    Some(format!(
+        "step {step} can never run within the limit of {limit}"
+    ))
+}
+
 /// Combines the outcomes of two attempts at the same write.
 const fn merge_receipts(first: Receipt, second: Receipt) -> Receipt {
     match (first, second) {
--- a/crates/marigoldpick/src/arguments.rs
+++ b/crates/marigoldpick/src/arguments.rs
@@ -26,6 +26,8 @@
     Status(Status),
     /// print the teams with their limits and what they use: teams
     Teams(Teams),
+    /// explain where a job would go, without sending it: where JOB.toml|JOB.json
+    Where(Where),
     /// print the reasons for the state of a task: explain JOB:INDEX, or explain --log FILE... ID
     Explain(Explain),
     /// stop new work on a part of the site: drain worker|endpoint|entry|rack|domain NAME [--off]
@@ -104,6 +106,22 @@
     pub words: Vec<String>,
 }
 
+/// `Where` holds the arguments of `where`.
+#[derive(Debug, Default, Options)]
+#[options(help = "Explains where a job would go on the users' platform; nothing is sent.")]
+pub struct Where {
+    /// print help
+    pub help: bool,
+    /// an entry's metrics address; may be repeated, and only the lead knows the workers
+    #[options(no_short, meta = "ADDR")]
+    pub entry: Vec<String>,
+    /// print JSON
+    pub json: bool,
+    /// the path of the job
+    #[options(free)]
+    pub words: Vec<String>,
+}
+
 /// `Status` holds the arguments of `status`.
 #[derive(Debug, Default, Options)]
 #[options(help = "Tells what an entry knows.")]
--- a/crates/marigoldpick/src/client.rs
+++ b/crates/marigoldpick/src/client.rs
@@ -13,6 +13,8 @@
 };
 use marigoldpick_core::plan::Plan;
 use marigoldpick_core::team::Overview;
+use marigoldpick_core::work::Job;
+use marigoldpick_core::work::explain::Answer;
 use serde::Serialize;
 use serde::de::DeserializeOwned;
 
@@ -133,6 +135,27 @@
         self.read(Method::Get, "/v1/teams", &()).await
     }
 
+    /// Reads where a job would go, from the first entry that leads.
+    ///
+    /// If none of the entries leads, the answer is that of the last one that answered.
+    ///
+    /// # Errors
+    /// The entry's problem, or `PeerAway` when no entry answers.
+    pub async fn locate(&self, job: &Job) -> Result<Answer, Problem> {
+        let mut last = Err(Problem::new(Code::PeerAway, "no entry is given"));
+        for entry in &self.entries {
+            let client = Self::of(vec![entry.clone()]);
+            let answer: Result<Answer, Problem> = client.read(Method::Post, "/v1/where", job).await;
+            match answer {
+                Ok(answer) if answer.placement.is_some() => return Ok(answer),
+                Err(problem) if problem.code != Code::PeerAway => return Err(problem),
+                Err(_) if last.is_ok() => {}
+                answer => last = answer,
+            }
+        }
+        last
+    }
+
     /// Reads the reasons for the state of a task.
     ///
     /// An entry that leads none of the task's shards may not know the task, so the client tries the
--- a/crates/marigoldpick/src/command.rs
+++ b/crates/marigoldpick/src/command.rs
@@ -2,6 +2,7 @@
 
 mod change;
 mod check;
+pub mod locate;
 mod plan;
 mod read;
 mod timeline;
@@ -62,6 +63,7 @@
         Command::Drain(arguments) => change::drain(&arguments).await,
         Command::Status(arguments) => read::status(&arguments).await,
         Command::Teams(arguments) => read::teams(&arguments).await,
+        Command::Where(arguments) => locate::locate(&arguments).await,
         Command::Explain(arguments) => read::explain(&arguments).await,
         Command::Timeline(arguments) => timeline::timeline(&arguments).await,
         Command::Check(arguments) => check::check(&arguments),
@@ -80,6 +82,7 @@
         Command::Drain(arguments) => arguments.json,
         Command::Status(arguments) => arguments.json,
         Command::Teams(arguments) => arguments.json,
+        Command::Where(arguments) => arguments.json,
         Command::Explain(arguments) => arguments.json,
         Command::Timeline(arguments) => arguments.json,
         Command::Check(arguments) => arguments.json,
--- a/crates/marigoldpick/src/render.rs
+++ b/crates/marigoldpick/src/render.rs
@@ -6,6 +6,7 @@
 use marigoldpick_core::plan::{Part, Plan};
 use marigoldpick_core::team::Overview;
 use marigoldpick_core::timeline::Event;
+use marigoldpick_core::work::explain::{self, Answer};
 
 /// Renders what an entry knows of the teams.
 #[must_use]
@@ -44,6 +45,127 @@
     out
 }
 
+/// Renders where a job would go.
+#[must_use]
+pub fn location(answer: &Answer) -> String {
+    let mut out = String::new();
+    let age = answer
+        .config_age
+        .map_or("never confirmed".to_owned(), |age| {
+            format!("confirmed {age} ago")
+        });
+    write_line(
+        &mut out,
+        format_args!(
+            "entry {}, configuration {}, {age}",
+            answer.entry, answer.version
+        ),
+    );
+    match (&answer.admission.rejected_by, answer.admission.retry_after) {
+        (None, _) => write_line(&mut out, format_args!("accepted")),
+        (Some(bound), None) => write_line(&mut out, format_args!("rejected: {bound}")),
+        (Some(bound), Some(wait)) => write_line(
+            &mut out,
+            format_args!("rejected: {bound}; come back after {wait}"),
+        ),
+    }
+    let Some(placement) = &answer.placement else {
+        match &answer.lead {
+            Some(lead) => write_line(&mut out, format_args!("no placement: {lead} leads")),
+            None => write_line(&mut out, format_args!("no placement: no lead is known")),
+        }
+        return out;
+    };
+    let excess = if placement.excess {
+        ", beyond the rate of its team"
+    } else {
+        ""
+    };
+    write_line(
+        &mut out,
+        format_args!("on time within {}{excess}", placement.objective),
+    );
+    for step in &placement.steps {
+        locate_step(&mut out, step, placement.waiting);
+    }
+    let report = placement
+        .report_age
+        .map_or("none".to_owned(), |age| format!("{age} old"));
+    write_line(
+        &mut out,
+        format_args!(
+            "term {} old, last pass {} ago, oldest report {report}",
+            placement.term_age, placement.pass_age
+        ),
+    );
+    out
+}
+
+fn locate_step(out: &mut String, step: &explain::Step, waiting: usize) {
+    write_line(
+        out,
+        format_args!(
+            "step {}, {} tasks: {}; behind {} of {waiting} waiting steps",
+            step.number, step.tasks, step.outcome, step.behind
+        ),
+    );
+    for ahead in &step.before {
+        let team = ahead.team.as_ref();
+        let team = team.map_or(String::new(), |team| format!(" of {team}"));
+        write_line(
+            out,
+            format_args!(
+                "  behind {} {}{team}: {}",
+                ahead.job, ahead.queue, ahead.claim
+            ),
+        );
+    }
+    let excluded: Vec<String> = step
+        .excluded
+        .iter()
+        .map(|(r, n)| format!("{n} {r}"))
+        .collect();
+    write_line(
+        out,
+        format_args!(
+            "  {} workers qualify; excluded: {}",
+            step.qualified,
+            if excluded.is_empty() {
+                "none".to_owned()
+            } else {
+                excluded.join(", ")
+            }
+        ),
+    );
+    if step.admitted < step.tasks {
+        write_line(
+            out,
+            format_args!("  the team's limit admits {} tasks", step.admitted),
+        );
+    }
+    if let Some(question) = &step.question {
+        write_line(
+            out,
+            format_args!(
+                "  the adviser would be asked about {} workers, which takes {}",
+                question.workers, question.span
+            ),
+        );
+    }
+    for (rank, candidate) in [("first", &step.worker), ("next best", &step.next)] {
+        if let Some(candidate) = candidate {
+            let age = candidate.report_age.unwrap_or_default();
+            write_line(
+                out,
+                format_args!(
+                    "  {rank}: {}, cost {} ms, reported {age} ago",
+                    candidate.worker, candidate.cost_ms
+                ),
+            );
+        }
+    }
+}
+
 /// Renders a plan.
 #[must_use]
 pub fn plan(plan: &Plan) -> String {
