Test the explanation on running nodes and in the command

The command must not end its search at an entry that does not lead, and must not answer for another job when a field is mistyped; an explanation on a running cluster must start nothing.

--- a/crates/marigoldpick-bench/src/locate.rs
+++ b/crates/marigoldpick-bench/src/locate.rs
@@ -35,7 +35,7 @@
     workers: usize,
     #[options(help = "jobs that wait", default = "200", meta = "N")]
     waiting: u32,
-    #[options(help = "print one explanation as operators see it")]
+    #[options(help = "print three explanations as operators see them")]
     show: bool,
 }
 
@@ -55,7 +55,10 @@
     site.run(1_000);
     let job = Arc::new(job("fast", 20, 2_000, 800));
     if arguments.show {
-        site.show(&job);
+        for job in [&job, &Arc::new(self::job("slow", 90, 12_000, 3_000))] {
+            site.show(job);
+        }
+        site.show(&Arc::new(self::job("slow", 4, 20_000, 3_000)));
     }
     let mut times: Histogram<u64> = Histogram::new(3).expect("a valid precision");
     for _ in 0..ROUNDS {
--- a/crates/marigoldpick-node/tests/node/main.rs
+++ b/crates/marigoldpick-node/tests/node/main.rs
@@ -7,15 +7,16 @@
 mod outages;
 mod relays;
 
+use std::sync::Arc;
 use std::sync::atomic::Ordering;
 
 use googletest::prelude::*;
 use marigoldpick_core::prelude::*;
 use marigoldpick_core::work::peer::Receipt;
-use marigoldpick_core::work::{Access, Phase};
+use marigoldpick_core::work::{Access, Job, Phase, Step};
 use marigoldpick_standin::Fault;
 
-use crate::cluster::{Cluster, lock, wait_until};
+use crate::cluster::{Cluster, lock, name, wait_until};
 
 #[googletest::test]
 fn submit_at_one_entry_completes_at_all_entries() {
@@ -211,3 +212,44 @@
     expect_that!(fake_workers.starts.len(), eq(5 * 4));
     expect_that!(fake_workers.violations, is_empty());
 }
+
+/// Only the lead knows the workers; another entry says who leads. Neither starts anything.
+#[googletest::test]
+fn explain_is_answered_by_the_lead_and_starts_nothing() {
+    let cluster = Cluster::start(2, 3);
+    let lead = cluster.lead();
+    let job = |queue: &str| {
+        Arc::new(Job {
+            queue: name(queue),
+            payload: String::new(),
+            steps: vec![Step {
+                count: 2,
+                needs: Amount::new(1_000, 100),
+                estimate: Millis(50),
+                ..Step::default()
+            }],
+            schedule: None,
+            accepted: 0,
+            team: None,
+        })
+    };
+    let explain = |at: usize, queue: &str| {
+        let handle = cluster.nodes[at].handle();
+        async_std::task::block_on(handle.explain(job(queue))).expect("an answer")
+    };
+    let mut answer = explain(lead, "q");
+    wait_until("the lead would ask the adviser about a worker", || {
+        answer = explain(lead, "q");
+        let steps = answer.placement.iter().flat_map(|p| &p.steps);
+        let mut questions = steps.filter_map(|step| step.question.as_ref());
+        questions.any(|question| question.workers > 0)
+    });
+    expect_that!(answer.admission.rejected_by, none());
+    let unknown = explain(lead, "other");
+    expect_that!(unknown.admission.rejected_by, some(eq("no queue other")));
+    expect_that!(unknown.placement, none());
+    let other = explain(1 - lead, "q");
+    expect_that!(other.placement, none());
+    expect_that!(other.version, eq(1));
+    expect_that!(lock(&cluster.fake_workers).starts.len(), eq(0));
+}
--- a/crates/marigoldpick/tests/bad_input.rs
+++ b/crates/marigoldpick/tests/bad_input.rs
@@ -57,6 +57,7 @@
     expect_error(&["status", "now"], code, "'now'");
     expect_error(&["timeline", "now"], code, "'now'");
     expect_error(&["check"], code, "file is missing");
+    expect_error(&["where"], code, "file is missing");
     expect_error(&["drain", "worker"], code, "kind and a name");
     expect_error(&["dev", "now"], code, "'now'");
     expect_error(&["fly"], code, "fly");
--- a/crates/marigoldpick/tests/client.rs
+++ b/crates/marigoldpick/tests/client.rs
@@ -9,11 +9,13 @@
 use googletest::prelude::*;
 use http_types::{Response, StatusCode};
 use marigoldpick::client::Client;
+use marigoldpick::command::locate;
 use marigoldpick::core::intent::Yield;
 use marigoldpick::core::operator::{Accepted, Problem};
 use marigoldpick::core::plan::{Displaced, Plan};
 use marigoldpick::core::prelude::*;
 use marigoldpick::core::team::{Limit, Overview, Share, Usage};
+use marigoldpick::core::work::explain::{self, Answer, Placement, Reason};
 use marigoldpick::render;
 use serde::Serialize;
 
@@ -271,3 +273,90 @@
         contains_substring("3 jobs wait (2 excess), 1 steps at the limit")
     );
 }
+
+fn location(entry: &str, placement: Option<Placement>) -> Answer {
+    Answer {
+        entry: id::Entry::new(entry).expect("a name"),
+        lead: Some(id::Entry::new("e2").expect("a name")),
+        version: 7,
+        config_age: Some(Millis(640)),
+        admission: explain::Admission::default(),
+        placement,
+    }
+}
+
+/// Only the lead knows the workers, so an entry that does not lead must not end the search.
+#[googletest::test]
+fn where_reads_and_renders_what_the_lead_would_do() {
+    let placement = Placement {
+        excess: true,
+        objective: Millis(1_750),
+        waiting: 9,
+        steps: vec![explain::Step {
+            number: 0,
+            tasks: 4,
+            outcome: explain::Outcome::StartsInPart,
+            behind: 2,
+            before: Vec::new(),
+            qualified: 3,
+            excluded: vec![(Reason::Draining, 1), (Reason::Full, 8)],
+            admitted: 2,
+            worker: Some(explain::Candidate {
+                worker: id::Worker::new("w1").expect("a name"),
+                cost_ms: 830,
+                report_age: Some(Millis(90)),
+            }),
+            next: None,
+            places: Vec::new(),
+            question: None,
+        }],
+        term_age: Millis(60_000),
+        pass_age: Millis(8),
+        report_age: Some(Millis(1_900)),
+    };
+    let follower = Fake::start(vec![("/v1/where", ok_reply(&location("e1", None)))]);
+    let lead = location("e2", Some(placement));
+    let entry = Fake::start(vec![("/v1/where", ok_reply(&lead))]);
+    let job = locate::parse("j.toml", JOB).expect("a job");
+    let client = Client::of(vec![follower.address.clone(), entry.address]);
+    let read = task::block_on(client.locate(&job)).expect("an answer");
+    expect_that!(read, eq(&lead));
+    let text = render::location(&read);
+    for line in [
+        "entry e2, configuration 7, confirmed 640 ms ago",
+        "on time within 1750 ms, beyond the rate of its team",
+        "step 0, 4 tasks: some tasks start, the others wait for room; behind 2 of 9 waiting steps",
+        "3 workers qualify; excluded: 1 draining, 8 without room now",
+        "the team's limit admits 2 tasks",
+        "first: w1, cost 830 ms, reported 90 ms ago",
+    ] {
+        expect_that!(text, contains_substring(line));
+    }
+    let alone = Client::of(vec![follower.address]);
+    let read = task::block_on(alone.locate(&job)).expect("an answer");
+    expect_that!(
+        render::location(&read),
+        contains_substring("no placement: e2 leads")
+    );
+}
+
+const JOB: &str = "queue = \"fast\"\n\n[[steps]]\ncount = 4\nestimate = 800\n\
+                   needs = { millicores = 2000, memory_mib = 500 }\n";
+
+/// An operator who mistypes a field must not get the answer for another job.
+#[googletest::test]
+fn where_names_file_and_line_or_field_of_bad_input() {
+    let error = |file: &str, text: &str| {
+        let parsed = locate::parse(file, text);
+        parsed.expect_err("a malformed job").to_string()
+    };
+    let queue = JOB.replace("queue", "queues");
+    expect_that!(error("j.toml", &queue), contains_substring("j.toml:1:"));
+    let label = JOB.replace("estimate = 800", "estimate = 800\nlabels = \"a\"");
+    let why = error("j.toml", &label);
+    expect_that!(why, contains_substring("steps[0].labels"));
+    let count = JOB.replace("count = 4", "count = 0");
+    expect_that!(error("j.toml", &count), contains_substring("steps.count"));
+    let json = "{\"queue\": \"fast\",\n \"steps\": 7}";
+    expect_that!(error("j.json", json), contains_substring("j.json:2:"));
+}
