--- a/crates/marigoldpick-job/src/rank.rs
+++ b/crates/marigoldpick-job/src/rank.rs
@@ -145,6 +145,14 @@
     now + occurrence.time_left > occurrence.due + job.objective.times(LATE_FACTOR)
 }
 
+/// Sets what a job's rank depends on: its time objective and its remaining critical path.
+pub fn estimate(job: &mut Job, queue: &Queue) {
+    job.objective = objective(&job.spec, queue);
+    for occurrence in &mut job.occurrences {
+        occurrence.time_left = time_left(&job.spec, occurrence, queue);
+    }
+}
+
 /// Ranks a step of one occurrence of a job.
 ///
 /// Load pattern: lasting tasks fail or lose their worker while other queues have a backlog. Their
--- a/crates/marigoldpick-node/src/admission.rs
+++ b/crates/marigoldpick-node/src/admission.rs
@@ -14,7 +14,7 @@
 use marigoldpick_core::work::load::Summary;
 use marigoldpick_core::work::{Job, peer};
 use marigoldpick_job::Queue;
-use marigoldpick_job::admission::{Estimate, Observed, Reason, Verdict, decide};
+use marigoldpick_job::admission::{Estimate, Observed, Reason, Verdict, decide, estimate};
 
 use crate::control::Control;
 use crate::platform::Platform;
@@ -58,12 +58,7 @@
             return None;
         }
         let known = self.know_load();
-        let now = self.now();
-        let observed = known.as_ref().map(|(at, summary)| Observed {
-            summary,
-            age: now.since(*at),
-        });
-        match decide(id, job, queue, observed) {
+        match decide(id, job, queue, self.observe(known.as_ref())) {
             Verdict::Reject { estimate, after } => Some((estimate, after)),
             Verdict::Admit(reason) => {
                 count_admitted(reason);
@@ -72,6 +67,25 @@
         }
     }
 
+    /// Returns the numbers on which a job would be rejected if it were submitted now.
+    pub(crate) fn preview(self: &Rc<Self>, job: &Job, queue: &Queue) -> Option<Estimate> {
+        if !self.settings.admission {
+            return None;
+        }
+        let known = self.know_load();
+        let estimate = estimate(job, queue, self.observe(known.as_ref())).ok();
+        estimate.filter(Estimate::is_late)
+    }
+
+    /// Returns a summary with its present age.
+    fn observe<'a>(&self, known: Option<&'a (Millis, Rc<Summary>)>) -> Option<Observed<'a>> {
+        let now = self.now();
+        known.map(|(at, summary)| Observed {
+            summary,
+            age: now.since(*at),
+        })
+    }
+
     /// Returns the lead's summary and the time of its computation; asks for a newer one if that is due.
     fn know_load(self: &Rc<Self>) -> Option<(Millis, Rc<Summary>)> {
         let now = self.now();
