--- a/crates/marigoldpick-http/src/budget.rs
+++ b/crates/marigoldpick-http/src/budget.rs
@@ -1,10 +1,10 @@
-//! Decides which connections are accepted, which bytes requests may hold, and who is closed for whom.
+//! Decides which connections are accepted, how many bytes requests may hold, and which are evicted.
 //!
-//! The load pattern: over a thousand clients send requests that stop just short of their end and stay
-//! open, while ordinary callers send small requests that arrive within milliseconds. A request that has
-//! waited for its own bytes longer than [`PATIENCE`] makes room for newer ones. One that has not is left
-//! alone and the newcomer is refused, since a crowd would otherwise end every request, ordinary ones too.
-//! Small requests hold nothing that counts here, and large ones can't take the last quarter.
+//! Load pattern: over a thousand clients send requests that stop just short of their end and stay open,
+//! while ordinary callers send small requests that arrive within milliseconds. A request that has been
+//! arriving for longer than [`MIN_EVICTION_AGE`] is evicted for newer ones. While there is none, the
+//! newer one is refused, since many clients at once would otherwise evict every request, ordinary ones
+//! too. Small requests hold nothing that counts here, and large ones can't take the last quarter.
 
 use marigoldpick_core::prelude::*;
 
@@ -12,11 +12,11 @@
 pub const BASE_BYTES: usize = 4_096;
 /// Requests up to this size may use the whole budget, larger ones three quarters of it.
 pub const SMALL_BYTES: usize = 32_768;
-/// The time that a request may take to arrive before it makes room for others. A body of 262,144 bytes
+/// The time from which on a request in arrival may be evicted. A body of 262,144 bytes
 /// takes 0.2 s on the slowest link of 10 Mbit/s.
-pub const PATIENCE: Millis = Millis(1_000);
-/// The time for which a connection may hold nothing before it makes room for others.
-pub const IDLE_PATIENCE: Millis = Millis(250);
+pub const MIN_EVICTION_AGE: Millis = Millis(1_000);
+/// The time from which on a connection that holds nothing may be evicted.
+pub const MIN_IDLE_EVICTION_AGE: Millis = Millis(250);
 /// The share of the budget that may be exceeded by connections that are told to close: a quarter.
 const CLOSING_SHARE: usize = 4;
 /// The connections of a listener for operators or for the load balancer.
@@ -103,7 +103,7 @@
     /// The bytes of all connections, without those that are closing.
     held: usize,
     /// The bytes of connections that are closing.
-    released_soon: usize,
+    closing_bytes: usize,
     /// The bytes of large requests, without those of connections that are closing.
     large: usize,
 }
@@ -117,7 +117,7 @@
             next: 0,
             connections: Vec::new(),
             held: 0,
-            released_soon: 0,
+            closing_bytes: 0,
             large: 0,
         }
     }
@@ -125,7 +125,7 @@
     /// Returns the number of open connections, and the bytes that they hold.
     #[must_use]
     pub const fn usage(&self) -> (usize, usize) {
-        (self.connections.len(), self.held + self.released_soon)
+        (self.connections.len(), self.held + self.closing_bytes)
     }
 
     /// Decides on a new connection, which is closed at `deadline` if it sends nothing.
@@ -202,7 +202,7 @@
         let mut freed = 0;
         if over + over_large > 0 {
             let mut candidates: Vec<&Connection> = self.connections.iter().collect();
-            candidates.retain(|c| c.id != id && c.held > 0 && Self::makes_room(c, now));
+            candidates.retain(|c| c.id != id && c.held > 0 && Self::is_evictable(c, now));
             candidates.sort_unstable_by_key(|c| c.since);
             for candidate in candidates {
                 if over + over_large == 0 {
@@ -217,8 +217,8 @@
             }
         }
         // Connections that are closing hold their memory a little longer.
-        let is_closing_much = self.released_soon + freed > self.limits.bytes / CLOSING_SHARE;
-        if over + over_large > 0 || (freed > 0 && is_closing_much) {
+        let exceeds_closing_share = self.closing_bytes + freed > self.limits.bytes / CLOSING_SHARE;
+        if over + over_large > 0 || (freed > 0 && exceeds_closing_share) {
             return Held::Refused;
         }
         for victim in &victims {
@@ -267,20 +267,20 @@
         self.limits.bytes - self.limits.bytes / 4
     }
 
-    fn makes_room(connection: &Connection, now: Millis) -> bool {
-        let patience = if connection.held > 0 || connection.stage == Stage::Answer {
-            PATIENCE
+    fn is_evictable(connection: &Connection, now: Millis) -> bool {
+        let min_age = if connection.held > 0 || connection.stage == Stage::Answer {
+            MIN_EVICTION_AGE
         } else {
-            IDLE_PATIENCE
+            MIN_IDLE_EVICTION_AGE
         };
         !connection.closing
             && connection.stage != Stage::Handling
-            && now.since(connection.since) >= patience
+            && now.since(connection.since) >= min_age
     }
 
     fn find_victim(&self, now: Millis, fits: impl Fn(&Connection) -> bool) -> Option<u64> {
         let candidates = self.connections.iter();
-        let candidates = candidates.filter(|c| fits(c) && Self::makes_room(c, now));
+        let candidates = candidates.filter(|c| fits(c) && Self::is_evictable(c, now));
         candidates.min_by_key(|c| c.since).map(|c| c.id)
     }
 
@@ -297,7 +297,7 @@
         let held = connection.held;
         self.held -= held;
         self.large -= large_part(held);
-        self.released_soon += held;
+        self.closing_bytes += held;
     }
 
     fn set_held(&mut self, id: u64, total: usize) {
@@ -306,7 +306,7 @@
         };
         let before = std::mem::replace(&mut connection.held, total);
         if connection.closing {
-            self.released_soon = self.released_soon - before + total;
+            self.closing_bytes = self.closing_bytes - before + total;
         } else {
             self.held = self.held - before + total;
             self.large = self.large - large_part(before) + large_part(total);
--- a/crates/marigoldpick-http/src/connection.rs
+++ b/crates/marigoldpick-http/src/connection.rs
@@ -13,7 +13,7 @@
 use crate::budget::{BASE_BYTES, Stage};
 use crate::failure::RETRY_AFTER_S;
 use crate::head::{self, Head, Length};
-use crate::reader::{Home, Reader};
+use crate::reader::{Reader, ReturnSlot};
 use crate::wire::Wire;
 use crate::{Failure, Service, Terms};
 
@@ -91,12 +91,12 @@
         Length::Bytes(bytes) => usize::try_from(bytes).ok(),
         Length::Chunked => None,
     };
-    let home: Home = Arc::new(Mutex::new(None));
-    let reader = Reader::new(wire, Arc::clone(&home));
+    let slot: ReturnSlot = Arc::new(Mutex::new(None));
+    let reader = Reader::new(wire, Arc::clone(&slot));
     let reader = BufReader::with_capacity(BODY_BUFFER_BYTES, reader);
     head.request.set_body(Body::from_reader(reader, length));
     let mut response = service.respond(head.request).await;
-    let wire = home.lock().unwrap_or_else(PoisonError::into_inner).take()?;
+    let wire = slot.lock().unwrap_or_else(PoisonError::into_inner).take()?;
     if wire.failure == Some(Failure::NoRoom) {
         if response.status() != Failure::NoRoom.status() {
             response = Failure::NoRoom.response();
--- a/crates/marigoldpick-http/src/reader.rs
+++ b/crates/marigoldpick-http/src/reader.rs
@@ -12,21 +12,21 @@
 use crate::budget::BASE_BYTES;
 use crate::wire::Wire;
 
-/// `Home` is where a connection returns to when the body of its request is dropped.
-pub(crate) type Home = Arc<Mutex<Option<Box<Wire>>>>;
+/// `ReturnSlot` is where a connection returns to when the body of its request is dropped.
+pub(crate) type ReturnSlot = Arc<Mutex<Option<Box<Wire>>>>;
 
 /// `Reader` reads a body; it owns the connection until it is dropped.
 #[derive(Debug)]
 pub(crate) struct Reader {
     wire: Option<Box<Wire>>,
-    home: Home,
+    slot: ReturnSlot,
 }
 
 impl Reader {
-    pub(crate) const fn new(wire: Box<Wire>, home: Home) -> Self {
+    pub(crate) const fn new(wire: Box<Wire>, slot: ReturnSlot) -> Self {
         Self {
             wire: Some(wire),
-            home,
+            slot,
         }
     }
 }
@@ -46,7 +46,7 @@
 
 impl Drop for Reader {
     fn drop(&mut self) {
-        *self.home.lock().unwrap_or_else(PoisonError::into_inner) = self.wire.take();
+        *self.slot.lock().unwrap_or_else(PoisonError::into_inner) = self.wire.take();
     }
 }
 
--- a/crates/marigoldpick-http/tests/budget.rs
+++ b/crates/marigoldpick-http/tests/budget.rs
@@ -4,7 +4,7 @@
 use marigoldpick_core::prelude::*;
 use marigoldpick_http::Settings;
 use marigoldpick_http::budget::{
-    BASE_BYTES, Budget, Held, IDLE_PATIENCE, Limits, Opened, PATIENCE, Port, Stage,
+    BASE_BYTES, Budget, Held, Limits, MIN_EVICTION_AGE, MIN_IDLE_EVICTION_AGE, Opened, Port, Stage,
 };
 
 const BODY: usize = 262_144;
@@ -47,21 +47,23 @@
     let ids = crowd(&mut budget, Millis(0));
     // The first one has been read whole meanwhile, so that it must be answered.
     budget.enter(ids[0], Stage::Handling, Millis(500), Millis::MAX);
-    let newcomer = open(&mut budget, PATIENCE);
-    let held = budget.hold(newcomer, BODY, PATIENCE);
+    let newcomer = open(&mut budget, MIN_EVICTION_AGE);
+    let held = budget.hold(newcomer, BODY, MIN_EVICTION_AGE);
     expect_that!(held, eq(&Held::Granted(vec![ids[1]])));
-    expect_false!(budget.enter(ids[1], Stage::Handling, PATIENCE, Millis::MAX));
-    expect_true!(budget.enter(ids[2], Stage::Handling, PATIENCE, Millis::MAX));
+    expect_false!(budget.enter(ids[1], Stage::Handling, MIN_EVICTION_AGE, Millis::MAX));
+    expect_true!(budget.enter(ids[2], Stage::Handling, MIN_EVICTION_AGE, Millis::MAX));
 }
 
 #[googletest::test]
 fn hold_connections_that_are_closing_exceed_the_budget_by_a_quarter_at_most() {
     let mut budget = Budget::new(LIMITS);
     crowd(&mut budget, Millis(0));
-    let newcomers: Vec<u64> = (0..12).map(|_| open(&mut budget, PATIENCE)).collect();
+    let newcomers: Vec<u64> = (0..12)
+        .map(|_| open(&mut budget, MIN_EVICTION_AGE))
+        .collect();
     let granted = newcomers
         .iter()
-        .filter(|id| budget.hold(**id, BODY, PATIENCE) != Held::Refused);
+        .filter(|id| budget.hold(**id, BODY, MIN_EVICTION_AGE) != Held::Refused);
     expect_that!(granted.count(), eq(4));
     expect_that!(budget.usage().1, le(LIMITS.bytes * 5 / 4));
 }
@@ -89,7 +91,7 @@
     let mut budget = Budget::new(LIMITS);
     let ids: Vec<u64> = (0..30).map(|_| open(&mut budget, Millis(0))).collect();
     budget.enter(ids[0], Stage::Idle, Millis(100), Millis::MAX);
-    let now = IDLE_PATIENCE;
+    let now = MIN_IDLE_EVICTION_AGE;
     let opened = budget.open(Port::Callers, now, Millis::MAX);
     expect_that!(opened, eq(Opened::Accepted(30, Some(ids[1]))));
     // Other listeners have connections of their own.
