--- a/crates/marigoldpick-bench/src/locate.rs
+++ b/crates/marigoldpick-bench/src/locate.rs
@@ -60,7 +60,8 @@
         }
         site.show(&Arc::new(self::job("slow", 4, 20_000, 3_000)));
     }
-    let mut times: Histogram<u64> = Histogram::new(3).expect("a valid precision");
+    let bounds = Histogram::new_with_bounds(1, 60_000_000, 3);
+    let mut times: Histogram<u64> = bounds.expect("valid bounds");
     for _ in 0..ROUNDS {
         let started = Instant::now();
         let placement = site
