Hold a body to the limit at its arrival, not to that of the idle connection before

Cause: a connection read its limits before it waited for a head. One that was opened before the entry had a configuration kept a body limit of zero, so that its first submission was answered 413, which callers don't send again. Change: the limits are read again once the head has arrived; without a configuration the default body limit holds, and the request gets its 503.

--- a/crates/marigoldpick-http/src/connection.rs
+++ b/crates/marigoldpick-http/src/connection.rs
@@ -53,6 +53,8 @@
             return;
         }
         let (method, keeps_alive) = (head.request.method(), head.keeps_alive);
+        // The limits may have changed while the connection was idle.
+        let limits = terms();
         wire.begin_body(head.length, limits.body_bytes, head.expects_continue);
         let Some((returned, response)) = respond(wire, &service, head).await else {
             // The handler kept the body, and with it the connection.
