Let a test of slots kill the entry before any of its calls is answered

The calls run for 300 ms, and the entry is killed once six are in flight. An entry begins with a third of the sixteen slots; on a busy machine the grant of more takes longer than 300 ms, so that the first calls end before the kill.

Change: the endpoints answer these calls only after the kill. The assertions stay as they are.

--- a/crates/marigoldpick-entry/tests/traffic/endpoint.rs
+++ b/crates/marigoldpick-entry/tests/traffic/endpoint.rs
@@ -23,6 +23,7 @@
     most: usize,
     open: usize,
     refusing: bool,
+    released: bool,
     served: usize,
 }
 
@@ -62,6 +63,11 @@
         self.counts.lock().unwrap().refusing = on;
     }
 
+    /// Lets requests with the body `gated` be answered.
+    pub fn release(&self) {
+        self.counts.lock().unwrap().released = true;
+    }
+
     async fn connection(self, mut stream: TcpStream, log: Log) {
         self.counts.lock().unwrap().open += 1;
         while let Some((id, attempt, body)) = read(&mut stream).await {
@@ -78,6 +84,9 @@
                 log.iter().filter(|run| run.0 == id).count()
             };
             self.count_start();
+            while body == "gated" && !self.counts.lock().unwrap().released {
+                async_std::task::sleep(Duration::from_millis(5)).await;
+            }
             let keep_open = answer(&mut stream, &id, &body, nth).await;
             self.counts.lock().unwrap().busy -= 1;
             if keep_open.is_none() {
--- a/crates/marigoldpick-entry/tests/traffic/slots.rs
+++ b/crates/marigoldpick-entry/tests/traffic/slots.rs
@@ -105,9 +105,13 @@
 async fn slots_of_a_dead_entry_are_reclaimed() {
     let site = start_with(&[3], &[2], test_settings(), "deadline_ms = 1000\n").await;
     site.ready().await;
-    let lost = calls(&site, 0, 20, "slow 300");
+    // No call may be answered before the entry is killed, however long its slots take to arrive.
+    let lost = calls(&site, 0, 20, "gated");
     until("the entry uses slots", || site.in_flight() >= 6).await;
     site.kill(0);
+    for endpoint in &site.endpoints {
+        endpoint.release();
+    }
     site.mark_dead(0);
     until("the others hold all slots", || {
         site.held_by(&[1, 2]) == 2 * SLOTS
