Order the records of a commit by what waits for them

A commit holds 30 records and took jobs with pending starts first and the others in the order of their ids. At a peak, or after a slow commit, jobs that had ended waited behind records that nobody needed yet.

Keep the changed jobs in a backlog that knows since when and why each waits. A failed commit returns its jobs to their places. A gauge counts the waiting records, and a histogram measures the time from an end to its record.

ended_jobs_with_high_ids_are_recorded_in_the_next_commit fails before the change and passes after it.

--- a/crates/marigoldpick-job/src/lead.rs
+++ b/crates/marigoldpick-job/src/lead.rs
@@ -6,6 +6,7 @@
 //! time; see [`Lead::allow_unrecorded`].
 
 mod advise;
+pub mod backlog;
 pub mod commit;
 mod copies;
 mod crash;
@@ -126,8 +127,10 @@
     commit: commit::State,
     /// Runs that are being stopped on draining workers, whose tasks have room kept elsewhere.
     evacuations: Vec<evacuate::Evacuation>,
-    /// Jobs with changes that are not in the store, sorted.
-    dirty: Vec<id::Job>,
+    /// Jobs with changes that are not in the store.
+    backlog: backlog::Backlog,
+    /// How long ends waited for their records since the times were last taken.
+    end_waits: Vec<Millis>,
     /// Starts to order once the store has the revision of the job that contains them.
     pending_starts: Vec<PendingStart>,
     /// Jobs with steps that may be waiting for placement, sorted.
@@ -198,7 +201,8 @@
             shares: Vec::new(),
             commit: commit::State::default(),
             evacuations: Vec::new(),
-            dirty: Vec::new(),
+            backlog: backlog::Backlog::new(now),
+            end_waits: Vec::new(),
             pending_starts: Vec::new(),
             waiting: Vec::new(),
             needs_pass: true,
@@ -448,11 +452,20 @@
 
     /// Increments the revision of a job and queues its record for a commit.
     fn mark_changed(&mut self, at: usize) {
+        self.mark_changed_for(at, backlog::Reason::Other);
+    }
+
+    /// Does the same for a change for whose record something waits.
+    fn mark_changed_for(&mut self, at: usize, reason: backlog::Reason) {
         let job = &mut self.jobs[at];
         job.revision += 1;
-        if let Err(at) = self.dirty.binary_search(&job.id) {
-            self.dirty.insert(at, job.id.clone());
-        }
+        let has_ended = job.phase.is_over() && !job.recorded.is_over();
+        let reason = if has_ended {
+            backlog::Reason::Ended
+        } else {
+            reason
+        };
+        self.backlog.add(&job.id, reason);
     }
 
     /// Marks a job as one with steps that may be waiting for placement.
@@ -525,6 +538,7 @@
 
     /// Advances the lead to `now` and returns the actions to take.
     pub fn tick(&mut self, now: Millis) -> Vec<Action> {
+        self.backlog.advance(now);
         self.release_lapsed_runs(now);
         self.end_expectation(now);
         self.resolve_failures(now);
--- a/crates/marigoldpick-job/src/lead/commit.rs
+++ b/crates/marigoldpick-job/src/lead/commit.rs
@@ -3,6 +3,7 @@
 use marigoldpick_core::prelude::*;
 
 use super::Lead;
+use super::backlog::Reason;
 use crate::action::{Action, Batch};
 
 /// The most records in one batch: a store transaction has 32 operations, and the term needs two.
@@ -53,10 +54,12 @@
         match outcome {
             Outcome::Stored => {
                 self.commit.next_at = now.max(self.commit.next_at);
+                self.backlog.confirm();
                 for (id, revision) in pending {
-                    self.record_stored(&id, revision);
+                    self.record_stored(&id, revision, now);
                 }
                 for id in forgetting {
+                    self.backlog.remove(&id);
                     if let Some(at) = self.job_index(&id) {
                         self.jobs.remove(at);
                     }
@@ -70,24 +73,23 @@
             }
             Outcome::Retry => {
                 self.commit.next_at = now + self.settings.commit_retry;
-                for (id, _) in pending {
-                    if let Err(at) = self.dirty.binary_search(&id) {
-                        self.dirty.insert(at, id);
-                    }
-                }
+                self.backlog.restore();
             }
             Outcome::Deposed => self.deposed = true,
         }
     }
 
-    fn record_stored(&mut self, id: &id::Job, revision: u64) {
+    fn record_stored(&mut self, id: &id::Job, revision: u64, now: Millis) {
         let Some(at) = self.job_index(id) else { return };
         let job = &mut self.jobs[at];
         job.stored_revision = job.stored_revision.max(revision);
         if job.stored_revision == job.revision && job.recorded != job.phase {
             job.recorded = job.phase;
             if job.phase.is_over() {
-                let detail = format!("phase={:?} change={revision}", job.phase);
+                let waited = now.since(job.ended_at.unwrap_or(now));
+                let phase = job.phase;
+                let detail = format!("phase={phase:?} change={revision} waited_ms={}", waited.0);
+                self.end_waits.push(waited);
                 self.log("job-over", id.to_string(), detail);
             }
         }
@@ -102,12 +104,12 @@
         let has_news = !forgotten.is_empty()
             || self.has_new_waivers(&waivers, now)
             || self.is_idle_batch_due(now);
-        if self.dirty.is_empty() && !has_news {
+        if self.backlog.is_empty() && !has_news {
             return;
         }
         let roster = self.roster.take_parts();
         let limit = MAX_RECORDS - roster.len();
-        let batch = self.next_batch(limit);
+        let batch = self.backlog.take(limit);
         let mut records = Vec::with_capacity(batch.len());
         for id in batch {
             if let Some(job) = self.job(&id) {
@@ -120,6 +122,7 @@
         let budget = (limit - records.len()) / 3;
         let forgotten: Vec<id::Job> = forgotten.into_iter().take(budget).collect();
         if records.is_empty() && roster.is_empty() && !has_news {
+            self.backlog.confirm();
             return;
         }
         self.commit.forgetting.clone_from(&forgotten);
@@ -146,23 +149,15 @@
         now.since(last) >= IDLE_INTERVAL && (self.roster.is_stale() || can_settle())
     }
 
-    /// Takes at most `limit` changed jobs for the next batch, those with pending starts first.
-    ///
-    /// Load pattern: the store is slow, and more jobs change than fit in a commit. A pending start
-    /// occupies its worker while it waits for its record, and its ticket may expire meanwhile.
-    fn next_batch(&mut self, limit: usize) -> Vec<id::Job> {
-        let mut batch: Vec<id::Job> = Vec::new();
-        for start in &self.pending_starts {
-            if batch.len() == limit {
-                break;
-            }
-            if let Ok(at) = self.dirty.binary_search(&start.task.part.job) {
-                batch.push(self.dirty.remove(at));
-            }
-        }
-        let left = limit - batch.len();
-        batch.extend(self.dirty.drain(..self.dirty.len().min(left)));
-        batch
+    /// Returns how many jobs wait for a commit for this reason.
+    #[must_use]
+    pub fn waiting_records(&self, reason: Reason) -> usize {
+        self.backlog.count(reason)
+    }
+
+    /// Removes and returns how long the ends of jobs waited for their records, for metrics.
+    pub fn take_end_waits(&mut self) -> Vec<Millis> {
+        std::mem::take(&mut self.end_waits)
     }
 
     /// Returns ended jobs whose retention has expired and whose last revision is stored.
--- a/crates/marigoldpick-job/src/lead/schedule.rs
+++ b/crates/marigoldpick-job/src/lead/schedule.rs
@@ -6,6 +6,7 @@
 use marigoldpick_core::work::{Part, Step};
 
 use super::advise::{Basis, spread_allowance};
+use super::backlog::Reason;
 use super::crash::Exposure;
 use super::quota::is_held_back;
 use super::reserve::has_accelerators;
@@ -547,7 +548,7 @@
                 run,
             });
         }
-        self.mark_changed(at);
+        self.mark_changed_for(at, Reason::Start);
         let revision = self.jobs[at].revision;
         self.pending_starts.push(PendingStart {
             worker: id,
--- a/crates/marigoldpick-job/tests/lead/main.rs
+++ b/crates/marigoldpick-job/tests/lead/main.rs
@@ -8,6 +8,7 @@
 mod loading;
 mod numbers;
 mod outages;
+mod records;
 mod repeats;
 mod teams;
 mod work;
--- a/crates/marigoldpick-node/src/driver.rs
+++ b/crates/marigoldpick-node/src/driver.rs
@@ -14,6 +14,7 @@
 use marigoldpick_job::Lead;
 use marigoldpick_job::action::{Action, Batch};
 use marigoldpick_job::lead::Counters;
+use marigoldpick_job::lead::backlog::Reason;
 use marigoldpick_job::lead::commit::Outcome;
 
 use crate::control::Control;
@@ -93,6 +94,7 @@
             }
             self.log_notes(leadership);
             published = publish_counts(leadership, published);
+            publish_end_waits(leadership);
             leadership.report_phases(&published, self.now());
             if began.since(work_published) >= WORK_METRICS_INTERVAL {
                 self.publish_work(leadership);
@@ -114,6 +116,10 @@
     fn publish_work(&self, leadership: &Leadership) {
         let interrupted = leadership.read(Lead::interrupted_tasks);
         metrics::gauge!("marigold_interrupted_tasks").set(interrupted as f64);
+        for reason in Reason::ALL {
+            let count = leadership.read(|lead| lead.waiting_records(reason));
+            metrics::gauge!("marigold_waiting_records", "why" => reason.name()).set(count as f64);
+        }
         let Some(active) = self.shared.config.load_full() else {
             return;
         };
@@ -428,6 +434,13 @@
     now
 }
 
+/// Publishes how long the ends of jobs waited for their records.
+fn publish_end_waits(leadership: &Leadership) {
+    for wait in leadership.update_quietly(Lead::take_end_waits) {
+        metrics::histogram!("marigold_end_record_seconds").record(wait.duration().as_secs_f64());
+    }
+}
+
 /// Returns the outcome of a commit whose condition did not hold.
 fn resolve_conflict(leadership: &Leadership, items: &[Item]) -> Outcome {
     let chain = items.iter().find(|item| item.key == keys::CHAIN);
