--- a/crates/marigoldpick-entry/tests/traffic/slots.rs
+++ b/crates/marigoldpick-entry/tests/traffic/slots.rs
@@ -237,7 +237,7 @@
         }
     }
     site.change(|view| view.endpoints.clear());
-    sleep(Duration::from_millis(50)).await;
+    until("no entry holds slots", || site.held() == 0).await;
     let answer = site.call(0, &[IDEMPOTENT], "plain").await;
     expect_that!(
         answer.result_and_code(),
