Limit the standbys to two in each failure domain

Where all entries are equally strong each would be a standby: with 300 entries 750 pings a second at the lead, and as many reads of all that is stored when it is lost. The first two of each domain by name are enough, since the others' domains may be cut off but not all. The decision has a case in the test of roles.

--- a/crates/marigoldpick-node/src/standby.rs
+++ b/crates/marigoldpick-node/src/standby.rs
@@ -25,6 +25,10 @@
 /// an older one says nothing about a lead that has lost its key in an outage of the store since.
 pub const PING_LIFETIME: Millis = Millis(1_000);
 
+/// The maximum number of standbys in a failure domain. Each pings the lead and may read all that is stored; one domain
+/// may be cut off together with the lead.
+pub const MAX_STANDBYS: usize = 2;
+
 /// `Role` is what decides whether an entry is a standby.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct Role {
@@ -32,6 +36,8 @@
     pub strength: u32,
     /// The greatest strength of another entry, if there is one.
     pub largest: Option<u32>,
+    /// The number of other entries of the failure domain that are at least as strong and come first by name.
+    pub ahead: usize,
     /// Whether the list of the entries has been read since the start of the process.
     pub knows_members: bool,
     /// Whether there is a configuration, without which no entry campaigns.
@@ -41,13 +47,14 @@
 }
 
 impl Role {
-    /// Returns whether the entry would campaign without delay.
+    /// Returns whether the entry would campaign without delay and is one of the first such entries of its domain.
     ///
     /// After a restart of all entries most of them would count as the strongest until they have read the list.
     #[must_use]
     pub fn is_standby(&self) -> bool {
         self.is_settled()
             && !self.is_draining
+            && self.ahead < MAX_STANDBYS
             && campaign_delay(self.strength, self.largest) == Millis::ZERO
     }
 
--- a/crates/marigoldpick-node/src/standby/driver.rs
+++ b/crates/marigoldpick-node/src/standby/driver.rs
@@ -16,6 +16,7 @@
 use super::{PING_INTERVAL, Reason, Response, Role, Watch, is_current};
 use crate::control::Control;
 use crate::election::PING_TIMEOUT;
+use crate::member::Member;
 use crate::platform::Platform;
 use crate::snapshot::Snapshot;
 
@@ -174,9 +175,17 @@
 
     /// Returns what decides whether this entry is a standby.
     fn role(&self) -> Role {
+        let settings = &self.settings;
+        let peers = self.peers.borrow();
+        let is_ahead = |member: &&Member| {
+            member.known.domain == settings.domain
+                && member.strength >= settings.strength
+                && member.known.entry < settings.entry
+        };
         Role {
-            strength: self.settings.strength,
+            strength: settings.strength,
             largest: self.largest_strength(),
+            ahead: peers.iter().filter(is_ahead).count(),
             knows_members: self.knows_members.get(),
             has_config: self.has_config(),
             is_draining: self.is_draining(),
--- a/crates/marigoldpick-node/tests/standby.rs
+++ b/crates/marigoldpick-node/tests/standby.rs
@@ -17,6 +17,7 @@
     let role = Role {
         strength: 500,
         largest: Some(500),
+        ahead: 1,
         knows_members: true,
         has_config: true,
         is_draining: false,
@@ -27,6 +28,7 @@
             strength: 400,
             ..role
         },
+        Role { ahead: 2, ..role },
         Role {
             knows_members: false,
             ..role
