Notice lost orders when they are repeated, and probe holds sent before

In the first seconds of a loss of one order in twenty, the rate of lost orders rose only with the time-outs of orders, and holds that had been sent before kept their wait of 2 s. Their workers' ends stayed unknown for that time.

Follow each hold that has waited longer than one would now by a probe, once, and let its answer begin the next hold. While the rate is high, send a probe without an answer once more.

--- a/crates/marigoldpick-job/src/lead.rs
+++ b/crates/marigoldpick-job/src/lead.rs
@@ -15,7 +15,7 @@
 mod hold;
 mod lease;
 mod load;
-mod losses;
+pub mod losses;
 mod quota;
 mod registry;
 mod repeat;
@@ -72,6 +72,10 @@
     pub stop_retries: u64,
     /// Probes sent because a hold's answer was overdue.
     pub hold_retries: u64,
+    /// Probes sent beside holds that may be lost, while many orders are.
+    pub early_probes: u64,
+    /// Probes sent again after no answer came.
+    pub probe_retries: u64,
     /// Commits sent to the store.
     pub commits: u64,
     /// Scheduling passes over the waiting steps.
--- a/crates/marigoldpick-job/src/lead/hold.rs
+++ b/crates/marigoldpick-job/src/lead/hold.rs
@@ -22,6 +22,8 @@
 impl Lead {
     /// Sends the holds that are due, and probes to workers that are suspect or whose hold is overdue.
     pub(super) fn send_holds(&mut self, now: Millis) {
+        let is_lossy = self.settings.repeats_orders() && self.losses.is_high(now);
+        let mut early = 0;
         for at in 0..self.workers.len() {
             let worker = &self.workers[at];
             if worker.node.address.is_empty() || worker.has_ended {
@@ -32,8 +34,18 @@
                     && !(hold.is_probed || hold.is_outdated)
                     && hold.is_overdue(self.settings.hold_overdue, now);
                 let is_suspect = worker.is_suspect && hold.wait > Millis::ZERO;
-                if worker.holds.probe.is_none() && (is_suspect || is_overdue) {
-                    self.send_probe(at, is_overdue);
+                let is_early = is_lossy && self.is_probe_due_early(worker, hold, now);
+                if worker.holds.probe.is_some() {
+                    if is_lossy && !hold.is_outdated {
+                        self.repeat_probe(at, now);
+                    }
+                } else if is_overdue {
+                    self.send_overdue_probe(at, now);
+                } else if is_early {
+                    self.send_probe(at, true, false, now);
+                    early += 1;
+                } else if is_suspect {
+                    self.send_probe(at, false, false, now);
                 }
                 continue;
             }
@@ -58,13 +70,21 @@
             }
             self.send_hold(at, now);
         }
+        if early > 0 {
+            self.counters.early_probes += early;
+            self.log(
+                "holds-probed",
+                self.term.to_string(),
+                format!("count={early}"),
+            );
+        }
     }
 
     /// Requests a report at once while another hold is waiting.
     ///
     /// Load pattern: one order in twenty gets no answer. A lost hold would delay the ends of its worker's runs by its
     /// timeout, so that the answer to a probe lets the next hold begin.
-    fn send_probe(&mut self, at: usize, is_for_overdue: bool) {
+    fn send_probe(&mut self, at: usize, is_for_overdue: bool, is_repeated: bool, now: Millis) {
         self.counters.holds += 1;
         let probe = Order::Hold {
             until: None,
@@ -75,15 +95,62 @@
         let holds = &mut self.workers[at].holds;
         holds.probe = Some(Probe {
             number,
+            sent: now,
             is_for_overdue,
+            is_repeated,
         });
-        if is_for_overdue {
-            if let Some(hold) = &mut holds.current {
-                hold.is_probed = true;
-            }
-            self.counters.hold_retries += 1;
-            let id = self.workers[at].node.id.to_string();
-            self.log("hold-overdue", id, String::new());
+        if is_for_overdue && let Some(hold) = &mut holds.current {
+            hold.is_probed = true;
+        }
+    }
+
+    /// Sends a probe beside a hold whose answer is overdue.
+    fn send_overdue_probe(&mut self, at: usize, now: Millis) {
+        if self.settings.repeats_orders()
+            && let Some(hold) = &self.workers[at].holds.current
+        {
+            self.losses.record_overdue_hold(hold.number, now);
+        }
+        self.send_probe(at, true, false, now);
+        self.counters.hold_retries += 1;
+        let id = self.workers[at].node.id.to_string();
+        self.log("hold-overdue", id, String::new());
+    }
+
+    /// Sends a probe again that has not been answered in time.
+    ///
+    /// A hold that is lost together with its probe would delay the ends of its worker's runs by 800 ms, more than the
+    /// slack of an urgent job. A lost hold is open for longer than others, so that this befalls one end in a hundred.
+    fn repeat_probe(&mut self, at: usize, now: Millis) {
+        let delay = self.settings.hold_overdue;
+        let worker = &mut self.workers[at];
+        if worker.is_responsive()
+            && let Some(probe) = worker.holds.replace_probe(delay, now)
+        {
+            self.losses.record_overdue_hold(probe.number, now);
+            self.send_probe(at, true, true, now);
+            self.counters.probe_retries += 1;
+        }
+    }
+
+    /// Returns whether a hold has waited longer than it would if it were sent now, while answers are being lost.
+    fn is_probe_due_early(&self, worker: &Worker, hold: &Hold, now: Millis) -> bool {
+        let waited = now.since(hold.sent).min(hold.wait);
+        waited > LOSSY_HOLD_WAIT
+            && worker.is_responsive()
+            && !(hold.is_probed || hold.is_outdated)
+            && waited > self.usual_wait(worker, now)
+    }
+
+    /// Returns the wait of a hold on a worker of which nothing is due at a known time.
+    fn usual_wait(&self, worker: &Worker, now: Millis) -> Millis {
+        let runs = || worker.runs.iter();
+        if runs().any(|run| run.fills) && runs().any(|run| run.target.is_some()) {
+            INTERFERENCE_HOLD_WAIT
+        } else if self.losses.is_high(now) {
+            LOSSY_HOLD_WAIT
+        } else {
+            self.settings.hold_wait
         }
     }
 
@@ -116,15 +183,10 @@
         let returns_at_once = worker.runs.is_empty() || !worker.is_renewable();
         let wait = if returns_at_once || recorded < worker.last_end {
             Millis::ZERO
-        } else if worker.runs.iter().any(|run| run.fills)
-            && worker.runs.iter().any(|run| run.target.is_some())
-        {
-            INTERFERENCE_HOLD_WAIT
-        } else if self.losses.is_high() {
-            LOSSY_HOLD_WAIT
         } else {
-            settings.hold_wait
+            self.usual_wait(&self.workers[at], now)
         };
+        let worker = &self.workers[at];
         // A report requested after the stop has completed releases the run, so the hold must not
         // wait longer.
         let stop_bound = settings.stop_bound();
--- a/crates/marigoldpick-job/src/lead/repeat.rs
+++ b/crates/marigoldpick-job/src/lead/repeat.rs
@@ -71,6 +71,13 @@
         order: Order,
         now: Millis,
     ) {
+        if self.settings.repeats_orders()
+            && let Some(lost) = self.workers[at].orders.last(kind, task, run)
+        {
+            let run = self.workers[at].run_mut(task, run);
+            let is_first = run.is_some_and(|run| !run.attempts.has_repeated(kind));
+            self.losses.record_retry(lost, is_first, now);
+        }
         let number = self.send_order(at, order);
         let worker = &mut self.workers[at];
         worker.orders.add(number, kind, task, run);
--- a/crates/marigoldpick-job/src/lead/start.rs
+++ b/crates/marigoldpick-job/src/lead/start.rs
@@ -173,7 +173,11 @@
         if answer == Err(Fault::Fenced) {
             self.deposed = true;
         }
-        self.losses.record(answer == Err(Fault::Unknown), now);
+        let (is_lost, is_early) = (
+            answer == Err(Fault::Unknown),
+            self.settings.repeats_orders(),
+        );
+        self.losses.record((order, number), is_lost, is_early, now);
         let Some(at) = self.worker_index(worker) else {
             return;
         };
--- a/crates/marigoldpick-job/src/open.rs
+++ b/crates/marigoldpick-job/src/open.rs
@@ -59,8 +59,15 @@
     /// Returns whether an order of this kind for the run may still be answered.
     #[must_use]
     pub fn has(&self, kind: Kind, task: &Task, run: u64) -> bool {
-        let mut open = self.0.iter();
-        open.any(|open| open.kind == kind && open.run == run && open.task == *task)
+        self.last(kind, task, run).is_some()
+    }
+
+    /// Returns the number of the last order of this kind for the run that may still be answered.
+    #[must_use]
+    pub fn last(&self, kind: Kind, task: &Task, run: u64) -> Option<u64> {
+        let mut open = self.0.iter().rev();
+        let last = open.find(|open| open.kind == kind && open.run == run && open.task == *task);
+        last.map(|open| open.number)
     }
 
     /// Returns the open starts as pairs of task and run.
@@ -108,10 +115,19 @@
         }
     }
 
+    /// Returns whether the order was sent more than once.
+    #[must_use]
+    pub const fn has_repeated(&self, kind: Kind) -> bool {
+        match kind {
+            Kind::Start => self.starts > 0,
+            Kind::Stop => self.stops > 0,
+        }
+    }
+
     /// Returns whether the start was sent more than once, so that a refusal says nothing about the other orders.
     #[must_use]
     pub const fn has_repeated_start(&self) -> bool {
-        self.starts > 0
+        self.has_repeated(Kind::Start)
     }
 
     /// Returns whether the order is due to be sent again, `interval` after the last one.
@@ -136,7 +152,7 @@
     pub wait: Millis,
     /// Whether it was sent to an earlier life of the worker, whose ends had other numbers.
     pub is_outdated: bool,
-    /// Whether a probe was sent because the hold is overdue.
+    /// Whether a probe was sent because the hold is overdue or may be lost.
     pub is_probed: bool,
 }
 
@@ -153,8 +169,12 @@
 pub struct Probe {
     /// The number of the order.
     pub number: u64,
-    /// Whether it was sent because the other hold is overdue.
+    /// When it was sent.
+    pub sent: Millis,
+    /// Whether it was sent because the other hold is overdue, or may be lost.
     pub is_for_overdue: bool,
+    /// Whether it replaces another one that was not answered in time.
+    pub is_repeated: bool,
 }
 
 /// `Holds` is the holds of a worker that are in flight.
@@ -180,7 +200,7 @@
     },
     /// A probe.
     Probe {
-        /// Whether it was sent because the current hold was overdue.
+        /// Whether it was sent because the current hold was overdue, or might be lost.
         is_for_overdue: bool,
     },
 }
@@ -216,10 +236,24 @@
         None
     }
 
-    /// Lets the next hold begin in place of the current one if that is overdue and the worker has answered a probe.
+    /// Removes and returns the probe for an overdue hold if it has not been answered within `delay`, once for a hold.
+    ///
+    /// Its outcome changes nothing any more.
+    pub fn replace_probe(&mut self, delay: Millis, now: Millis) -> Option<Probe> {
+        let is_due = |probe: &mut Probe| {
+            probe.is_for_overdue && !probe.is_repeated && now.since(probe.sent) >= delay
+        };
+        let probe = self.probe.take_if(is_due)?;
+        self.replaced.push(probe.number);
+        Some(probe)
+    }
+
+    /// Lets the next hold begin in place of the current one if that is overdue or may be lost, and the worker has
+    /// answered a probe.
     pub fn replace_overdue(&mut self, delay: Millis, now: Millis) {
-        let is_overdue = |hold: &mut Hold| !hold.is_outdated && hold.is_overdue(delay, now);
-        if let Some(hold) = self.current.take_if(is_overdue) {
+        let is_late =
+            |hold: &mut Hold| !hold.is_outdated && (hold.is_probed || hold.is_overdue(delay, now));
+        if let Some(hold) = self.current.take_if(is_late) {
             self.replaced.push(hold.number);
         }
     }
--- a/crates/marigoldpick-job/src/settings.rs
+++ b/crates/marigoldpick-job/src/settings.rs
@@ -92,6 +92,12 @@
 }
 
 impl Settings {
+    /// Returns whether orders of all kinds are repeated, so that their losses show before they time out.
+    #[must_use]
+    pub fn repeats_orders(&self) -> bool {
+        self.start_retry > Millis::ZERO && self.hold_overdue > Millis::ZERO
+    }
+
     /// Returns how long a run may occupy its worker after its stop is answered.
     #[must_use]
     pub const fn stop_bound(&self) -> Millis {
--- a/crates/marigoldpick-job/tests/lead/repeats.rs
+++ b/crates/marigoldpick-job/tests/lead/repeats.rs
@@ -65,6 +65,77 @@
     expect_that!(latest, lt(Millis(300)));
 }
 
+/// Returns how long after their true end the runs that end within `span` are known to the lead, in ascending order.
+fn end_delays(world: &mut World, span: u64) -> Vec<Millis> {
+    let begin = world.now;
+    let mut ended = world.pool.done.clone();
+    let (mut open, mut delays) = (Vec::new(), Vec::new());
+    while world.now.since(begin) < Millis(span) || !open.is_empty() {
+        if world.now.0.is_multiple_of(20) {
+            world.submit(10_000 + world.now.0 as u32, job(vec![step(4, 2_000, 550)]));
+        }
+        world.run(1);
+        if world.pool.done.len() > ended.len() && world.now.since(begin) < Millis(span) {
+            let new: Vec<_> = world.pool.done.difference(&ended).cloned().collect();
+            open.extend(new.iter().map(|task| (task.clone(), world.now)));
+            ended.extend(new);
+        }
+        open.retain(|(task, at)| {
+            let state = world
+                .lead
+                .job(&task.part.job)
+                .and_then(|job| job.task(task));
+            let is_known = state.is_none_or(|state| state.done);
+            if is_known {
+                delays.push(world.now.since(*at));
+            }
+            !is_known
+        });
+    }
+    delays.sort();
+    delays
+}
+
+/// Load pattern: from one second to the next, one order in twenty gets no answer. In the first two seconds the ends of
+/// urgent tasks must not wait for the time-outs of holds that were sent before the loss was noticed.
+#[googletest::test]
+fn ends_are_known_in_the_first_seconds_of_a_loss() {
+    let mut delays = Vec::new();
+    for calm in [2_000, 2_130, 2_370, 2_510, 2_790] {
+        let mut world = World::with_retries(60);
+        end_delays(&mut world, calm);
+        world.unanswered_percent = 5;
+        delays.extend(end_delays(&mut world, 2_000));
+        expect_that!(world.pool.broken, is_empty());
+    }
+    delays.sort();
+    let at = |permille: usize| delays[(delays.len() - 1) * permille / 1_000];
+    let ends = delays.len();
+    println!(
+        "{ends} ends: 95% {}, 99% {}, all {}",
+        at(950),
+        at(990),
+        at(1_000)
+    );
+    expect_that!(ends, ge(1_900));
+    expect_that!(at(990), le(Millis(700)));
+}
+
+/// Workers that are cut off look like a loss at first. Each of their holds must get one early probe at most.
+#[googletest::test]
+fn early_probes_are_sent_once_for_a_hold() {
+    let mut world = World::with_retries(8);
+    world.run(600);
+    world.submit(1, job(vec![step(8, 40_000, 20_000)]));
+    world.run(1_000);
+    world.partitioned = vec![true; 8];
+    world.submit(2, job(vec![step(4, 4_000, 500)]));
+    world.run(400);
+    expect_that!(world.lead.counters().early_probes, eq(8));
+    world.run(4_000);
+    expect_that!(world.lead.counters().early_probes, eq(8));
+}
+
 /// A worker that has carried out a start refuses the repeated one: the run must not be placed anywhere else.
 #[googletest::test]
 fn refusal_of_a_repeated_start_releases_nothing() {
--- a/crates/marigoldpick-node/src/driver.rs
+++ b/crates/marigoldpick-node/src/driver.rs
@@ -424,6 +424,8 @@
         ("start", now.start_retries, before.start_retries),
         ("stop", now.stop_retries, before.stop_retries),
         ("hold", now.hold_retries, before.hold_retries),
+        ("early_hold", now.early_probes, before.early_probes),
+        ("probe", now.probe_retries, before.probe_retries),
     ];
     for (order, now, before) in retries {
         if now > before {
