Send retried orders through a second relay

Cause: the lead exchanges the orders for a failure domain with one relay over one connection. When that exchange stalls, as after a lost packet, a retried order waits behind the same packet as the first one.

Change: `Action::Order` says whether it is a retry, which repeated starts, repeated stops and probes are. Where orders are retried, the lead knows a second relay for each domain, the next strongest entry that is strong enough, and sends retries through it. Its session is opened by the first retry and closed after 5 s without an order. If it is missing or suspended, retries go as before. A suspended relay is remembered until its suspension ends; where orders are not retried it is still forgotten when another one replaces it. The sessions with relays are now closed at the end of a term: their loops waited on and kept the state of the term. Orders are counted by path.

The fake workers of the node's tests refuse late starts and accept repeated ones only in clusters that retry; in the others a repeated start still counts as a violation. The simulated world of the job's tests checks for each start that it is marked exactly if it is a repetition.

--- a/crates/marigoldpick-bench/src/locate.rs
+++ b/crates/marigoldpick-bench/src/locate.rs
@@ -152,6 +152,7 @@
                         target,
                         order,
                         number,
+                        ..
                     } => {
                         let workers = &self.pool.workers;
                         let found = workers.binary_search_by(|w| w.node.id.cmp(&target.id));
--- a/crates/marigoldpick-job/src/action.rs
+++ b/crates/marigoldpick-job/src/action.rs
@@ -18,6 +18,8 @@
         order: Order,
         /// The number of the order, which its answer is told apart by.
         number: u64,
+        /// Whether an earlier order to the worker has no answer yet, so that this one should take another path.
+        is_retry: bool,
     },
     /// Asks the adviser through an entry; the answer goes to [`crate::Lead::handle_advice`].
     Ask {
--- a/crates/marigoldpick-job/src/lead.rs
+++ b/crates/marigoldpick-job/src/lead.rs
@@ -24,6 +24,7 @@
 pub mod roster;
 mod runs;
 mod schedule;
+mod send;
 mod start;
 mod unrecorded;
 mod waiting;
@@ -33,7 +34,6 @@
 use marigoldpick_core::prelude::*;
 use marigoldpick_core::team::Share as TeamShare;
 use marigoldpick_core::work::load::Summary;
-use marigoldpick_core::work::port::Order;
 use marigoldpick_core::work::{self, Part, Phase, Task};
 
 use crate::action::Action;
@@ -510,19 +510,6 @@
         });
     }
 
-    /// Sends an order and returns its number.
-    fn send_order(&mut self, worker: usize, order: Order) -> u64 {
-        let target = self.workers[worker].target();
-        self.last_order += 1;
-        let number = self.last_order;
-        self.actions.push(Action::Order {
-            target,
-            order,
-            number,
-        });
-        number
-    }
-
     /// Advances the lead to `now` and returns the actions to take.
     pub fn tick(&mut self, now: Millis) -> Vec<Action> {
         self.release_lapsed_runs(now);
--- a/crates/marigoldpick-job/src/lead/hold.rs
+++ b/crates/marigoldpick-job/src/lead/hold.rs
@@ -71,7 +71,7 @@
             seen: 0,
             wait: Millis::ZERO,
         };
-        let number = self.send_order(at, probe);
+        let number = self.send_retry(at, probe);
         let holds = &mut self.workers[at].holds;
         holds.probe = Some(Probe {
             number,
--- a/crates/marigoldpick-job/src/lead/repeat.rs
+++ b/crates/marigoldpick-job/src/lead/repeat.rs
@@ -71,7 +71,7 @@
         order: Order,
         now: Millis,
     ) {
-        let number = self.send_order(at, order);
+        let number = self.send_retry(at, order);
         let worker = &mut self.workers[at];
         worker.orders.add(number, kind, task, run);
         if let Some(entry) = worker.run_mut(task, run) {
--- a/crates/marigoldpick-job/src/settings.rs
+++ b/crates/marigoldpick-job/src/settings.rs
@@ -92,6 +92,12 @@
 }
 
 impl Settings {
+    /// Returns whether orders without an answer are sent again.
+    #[must_use]
+    pub const fn repeats_orders(&self) -> bool {
+        self.start_retry.0 > 0 || self.hold_overdue.0 > 0
+    }
+
     /// Returns how long a run may occupy its worker after its stop is answered.
     #[must_use]
     pub const fn stop_bound(&self) -> Millis {
--- a/crates/marigoldpick-job/tests/lead/world.rs
+++ b/crates/marigoldpick-job/tests/lead/world.rs
@@ -158,6 +158,8 @@
     pub unanswered_starts: Vec<(Task, u64, Millis)>,
     /// Starts that the lead sent, with time and worker, whether they arrived or not.
     pub sent_starts: Vec<(Millis, usize)>,
+    /// The runs for which the lead has sent a start.
+    sent_runs: BTreeSet<(id::Worker, Task, u64)>,
     in_flight: Vec<(Millis, u64, Message)>,
     sequence: u64,
     random_state: u64,
@@ -210,6 +212,7 @@
             executes_unanswered: true,
             unanswered_starts: Vec::new(),
             sent_starts: Vec::new(),
+            sent_runs: BTreeSet::new(),
             in_flight: Vec::new(),
             sequence: 0,
             random_state: 1,
@@ -407,13 +410,26 @@
         }
     }
 
+    /// Checks that all repeated starts, and no first one, are to take the path of retries.
+    fn check_retry(&mut self, worker: &id::Worker, order: &Order, is_retry: bool) {
+        if let Order::Start(start) = order {
+            let sent = (worker.clone(), start.task.clone(), start.run);
+            if self.sent_runs.insert(sent) == is_retry {
+                let broken = format!("start of {} with retry={is_retry}", start.task);
+                self.pool.broken.push(broken);
+            }
+        }
+    }
+
     fn perform(&mut self, action: Action) {
         match action {
             Action::Order {
                 target,
                 order,
                 number,
+                is_retry,
             } => {
+                self.check_retry(&target.id, &order, is_retry);
                 let mut workers = self.pool.workers.iter();
                 let at = workers.position(|worker| worker.node.address == target.address);
                 let Some(at) = at else { return };
--- a/crates/marigoldpick-node/src/dispatch.rs
+++ b/crates/marigoldpick-node/src/dispatch.rs
@@ -14,8 +14,9 @@
 use crate::control::Control;
 use crate::leadership::Leadership;
 use crate::member::Member;
+use crate::paths::{Path, preferred};
 use crate::platform::Platform;
-use crate::relay::{Answer, Relay, Session, choose};
+use crate::relay::{Answer, Relay, Session, choose_pairs};
 
 /// The time for which orders are gathered before a batch is sent to a relay.
 const BATCH_WINDOW: Millis = Millis(12);
@@ -69,40 +70,44 @@
     }
 
     /// Chooses the relays again; those that are chosen again keep their session.
+    ///
+    /// The session with a first relay is opened at once, that with a second one when a retried order needs it.
     pub(crate) fn choose_relays(self: &Rc<Self>, leadership: &Rc<Leadership>) {
         let workers = leadership.read(|lead| lead.workers().len());
         let now = self.now();
-        let chosen = choose(&self.relay_candidates(leadership, now), workers);
-        let mut relays = leadership.relays.borrow_mut();
-        relays.retain(|relay| {
-            let is_kept = chosen.contains(&relay.known);
-            if !is_kept {
-                relay.close();
-            }
-            is_kept
-        });
-        for known in chosen {
-            let domain = known.domain.clone();
-            let found = relays.binary_search_by(|relay| relay.known.domain.cmp(&domain));
-            if let Err(at) = found {
-                log::info!(target: "node", "event=relay-chosen domain={domain} entry={}", known.entry);
-                let relay = Rc::new(Relay::new(known));
-                relays.insert(at, Rc::clone(&relay));
-                task::spawn_local(Rc::clone(self).run_relay(Rc::clone(leadership), relay));
+        let mut pairs = choose_pairs(&self.relay_candidates(leadership, now), workers);
+        let has_second = self.settings.job.repeats_orders();
+        if !has_second {
+            pairs.iter_mut().for_each(|pair| pair.second = None);
+        }
+        let chosen = leadership.paths.borrow_mut().update(pairs, has_second, now);
+        for (path, known) in chosen {
+            log::info!(
+                target: "node",
+                "event=relay-chosen domain={} entry={} path={}",
+                known.domain, known.entry, path.name()
+            );
+            if path == Path::First {
+                self.relay_session(leadership, &known);
             }
         }
     }
 
+    /// Returns the session with a relay, opening it if needed.
+    fn relay_session(self: &Rc<Self>, leadership: &Rc<Leadership>, known: &Known) -> Rc<Relay> {
+        let open = |relay: &Rc<Relay>| {
+            let (this, leadership) = (Rc::clone(self), Rc::clone(leadership));
+            task::spawn_local(this.run_relay(leadership, Rc::clone(relay)));
+        };
+        leadership.paths.borrow_mut().session(known, open)
+    }
+
     /// Returns the other entries except relays that are suspended.
     fn relay_candidates(&self, leadership: &Leadership, now: Millis) -> Vec<Member> {
-        let relays = leadership.relays.borrow();
-        let is_suspended = |known: &Known| {
-            let mut relays = relays.iter();
-            relays.any(|relay| relay.known == *known && relay.is_suspended(now))
-        };
+        let paths = leadership.paths.borrow();
         let peers = self.peers.borrow();
-        let usable = peers.iter().filter(|member| !is_suspended(&member.known));
-        usable.cloned().collect()
+        let is_usable = |member: &&Member| !paths.is_suspended(&member.known, now);
+        peers.iter().filter(is_usable).cloned().collect()
     }
 
     /// Exchanges batches with a relay until the term is over or the relay is no longer used.
@@ -126,11 +131,13 @@
                 failure => {
                     let unsent =
                         matches!(failure, Err(wire::Error::Away | wire::Error::Refused(_)));
+                    let path = leadership.paths.borrow().path_through(&relay.known);
                     log::warn!(
                         target: "node",
-                        "event=relay-lost entry={} orders={} unsent={unsent}",
+                        "event=relay-lost entry={} orders={} unsent={unsent} path={}",
                         relay.known.entry,
-                        relay.pending_count()
+                        relay.pending_count(),
+                        path.map_or("none", Path::name)
                     );
                     relay.suspend(self.now() + RELAY_SUSPENSION);
                     relay.fail_pending(if unsent { &numbers } else { &[] });
@@ -140,42 +147,57 @@
         relay.fail_pending(&[]);
     }
 
-    /// Sends an order to a worker, through the relay of its failure domain if there is one, else directly.
+    /// Sends an order to a worker by the first path that can carry it.
+    ///
+    /// A path that did not carry the order out is followed by the next one.
     pub(crate) async fn send_order(
-        &self,
-        leadership: &Leadership,
+        self: &Rc<Self>,
+        leadership: &Rc<Leadership>,
         domain: Option<&id::Domain>,
         target: &Target,
-        order: &Order,
+        (order, is_retry): (&Order, bool),
     ) -> Answer {
-        if leadership.is_over() {
-            return Err(Fault::Away);
-        }
-        let relay = domain.and_then(|domain| self.usable_relay(leadership, domain, &target.id));
-        if let Some(relay) = relay {
-            let wait = match order {
-                Order::Hold { wait, .. } => *wait,
-                Order::Start(_) | Order::Stop { .. } | Order::Pace { .. } => Millis::ZERO,
+        for path in preferred(is_retry) {
+            if leadership.is_over() {
+                break;
+            }
+            let answer = if *path == Path::Direct {
+                count_order(*path);
+                let term = leadership.term();
+                self.send_order_directly(term, target, order.clone()).await
+            } else {
+                let relay = domain
+                    .and_then(|domain| self.usable_relay(leadership, domain, *path, &target.id));
+                let Some(relay) = relay else {
+                    continue;
+                };
+                count_order(*path);
+                self.send_order_through(&relay, target, order).await
             };
-            let answer = relay.enqueue(target.clone(), order.clone());
-            let answer = timeout((ORDER_TIMEOUT + wait).duration(), answer).await;
-            match answer {
-                // The order was not executed, and the lead may reach a worker that the relay does not.
-                Ok(Ok(Err(Fault::Away))) => {
-                    relay.suspend_for_worker(&target.id, self.now() + RELAY_SUSPENSION)
-                }
-                Ok(Ok(Err(Fault::Unknown)) | Err(_)) | Err(_) => {
-                    relay.suspend_for_worker(&target.id, self.now() + RELAY_SUSPENSION);
-                    return Err(Fault::Unknown);
-                }
-                Ok(Ok(answer)) => return answer,
+            // The order was not executed, and another path may reach a worker that this one does not.
+            if !matches!(answer, Err(Fault::Away)) {
+                return answer;
             }
         }
-        if leadership.is_over() {
-            return Err(Fault::Away);
+        Err(Fault::Away)
+    }
+
+    /// Sends an order through a relay, and suspends the relay for the worker if it brings no answer.
+    async fn send_order_through(&self, relay: &Relay, target: &Target, order: &Order) -> Answer {
+        let wait = match order {
+            Order::Hold { wait, .. } => *wait,
+            Order::Start(_) | Order::Stop { .. } | Order::Pace { .. } => Millis::ZERO,
+        };
+        let answer = relay.enqueue(target.clone(), order.clone(), self.now());
+        let answer = timeout((ORDER_TIMEOUT + wait).duration(), answer).await;
+        let answer = match answer {
+            Ok(Ok(answer)) => answer,
+            Ok(Err(_)) | Err(_) => Err(Fault::Unknown),
+        };
+        if matches!(answer, Err(Fault::Away | Fault::Unknown)) {
+            relay.suspend_for_worker(&target.id, self.now() + RELAY_SUSPENSION);
         }
-        self.send_order_directly(leadership.term(), target, order.clone())
-            .await
+        answer
     }
 
     /// Sends an order directly, unless this entry knows of a later term than the order's.
@@ -193,18 +215,21 @@
         self.newest_term.set(self.newest_term.get().max(term));
     }
 
-    /// Returns the relay of a failure domain if it can be used for the worker.
+    /// Returns the relay of a path to a failure domain if it can be used for the worker.
     fn usable_relay(
-        &self,
-        leadership: &Leadership,
+        self: &Rc<Self>,
+        leadership: &Rc<Leadership>,
         domain: &id::Domain,
+        path: Path,
         worker: &id::Worker,
     ) -> Option<Rc<Relay>> {
-        let relays = leadership.relays.borrow();
-        let at = relays.binary_search_by(|relay| relay.known.domain.cmp(domain));
-        let relay = &relays[at.ok()?];
-        relay
-            .can_serve(worker, self.now())
-            .then(|| Rc::clone(relay))
+        let known = leadership.paths.borrow().relay(domain, path)?.clone();
+        let relay = self.relay_session(leadership, &known);
+        relay.can_serve(worker, self.now()).then_some(relay)
     }
 }
+
+/// Counts an order by the path on which it is sent.
+fn count_order(path: Path) {
+    metrics::counter!("marigold_order_paths_total", "path" => path.name()).increment(1);
+}
--- a/crates/marigoldpick-node/src/driver.rs
+++ b/crates/marigoldpick-node/src/driver.rs
@@ -154,8 +154,9 @@
                 target,
                 order,
                 number,
+                is_retry,
             } => {
-                task::spawn_local(this.deliver(leadership, target, (order, number)));
+                task::spawn_local(this.deliver(leadership, target, (order, number), is_retry));
             }
             Action::Ask {
                 asker,
@@ -177,11 +178,12 @@
         leadership: Rc<Leadership>,
         target: Target,
         (order, number): (Order, u64),
+        is_retry: bool,
     ) {
         let sent = self.now();
         let domain = leadership.read(|lead| lead.domain_of(&target.id).cloned());
         let answer = self
-            .send_order(&leadership, domain.as_ref(), &target, &order)
+            .send_order(&leadership, domain.as_ref(), &target, (&order, is_retry))
             .await;
         let now = self.now();
         leadership
--- a/crates/marigoldpick-node/src/leadership.rs
+++ b/crates/marigoldpick-node/src/leadership.rs
@@ -1,7 +1,6 @@
 //! The state of a term on the entry that leads: the scheduler, the lease and the chain's revision.
 
 use std::cell::{Cell, RefCell};
-use std::rc::Rc;
 
 use async_channel::{Receiver, Sender};
 use marigoldpick_core::prelude::*;
@@ -9,8 +8,8 @@
 use marigoldpick_job::{Lead, askers};
 
 use crate::config::Config;
+use crate::paths;
 use crate::phases::{Phase, Phases};
-use crate::relay::Relay;
 use crate::settings::Settings;
 
 /// `Leadership` is the state of a term on the entry that leads.
@@ -39,8 +38,8 @@
     commits_held_until: Cell<Millis>,
     /// The phases of the takeover with which the term began.
     phases: Cell<Phases>,
-    /// The entries that relay orders, sorted by failure domain.
-    pub(crate) relays: RefCell<Vec<Rc<Relay>>>,
+    /// The entries that relay orders.
+    pub(crate) paths: RefCell<paths::Table>,
     wake_sender: Sender<()>,
     wake_receiver: Receiver<()>,
 }
@@ -72,7 +71,7 @@
             has_offered: Cell::new(false),
             commits_held_until: Cell::new(Millis::ZERO),
             phases: Cell::new(phases),
-            relays: RefCell::default(),
+            paths: RefCell::default(),
             wake_sender,
             wake_receiver,
         }
@@ -121,6 +120,7 @@
         if self.end_reason.get().is_none() {
             self.end_reason.set(Some(why));
         }
+        self.paths.borrow().close();
         self.wake_loop();
     }
 
--- a/crates/marigoldpick-node/src/lib.rs
+++ b/crates/marigoldpick-node/src/lib.rs
@@ -21,6 +21,7 @@
 pub mod member;
 mod members;
 mod node;
+pub mod paths;
 mod peer_reports;
 pub mod phases;
 pub mod platform;
--- a/crates/marigoldpick-node/src/relay.rs
+++ b/crates/marigoldpick-node/src/relay.rs
@@ -29,16 +29,47 @@
 /// The maximum number of orders in a batch.
 const MAX_BATCH_ORDERS: usize = 256;
 
+/// `Pair` is the relays of a failure domain.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Pair {
+    /// The relay of all orders that are not retried.
+    pub first: Known,
+    /// The relay of retried orders, if another entry of the domain is strong enough.
+    pub second: Option<Known>,
+}
+
 /// Chooses a relay for each failure domain: the strongest other entry, if strong enough.
 ///
 /// Returns the relays sorted by domain; there are none in a pool with few workers.
 #[must_use]
 pub fn choose(peers: &[Member], workers: usize) -> Vec<Known> {
-    let mut chosen: Vec<&Member> = Vec::new();
     if workers < MIN_WORKERS {
         return Vec::new();
     }
-    for member in peers.iter().filter(|m| m.strength >= MIN_STRENGTH) {
+    strongest_by_domain(peers.iter())
+}
+
+/// Chooses the relays as [`choose`] does, and beside each the next strongest entry of its domain, if strong enough.
+///
+/// Load pattern: the connection to a relay stalls, as after a lost packet, while the domain's workers are healthy. A
+/// retried order on the same connection would wait behind the same packet.
+#[must_use]
+pub fn choose_pairs(peers: &[Member], workers: usize) -> Vec<Pair> {
+    let firsts = choose(peers, workers);
+    let others = peers.iter().filter(|peer| !firsts.contains(&peer.known));
+    let seconds = strongest_by_domain(others);
+    let pair = |first: Known| {
+        let found = seconds.binary_search_by(|second| second.domain.cmp(&first.domain));
+        let second = found.ok().map(|at| seconds[at].clone());
+        Pair { first, second }
+    };
+    firsts.into_iter().map(pair).collect()
+}
+
+/// Returns the strongest member of each failure domain that is strong enough for a relay, sorted by domain.
+fn strongest_by_domain<'a>(members: impl Iterator<Item = &'a Member>) -> Vec<Known> {
+    let mut chosen: Vec<&Member> = Vec::new();
+    for member in members.filter(|m| m.strength >= MIN_STRENGTH) {
         let domain = &member.known.domain;
         match chosen.binary_search_by(|have| have.known.domain.cmp(domain)) {
             Ok(at) if chosen[at].strength < member.strength => chosen[at] = member,
@@ -68,6 +99,8 @@
     queue: RefCell<VecDeque<Item>>,
     /// The orders whose outcome is pending, sorted by number, and who waits for it.
     pending: RefCell<VecDeque<(u64, oneshot::Sender<Answer>)>>,
+    /// When the last order was queued.
+    last_used: Cell<Millis>,
     /// Until when the relay is not used at all.
     suspended_until: Cell<Millis>,
     /// Workers from which the relay got no answer, sorted, and until when it is not used for them.
@@ -85,6 +118,7 @@
             last_number: Cell::new(0),
             queue: RefCell::default(),
             pending: RefCell::default(),
+            last_used: Cell::new(Millis::ZERO),
             suspended_until: Cell::new(Millis::ZERO),
             suspended_workers: RefCell::default(),
             wake_sender,
@@ -121,6 +155,15 @@
         self.pending.borrow().len()
     }
 
+    /// Returns for how long no order was queued or pending.
+    pub(crate) fn unused_time(&self, now: Millis) -> Millis {
+        if self.pending.borrow().is_empty() {
+            now.since(self.last_used.get())
+        } else {
+            Millis::ZERO
+        }
+    }
+
     /// Suspends the relay for all workers.
     pub(crate) fn suspend(&self, until: Millis) {
         self.suspended_until.set(until);
@@ -143,8 +186,14 @@
     }
 
     /// Queues an order; the receiver gets its outcome.
-    pub(crate) fn enqueue(&self, target: Target, order: Order) -> oneshot::Receiver<Answer> {
+    pub(crate) fn enqueue(
+        &self,
+        target: Target,
+        order: Order,
+        now: Millis,
+    ) -> oneshot::Receiver<Answer> {
         let (reply, answer) = oneshot::channel();
+        self.last_used.set(now);
         let number = self.last_number.get() + 1;
         self.last_number.set(number);
         self.queue.borrow_mut().push_back(Item {
--- a/crates/marigoldpick-node/tests/decisions.rs
+++ b/crates/marigoldpick-node/tests/decisions.rs
@@ -11,6 +11,7 @@
 use marigoldpick_node::election::{campaign_delay, is_worth_handing_over};
 use marigoldpick_node::handover::{claimant, remaining_after};
 use marigoldpick_node::member::Member;
+use marigoldpick_node::paths::{Path, is_kept};
 use marigoldpick_node::phases::{Phase, Phases};
 use marigoldpick_node::reachability::Reachability;
 use marigoldpick_node::{relay, retry};
@@ -82,6 +83,37 @@
     expect_that!(entries(48), is_empty());
 }
 
+/// A retry through the relay that carried the order before, or a weak entry, would not arrive any sooner.
+#[googletest::test]
+fn choose_pairs_adds_the_next_strongest_entry_if_strong_enough() {
+    let others = [
+        member("a1", "a", 300),
+        member("a2", "a", 500),
+        member("a3", "a", 400),
+        member("b1", "b", 90),
+        member("b2", "b", 200),
+    ];
+    let name = |known: &Known| known.entry.to_string();
+    let pairs = relay::choose_pairs(&others, 540).into_iter();
+    let names = pairs.map(|pair| (name(&pair.first), pair.second.as_ref().map(name)));
+    let expected = [("a2", Some("a3")), ("b2", None)];
+    let expected = expected.map(|(first, second)| (first.to_owned(), second.map(str::to_owned)));
+    expect_that!(names.collect::<Vec<_>>(), container_eq(expected));
+    expect_that!(relay::choose_pairs(&others, 48), is_empty());
+}
+
+/// A second relay must cost nothing on calm days, and one that does not answer must not be used again too soon.
+#[googletest::test]
+fn is_kept_closes_the_session_with_an_unused_second_relay_only() {
+    let (short, long) = (Millis(4_000), Millis(6_000));
+    expect_true!(is_kept(Some(Path::First), long, false));
+    expect_true!(is_kept(Some(Path::Second), short, false));
+    expect_false!(is_kept(Some(Path::Second), long, false));
+    expect_false!(is_kept(None, short, false));
+    expect_true!(is_kept(Some(Path::Second), long, true));
+    expect_true!(is_kept(None, long, true));
+}
+
 /// Callers arrive at 0 to 4.9 s of an outage of 5.3 s and make five attempts each: the delays that they
 /// are told must carry each of them past the outage's end.
 #[googletest::test]
--- a/crates/marigoldpick-node/tests/node/cluster.rs
+++ b/crates/marigoldpick-node/tests/node/cluster.rs
@@ -47,6 +47,10 @@
     pub starts: Vec<(Task, u64)>,
     /// The entry that sent each start, in the order of `starts`.
     pub start_senders: Vec<usize>,
+    /// When each start was carried out, in the order of `starts`.
+    pub start_times: Vec<Instant>,
+    /// Whether orders for a run are repeated; the workers then tell repeated and late ones apart, as real ones do.
+    pub expects_repeats: bool,
     /// The worker of each start, in the order of `starts`.
     pub start_workers: Vec<usize>,
     /// The entry that sent each order to a worker, and the term of the order.
@@ -58,6 +62,8 @@
     term: u64,
     running: Vec<(Task, u64, Instant)>,
     ended: Vec<Ended>,
+    /// The runs that were stopped or have ended.
+    settled: Vec<(Task, u64)>,
     last_number: u64,
     /// The end of its lease, by its clock.
     lease_end: Millis,
@@ -73,6 +79,7 @@
             term: 0,
             running: Vec::new(),
             ended: Vec::new(),
+            settled: Vec::new(),
             last_number: 0,
             lease_end: Millis::ZERO,
             has_departed: false,
@@ -84,6 +91,8 @@
             violations: Vec::new(),
             starts: Vec::new(),
             start_senders: Vec::new(),
+            start_times: Vec::new(),
+            expects_repeats: false,
             start_workers: Vec::new(),
             orders: Vec::new(),
         }
@@ -148,12 +157,19 @@
         }
         match order {
             Order::Start(start) => {
+                if self.expects_repeats && self.workers[at].has_settled(&start.task, start.run) {
+                    return Err(Fault::Old);
+                }
+                if self.expects_repeats && self.workers[at].has_run(&start.task, start.run) {
+                    return Ok(None);
+                }
                 if self.is_running(&start.task) {
                     self.violations.push(format!("{} runs twice", start.task));
                 }
                 let span: u64 = start.payload.parse().expect("the payload tells the time");
                 let end = Instant::now() + Duration::from_millis(span);
                 self.starts.push((start.task.clone(), start.run));
+                self.start_times.push(Instant::now());
                 self.start_workers.push(at);
                 let worker = &mut self.workers[at];
                 worker.renew(start.until);
@@ -162,6 +178,7 @@
             }
             Order::Stop { task, run } => {
                 let worker = &mut self.workers[at];
+                worker.settled.push((task.clone(), *run));
                 let before = worker.running.len();
                 worker
                     .running
@@ -186,7 +203,19 @@
         self.lease_end = self.lease_end.max(until);
     }
 
+    fn has_run(&self, task: &Task, run: u64) -> bool {
+        let mut running = self.running.iter();
+        running.any(|(have, number, _)| have == task && *number == run)
+    }
+
+    /// Returns whether a run is not higher than one that was stopped or has ended here.
+    fn has_settled(&self, task: &Task, run: u64) -> bool {
+        let mut settled = self.settled.iter();
+        settled.any(|(have, number)| have == task && run <= *number)
+    }
+
     fn end(&mut self, task: Task, run: u64, how: Exit) {
+        self.settled.push((task.clone(), run));
         self.last_number += 1;
         self.ended.push(Ended {
             number: self.last_number,
@@ -285,6 +314,8 @@
     number: usize,
     /// Whether the workers are unreachable for this entry.
     cut_off: Arc<AtomicBool>,
+    /// Whether the entry hangs when it sends an order.
+    hangs: Arc<AtomicBool>,
     /// Whether there is no configuration for this entry.
     unconfigured: bool,
     /// The newest configuration.
@@ -297,6 +328,11 @@
 
 impl Workers for FakePlatform {
     async fn order(&self, node: &Target, term: u64, order: Order) -> Result<Reply, Fault> {
+        let since = Instant::now();
+        while self.hangs.load(Ordering::SeqCst) && since.elapsed() < WAIT_LIMIT {
+            // The thread of the entry is blocked, so that it answers no batch either.
+            std::thread::sleep(Duration::from_millis(1));
+        }
         let at: usize = node.address.parse().expect("a number");
         lock(&self.fake_workers).orders.push((self.number, term));
         if self.cut_off.load(Ordering::SeqCst) {
@@ -502,6 +538,8 @@
     pub lost_answers: Vec<Arc<AtomicUsize>>,
     /// Whether the workers are unreachable for a node.
     pub cut_off: Vec<Arc<AtomicBool>>,
+    /// Whether a node hangs when it sends an order.
+    pub hangs: Vec<Arc<AtomicBool>>,
     /// Whether the store answers only watches of a node.
     pub only_watches: Vec<Arc<AtomicBool>>,
     /// Whether a node's reads of large pages get no answer in time.
@@ -520,6 +558,8 @@
     strengths: Vec<u32>,
     /// Whether entries reject jobs that can't end in time.
     admission: bool,
+    /// The settings of the job scheduler.
+    job: marigoldpick_job::Settings,
 }
 
 impl Cluster {
@@ -588,6 +628,19 @@
         cluster
     }
 
+    /// Starts a cluster whose lead repeats orders without an answer.
+    pub fn start_with_retries(entries: usize, workers: usize, retry: Millis) -> Self {
+        let mut cluster = Self::new(workers, None, vec![1_000; entries]);
+        cluster.job.start_retry = retry;
+        cluster.job.hold_overdue = retry;
+        lock(&cluster.fake_workers).expects_repeats = true;
+        cluster.nodes = (0..entries)
+            .map(|number| cluster.start_node(number))
+            .collect();
+        cluster.await_lead();
+        cluster
+    }
+
     /// Writes the next version of the configuration, with one more route.
     pub fn add_route(&self, prefix: &str) {
         let mut config = self.config.lock().unwrap_or_else(PoisonError::into_inner);
@@ -648,6 +701,7 @@
             silent: strengths.iter().map(|_| Arc::default()).collect(),
             lost_answers: strengths.iter().map(|_| Arc::default()).collect(),
             cut_off: strengths.iter().map(|_| Arc::default()).collect(),
+            hangs: strengths.iter().map(|_| Arc::default()).collect(),
             only_watches: strengths.iter().map(|_| Arc::default()).collect(),
             slow: strengths.iter().map(|_| Arc::default()).collect(),
             page_delay_ms: Arc::default(),
@@ -658,6 +712,7 @@
             lead_lease,
             strengths,
             admission: false,
+            job: marigoldpick_job::Settings::default(),
         }
     }
 
@@ -748,6 +803,7 @@
             fake_workers: Arc::clone(&self.fake_workers),
             number,
             cut_off: Arc::clone(&self.cut_off[number]),
+            hangs: Arc::clone(&self.hangs[number]),
             unconfigured: self.unconfigured == Some(number),
             config: Arc::clone(&self.config),
         };
@@ -760,6 +816,7 @@
             settings.strength = self.strengths[number];
             settings.access = self.access;
             settings.admission = self.admission;
+            settings.job = self.job;
             settings.lead_lease = self.lead_lease.unwrap_or(settings.lead_lease);
             match Node::start(services.clone(), settings) {
                 Err(error) if error.kind() == std::io::ErrorKind::AddrInUse => {}
--- a/crates/marigoldpick-node/tests/node/main.rs
+++ b/crates/marigoldpick-node/tests/node/main.rs
@@ -6,6 +6,7 @@
 mod configuration;
 mod handover;
 mod outages;
+mod paths;
 mod relays;
 mod takeover;
 
--- a/crates/marigoldpick-node/tests/node/relays.rs
+++ b/crates/marigoldpick-node/tests/node/relays.rs
@@ -10,13 +10,13 @@
 use crate::cluster::{Cluster, lock, wait_until};
 
 /// Enough workers for the lead to use relays.
-const MANY_WORKERS: usize = 240;
+pub const MANY_WORKERS: usize = 240;
 
 /// How long the registration of an entry lasts that no longer renews it.
 const REGISTRATION_LEASE: Duration = Duration::from_secs(10);
 
 /// Submits jobs until one is started through another entry than the lead; returns their number.
-fn wait_for_relayed_start(cluster: &Cluster) -> u32 {
+pub fn wait_for_relayed_start(cluster: &Cluster) -> u32 {
     let lead = cluster.lead();
     let mut number = 0;
     wait_until("a start goes through a relay", || {
