Merge retries over a second relay

Both parts had added a question of the settings whether orders are repeated; the one for the rate of losses, which needs both intervals, is now detects_losses_early.

--- a/crates/marigoldpick-job/src/lead/hold.rs
+++ b/crates/marigoldpick-job/src/lead/hold.rs
@@ -22,7 +22,7 @@
 impl Lead {
     /// Sends the holds that are due, and probes to workers that are suspect or whose hold is overdue.
     pub(super) fn send_holds(&mut self, now: Millis) {
-        let is_lossy = self.settings.repeats_orders() && self.losses.is_high(now);
+        let is_lossy = self.settings.detects_losses_early() && self.losses.is_high(now);
         let mut early = 0;
         for at in 0..self.workers.len() {
             let worker = &self.workers[at];
@@ -91,7 +91,7 @@
             seen: 0,
             wait: Millis::ZERO,
         };
-        let number = self.send_order(at, probe);
+        let number = self.send_retry(at, probe);
         let holds = &mut self.workers[at].holds;
         holds.probe = Some(Probe {
             number,
@@ -106,7 +106,7 @@
 
     /// Sends a probe beside a hold whose answer is overdue.
     fn send_overdue_probe(&mut self, at: usize, now: Millis) {
-        if self.settings.repeats_orders()
+        if self.settings.detects_losses_early()
             && let Some(hold) = &self.workers[at].holds.current
         {
             self.losses.record_overdue_hold(hold.number, now);
--- a/crates/marigoldpick-job/src/lead/repeat.rs
+++ b/crates/marigoldpick-job/src/lead/repeat.rs
@@ -71,14 +71,14 @@
         order: Order,
         now: Millis,
     ) {
-        if self.settings.repeats_orders()
+        if self.settings.detects_losses_early()
             && let Some(lost) = self.workers[at].orders.last(kind, task, run)
         {
             let run = self.workers[at].run_mut(task, run);
             let is_first = run.is_some_and(|run| !run.attempts.has_repeated(kind));
             self.losses.record_retry(lost, is_first, now);
         }
-        let number = self.send_order(at, order);
+        let number = self.send_retry(at, order);
         let worker = &mut self.workers[at];
         worker.orders.add(number, kind, task, run);
         if let Some(entry) = worker.run_mut(task, run) {
--- a/crates/marigoldpick-job/src/lead/start.rs
+++ b/crates/marigoldpick-job/src/lead/start.rs
@@ -175,7 +175,7 @@
         }
         let (is_lost, is_early) = (
             answer == Err(Fault::Unknown),
-            self.settings.repeats_orders(),
+            self.settings.detects_losses_early(),
         );
         self.losses.record((order, number), is_lost, is_early, now);
         let Some(at) = self.worker_index(worker) else {
--- a/crates/marigoldpick-job/src/settings.rs
+++ b/crates/marigoldpick-job/src/settings.rs
@@ -92,10 +92,16 @@
 }
 
 impl Settings {
+    /// Returns whether orders without an answer are sent again.
+    #[must_use]
+    pub const fn repeats_orders(&self) -> bool {
+        self.start_retry.0 > 0 || self.hold_overdue.0 > 0
+    }
+
     /// Returns whether orders of all kinds are repeated, so that their losses show before they time out.
     #[must_use]
-    pub fn repeats_orders(&self) -> bool {
-        self.start_retry > Millis::ZERO && self.hold_overdue > Millis::ZERO
+    pub const fn detects_losses_early(&self) -> bool {
+        self.start_retry.0 > 0 && self.hold_overdue.0 > 0
     }
 
     /// Returns how long a run may occupy its worker after its stop is answered.
--- a/crates/marigoldpick-node/tests/node/main.rs
+++ b/crates/marigoldpick-node/tests/node/main.rs
@@ -7,6 +7,7 @@
 mod faulty_store;
 mod handover;
 mod outages;
+mod paths;
 mod relays;
 mod standby;
 mod takeover;
