--- a/crates/marigoldpick-job/src/lead.rs
+++ b/crates/marigoldpick-job/src/lead.rs
@@ -11,10 +11,12 @@
 mod crash;
 mod evacuate;
 mod explain;
+mod gauge;
 mod hold;
 mod lease;
 mod load;
 mod losses;
+mod placement;
 mod quota;
 mod registry;
 mod repeat;
@@ -38,7 +40,7 @@
 
 use crate::action::Action;
 use crate::askers::{self, Askers};
-use crate::job::{self, Job};
+use crate::job::Job;
 use crate::question::Share;
 use crate::queue::Queue;
 use crate::quota::Quotas;
@@ -381,38 +383,6 @@
         access.permits(&job.spec).then(|| self.phase(id)).flatten()
     }
 
-    /// Returns the number of accepted jobs of a queue with no started task.
-    #[must_use]
-    pub fn waiting(&self, queue: &Name) -> usize {
-        self.jobs
-            .iter()
-            .filter(|job| job.phase == Phase::Queued && job.spec.queue == *queue)
-            .count()
-    }
-
-    /// Returns the number of lasting tasks that do not run, or whose worker is silent or has left the registry.
-    #[must_use]
-    pub fn interrupted_tasks(&self) -> usize {
-        let is_interrupted = |task: &job::Task| match task.places.as_slice() {
-            [] => !task.done,
-            [place] => self.worker_index(&place.worker).is_none_or(|at| {
-                let worker = &self.workers[at];
-                !worker.is_registered || !worker.is_responsive()
-            }),
-            _ => false,
-        };
-        let begun = self.jobs.iter().filter(|job| job.phase == Phase::Running);
-        let stages = begun.flat_map(|job| {
-            let occurrences = job.occurrences.iter();
-            occurrences.flat_map(|occurrence| job.spec.steps.iter().zip(&occurrence.stages))
-        });
-        let tasks = stages.filter(|(step, _)| step.lasting);
-        tasks
-            .flat_map(|(_, stage)| &stage.tasks)
-            .filter(|task| is_interrupted(task))
-            .count()
-    }
-
     /// Ends a job and stops its remaining runs.
     fn finish_job(&mut self, at: usize, phase: Phase, now: Millis) {
         let placed = self.jobs[at].placed();
