Forward the question where a job would go to the lead

An entry that does not lead answered without a placement, so operators had to find the lead first. It now asks the lead over the inner protocol (Call::Explain, Answer::Placement) and adds its own admission. A forwarded question is not forwarded again.

--- a/crates/marigoldpick-core/src/work/explain.rs
+++ b/crates/marigoldpick-core/src/work/explain.rs
@@ -21,7 +21,8 @@
     pub config_age: Option<Millis>,
     /// Whether the job would be accepted.
     pub admission: Admission,
-    /// What the lead would do; `None` if the entry does not lead or its lead does not know the queue.
+    /// What the lead would do; `None` if the lead does not know the queue, or if the entry does not lead and the lead
+    /// did not answer it.
     pub placement: Option<Placement>,
 }
 
--- a/crates/marigoldpick-core/src/work/peer.rs
+++ b/crates/marigoldpick-core/src/work/peer.rs
@@ -5,6 +5,7 @@
 use displaydoc::Display;
 use serde::{Deserialize, Serialize};
 
+use super::explain::Placement;
 use super::lease::Handover;
 use super::load::Summary;
 use super::port::Advice;
@@ -63,6 +64,8 @@
     Relay(relay::Batch),
     /// Asks the lead for the summary of the waiting work; answered by [`Answer::Load`].
     Load,
+    /// Asks the lead where a job would go, without accepting it; answered by [`Answer::Placement`].
+    Explain(Arc<Job>),
 }
 
 /// `Answer` is the response to a [`Call`].
@@ -94,6 +97,8 @@
     Relayed(Vec<relay::Outcome>),
     /// Answers [`Call::Load`].
     Load(Summary),
+    /// Answers [`Call::Explain`]; `None` if the lead does not know the job's queue.
+    Placement(Option<Placement>),
     /// Answers [`Call::Yield`]; `None` if the last term of the answering entry was not under that claim.
     Leases(Option<Handover>),
 }
--- a/crates/marigoldpick-node/src/lib.rs
+++ b/crates/marigoldpick-node/src/lib.rs
@@ -13,6 +13,7 @@
 mod dispatch;
 mod driver;
 pub mod election;
+mod explain;
 pub mod handover;
 mod inbox;
 pub mod keys;
--- a/crates/marigoldpick-node/src/serve.rs
+++ b/crates/marigoldpick-node/src/serve.rs
@@ -14,15 +14,13 @@
 use marigoldpick_core::team::Overview;
 use marigoldpick_core::work::peer::{self, Receipt};
 use marigoldpick_core::work::port::{Adviser, Refusal};
-use marigoldpick_core::work::{Access, Job, Phase, explain};
-use marigoldpick_job::admission::{Estimate, MIN_DELAY};
-use marigoldpick_job::quota;
+use marigoldpick_core::work::{Access, Job, Phase};
+use marigoldpick_job::admission::Estimate;
 use marigoldpick_job::record::Record;
 use rand::seq::IndexedRandom;
 
 use crate::admission::count_outcome;
 use crate::attempt::{Attempt, Next};
-use crate::config::Config;
 use crate::control::Control;
 use crate::keys;
 use crate::platform::Platform;
@@ -50,7 +48,7 @@
             Request::Phase(id, access, reply) => send_answer(reply, self.phase(&id, &access).await),
             Request::Waiting(queue, reply) => send_answer(reply, self.waiting(queue).await),
             Request::Teams(reply) => send_answer(reply, self.teams()),
-            Request::Explain(job, reply) => send_answer(reply, self.explain(job)),
+            Request::Explain(job, reply) => send_answer(reply, self.explain(job).await),
             Request::Peer(call, reply) => send_answer(reply, self.serve_peer(call).await),
             Request::Drain => {
                 log::info!(target: "node", "event=draining");
@@ -83,50 +81,6 @@
         }
     }
 
-    /// Returns where a job would go, without accepting it.
-    ///
-    /// The admission is that of the configuration that this entry knows; the placement is the lead's.
-    fn explain(self: &Rc<Self>, job: Arc<Job>) -> explain::Answer {
-        let active = self.shared.config.load_full();
-        let config = active.as_ref().map(|active| &active.config);
-        let now = self.now();
-        let lead = self.lead.borrow().clone();
-        explain::Answer {
-            entry: self.settings.entry.clone(),
-            lead: lead.map(|lead| lead.entry),
-            version: config.map_or(0, |config| config.version),
-            config_age: active
-                .as_ref()
-                .and_then(|active| active.confirmed())
-                .map(|at| now.since(at)),
-            admission: self.explain_admission(config.map(|config| &**config), &job),
-            placement: self.leadership().and_then(|leadership| {
-                leadership.read(|lead| lead.explain(job, time_of_day(), now))
-            }),
-        }
-    }
-
-    /// Returns whether a job would be accepted.
-    fn explain_admission(
-        self: &Rc<Self>,
-        config: Option<&Config>,
-        job: &Job,
-    ) -> explain::Admission {
-        let Some(config) = config else {
-            return explain::Admission {
-                rejected_by: Some("no configuration yet".to_owned()),
-                retry_after: None,
-            };
-        };
-        let queue = config.queue(&job.queue);
-        let late = queue.and_then(|queue| self.preview(job, queue));
-        explain::Admission {
-            rejected_by: find_bound(config, job)
-                .or_else(|| late.map(|estimate| format!("it could not end in time: {estimate}"))),
-            retry_after: late.map(|estimate| estimate.delay().max(MIN_DELAY)),
-        }
-    }
-
     /// Handles a call of another entry.
     async fn serve_peer(self: &Rc<Self>, call: peer::Call) -> Result<peer::Answer, Code> {
         Ok(match call {
@@ -176,6 +130,9 @@
             peer::Call::Yield { holder } => peer::Answer::Leases(self.yield_term(&holder)),
             peer::Call::Relay(batch) => peer::Answer::Relayed(self.relay_orders(batch).await),
             peer::Call::Load => peer::Answer::Load(self.summarize_load().ok_or(Code::NotLead)?),
+            peer::Call::Explain(job) => {
+                peer::Answer::Placement(self.place_own(job).ok_or(Code::NotLead)?)
+            }
             peer::Call::Ping => self.build_pong(self.check_store().await),
         })
     }
@@ -438,23 +395,6 @@
     }
 }
 
-/// Returns the bound of the configuration that rejects a job, if there is one.
-fn find_bound(config: &Config, job: &Job) -> Option<String> {
-    if config.queue(&job.queue).is_none() {
-        return Some(format!("no queue {}", job.queue));
-    }
-    let team = job.team.as_ref()?;
-    let mut shares = config.teams.shares().iter();
-    let Some(share) = shares.find(|share| share.team == *team) else {
-        return Some(format!("no team {team}"));
-    };
-    let step = quota::find_unservable(&share.limit, job)?;
-    let limit = share.limit;
-    Some(format!(
-        "step {step} can never run within the limit of {limit}"
-    ))
-}
-
 /// Combines the outcomes of two attempts at the same write.
 const fn merge_receipts(first: Receipt, second: Receipt) -> Receipt {
     match (first, second) {
--- a/crates/marigoldpick-wire/schema/peer.capnp
+++ b/crates/marigoldpick-wire/schema/peer.capnp
@@ -247,6 +247,7 @@
     relay @12 :Json;
     yield @15 :Text;
     load @16 :Void;
+    explain @17 :Json;
   }
   team @13 :Text;  # Of the caller's key; empty if there is none.
   openQueue @14 :Text;  # The queue of the caller's route; empty if the route needs a key.
@@ -273,6 +274,7 @@
     leases @11 :Json;  # Empty if the last term of the entry was not under the claim in the call.
     load @13 :Json;
     rejected @14 :Millis;  # Also answers a submission: the delay after which it may be repeated.
+    placement @15 :Json;  # Empty if the lead does not know the job's queue.
   }
 }
 
--- a/crates/marigoldpick-wire/src/convert/jobs.rs
+++ b/crates/marigoldpick-wire/src/convert/jobs.rs
@@ -49,6 +49,7 @@
         Call::Yield { holder } => to.set_yield(holder),
         Call::Relay(batch) => to.set_relay(&to_json(batch)?),
         Call::Load => to.set_load(()),
+        Call::Explain(job) => to.set_explain(&to_json(&**job)?),
     }
     Ok(())
 }
@@ -104,6 +105,7 @@
         },
         Which::Relay(batch) => Call::Relay(from_json(batch)?),
         Which::Load(()) => Call::Load,
+        Which::Explain(job) => Call::Explain(Arc::new(from_json(job)?)),
     })
 }
 
@@ -144,6 +146,8 @@
         }),
         Answer::Relayed(outcomes) => to.set_relayed(&to_json(outcomes)?),
         Answer::Load(summary) => to.set_load(&to_json(summary)?),
+        Answer::Placement(None) => to.set_placement(&[]),
+        Answer::Placement(Some(placement)) => to.set_placement(&to_json(placement)?),
         Answer::Leases(None) => to.set_leases(&[]),
         Answer::Leases(Some(handover)) => to.set_leases(&to_json(handover)?),
         Answer::Pong {
@@ -201,6 +205,10 @@
         Which::Rejected(after) => Answer::Receipt(Receipt::Rejected {
             after: Millis(after),
         }),
+        Which::Placement(placement) => Answer::Placement(match placement? {
+            [] => None,
+            text => from_json(Ok(text))?,
+        }),
         Which::Leases(handover) => Answer::Leases(match handover? {
             [] => None,
             text => from_json(Ok(text))?,
--- a/crates/marigoldpick-wire/src/peer_capnp.rs
+++ b/crates/marigoldpick-wire/src/peer_capnp.rs
@@ -14582,7 +14582,7 @@
 
 pub mod jobs_call {
     pub use self::Which::{
-        Advise, Cancel, Load, Phase, Ping, Relay, Submit, Succeed, Waiting, Yield,
+        Advise, Cancel, Explain, Load, Phase, Ping, Relay, Submit, Succeed, Waiting, Yield,
     };
 
     #[derive(Copy, Clone)]
@@ -14745,6 +14745,13 @@
             !self.reader.get_pointer_field(0).is_null()
         }
         #[inline]
+        pub fn has_explain(&self) -> bool {
+            if self.reader.get_data_field::<u16>(8) != 10 {
+                return false;
+            }
+            !self.reader.get_pointer_field(0).is_null()
+        }
+        #[inline]
         pub fn which(self) -> ::core::result::Result<WhichReader<'a>, ::capnp::NotInSchema> {
             match self.reader.get_data_field::<u16>(8) {
                 0 => ::core::result::Result::Ok(Advise(self.reader.into())),
@@ -14782,6 +14789,12 @@
                     ),
                 )),
                 9 => ::core::result::Result::Ok(Load(())),
+                10 => ::core::result::Result::Ok(Explain(
+                    ::capnp::traits::FromPointerReader::get_from_pointer(
+                        &self.reader.get_pointer_field(0),
+                        ::core::option::Option::None,
+                    ),
+                )),
                 x => ::core::result::Result::Err(::capnp::NotInSchema(x)),
             }
         }
@@ -15074,6 +15087,23 @@
             self.builder.set_data_field::<u16>(8, 9);
         }
         #[inline]
+        pub fn set_explain(&mut self, value: ::capnp::data::Reader<'_>) {
+            self.builder.set_data_field::<u16>(8, 10);
+            self.builder.reborrow().get_pointer_field(0).set_data(value);
+        }
+        #[inline]
+        pub fn init_explain(self, size: u32) -> ::capnp::data::Builder<'a> {
+            self.builder.set_data_field::<u16>(8, 10);
+            self.builder.get_pointer_field(0).init_data(size)
+        }
+        #[inline]
+        pub fn has_explain(&self) -> bool {
+            if self.builder.get_data_field::<u16>(8) != 10 {
+                return false;
+            }
+            !self.builder.is_pointer_field_null(0)
+        }
+        #[inline]
         pub fn which(self) -> ::core::result::Result<WhichBuilder<'a>, ::capnp::NotInSchema> {
             match self.builder.get_data_field::<u16>(8) {
                 0 => ::core::result::Result::Ok(Advise(self.builder.into())),
@@ -15111,6 +15141,12 @@
                     ),
                 )),
                 9 => ::core::result::Result::Ok(Load(())),
+                10 => ::core::result::Result::Ok(Explain(
+                    ::capnp::traits::FromPointerBuilder::get_from_pointer(
+                        self.builder.get_pointer_field(0),
+                        ::core::option::Option::None,
+                    ),
+                )),
                 x => ::core::result::Result::Err(::capnp::NotInSchema(x)),
             }
         }
@@ -15128,108 +15164,115 @@
     }
     impl Pipeline {}
     mod _private {
-        pub(crate) static ENCODED_NODE: [::capnp::Word; 184] = [
+        pub(crate) static ENCODED_NODE: [::capnp::Word; 199] = [
             ::capnp::word(0, 0, 0, 0, 5, 0, 6, 0),
             ::capnp::word(29, 5, 136, 184, 33, 162, 167, 202),
             ::capnp::word(11, 0, 0, 0, 1, 0, 3, 0),
             ::capnp::word(60, 53, 128, 185, 120, 25, 102, 144),
-            ::capnp::word(4, 0, 7, 0, 0, 0, 10, 0),
+            ::capnp::word(4, 0, 7, 0, 0, 0, 11, 0),
             ::capnp::word(8, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(21, 0, 0, 0, 162, 0, 0, 0),
             ::capnp::word(29, 0, 0, 0, 7, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(25, 0, 0, 0, 167, 2, 0, 0),
+            ::capnp::word(25, 0, 0, 0, 223, 2, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(112, 101, 101, 114, 46, 99, 97, 112),
             ::capnp::word(110, 112, 58, 74, 111, 98, 115, 67),
             ::capnp::word(97, 108, 108, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 1, 0, 1, 0),
-            ::capnp::word(48, 0, 0, 0, 3, 0, 4, 0),
+            ::capnp::word(52, 0, 0, 0, 3, 0, 4, 0),
             ::capnp::word(0, 0, 255, 255, 0, 0, 0, 0),
             ::capnp::word(1, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(188, 98, 161, 223, 79, 86, 211, 136),
-            ::capnp::word(65, 1, 0, 0, 58, 0, 0, 0),
+            ::capnp::word(93, 1, 0, 0, 58, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(1, 0, 254, 255, 0, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 5, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(41, 1, 0, 0, 50, 0, 0, 0),
+            ::capnp::word(69, 1, 0, 0, 50, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(36, 1, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(48, 1, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(64, 1, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(76, 1, 0, 0, 2, 0, 1, 0),
             ::capnp::word(2, 0, 253, 255, 0, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 6, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(45, 1, 0, 0, 66, 0, 0, 0),
+            ::capnp::word(73, 1, 0, 0, 66, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(40, 1, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(52, 1, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(68, 1, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(80, 1, 0, 0, 2, 0, 1, 0),
             ::capnp::word(3, 0, 252, 255, 0, 0, 0, 0),
             ::capnp::word(1, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(19, 2, 12, 178, 125, 159, 218, 171),
-            ::capnp::word(49, 1, 0, 0, 58, 0, 0, 0),
+            ::capnp::word(77, 1, 0, 0, 58, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(4, 0, 251, 255, 0, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 9, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(25, 1, 0, 0, 58, 0, 0, 0),
+            ::capnp::word(53, 1, 0, 0, 58, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(20, 1, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(32, 1, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(48, 1, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(60, 1, 0, 0, 2, 0, 1, 0),
             ::capnp::word(5, 0, 250, 255, 0, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 10, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(29, 1, 0, 0, 42, 0, 0, 0),
+            ::capnp::word(57, 1, 0, 0, 42, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(24, 1, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(36, 1, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(52, 1, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(64, 1, 0, 0, 2, 0, 1, 0),
             ::capnp::word(6, 0, 249, 255, 0, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 11, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(33, 1, 0, 0, 66, 0, 0, 0),
+            ::capnp::word(61, 1, 0, 0, 66, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(28, 1, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(40, 1, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(56, 1, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(68, 1, 0, 0, 2, 0, 1, 0),
             ::capnp::word(7, 0, 248, 255, 0, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 12, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(37, 1, 0, 0, 50, 0, 0, 0),
+            ::capnp::word(65, 1, 0, 0, 50, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(32, 1, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(44, 1, 0, 0, 2, 0, 1, 0),
-            ::capnp::word(10, 0, 0, 0, 2, 0, 0, 0),
+            ::capnp::word(60, 1, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(72, 1, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(11, 0, 0, 0, 2, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 13, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(41, 1, 0, 0, 42, 0, 0, 0),
+            ::capnp::word(69, 1, 0, 0, 42, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(36, 1, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(48, 1, 0, 0, 2, 0, 1, 0),
-            ::capnp::word(11, 0, 0, 0, 3, 0, 0, 0),
+            ::capnp::word(64, 1, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(76, 1, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(12, 0, 0, 0, 3, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 14, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(45, 1, 0, 0, 82, 0, 0, 0),
+            ::capnp::word(73, 1, 0, 0, 82, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(44, 1, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(56, 1, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(72, 1, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(84, 1, 0, 0, 2, 0, 1, 0),
             ::capnp::word(8, 0, 247, 255, 0, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 15, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(53, 1, 0, 0, 50, 0, 0, 0),
+            ::capnp::word(81, 1, 0, 0, 50, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(48, 1, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(60, 1, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(76, 1, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(88, 1, 0, 0, 2, 0, 1, 0),
             ::capnp::word(9, 0, 246, 255, 0, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 16, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(57, 1, 0, 0, 42, 0, 0, 0),
+            ::capnp::word(85, 1, 0, 0, 42, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(52, 1, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(64, 1, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(80, 1, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(92, 1, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(10, 0, 245, 255, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 1, 0, 17, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(89, 1, 0, 0, 66, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(84, 1, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(96, 1, 0, 0, 2, 0, 1, 0),
             ::capnp::word(97, 100, 118, 105, 115, 101, 0, 0),
             ::capnp::word(112, 104, 97, 115, 101, 0, 0, 0),
             ::capnp::word(12, 0, 0, 0, 0, 0, 0, 0),
@@ -15313,6 +15356,14 @@
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(101, 120, 112, 108, 97, 105, 110, 0),
+            ::capnp::word(13, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(13, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
         ];
         pub(crate) fn get_field_types(index: u16) -> ::capnp::introspect::Type {
             match index {
@@ -15328,6 +15379,7 @@
                 9 => <::capnp::text::Owned as ::capnp::introspect::Introspect>::introspect(),
                 10 => <::capnp::text::Owned as ::capnp::introspect::Introspect>::introspect(),
                 11 => <() as ::capnp::introspect::Introspect>::introspect(),
+                12 => <::capnp::data::Owned as ::capnp::introspect::Introspect>::introspect(),
                 _ => ::capnp::introspect::panic_invalid_field_index(index),
             }
         }
@@ -15347,11 +15399,11 @@
                 MEMBERS_BY_NAME,
             );
         pub(crate) static NONUNION_MEMBERS: &[u16] = &[8, 9];
-        pub(crate) static MEMBERS_BY_DISCRIMINANT: &[u16] = &[0, 1, 2, 3, 4, 5, 6, 7, 10, 11];
-        pub(crate) static MEMBERS_BY_NAME: &[u16] = &[0, 4, 11, 9, 1, 5, 7, 3, 6, 8, 2, 10];
+        pub(crate) static MEMBERS_BY_DISCRIMINANT: &[u16] = &[0, 1, 2, 3, 4, 5, 6, 7, 10, 11, 12];
+        pub(crate) static MEMBERS_BY_NAME: &[u16] = &[0, 4, 12, 11, 9, 1, 5, 7, 3, 6, 8, 2, 10];
         pub(crate) const TYPE_ID: u64 = 0xcaa7_a221_b888_051d;
     }
-    pub enum Which<A0, A1, A2, A3, A4, A5, A6> {
+    pub enum Which<A0, A1, A2, A3, A4, A5, A6, A7> {
         Advise(A0),
         Phase(A1),
         Waiting(A2),
@@ -15362,6 +15414,7 @@
         Relay(A5),
         Yield(A6),
         Load(()),
+        Explain(A7),
     }
     pub type WhichReader<'a> = Which<
         crate::peer_capnp::jobs_call::advise::Reader<'a>,
@@ -15371,6 +15424,7 @@
         ::capnp::Result<::capnp::text::Reader<'a>>,
         ::capnp::Result<::capnp::data::Reader<'a>>,
         ::capnp::Result<::capnp::text::Reader<'a>>,
+        ::capnp::Result<::capnp::data::Reader<'a>>,
     >;
     pub type WhichBuilder<'a> = Which<
         crate::peer_capnp::jobs_call::advise::Builder<'a>,
@@ -15380,6 +15434,7 @@
         ::capnp::Result<::capnp::text::Builder<'a>>,
         ::capnp::Result<::capnp::data::Builder<'a>>,
         ::capnp::Result<::capnp::text::Builder<'a>>,
+        ::capnp::Result<::capnp::data::Builder<'a>>,
     >;
 
     pub mod advise {
@@ -16212,7 +16267,7 @@
 
 pub mod jobs_answer {
     pub use self::Which::{
-        Advice, Busy, Leases, Load, Phase, Pong, Receipt, Rejected, Relayed, Waiting,
+        Advice, Busy, Leases, Load, Phase, Placement, Pong, Receipt, Rejected, Relayed, Waiting,
     };
 
     #[derive(Copy, Clone)]
@@ -16339,6 +16394,13 @@
             !self.reader.get_pointer_field(0).is_null()
         }
         #[inline]
+        pub fn has_placement(&self) -> bool {
+            if self.reader.get_data_field::<u16>(4) != 10 {
+                return false;
+            }
+            !self.reader.get_pointer_field(0).is_null()
+        }
+        #[inline]
         pub fn which(self) -> ::core::result::Result<WhichReader<'a>, ::capnp::NotInSchema> {
             match self.reader.get_data_field::<u16>(4) {
                 0 => ::core::result::Result::Ok(Advice(self.reader.into())),
@@ -16370,6 +16432,12 @@
                     ),
                 )),
                 9 => ::core::result::Result::Ok(Rejected(self.reader.get_data_field::<u64>(0))),
+                10 => ::core::result::Result::Ok(Placement(
+                    ::capnp::traits::FromPointerReader::get_from_pointer(
+                        &self.reader.get_pointer_field(0),
+                        ::core::option::Option::None,
+                    ),
+                )),
                 x => ::core::result::Result::Err(::capnp::NotInSchema(x)),
             }
         }
@@ -16557,6 +16625,23 @@
             self.builder.set_data_field::<u64>(0, value);
         }
         #[inline]
+        pub fn set_placement(&mut self, value: ::capnp::data::Reader<'_>) {
+            self.builder.set_data_field::<u16>(4, 10);
+            self.builder.reborrow().get_pointer_field(0).set_data(value);
+        }
+        #[inline]
+        pub fn init_placement(self, size: u32) -> ::capnp::data::Builder<'a> {
+            self.builder.set_data_field::<u16>(4, 10);
+            self.builder.get_pointer_field(0).init_data(size)
+        }
+        #[inline]
+        pub fn has_placement(&self) -> bool {
+            if self.builder.get_data_field::<u16>(4) != 10 {
+                return false;
+            }
+            !self.builder.is_pointer_field_null(0)
+        }
+        #[inline]
         pub fn which(self) -> ::core::result::Result<WhichBuilder<'a>, ::capnp::NotInSchema> {
             match self.builder.get_data_field::<u16>(4) {
                 0 => ::core::result::Result::Ok(Advice(self.builder.into())),
@@ -16588,6 +16673,12 @@
                     ),
                 )),
                 9 => ::core::result::Result::Ok(Rejected(self.builder.get_data_field::<u64>(0))),
+                10 => ::core::result::Result::Ok(Placement(
+                    ::capnp::traits::FromPointerBuilder::get_from_pointer(
+                        self.builder.get_pointer_field(0),
+                        ::core::option::Option::None,
+                    ),
+                )),
                 x => ::core::result::Result::Err(::capnp::NotInSchema(x)),
             }
         }
@@ -16605,94 +16696,101 @@
     }
     impl Pipeline {}
     mod _private {
-        pub(crate) static ENCODED_NODE: [::capnp::Word; 154] = [
+        pub(crate) static ENCODED_NODE: [::capnp::Word; 170] = [
             ::capnp::word(0, 0, 0, 0, 5, 0, 6, 0),
             ::capnp::word(170, 83, 36, 248, 153, 168, 232, 158),
             ::capnp::word(11, 0, 0, 0, 1, 0, 5, 0),
             ::capnp::word(60, 53, 128, 185, 120, 25, 102, 144),
-            ::capnp::word(1, 0, 7, 0, 0, 0, 10, 0),
+            ::capnp::word(1, 0, 7, 0, 0, 0, 11, 0),
             ::capnp::word(4, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(21, 0, 0, 0, 178, 0, 0, 0),
             ::capnp::word(29, 0, 0, 0, 7, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(25, 0, 0, 0, 55, 2, 0, 0),
+            ::capnp::word(25, 0, 0, 0, 111, 2, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(112, 101, 101, 114, 46, 99, 97, 112),
             ::capnp::word(110, 112, 58, 74, 111, 98, 115, 65),
             ::capnp::word(110, 115, 119, 101, 114, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 1, 0, 1, 0),
-            ::capnp::word(40, 0, 0, 0, 3, 0, 4, 0),
+            ::capnp::word(44, 0, 0, 0, 3, 0, 4, 0),
             ::capnp::word(0, 0, 255, 255, 0, 0, 0, 0),
             ::capnp::word(1, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(193, 115, 157, 33, 127, 192, 82, 223),
-            ::capnp::word(9, 1, 0, 0, 58, 0, 0, 0),
+            ::capnp::word(37, 1, 0, 0, 58, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(1, 0, 254, 255, 0, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 2, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(241, 0, 0, 0, 50, 0, 0, 0),
+            ::capnp::word(13, 1, 0, 0, 50, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(236, 0, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(248, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(8, 1, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(20, 1, 0, 0, 2, 0, 1, 0),
             ::capnp::word(2, 0, 253, 255, 0, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 3, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(245, 0, 0, 0, 66, 0, 0, 0),
+            ::capnp::word(17, 1, 0, 0, 66, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(240, 0, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(252, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(12, 1, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(24, 1, 0, 0, 2, 0, 1, 0),
             ::capnp::word(3, 0, 252, 255, 0, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 4, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(249, 0, 0, 0, 66, 0, 0, 0),
+            ::capnp::word(21, 1, 0, 0, 66, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(244, 0, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(0, 1, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(16, 1, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(28, 1, 0, 0, 2, 0, 1, 0),
             ::capnp::word(4, 0, 251, 255, 0, 0, 0, 0),
             ::capnp::word(1, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(141, 244, 125, 81, 183, 128, 208, 170),
-            ::capnp::word(253, 0, 0, 0, 42, 0, 0, 0),
+            ::capnp::word(25, 1, 0, 0, 42, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(5, 0, 250, 255, 0, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 7, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(229, 0, 0, 0, 42, 0, 0, 0),
+            ::capnp::word(1, 1, 0, 0, 42, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(224, 0, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(236, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(252, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(8, 1, 0, 0, 2, 0, 1, 0),
             ::capnp::word(6, 0, 249, 255, 0, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 8, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(233, 0, 0, 0, 66, 0, 0, 0),
+            ::capnp::word(5, 1, 0, 0, 66, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(228, 0, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(240, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(0, 1, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(12, 1, 0, 0, 2, 0, 1, 0),
             ::capnp::word(7, 0, 248, 255, 0, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 11, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(237, 0, 0, 0, 58, 0, 0, 0),
+            ::capnp::word(9, 1, 0, 0, 58, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(232, 0, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(244, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(4, 1, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(16, 1, 0, 0, 2, 0, 1, 0),
             ::capnp::word(8, 0, 247, 255, 0, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 13, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(241, 0, 0, 0, 42, 0, 0, 0),
+            ::capnp::word(13, 1, 0, 0, 42, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(236, 0, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(248, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(8, 1, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(20, 1, 0, 0, 2, 0, 1, 0),
             ::capnp::word(9, 0, 246, 255, 0, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 14, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(245, 0, 0, 0, 74, 0, 0, 0),
+            ::capnp::word(17, 1, 0, 0, 74, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(244, 0, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(0, 1, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(16, 1, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(28, 1, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(10, 0, 245, 255, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 1, 0, 15, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(25, 1, 0, 0, 82, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(24, 1, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(36, 1, 0, 0, 2, 0, 1, 0),
             ::capnp::word(97, 100, 118, 105, 99, 101, 0, 0),
             ::capnp::word(112, 104, 97, 115, 101, 0, 0, 0),
             ::capnp::word(15, 0, 0, 0, 0, 0, 0, 0),
@@ -16760,6 +16858,15 @@
             ::capnp::word(9, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(112, 108, 97, 99, 101, 109, 101, 110),
+            ::capnp::word(116, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(13, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(13, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
         ];
         pub(crate) fn get_field_types(index: u16) -> ::capnp::introspect::Type {
             match index {
@@ -16773,6 +16880,7 @@
                 7 => <::capnp::data::Owned as ::capnp::introspect::Introspect>::introspect(),
                 8 => <::capnp::data::Owned as ::capnp::introspect::Introspect>::introspect(),
                 9 => <u64 as ::capnp::introspect::Introspect>::introspect(),
+                10 => <::capnp::data::Owned as ::capnp::introspect::Introspect>::introspect(),
                 _ => ::capnp::introspect::panic_invalid_field_index(index),
             }
         }
@@ -16792,11 +16900,11 @@
                 MEMBERS_BY_NAME,
             );
         pub(crate) static NONUNION_MEMBERS: &[u16] = &[];
-        pub(crate) static MEMBERS_BY_DISCRIMINANT: &[u16] = &[0, 1, 2, 3, 4, 5, 6, 7, 8, 9];
-        pub(crate) static MEMBERS_BY_NAME: &[u16] = &[0, 5, 7, 8, 1, 4, 3, 9, 6, 2];
+        pub(crate) static MEMBERS_BY_DISCRIMINANT: &[u16] = &[0, 1, 2, 3, 4, 5, 6, 7, 8, 9, 10];
+        pub(crate) static MEMBERS_BY_NAME: &[u16] = &[0, 5, 7, 8, 1, 10, 4, 3, 9, 6, 2];
         pub(crate) const TYPE_ID: u64 = 0x9ee8_a899_f824_53aa;
     }
-    pub enum Which<A0, A1, A2, A3, A4> {
+    pub enum Which<A0, A1, A2, A3, A4, A5> {
         Advice(A0),
         Phase(::core::result::Result<crate::peer_capnp::JobPhase, ::capnp::NotInSchema>),
         Waiting(u64),
@@ -16807,6 +16915,7 @@
         Leases(A3),
         Load(A4),
         Rejected(u64),
+        Placement(A5),
     }
     pub type WhichReader<'a> = Which<
         crate::peer_capnp::jobs_answer::advice::Reader<'a>,
@@ -16814,6 +16923,7 @@
         ::capnp::Result<::capnp::data::Reader<'a>>,
         ::capnp::Result<::capnp::data::Reader<'a>>,
         ::capnp::Result<::capnp::data::Reader<'a>>,
+        ::capnp::Result<::capnp::data::Reader<'a>>,
     >;
     pub type WhichBuilder<'a> = Which<
         crate::peer_capnp::jobs_answer::advice::Builder<'a>,
@@ -16821,6 +16931,7 @@
         ::capnp::Result<::capnp::data::Builder<'a>>,
         ::capnp::Result<::capnp::data::Builder<'a>>,
         ::capnp::Result<::capnp::data::Builder<'a>>,
+        ::capnp::Result<::capnp::data::Builder<'a>>,
     >;
 
     pub mod advice {
