--- a/crates/marigoldpick-job/src/lead/explain.rs
+++ b/crates/marigoldpick-job/src/lead/explain.rs
@@ -5,6 +5,8 @@
 //! nothing, charges no rate or limit and sends nothing. Work that waits and goes before the job is
 //! counted, but not placed: what it takes meanwhile is not known.
 
+use std::cmp::Reverse;
+use std::collections::BinaryHeap;
 use std::sync::Arc;
 
 use marigoldpick_core::prelude::*;
@@ -57,16 +59,13 @@
             self.add_waiting_steps(&job, queue, now, &mut own);
         }
         own.sort_by_key(|step| step.rank);
-        let rooms = Room::of(&self.workers, now);
-        let room = Room::find(&rooms, &queue.service).map(|at| &rooms[at]);
+        let (room, unusable) = self.survey(&queue.service, now);
         let mut planned = vec![Amount::default(); self.workers.len()];
         let mut oldest = None;
         let mut steps = Vec::new();
         for queued in &own {
-            let candidates = room.map_or_else(Vec::new, |room| {
-                let step = &job.spec.steps[queued.part.step as usize];
-                self.candidates_of(&job, &queued.part, step, room, now)
-            });
+            let step = &job.spec.steps[queued.part.step as usize];
+            let candidates = self.candidates_of(&job, &queued.part, step, &room, now);
             let ages = candidates.iter().map(|candidate| {
                 let worker = &self.workers[candidate.worker];
                 report_age(worker, now).unwrap_or(Millis::MAX)
@@ -77,7 +76,8 @@
                 ..candidate
             });
             let candidates: Vec<Candidate> = candidates.collect();
-            let mut answer = self.explain_step(&job, queue, queued, room, &candidates, now);
+            let mut answer = self.explain_step(&job, queue, queued, &room, &candidates, now);
+            add_counts(&mut answer.excluded, &unusable);
             let plan = self.plan(&job, &queued.part, &answer, candidates, now);
             for worker in &plan.workers {
                 planned[*worker].add(&job.claims[queued.part.step as usize]);
@@ -97,6 +97,25 @@
         })
     }
 
+    /// Returns the room of a service, and the number of its other workers by the reason for which they take no work.
+    ///
+    /// Load pattern: the service has thousands of workers. Each is looked at once for all steps, and each step
+    /// is compared only with the workers that take work.
+    fn survey(&self, service: &Name, now: Millis) -> (Room, Vec<(Reason, usize)>) {
+        let mut usable = Vec::new();
+        let mut unusable = Vec::new();
+        for (at, worker) in self.workers.iter().enumerate() {
+            if worker.node.service != *service {
+                continue;
+            }
+            match unusable_for(worker, now) {
+                None => usable.push(at),
+                Some(reason) => add_count(&mut unusable, reason, 1),
+            }
+        }
+        (Room::uncounted(service.clone(), usable), unusable)
+    }
+
     /// Returns the waiting steps of all jobs in the order of their ranks.
     fn ranked_steps(&self, now: Millis) -> Vec<WaitingStep> {
         let unrecorded = self.unrecorded_runs(now);
@@ -120,7 +139,7 @@
         job: &Job,
         queue: &Queue,
         queued: &WaitingStep,
-        room: Option<&Room>,
+        room: &Room,
         candidates: &[Candidate],
         now: Millis,
     ) -> Answer {
@@ -134,7 +153,7 @@
         } else {
             self.admitted_tasks(job, step, waiting)
         };
-        let question = queue.policy.zip(room).map(|(policy, room)| {
+        let question = queue.policy.map(|policy| {
             let named = self.choose_workers(job, part, admitted, room, Basis::Free, now);
             Question {
                 workers: named.len(),
@@ -152,7 +171,7 @@
             behind: 0,
             before: Vec::new(),
             qualified: candidates.len(),
-            excluded: self.count_excluded(job, queue, part, candidates, now),
+            excluded: self.count_excluded(job, queue, part, room, candidates),
             admitted: u32::try_from(admitted).unwrap_or(u32::MAX),
             worker: None,
             next: None,
@@ -161,31 +180,24 @@
         }
     }
 
-    /// Counts the workers of the queue's service that are no candidates, by the first reason.
+    /// Counts the workers that take work and are no candidates, by the first reason.
     fn count_excluded(
         &self,
         job: &Job,
         queue: &Queue,
         part: &Part,
+        room: &Room,
         candidates: &[Candidate],
-        now: Millis,
     ) -> Vec<(Reason, usize)> {
         let step = &job.spec.steps[part.step as usize];
         let claim = &job.claims[part.step as usize];
+        let first = part.task(0);
         let reason = |worker: &Worker| {
-            if !worker.is_registered {
-                Reason::Unlisted
-            } else if worker.node.draining {
-                Reason::Draining
-            } else if worker.quarantined_until > now {
-                Reason::Slow
-            } else if !worker.can_take_work(now) {
-                Reason::Silent
-            } else if !worker.node.capacity.holds(claim) {
+            if !worker.node.capacity.holds(claim) {
                 Reason::Size
             } else if !worker.has_label_for(step) {
                 Reason::Label
-            } else if spread_allowance(step, worker, &part.task(0)) == 0 {
+            } else if spread_allowance(step, worker, &first) == 0 {
                 Reason::Spread
             } else if !worker.free().holds(claim) || queue.policy.is_none() {
                 Reason::Full
@@ -194,12 +206,10 @@
             }
         };
         let mut counts: Vec<(Reason, usize)> = Vec::new();
-        for (at, worker) in self.workers.iter().enumerate() {
-            let is_candidate = candidates.binary_search_by_key(&at, |c| c.worker).is_ok();
-            if worker.node.service != queue.service || is_candidate {
-                continue;
+        for at in &room.workers {
+            if candidates.binary_search_by_key(at, |c| c.worker).is_err() {
+                add_count(&mut counts, reason(&self.workers[*at]), 1);
             }
-            add_count(&mut counts, reason(worker), 1);
         }
         counts
     }
@@ -233,6 +243,10 @@
         Plan::default()
     }
 
+    /// Returns where the tasks of a step would start one by one, as far as there is room.
+    ///
+    /// The tasks of a new job are alike: none has failed or is under suspicion. A placement therefore changes how
+    /// well only its own worker suits the next task, and the other choices stay as they are.
     fn plan_each(
         &self,
         job: &Job,
@@ -243,22 +257,27 @@
     ) -> Plan {
         let step: &Step = &job.spec.steps[part.step as usize];
         let mut plan = Plan::default();
+        let choices = self.choices(job, part, step, 0, &candidates, now);
+        let mut choices: BinaryHeap<Reverse<Choice>> = choices.map(Reverse).collect();
         for index in 0..tasks {
-            let choices = self.choices(job, part, step, index, &candidates, now);
-            let best = if index == 0 {
-                let mut choices: Vec<Choice> = choices.collect();
-                choices.sort_unstable();
-                let workers = choices.iter().map(|c| (candidates[c.at].worker, c.cost));
-                plan.first = workers.take(2).collect();
-                choices.first().copied()
-            } else {
-                choices.min()
+            let Some(Reverse(best)) = choices.pop() else {
+                break;
             };
-            let Some(best) = best else { break };
+            if index == 0 {
+                let next = choices.peek().map(|Reverse(next)| next);
+                let first = [Some(&best), next].into_iter().flatten();
+                plan.first = first.map(|c| (candidates[c.at].worker, c.cost)).collect();
+            }
             let candidate = &mut candidates[best.at];
             candidate.left -= 1;
             candidate.planned.add(&job.claims[part.step as usize]);
             plan.workers.push(candidate.worker);
+            let changed = std::slice::from_ref(&candidates[best.at]);
+            let changed = self.choices(job, part, step, index, changed, now);
+            choices.extend(changed.map(|mut choice| {
+                choice.at = best.at;
+                Reverse(choice)
+            }));
         }
         plan
     }
@@ -311,10 +330,31 @@
     }
 }
 
+/// Returns why a worker takes no work of any step; `None` if it takes work.
+fn unusable_for(worker: &Worker, now: Millis) -> Option<Reason> {
+    if worker.can_take_work(now) {
+        None
+    } else if !worker.is_registered {
+        Some(Reason::Unlisted)
+    } else if worker.node.draining {
+        Some(Reason::Draining)
+    } else if worker.quarantined_until > now {
+        Some(Reason::Slow)
+    } else {
+        Some(Reason::Silent)
+    }
+}
+
 fn report_age(worker: &Worker, now: Millis) -> Option<Millis> {
     worker.clock.map(|(_, arrived)| now.since(arrived))
 }
 
+fn add_counts(counts: &mut Vec<(Reason, usize)>, more: &[(Reason, usize)]) {
+    for (reason, count) in more {
+        add_count(counts, *reason, *count);
+    }
+}
+
 fn add_count(counts: &mut Vec<(Reason, usize)>, reason: Reason, more: usize) {
     match counts.binary_search_by_key(&reason, |(have, _)| *have) {
         Ok(at) => counts[at].1 += more,
--- a/crates/marigoldpick-job/src/lead/room.rs
+++ b/crates/marigoldpick-job/src/lead/room.rs
@@ -68,6 +68,17 @@
         rooms
     }
 
+    /// Returns the room of one service whose workers that can take work are known; its capacity is not counted.
+    ///
+    /// An explanation compares a step with the workers and needs neither the question budget nor the
+    /// first check of a pass, which only saves that comparison.
+    pub(super) fn uncounted(service: Name, workers: Vec<usize>) -> Self {
+        Self {
+            workers,
+            ..Self::empty(service)
+        }
+    }
+
     fn empty(service: Name) -> Self {
         Self {
             service,
