--- a/crates/marigoldpick-bench/src/locate.rs
+++ b/crates/marigoldpick-bench/src/locate.rs
@@ -33,6 +33,12 @@
     help: bool,
     #[options(help = "workers of the lead", default = "7400", meta = "N")]
     workers: usize,
+    #[options(
+        help = "percent of the workers that are filled",
+        default = "80",
+        meta = "N"
+    )]
+    filled: usize,
     #[options(help = "jobs that wait", default = "200", meta = "N")]
     waiting: u32,
     #[options(help = "print three explanations as operators see them")]
@@ -43,11 +49,13 @@
 pub fn run(arguments: &Arguments) -> ExitCode {
     let mut site = Site::new(arguments.workers);
     site.run(300);
-    // Four workers of five get a task that leaves a quarter of them.
-    let filling = u32::try_from(arguments.workers * 4 / 5)
+    // Filled workers get a task that leaves a quarter of them.
+    let filling = u32::try_from(arguments.workers * arguments.filled / 100)
         .unwrap_or(u32::MAX)
-        .clamp(1, 9_999);
-    site.submit(1, "slow", filling, 12_000, 600_000);
+        .min(9_999);
+    if filling > 0 {
+        site.submit(1, "slow", filling, 12_000, 600_000);
+    }
     site.run(1_000);
     for number in 0..arguments.waiting {
         site.submit(2 + number, "fast", 40, 24_000, 600_000);
--- a/crates/marigoldpick-job/src/lead/explain.rs
+++ b/crates/marigoldpick-job/src/lead/explain.rs
@@ -60,27 +60,33 @@
         }
         own.sort_by_key(|step| step.rank);
         let (room, unusable) = self.survey(&queue.service, now);
-        let mut planned = vec![Amount::default(); self.workers.len()];
+        let mut planned: Vec<(usize, Amount)> = Vec::new();
         let mut oldest = None;
         let mut steps = Vec::new();
         for queued in &own {
             let step = &job.spec.steps[queued.part.step as usize];
-            let candidates = self.candidates_of(&job, &queued.part, step, &room, now);
+            let mut candidates = self.candidates_of(&job, &queued.part, step, &room, now);
             let ages = candidates.iter().map(|candidate| {
                 let worker = &self.workers[candidate.worker];
                 report_age(worker, now).unwrap_or(Millis::MAX)
             });
             oldest = oldest.max(ages.max());
-            let candidates = candidates.into_iter().map(|candidate| Candidate {
-                planned: planned[candidate.worker].clone(),
-                ..candidate
-            });
-            let candidates: Vec<Candidate> = candidates.collect();
+            for (worker, amount) in &planned {
+                if let Ok(at) = candidates.binary_search_by_key(worker, |c| c.worker) {
+                    candidates[at].planned.clone_from(amount);
+                }
+            }
             let mut answer = self.explain_step(&job, queue, queued, &room, &candidates, now);
             add_counts(&mut answer.excluded, &unusable);
             let plan = self.plan(&job, &queued.part, &answer, candidates, now);
             for worker in &plan.workers {
-                planned[*worker].add(&job.claims[queued.part.step as usize]);
+                let at = planned
+                    .binary_search_by_key(worker, |(have, _)| *have)
+                    .unwrap_or_else(|at| {
+                        planned.insert(at, (*worker, Amount::default()));
+                        at
+                    });
+                planned[at].1.add(&job.claims[queued.part.step as usize]);
             }
             self.add_plan(&mut answer, &plan, now);
             self.add_line(&mut answer, &waiting, queued);
@@ -206,8 +212,10 @@
             }
         };
         let mut counts: Vec<(Reason, usize)> = Vec::new();
+        // Both are sorted by position.
+        let mut candidates = candidates.iter().peekable();
         for at in &room.workers {
-            if candidates.binary_search_by_key(at, |c| c.worker).is_err() {
+            if candidates.next_if(|c| c.worker == *at).is_none() {
                 add_count(&mut counts, reason(&self.workers[*at]), 1);
             }
         }
