--- a/crates/marigoldpick-entry/tests/traffic/slots.rs
+++ b/crates/marigoldpick-entry/tests/traffic/slots.rs
@@ -2,7 +2,6 @@
 
 use std::sync::Arc;
 use std::sync::atomic::{AtomicBool, Ordering};
-use std::time::Duration;
 
 use async_std::task::{JoinHandle, sleep, spawn};
 use futures::future::join_all;
--- a/crates/marigoldpick-job/src/lead.rs
+++ b/crates/marigoldpick-job/src/lead.rs
@@ -6,7 +6,6 @@
 //! time; see [`Lead::allow_unrecorded`].
 
 mod advise;
-mod affinity;
 pub mod backlog;
 pub mod commit;
 mod copies;
@@ -85,10 +84,6 @@
     pub passes: u64,
     /// Examinations of workers: once in each pass, and again for each waiting task and question.
     pub looks: u64,
-    /// Steps of short jobs whose tasks were all placed in one failure domain.
-    pub steps_in_one_domain: u64,
-    /// Steps of short jobs whose tasks were placed in several failure domains.
-    pub steps_in_several_domains: u64,
 }
 
 /// `Origin` says whether a job was submitted during or before the term.
--- a/crates/marigoldpick-job/src/lead/advise.rs
+++ b/crates/marigoldpick-job/src/lead/advise.rs
@@ -5,14 +5,13 @@
 //! capacity, and a later question renews only the tickets of good workers.
 
 use marigoldpick_core::prelude::*;
-use marigoldpick_core::work::port::{Advice, Node, Refusal};
+use marigoldpick_core::work::port::{Advice, Refusal};
 use marigoldpick_core::work::{Part, Step, Task};
 
 use super::Lead;
 use super::room::Room;
 use super::waiting::WaitingStep;
 use crate::action::Action;
-use crate::affinity::{self, Tally};
 use crate::askers::Availability;
 use crate::job::{Job, Stage};
 use crate::question::{self, Share};
@@ -128,16 +127,10 @@
         };
         let claim = &job.claims[part.step as usize];
         let mut good: Vec<(u64, &id::Worker)> = Vec::new();
-        let mut unknown: Vec<(u64, u64, &Node)> = Vec::new();
+        let mut unknown: Vec<(u64, u64, &id::Worker)> = Vec::new();
         let mut good_capacity = 0_u64;
         let first = part.task(0);
         let end = now + step.estimate;
-        let is_affine = self.is_affine(job, part, now);
-        let mut domains = if is_affine {
-            self.running_domains(job)
-        } else {
-            Tally::default()
-        };
         let admitted = room.workers.iter().filter(|at| room.can_start(**at, end));
         for worker in admitted.map(|at| &self.workers[*at]) {
             let capacity = match basis {
@@ -152,11 +145,7 @@
             if fitting == 0 {
                 continue;
             }
-            let verdict = stage.tickets.find(&worker.node.id);
-            if is_affine && verdict.is_none_or(|verdict| verdict.ticket.is_some()) {
-                domains.add_fitting(&worker.node.domain, fitting);
-            }
-            match verdict {
+            match stage.tickets.find(&worker.node.id) {
                 Some(verdict) if verdict.ticket.is_some() => {
                     good_capacity = good_capacity.saturating_add(fitting);
                     if now >= verdict.expires {
@@ -166,7 +155,7 @@
                 Some(_) => {}
                 None => {
                     let slowdown = self.slowdown_permille(worker);
-                    unknown.push((slowdown, fitting, &worker.node));
+                    unknown.push((slowdown, fitting, &worker.node.id));
                 }
             }
         }
@@ -176,13 +165,7 @@
         }
         // Part of the capacity will be taken by the time the answer arrives.
         let wanted = (missing as u64 * WANTED_CAPACITY_PERCENT).div_ceil(100);
-        let share = self.share(&job.spec.queue);
-        // Only the share of good workers in a domain will take tasks.
-        let claims = (wanted as f64 / share.value()).ceil() as u64;
-        match domains.preferred(&job.id, claims) {
-            Some(preferred) => sort_by_domain(&mut unknown, preferred),
-            None => unknown.sort_by_key(|(slowdown, fitting, _)| (*slowdown, u64::MAX - fitting)),
-        }
+        unknown.sort_by_key(|(slowdown, fitting, _)| (*slowdown, u64::MAX - fitting));
         let left = wanted - good_capacity;
         let mut found = 0_u64;
         let enough = unknown.iter().position(|(_, fitting, _)| {
@@ -194,13 +177,9 @@
         let most = unknown
             .len()
             .min(self.settings.advice_most.saturating_sub(asked.len()));
+        let share = self.share(&job.spec.queue);
         let count = question::worker_count(&policy, share, needed, most);
-        asked.extend(
-            unknown
-                .iter()
-                .take(count)
-                .map(|(_, _, node)| node.id.clone()),
-        );
+        asked.extend(unknown.iter().take(count).map(|(_, _, id)| (*id).clone()));
         // Busy workers will have capacity later. With enough good workers known, no more are
         // needed.
         let has_few =
@@ -314,16 +293,6 @@
     }
 }
 
-/// Sorts workers, each with its slowdown and how many tasks fit, for a job with a preferred failure domain.
-fn sort_by_domain(workers: &mut [(u64, u64, &Node)], preferred: &id::Domain) {
-    let slowdowns = workers.iter().map(|(slowdown, _, _)| *slowdown);
-    let fastest = slowdowns.min().unwrap_or_default();
-    workers.sort_by_key(|(slowdown, fitting, node)| {
-        let step = affinity::speed_step(*slowdown, fastest);
-        (step, node.domain != *preferred, u64::MAX - fitting)
-    });
-}
-
 /// Returns how many more tasks the step's spread limit allows on a worker.
 pub(super) fn spread_allowance(step: &Step, worker: &Worker, task: &Task) -> u64 {
     step.spread.map_or(u64::MAX, |most| {
--- a/crates/marigoldpick-job/src/lead/explain.rs
+++ b/crates/marigoldpick-job/src/lead/explain.rs
@@ -27,9 +27,6 @@
 use crate::worker::Worker;
 
 /// The id of the job while it is explained; callers' ids are hexadecimal.
-///
-/// With failure-domain affinity the domain of a short job depends on its id. The explanation then equals what happens to
-/// jobs whose ids draw the same order of domains.
 const EXPLAINED_ID: &str = "explained";
 /// The most waiting steps that are named as going before a step.
 const MAX_NAMED: usize = 5;
@@ -64,7 +61,6 @@
         own.sort_by_key(|step| step.rank);
         let (room, unusable) = self.survey(&queue.service, now);
         let mut planned: Vec<(usize, Amount)> = Vec::new();
-        let mut placed = Vec::new();
         let mut oldest = None;
         let mut steps = Vec::new();
         for queued in &own {
@@ -82,10 +78,7 @@
             }
             let mut answer = self.explain_step(&job, queue, queued, &room, &candidates, now);
             add_counts(&mut answer.excluded, &unusable);
-            let tasks = answer.admitted as usize;
-            self.mark_away(&job, &queued.part, tasks, &placed, &mut candidates, now);
             let plan = self.plan(&job, &queued.part, &answer, candidates, now);
-            placed.extend(&plan.workers);
             for worker in &plan.workers {
                 let at = planned
                     .binary_search_by_key(worker, |(have, _)| *have)
--- a/crates/marigoldpick-job/src/lead/schedule.rs
+++ b/crates/marigoldpick-job/src/lead/schedule.rs
@@ -12,7 +12,6 @@
 use super::reserve::has_accelerators;
 use super::room::Room;
 use super::waiting::WaitingStep;
-use crate::affinity::AWAY_COST_MS;
 use crate::askers::Availability;
 use crate::job::{Job, Stage, Task};
 use crate::place::{Demand, cost};
@@ -53,8 +52,6 @@
     pub(super) left: u64,
     /// What an explanation has planned there so far; zero in a pass.
     pub(super) planned: Amount,
-    /// Whether the worker is outside the preferred failure domain of the job.
-    pub(super) is_away: bool,
 }
 
 impl Candidate {
@@ -259,18 +256,12 @@
             return;
         }
         let mut candidates = self.candidates(part, &step, &rooms[service], now);
-        if let Some(job) = self.job(&part.job) {
-            self.mark_away(job, part, waiting.len(), &[], &mut candidates, now);
-        }
         self.counters.looks += (candidates.len() * waiting.len()) as u64;
         let placed = if step.gang {
             self.place_gang(part, &step, &waiting, &candidates, now)
         } else {
             self.place_each(part, &step, &waiting, &mut candidates, now)
         };
-        if placed > 0 {
-            self.count_domains(part, now);
-        }
         let copies = if placed == waiting.len() && !is_over_quota {
             self.place_copies(part, &step, &mut candidates, now)
         } else {
@@ -374,7 +365,6 @@
                 worker: at,
                 left,
                 planned: Amount::default(),
-                is_away: false,
             })
         };
         if queue.is_none_or(|queue| queue.policy.is_none()) {
@@ -442,11 +432,10 @@
                 Exposure::default()
             };
             let slowdown = self.slowdown_permille(worker);
-            let away = u64::from(candidate.is_away) * AWAY_COST_MS;
             Some(Choice {
                 failed_here: task?.avoid.contains(&worker.node.id),
                 exposure,
-                cost: cost(&demand, worker, &free, slowdown).saturating_add(away),
+                cost: cost(&demand, worker, &free, slowdown),
                 at,
             })
         })
--- a/crates/marigoldpick-job/src/lib.rs
+++ b/crates/marigoldpick-job/src/lib.rs
@@ -9,7 +9,6 @@
 pub mod action;
 pub mod admission;
 pub mod advice;
-pub mod affinity;
 pub mod askers;
 pub mod delay;
 pub mod job;
--- a/crates/marigoldpick-job/src/settings.rs
+++ b/crates/marigoldpick-job/src/settings.rs
@@ -64,8 +64,6 @@
     pub clock_permille: u64,
     /// What decides between waiting work of different jobs.
     pub order: Order,
-    /// Whether the tasks of short jobs are kept in one failure domain; see [`crate::affinity`].
-    pub domain_affinity: bool,
 }
 
 impl Default for Settings {
@@ -89,7 +87,6 @@
             advice_most: 100,
             clock_permille: 980,
             order: Order::Priority,
-            domain_affinity: false,
         }
     }
 }
--- a/crates/marigoldpick-job/tests/lead/explain.rs
+++ b/crates/marigoldpick-job/tests/lead/explain.rs
@@ -31,29 +31,11 @@
     placement.expect("a known queue")
 }
 
-/// Returns how many tasks of the job the explanation plans on each worker.
-pub fn explained_places(world: &World, job: &Job) -> Vec<(id::Worker, u32)> {
-    let mut places: Vec<(id::Worker, u32)> = Vec::new();
-    for step in explain(world, job).steps {
-        for (worker, count) in step.places {
-            match places.binary_search_by(|(have, _)| have.cmp(&worker)) {
-                Ok(at) => places[at].1 += count,
-                Err(at) => places.insert(at, (worker, count)),
-            }
-        }
-    }
-    places
-}
-
 /// Submits the job and returns how many of its tasks started on each worker.
 fn submit(world: &mut World, job: &Job) -> Vec<(id::Worker, u32)> {
     let id = world.submit(90, job.clone());
-    run_starts(world, &id)
-}
-
-pub fn run_starts(world: &mut World, id: &id::Job) -> Vec<(id::Worker, u32)> {
     world.run(100);
-    let is_own = |start: &&Started| start.task.part.job == *id;
+    let is_own = |start: &&Started| start.task.part.job == id;
     let starts = world.pool.started.iter().filter(is_own);
     let mut workers: Vec<usize> = starts.map(|start| start.worker).collect();
     workers.sort_unstable();
@@ -118,7 +100,15 @@
             world.take_over();
             world.run(3_000);
             let job = job(steps.clone());
-            let places = explained_places(&world, &job);
+            let mut places: Vec<(id::Worker, u32)> = Vec::new();
+            for step in explain(&world, &job).steps {
+                for (worker, count) in step.places {
+                    match places.binary_search_by(|(have, _)| have.cmp(&worker)) {
+                        Ok(at) => places[at].1 += count,
+                        Err(at) => places.insert(at, (worker, count)),
+                    }
+                }
+            }
             nonempty += usize::from(!places.is_empty());
             expect_that!(submit(&mut world, &job), eq(&places), "{order:?} {steps:?}");
         }
--- a/crates/marigoldpick-job/tests/lead/main.rs
+++ b/crates/marigoldpick-job/tests/lead/main.rs
@@ -1,6 +1,5 @@
 //! Tests of the lead's guarantees in a simulated cluster, with and without faults.
 
-mod affinity;
 mod crashes;
 mod explain;
 mod faults;
--- a/crates/marigoldpick-job/tests/lead/world.rs
+++ b/crates/marigoldpick-job/tests/lead/world.rs
@@ -295,11 +295,8 @@
     }
 
     /// Submits a job, which is in the store at once.
-    pub fn submit(&mut self, number: u32, job: Job) -> id::Job {
-        self.submit_as(job_id(number), job)
-    }
-
-    pub fn submit_as(&mut self, id: id::Job, mut job: Job) -> id::Job {
+    pub fn submit(&mut self, number: u32, mut job: Job) -> id::Job {
+        let id = job_id(number);
         job.accepted = WALL + self.now.0;
         let job = Arc::new(job);
         self.jobs.insert(id.clone(), Arc::clone(&job));
--- a/crates/marigoldpick-node/src/driver.rs
+++ b/crates/marigoldpick-node/src/driver.rs
@@ -435,17 +435,6 @@
                 .increment(now - before);
         }
     }
-    let (one, several) = (now.steps_in_one_domain, now.steps_in_several_domains);
-    let steps = [
-        ("one", one, before.steps_in_one_domain),
-        ("several", several, before.steps_in_several_domains),
-    ];
-    for (domains, now, before) in steps {
-        if now > before {
-            metrics::counter!("marigold_placed_steps_total", "domains" => domains)
-                .increment(now - before);
-        }
-    }
     now
 }
 
--- a/crates/marigoldpick-standin/src/jobs/worker.rs
+++ b/crates/marigoldpick-standin/src/jobs/worker.rs
@@ -102,8 +102,6 @@
     pub hung: bool,
     /// The factor by which its tasks take longer than their estimates.
     pub slowness: u64,
-    /// How much of the time its tasks make progress, in thousandths.
-    pub speed_permille: u64,
     /// Whether it refuses all starts as an unhealthy worker.
     pub refusing: bool,
     /// The rate of its clock in thousandths of the actual rate.
@@ -131,7 +129,6 @@
             failing: false,
             hung: false,
             slowness: 1,
-            speed_permille: 1_000,
             refusing: false,
             clock_permille: 1_000,
             active: Vec::new(),
@@ -232,12 +229,7 @@
         let mut ended_runs = Vec::new();
         for mut active in std::mem::take(&mut self.active) {
             let is_idle = self.hung || !now.0.is_multiple_of(self.slowness);
-            let worked = |until: Millis| Millis(until.0 * self.speed_permille / 1_000);
-            let worked_span = if is_idle {
-                Millis::ZERO
-            } else {
-                worked(now).since(worked(now - span))
-            };
+            let worked_span = if is_idle { Millis::ZERO } else { span };
             let is_complete = !active.gang || is_whole(&active.task, active.run);
             let how = if has_lapsed {
                 Some(Exit::Lapsed)
