--- a/crates/marigoldpick-job/tests/order/main.rs
+++ b/crates/marigoldpick-job/tests/order/main.rs
@@ -106,7 +106,8 @@
 }
 
 /// Load pattern: a team submits urgent work at six times its rate. Behind all other work most of
-/// its excess expires; it must be delayed, not starved, and leave work within the rate on time.
+/// its excess expires; it must be delayed, not starved, and leave work within the rate on time. Starved is excess of
+/// which more than one job in ten is of no use to its callers any more when it ends.
 #[googletest::test]
 fn cost_delays_excess_work_without_starving_it() {
     let mut classes = site();
@@ -118,7 +119,7 @@
     let [priority, cost] = compare("surge", &classes);
     let (before, after) = (priority[3].excess, cost[3].excess);
     expect_that!(before.expired, gt(before.jobs / 3));
-    expect_that!(after.expired, lt(before.expired / 3));
+    expect_that!(after.expired, le(after.jobs / 10));
     expect_that!(cost[0].ordinary.earned(), ge(0.99));
     expect_that!(cost[3].ordinary.earned(), ge(0.99));
 }
