Mend what the review of the new parts found

* A probe that was lost after its hold had been answered was repeated for the next hold, whose answer then counted for nothing: only the probe of the current hold is repeated.
* After a restart of a worker, holds that were replaced in its later life delayed the next ones for up to 2.8 s.
* A probe that failed together with a second relay made its worker look silent: it goes on to the first relay.
* One worker that is down made the rate of losses high by the time-outs of its repeated orders: they count no more.
* The chain's key went on saying that all runs are recorded while no job changed, although the lead had learned otherwise: a batch of its own takes it back.

--- a/crates/marigoldpick-job/src/lead/commit.rs
+++ b/crates/marigoldpick-job/src/lead/commit.rs
@@ -26,6 +26,8 @@
     settles: bool,
     /// Whether the last stored batch of the term says so.
     has_settled: bool,
+    /// Whether the store may have a batch of the term that says so and none after it that does not.
+    may_say_settled: bool,
     /// When the last batch was sent.
     pub(super) sent_at: Millis,
     in_flight: bool,
@@ -66,6 +68,7 @@
                 }
                 self.withdraw_waivers(&waived, now);
                 self.commit.has_settled = self.commit.settles;
+                self.commit.may_say_settled &= self.commit.settles;
                 if self.commit.settles && self.is_settled(&[], now) {
                     self.may_lack_records = false;
                     self.has_unrecorded = false;
@@ -130,6 +133,7 @@
         self.commit.waived = self.waive(&waivers, now);
         self.commit.settles = self.is_settled(&self.commit.pending, now);
         self.commit.has_settled &= self.commit.settles;
+        self.commit.may_say_settled |= self.commit.settles;
         self.commit.sent_at = now;
         self.commit.in_flight = true;
         self.commit.next_at = now + self.settings.commit_gap;
@@ -143,11 +147,14 @@
         }));
     }
 
-    /// Returns whether a batch is due only for the roster, or to say that all runs are recorded.
+    /// Returns whether a batch is due only for the roster, or to say that all runs are recorded or no longer are.
     fn is_idle_batch_due(&self, now: Millis) -> bool {
         let last = self.commit.sent_at.max(self.term_start);
-        let can_settle = || !self.commit.has_settled && self.is_settled(&[], now);
-        now.since(last) >= IDLE_INTERVAL && (self.roster.is_stale() || can_settle())
+        let is_outdated = || {
+            let is_settled = self.is_settled(&[], now);
+            (!self.commit.has_settled && is_settled) || (self.commit.may_say_settled && !is_settled)
+        };
+        now.since(last) >= IDLE_INTERVAL && (self.roster.is_stale() || is_outdated())
     }
 
     /// Returns how many jobs wait for a commit for this reason.
--- a/crates/marigoldpick-job/src/lead/start.rs
+++ b/crates/marigoldpick-job/src/lead/start.rs
@@ -163,6 +163,22 @@
         }
     }
 
+    /// Returns whether an order without an answer shows no loss of its own: its worker is unresponsive, or the order was
+    /// repeated and the first one has counted.
+    fn is_down_or_repeated(&self, worker: &id::Worker, order: &Order) -> bool {
+        let (kind, task, run) = match order {
+            Order::Start(start) => (Kind::Start, &start.task, start.run),
+            Order::Stop { task, run } => (Kind::Stop, task, *run),
+            Order::Hold { .. } | Order::Pace { .. } => return false,
+        };
+        self.worker_index(worker).is_none_or(|at| {
+            let worker = &self.workers[at];
+            let found = worker.find_run(task, run);
+            let has_repeated = |at: usize| worker.runs[at].attempts.has_repeated(kind);
+            !worker.is_responsive() || found.is_ok_and(has_repeated)
+        })
+    }
+
     /// Handles the answer to the order with `number`, which was sent at `sent`.
     pub fn handle_reply(
         &mut self,
@@ -175,10 +191,9 @@
         if answer == Err(Fault::Fenced) {
             self.deposed = true;
         }
-        let (is_lost, is_early) = (
-            answer == Err(Fault::Unknown),
-            self.settings.detects_losses_early(),
-        );
+        let is_lost = answer == Err(Fault::Unknown);
+        let is_early = self.settings.detects_losses_early()
+            && !(is_lost && self.is_down_or_repeated(worker, order));
         self.losses.record((order, number), is_lost, is_early, now);
         let Some(at) = self.worker_index(worker) else {
             return;
--- a/crates/marigoldpick-job/src/open.rs
+++ b/crates/marigoldpick-job/src/open.rs
@@ -233,15 +233,22 @@
             });
         }
         self.replaced.retain(|replaced| *replaced != number);
+        // The holds of the later life that are replaced from now on are not outdated.
+        self.has_outdated &= !self.replaced.is_empty();
         None
     }
 
     /// Removes and returns the probe for an overdue hold if it has not been answered within `delay`, once for a hold.
     ///
-    /// Its outcome changes nothing any more.
+    /// Its outcome changes nothing any more. A probe whose hold has been answered is not repeated: it would be taken for
+    /// one of the next hold, which is not late.
     pub fn replace_probe(&mut self, delay: Millis, now: Millis) -> Option<Probe> {
+        let is_probed = self.current.as_ref().is_some_and(|hold| hold.is_probed);
         let is_due = |probe: &mut Probe| {
-            probe.is_for_overdue && !probe.is_repeated && now.since(probe.sent) >= delay
+            is_probed
+                && probe.is_for_overdue
+                && !probe.is_repeated
+                && now.since(probe.sent) >= delay
         };
         let probe = self.probe.take_if(is_due)?;
         self.replaced.push(probe.number);
--- a/crates/marigoldpick-job/tests/lead/records.rs
+++ b/crates/marigoldpick-job/tests/lead/records.rs
@@ -3,6 +3,7 @@
 use googletest::prelude::*;
 use marigoldpick_core::prelude::*;
 use marigoldpick_core::work::Phase;
+use marigoldpick_core::work::lease::Handover;
 
 use crate::world::{World, job, step};
 
@@ -61,3 +62,26 @@
     expect_that!(world.pool.broken, is_empty());
     expect_that!(world.pool.done.len(), eq(220 * 4));
 }
+
+/// An earlier lead's answer that its records lack runs may arrive after the store was told that none is missing. The
+/// store must hear of it although no job changes, or the next lead starts tasks that run already.
+#[googletest::test]
+fn commits_take_back_that_all_runs_are_recorded_on_an_idle_site() {
+    let mut world = World::new(2);
+    world.submit(1, job(vec![step(2, 4_000, 20_000)]));
+    world.run(1_000);
+    world.partitioned[0] = true;
+    world.take_over();
+    world.lead.expect_unrecorded_starts();
+    world.lead.rule_out_unrecorded_starts();
+    world.run(500);
+    expect_true!(world.settled);
+    let unsettled = Handover {
+        bounds: Vec::new(),
+        longest: Millis(6_000),
+        settled: false,
+    };
+    world.lead.inherit(&unsettled, world.now);
+    world.run(200);
+    expect_false!(world.settled);
+}
--- a/crates/marigoldpick-node/src/dispatch.rs
+++ b/crates/marigoldpick-node/src/dispatch.rs
@@ -174,9 +174,13 @@
                 count_order(*path);
                 self.send_order_through(&relay, target, order).await
             };
-            // The order was not executed, and another path may reach a worker that this one does not.
-            if !matches!(answer, Err(Fault::Away)) {
-                return answer;
+            // The order was not executed, and another path may reach a worker that this one does not. A probe changes
+            // nothing at the worker, so that the loss of a second relay must not make its workers look silent.
+            let is_probe = *path == Path::Second && matches!(order, Order::Hold { .. });
+            match answer {
+                Err(Fault::Away) => {}
+                Err(Fault::Unknown) if is_probe => {}
+                answer => return answer,
             }
         }
         Err(Fault::Away)
