Read at once what follows a first page whose read was cut off

Cause: a standby's read is cut off when the lead's key ends.

Change: a first page is split whichever read brought it.

Result: listings_are_read_at_once_after_a_read_that_was_cut_off reads with 8 in flight, 2 before.

--- a/crates/marigoldpick-node/src/listing.rs
+++ b/crates/marigoldpick-node/src/listing.rs
@@ -151,16 +151,18 @@
     }
 
     /// Splits what follows the first page by the leading digit of the ids, so that it can be read at once.
-    fn split(&mut self) {
+    ///
+    /// Returns whether more follows and was not split before.
+    fn split(&mut self) -> bool {
         let [first] = self.parts.as_mut_slice() else {
-            return;
+            return false;
         };
         if first.is_complete || first.revisions.is_none() {
-            return;
+            return false;
         }
         let rest = keys::split(self.prefix);
         if rest.is_empty() {
-            return;
+            return true;
         }
         first.is_complete = true;
         let last = first.after.clone();
@@ -171,6 +173,7 @@
                 self.parts.push(Part::new(prefix, String::new()));
             }
         }
+        true
     }
 
     /// Applies the changes of the keys up to `revision`; all pages must have been read.
@@ -212,7 +215,7 @@
 
 /// Reads the first page of each listing of which nothing has been read.
 ///
-/// Returns whether pages were read and more of them follow.
+/// Returns whether more pages follow that were not told of before.
 ///
 /// # Errors
 /// Fails with the first fault, after all calls have been answered.
@@ -231,9 +234,9 @@
         .map(|listing| listing.parts[0].read_page(&call));
     let outcomes = join_all(firsts).await;
     let mut has_more = false;
-    for listing in unread {
-        has_more |= !listing.is_complete();
-        listing.split();
+    for listing in listings.iter_mut() {
+        // Also one whose first page arrived in a read that was cut off before it was split.
+        has_more |= listing.split();
     }
     outcomes.into_iter().collect::<Result<(), Fault>>()?;
     Ok(has_more)
--- a/crates/marigoldpick-node/tests/node/takeover.rs
+++ b/crates/marigoldpick-node/tests/node/takeover.rs
@@ -6,6 +6,7 @@
 use std::thread;
 use std::time::Duration;
 
+use async_std::future::{pending, timeout};
 use async_std::task;
 use googletest::prelude::*;
 use marigoldpick_core::prelude::*;
@@ -165,6 +166,26 @@
     expect_all_read(&store, listings);
 }
 
+/// A standby's read is cut off when the lead's key ends. What was read by then must not be continued page by page.
+#[googletest::test]
+fn listings_are_read_at_once_after_a_read_that_was_cut_off() {
+    let (store, mut listings) = (store(2_000), listings());
+    {
+        let mut listings: Vec<&mut Listing> = listings.iter_mut().collect();
+        let first = listing::read_first(&mut listings, |sent| async {
+            match &sent {
+                Call::Range { prefix, .. } if prefix == keys::ROSTER => pending().await,
+                _ => call(&store, sent).await,
+            }
+        });
+        let limit = Duration::from_millis(500);
+        expect_true!(task::block_on(timeout(limit, first)).is_err());
+    }
+    expect_true!(task::block_on(read(&store, &mut listings)));
+    expect_all_read(&store, listings);
+    expect_that!(store.borrow().most_in_flight, eq(MAX_READS));
+}
+
 /// Full pages at once on a link of 10 Mbit/s would all time out.
 #[googletest::test]
 fn read_width_allows_for_a_slow_link() {
