--- a/crates/marigoldpick-node/tests/node/takeover.rs
+++ b/crates/marigoldpick-node/tests/node/takeover.rs
@@ -170,17 +170,15 @@
 #[googletest::test]
 fn listings_are_read_at_once_after_a_read_that_was_cut_off() {
     let (store, mut listings) = (store(2_000), listings());
-    {
-        let mut listings: Vec<&mut Listing> = listings.iter_mut().collect();
-        let first = listing::read_first(&mut listings, |sent| async {
-            match &sent {
-                Call::Range { prefix, .. } if prefix == keys::ROSTER => pending().await,
-                _ => call(&store, sent).await,
-            }
-        });
-        let limit = Duration::from_millis(500);
-        expect_true!(task::block_on(timeout(limit, first)).is_err());
-    }
+    let mut unread: Vec<&mut Listing> = listings.iter_mut().collect();
+    let first = listing::read_first(&mut unread, |sent| async {
+        match &sent {
+            Call::Range { prefix, .. } if prefix == keys::ROSTER => pending().await,
+            _ => call(&store, sent).await,
+        }
+    });
+    let limit = Duration::from_millis(500);
+    expect_true!(task::block_on(timeout(limit, first)).is_err());
     expect_true!(task::block_on(read(&store, &mut listings)));
     expect_all_read(&store, listings);
     expect_that!(store.borrow().most_in_flight, eq(MAX_READS));
