Take losses in one failure domain for a stall, not for lost orders

Cause: 3 lost ones of the last 128 starts and stops made the rate of losses high.

Change: the losses have to be in two failure domains within 0.7 s, if the workers are in more than one.

--- a/crates/marigoldpick-job/src/lead/repeat.rs
+++ b/crates/marigoldpick-job/src/lead/repeat.rs
@@ -76,7 +76,12 @@
         {
             let run = self.workers[at].run_mut(task, run);
             let is_first = run.is_some_and(|run| !run.attempts.has_repeated(kind));
-            self.losses.record_retry(lost, is_first, now);
+            let origin = if is_first {
+                self.origin(&self.workers[at].node.id)
+            } else {
+                None
+            };
+            self.losses.record_retry(lost, origin.as_ref(), now);
         }
         let number = self.send_retry(at, order);
         let worker = &mut self.workers[at];
--- a/crates/marigoldpick-job/src/lead/start.rs
+++ b/crates/marigoldpick-job/src/lead/start.rs
@@ -4,6 +4,7 @@
 use marigoldpick_core::work::port::{Fault, Order, Reply, Start};
 use marigoldpick_core::work::{self, Task};
 
+use super::losses::{Origin, Recent};
 use super::{Lead, PendingStart};
 use crate::open::Kind;
 use crate::worker::{Phase, Run};
@@ -163,6 +164,14 @@
         }
     }
 
+    /// Returns where an order to a worker was lost; nothing if the worker is unknown.
+    pub(super) fn origin(&self, worker: &id::Worker) -> Option<Origin> {
+        let domain = self.domain_of(worker)?.clone();
+        let mut workers = self.workers.iter();
+        let is_only = workers.all(|worker| worker.node.domain == domain);
+        Some(Origin { domain, is_only })
+    }
+
     /// Returns whether an order without an answer shows no loss of its own: its worker is unresponsive, or the order was
     /// repeated and the first one has counted.
     fn is_down_or_repeated(&self, worker: &id::Worker, order: &Order) -> bool {
@@ -192,9 +201,15 @@
             self.deposed = true;
         }
         let is_lost = answer == Err(Fault::Unknown);
-        let is_early = self.settings.detects_losses_early()
-            && !(is_lost && self.is_down_or_repeated(worker, order));
-        self.losses.record((order, number), is_lost, is_early, now);
+        let counts = self.settings.detects_losses_early();
+        let recent = match is_lost {
+            true if counts && !self.is_down_or_repeated(worker, order) => {
+                Recent::Lost(self.origin(worker))
+            }
+            false if counts => Recent::Answered,
+            _ => Recent::Ignored,
+        };
+        self.losses.record((order, number), is_lost, recent, now);
         let Some(at) = self.worker_index(worker) else {
             return;
         };
