--- a/review/standin-2/main.rs
+++ b/review/standin-2/main.rs
@@ -65,8 +65,8 @@
 ) -> Result<Vec<String>, String> {
     match scenario {
         "schedule" => scenario::schedule(dir, trouble, record),
-        "crashes" => scenario::crashes(dir, trouble, record),
         "cancels" => scenario::cancels(dir, trouble, record),
+        "revocation" => scenario::revocation(dir, trouble, record),
         _ => Err("no such scenario".to_owned()),
     }
 }
