Place tasks where runs of a job unknown so far are being stopped

Callers could see a task run twice after a take-over: a new lead found a run whose job it had not read yet, stopped it, and then got the job from the store. The job knew of no placement, so its task started elsewhere while the stop went on. The run's claim was not counted on its worker either.

When a job arrives, runs of it that were found before become placements, with the claims of their steps.

--- a/crates/marigoldpick-job/src/lead.rs
+++ b/crates/marigoldpick-job/src/lead.rs
@@ -380,6 +380,7 @@
             self.expect_run(&task, &place, now);
         }
         self.expect_crash_suspects(at, now);
+        self.attach_found_runs(at);
         self.needs_pass = true;
     }
 
--- a/crates/marigoldpick-job/src/lead/runs.rs
+++ b/crates/marigoldpick-job/src/lead/runs.rs
@@ -4,6 +4,7 @@
 use marigoldpick_core::work::Task;
 
 use super::Lead;
+use crate::job::{Job, Place};
 use crate::worker::{self, Run};
 
 impl Lead {
@@ -16,18 +17,43 @@
         now: Millis,
     ) -> Option<Run> {
         let job = self.job(&task.part.job)?;
-        let step = job.step(&task.part)?;
-        Some(Run {
-            claim: job.claims[task.part.step as usize].clone(),
-            needs: step.needs.clone(),
-            team: job.spec.team.clone(),
-            estimate: step.estimate,
-            target: step.target,
-            fills: step.fills,
-            lasting: step.lasting,
-            gang: step.gang,
-            ..Run::new(task.clone(), run, phase, now)
-        })
+        describe_run(job, Run::new(task.clone(), run, phase, now))
+    }
+
+    /// Places the tasks of a new job where runs of them were found before the job was known.
+    ///
+    /// Load pattern: an earlier lead started tasks of a job shortly before it was replaced, and its workers report to the
+    /// new lead before the job arrives from the store. The runs are being stopped by then.
+    pub(super) fn attach_found_runs(&mut self, job: usize) {
+        let id = self.jobs[job].id.clone();
+        for at in 0..self.workers.len() {
+            let runs = self.workers[at].runs.iter();
+            let found: Vec<(Task, u64)> = runs
+                .filter(|run| run.task.part.job == id)
+                .map(|run| (run.task.clone(), run.run))
+                .collect();
+            for (task, run) in found {
+                self.attach_found_run(job, at, &task, run);
+            }
+        }
+    }
+
+    fn attach_found_run(&mut self, job: usize, at: usize, task: &Task, run: u64) {
+        let worker = self.workers[at].node.id.clone();
+        let place = Place { worker, run };
+        let state = self.jobs[job].task_mut(task);
+        let Some(state) = state.filter(|state| !state.done && !state.places.contains(&place))
+        else {
+            return;
+        };
+        state.places.push(place);
+        if let Some(found) = self.remove_run(at, task, run)
+            && let Some(described) = describe_run(&self.jobs[job], found)
+        {
+            self.add_run(at, described);
+        }
+        self.mark_started(task);
+        self.mark_changed(job);
     }
 
     /// Adds a run to a worker and charges its team.
@@ -97,3 +123,19 @@
         }
     }
 }
+
+/// Sets the claim and the attributes of a run from its step; `None` if the job has no such step.
+fn describe_run(job: &Job, run: Run) -> Option<Run> {
+    let step = job.step(&run.task.part)?;
+    Some(Run {
+        claim: job.claims[run.task.part.step as usize].clone(),
+        needs: step.needs.clone(),
+        team: job.spec.team.clone(),
+        estimate: step.estimate,
+        target: step.target,
+        fills: step.fills,
+        lasting: step.lasting,
+        gang: step.gang,
+        ..run
+    })
+}
--- a/crates/marigoldpick-job/tests/lead/restarts.rs
+++ b/crates/marigoldpick-job/tests/lead/restarts.rs
@@ -515,6 +515,22 @@
     expect_that!(world.pool.broken, is_empty());
 }
 
+/// Guards against TWICE (incident 0010): a run that a new lead found before it knew the job, and whose stop goes on.
+#[googletest::test]
+fn task_is_not_started_while_a_run_of_an_unknown_job_is_being_stopped() {
+    for delay in [20, 100, 400] {
+        let mut world = World::new(2);
+        world.run(1_000);
+        let id = world.submit(1, job(vec![step(1, 4_000, 30_000)]));
+        world.run(1_000);
+        expect_that!(world.pool.running().len(), eq(1));
+        world.take_over_before_job(&id, delay);
+        world.run(5_000);
+        expect_that!(world.pool.running().len(), eq(1), "delay {delay}");
+        expect_that!(world.pool.broken, is_empty(), "delay {delay}");
+    }
+}
+
 /// Lets a start to the first of two workers get no answer; it is carried out `delay` later.
 fn lose_start(world: &mut World, delay: u64) {
     world.allow_leases(LONGEST_LEASE);
--- a/crates/marigoldpick-job/tests/lead/world.rs
+++ b/crates/marigoldpick-job/tests/lead/world.rs
@@ -342,6 +342,16 @@
         id
     }
 
+    /// Lets another entry take over that reads the job `id` only `delay` milliseconds later.
+    pub fn take_over_before_job(&mut self, id: &id::Job, delay: u64) {
+        let job = self.jobs.remove(id).expect("a job");
+        self.take_over();
+        self.run(delay);
+        self.jobs.insert(id.clone(), Arc::clone(&job));
+        self.lead
+            .accept(id.clone(), job, Origin::New, WALL + self.now.0, self.now);
+    }
+
     pub fn cancel(&mut self, id: &id::Job) {
         self.cancels.insert(id.clone());
         self.lead.cancel(id, self.now);
