Confirm the inbox at intervals, and start nothing while it is unknown

Cancels reached the lead by its watch on the inbox alone. When the connection of that watch went silent, it was noticed after the wait of the watch and the timeout of its call, 3.85 s. Nothing bounded the age of what the lead knew, though each start rests on it.

The lead reads the changes again whenever the watch has not been answered for a third of the bound, by calls of their own, as the configuration is confirmed. Recorded starts wait while the last answer about the inbox is older than the bound, as when the store takes records but answers no reads, or after the process was paused. inbox-changed, starts-held and marigold_inbox_changes_total show which way changes come.

--- a/crates/marigoldpick-job/src/lead.rs
+++ b/crates/marigoldpick-job/src/lead.rs
@@ -147,6 +147,10 @@
     end_waits: Vec<Millis>,
     /// Starts to order once the store has the revision of the job that contains them.
     pending_starts: Vec<PendingStart>,
+    /// The time until which all submissions and cancels are known.
+    inbox_as_of: Millis,
+    /// Whether recorded starts are held back since later cancels are unknown.
+    holds_starts: bool,
     /// Jobs with steps that may be waiting for placement, sorted.
     waiting: Vec<id::Job>,
     /// Jobs with failed tasks for which it is undecided whether the job fails; sorted.
@@ -219,6 +223,8 @@
             backlog: backlog::Backlog::new(now),
             end_waits: Vec::new(),
             pending_starts: Vec::new(),
+            inbox_as_of: now,
+            holds_starts: false,
             waiting: Vec::new(),
             needs_pass: true,
             last_pass: Millis::ZERO,
@@ -393,6 +399,16 @@
         }
     }
 
+    /// Records that all submissions and cancels that the store had at `as_of` are known.
+    pub fn confirm_inbox(&mut self, as_of: Millis) {
+        self.inbox_as_of = self.inbox_as_of.max(as_of);
+    }
+
+    /// Returns whether cancels are known that were acknowledged up to the bound on their age.
+    pub(super) fn knows_inbox(&self, now: Millis) -> bool {
+        now.since(self.inbox_as_of) <= self.settings.inbox_bound
+    }
+
     /// Returns the phase to report to callers; a final phase only once it is stored.
     #[must_use]
     pub fn phase(&self, id: &id::Job) -> Option<Phase> {
@@ -530,7 +546,7 @@
         }
         self.update_outdated_roster(now);
         self.send_commit(now);
-        if self.allows_unrecorded(now) {
+        if self.allows_unrecorded(now) || (self.holds_starts && self.knows_inbox(now)) {
             self.start_recorded(now);
         }
         std::mem::take(&mut self.actions)
--- a/crates/marigoldpick-job/src/lead/start.rs
+++ b/crates/marigoldpick-job/src/lead/start.rs
@@ -13,7 +13,16 @@
     /// Orders the recorded starts, and the unrecorded ones if that is allowed.
     ///
     /// A later lead finds an unrecorded run by the stored roster, which therefore has to name its worker.
+    ///
+    /// Recorded starts wait while the lead may have missed cancels: the store takes its records, but does not answer its
+    /// reads of the inbox, or the process was paused since. In an outage, in which unrecorded starts are allowed, the
+    /// store acknowledges no cancel.
     pub(super) fn start_recorded(&mut self, now: Millis) {
+        if !self.allows_unrecorded(now) && !self.knows_inbox(now) {
+            self.hold_starts(now);
+            return;
+        }
+        self.holds_starts = false;
         let waiting = std::mem::take(&mut self.pending_starts);
         let mut ordered: Vec<PendingStart> = Vec::new();
         for start in waiting {
@@ -35,6 +44,17 @@
         self.log_starts(&ordered);
     }
 
+    /// Leaves the pending starts until the inbox has been read.
+    fn hold_starts(&mut self, now: Millis) {
+        if !self.holds_starts && !self.pending_starts.is_empty() {
+            let starts = self.pending_starts.len();
+            let age = now.since(self.inbox_as_of);
+            let detail = format!("starts={starts} inbox_age_ms={}", age.0);
+            self.log("starts-held", self.term.to_string(), detail);
+        }
+        self.holds_starts = true;
+    }
+
     /// Logs the ordered starts, one line for the starts of a step.
     fn log_starts(&mut self, ordered: &[PendingStart]) {
         for starts in ordered.chunk_by(|a, b| a.task.part == b.task.part) {
--- a/crates/marigoldpick-job/src/settings.rs
+++ b/crates/marigoldpick-job/src/settings.rs
@@ -54,6 +54,10 @@
     pub commit_retry: Millis,
     /// How long a lead may renew leases after the store last confirmed its term.
     pub term_grace: Millis,
+    /// The time after which a submitted cancel must be known to the lead, by the platform's contract.
+    ///
+    /// A lead that knows less of the submissions than those until this time ago starts nothing.
+    pub inbox_bound: Millis,
     /// The margin before expiry in which a ticket is no longer used.
     ///
     /// It is the time that a start takes to reach the worker.
@@ -85,6 +89,7 @@
             commit_gap: Millis(20),
             commit_retry: Millis(100),
             term_grace: Millis(3_000),
+            inbox_bound: Millis(3_000),
             ticket_margin: Millis(250),
             retention: Millis(150_000),
             advice_most: 100,
--- a/crates/marigoldpick-job/tests/lead/work.rs
+++ b/crates/marigoldpick-job/tests/lead/work.rs
@@ -391,3 +391,40 @@
     expect_that!(verdicts, some(eq(10)));
     expect_that!(world.lead.counters().questions, eq(1));
 }
+
+/// Guards against UNASKED (incident 0011): recorded starts of a lead that may have missed cancels.
+#[googletest::test]
+fn recorded_starts_wait_while_cancels_may_be_unknown() {
+    let mut world = World::new(2);
+    world.run(1_000);
+    world.inbox_silent = true;
+    world.run(3_100);
+    let id = world.submit(1, job(vec![step(2, 4_000, 500)]));
+    world.run(1_000);
+    expect_that!(world.records.contains_key(&id), eq(true));
+    expect_that!(world.sent_starts, is_empty());
+    world.inbox_silent = false;
+    world.run(1_000);
+    expect_that!(world.phase(&id), some(eq(Phase::Completed)));
+    expect_that!(world.pool.broken, is_empty());
+}
+
+/// A lead that was paused for longer than the bound orders the starts that were recorded meanwhile only once it has read
+/// the inbox again.
+#[googletest::test]
+fn paused_lead_starts_nothing_before_it_has_read_the_inbox() {
+    let mut world = World::new(2);
+    world.run(1_000);
+    world.store_latency = Millis(100);
+    let id = world.submit(1, job(vec![step(2, 4_000, 500)]));
+    world.run(50);
+    world.freeze(3_500);
+    world.inbox_silent = true;
+    world.run(200);
+    expect_that!(world.sent_starts, is_empty());
+    world.cancel(&id);
+    world.inbox_silent = false;
+    world.run(1_000);
+    expect_that!(world.sent_starts, is_empty());
+    expect_that!(world.phase(&id), some(eq(Phase::Cancelled)));
+}
--- a/crates/marigoldpick-job/tests/lead/world.rs
+++ b/crates/marigoldpick-job/tests/lead/world.rs
@@ -156,6 +156,8 @@
     pub store_latency: Millis,
     /// Whether the store answers the lead.
     pub store_up: bool,
+    /// Whether the lead can't read the inbox, although the store takes its records.
+    pub inbox_silent: bool,
     /// The percentage of starts that get no answer and are carried out late.
     pub late_percent: u32,
     /// Whether an incarnation carries out a late start that its former one would have rejected, before it has answered
@@ -228,6 +230,7 @@
             sent_stops: 0,
             store_latency: STORE_LATENCY,
             store_up: true,
+            inbox_silent: false,
             late_percent: 0,
             carries_out_replaced: false,
             late_delay: Millis(3_000),
@@ -407,6 +410,9 @@
             }
             self.pool.advance(self.now);
             self.deliver(|_| true);
+            if self.store_up && !self.inbox_silent {
+                self.lead.confirm_inbox(self.now);
+            }
             let actions = self.lead.tick(self.now);
             self.lead.take_decisions();
             actions.into_iter().for_each(|action| self.perform(action));
--- a/crates/marigoldpick-node/src/config.rs
+++ b/crates/marigoldpick-node/src/config.rs
@@ -8,11 +8,10 @@
 
 use crate::access::Directory;
 
-/// The number of confirmations of the configuration within the bound that they keep, so that one may be
-/// lost with its whole timeout.
+/// The number of confirmations within the bound that they keep, so that one may be lost with its whole timeout.
 const CONFIRMATIONS_PER_BOUND: u64 = 3;
 
-/// Returns the time between two confirmations of the configuration, of which each finds a change.
+/// Returns the time between two confirmations of what a watch follows, of which each finds a change.
 ///
 /// Load pattern: the connection of a watch dies without a reset, or the store drops the history that the watch
 /// waits on. The watch then brings no change, or brings it only after its own timeout.
--- a/crates/marigoldpick-node/src/driver.rs
+++ b/crates/marigoldpick-node/src/driver.rs
@@ -69,14 +69,15 @@
     ) -> &'static str {
         // The teams' rates apply to the jobs as these are loaded.
         self.configure_lead(leadership);
-        let Some(revision) = self.load_inbox(leadership, snapshot).await else {
+        if self.load_inbox(leadership, snapshot).await.is_none() {
             return leadership.end_reason().unwrap_or("not-loaded");
-        };
+        }
         self.configure_lead(leadership);
         leadership.set_askers(&self.askers());
         *self.leadership.borrow_mut() = Some(Rc::clone(leadership));
         self.choose_relays(leadership);
-        task::spawn_local(Rc::clone(self).follow_inbox(Rc::clone(leadership), revision));
+        task::spawn_local(Rc::clone(self).follow_inbox(Rc::clone(leadership)));
+        task::spawn_local(Rc::clone(self).confirm_inbox(Rc::clone(leadership)));
         task::spawn_local(Rc::clone(self).follow_registry(Rc::clone(leadership)));
         let mut published = Counters::default();
         let mut work_published = Millis::ZERO;
--- a/crates/marigoldpick-node/src/inbox.rs
+++ b/crates/marigoldpick-node/src/inbox.rs
@@ -7,12 +7,13 @@
 use marigoldpick_core::clock::time_of_day;
 use marigoldpick_core::excerpt::Excerpt;
 use marigoldpick_core::prelude::*;
-use marigoldpick_core::store::{Answer, Call, Change, Item};
+use marigoldpick_core::store::{Answer, Call, Change, Fault, Item};
 use marigoldpick_core::work;
 use marigoldpick_job::lead::Origin;
 use marigoldpick_job::lead::roster::Part;
 use marigoldpick_job::record::Record;
 
+use crate::config::confirmation_interval;
 use crate::control::Control;
 use crate::keys;
 use crate::leadership::Leadership;
@@ -24,21 +25,50 @@
 
 /// The timeout of a watch on the inbox.
 const WATCH_TIMEOUT: Millis = Millis(3_000);
+/// The timeout of a confirmation's watch for changes that the store already has; the shortest one.
+const CONFIRMATION_WAIT: Millis = Millis(1);
 /// The pause between two watches of the inbox, so that new jobs arrive in batches.
 const WATCH_GAP: Millis = Millis(15);
 /// The delay before a failed call to the store is retried.
 const STORE_RETRY: Millis = Millis(150);
 
+/// `View` says how much of the inbox a lead knows.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct View {
+    /// The store's revision up to which all changes are known.
+    pub revision: u64,
+    /// The send time of the latest call whose answer included all changes until then.
+    pub as_of: Millis,
+}
+
+impl View {
+    /// Returns the view after an answer with all changes up to `revision`, to a call sent at `sent`.
+    ///
+    /// Answers may overtake each other; an older one takes nothing back.
+    #[must_use]
+    pub fn advance(self, revision: u64, sent: Millis) -> Self {
+        Self {
+            revision: self.revision.max(revision),
+            as_of: self.as_of.max(sent),
+        }
+    }
+
+    /// Returns when the next confirmation is due, `interval` after the last answer.
+    #[must_use]
+    pub fn next_confirmation(self, interval: Millis) -> Millis {
+        self.as_of + interval
+    }
+}
+
 impl<P: Platform> Control<P> {
-    /// Loads the inbox and the records of its jobs, of which `snapshot` may have been read before the claim; returns
-    /// the revision from which to watch the inbox.
+    /// Loads the inbox and the records of its jobs, of which `snapshot` may have been read before the claim.
     ///
     /// Retries until it succeeds; returns nothing if the term ends first.
     pub(crate) async fn load_inbox(
         self: &Rc<Self>,
         leadership: &Leadership,
         snapshot: Snapshot,
-    ) -> Option<u64> {
+    ) -> Option<()> {
         let ahead = snapshot.count();
         leadership.set_items_ahead(ahead);
         let snapshot = self.complete_snapshot(leadership, snapshot).await?;
@@ -52,14 +82,17 @@
         leadership.end_phase(Phase::Apply, self.now());
         let (term, items, records) = (leadership.term(), inbox.len(), records.len());
         log::info!(target: "node", "event=lead-loaded term={term} items={items} records={records} ahead={ahead}");
-        Some(revision)
+        // The snapshot has all changes up to the claim.
+        leadership.advance_inbox(revision, leadership.began());
+        Some(())
     }
 
-    /// Reads the whole inbox again; returns the revision from which to watch it, unless the term ends first.
-    async fn reread_inbox(self: &Rc<Self>, leadership: &Leadership) -> Option<u64> {
+    /// Reads the whole inbox again, unless the term ends first.
+    async fn reread_inbox(self: &Rc<Self>, leadership: &Leadership) {
         let mut inbox = Listing::new(keys::INBOX);
         let mut width = MAX_READS;
         while !leadership.is_over() {
+            let sent = self.now();
             let call = |call| self.call_store(call);
             if self
                 .read_on(&mut [&mut inbox], &mut width, call)
@@ -69,11 +102,11 @@
                 let revision = inbox.revision();
                 log::info!(target: "node", "event=inbox-reread items={}", inbox.count());
                 self.apply_inbox(leadership, &inbox.into_items(), &[]);
-                return Some(revision);
+                leadership.advance_inbox(revision, sent);
+                return;
             }
             task::sleep(STORE_RETRY.duration()).await;
         }
-        None
     }
 
     /// Applies the whole inbox; jobs go before their cancels, although the keys of cancels sort first.
@@ -118,41 +151,82 @@
     }
 
     /// Watches the inbox and applies what entries write to it.
+    pub(crate) async fn follow_inbox(self: Rc<Self>, leadership: Rc<Leadership>) {
+        while !leadership.is_over() {
+            let read = self.read_changes(&leadership, WATCH_TIMEOUT, "watch").await;
+            let pause = if read.is_ok() { WATCH_GAP } else { STORE_RETRY };
+            task::sleep(pause.duration()).await;
+        }
+    }
+
+    /// Reads the changes of the inbox at regular intervals in which the watch has not been answered, so that a cancel
+    /// reaches the lead in time.
     ///
-    /// If the history after `revision` is no longer available, the whole inbox is read again.
-    pub(crate) async fn follow_inbox(
-        self: Rc<Self>,
-        leadership: Rc<Leadership>,
-        mut revision: u64,
-    ) {
+    /// A watch without events shows nothing: its connection may be dead, or the store may have dropped the history that
+    /// it waits on.
+    pub(crate) async fn confirm_inbox(self: Rc<Self>, leadership: Rc<Leadership>) {
+        let interval = confirmation_interval(self.settings.job.inbox_bound);
         while !leadership.is_over() {
-            let follow = Call::Follow {
-                prefix: keys::INBOX.to_owned(),
-                revision,
-                wait: WATCH_TIMEOUT,
-            };
-            match self.call_store(follow).await {
-                Ok(Answer::Changes {
-                    changes,
-                    revision: now,
-                }) => {
-                    revision = now;
-                    for change in &changes {
-                        if let Change::Written(item) = change {
-                            self.apply_item(&leadership, item);
-                        }
-                    }
-                    task::sleep(WATCH_GAP.duration()).await;
-                }
-                Ok(_) => {
-                    if let Some(now) = self.reread_inbox(&leadership).await {
-                        revision = now;
-                    }
-                }
-                Err(_) => task::sleep(STORE_RETRY.duration()).await,
+            let due = leadership.inbox().next_confirmation(interval);
+            let now = self.now();
+            if now < due {
+                task::sleep(due.since(now).duration()).await;
+                continue;
+            }
+            let read = self.read_changes(&leadership, CONFIRMATION_WAIT, "confirmation");
+            if let Err(fault) = read.await {
+                log::debug!(target: "node", "event=inbox-unconfirmed why={fault}");
+                // While the store is lost, a faster retry would only add calls.
+                let pause = if self.can_reach_store() {
+                    STORE_RETRY
+                } else {
+                    interval
+                };
+                task::sleep(pause.duration()).await;
             }
         }
     }
+
+    /// Applies the changes of the inbox that the lead does not know yet; `via` names the caller in the log.
+    ///
+    /// If the history since then is no longer available, the whole inbox is read again.
+    async fn read_changes(
+        self: &Rc<Self>,
+        leadership: &Leadership,
+        wait: Millis,
+        via: &'static str,
+    ) -> Result<(), Fault> {
+        let sent = self.now();
+        let follow = Call::Follow {
+            prefix: keys::INBOX.to_owned(),
+            revision: leadership.inbox().revision,
+            wait,
+        };
+        let Answer::Changes { changes, revision } = self.call_store(follow).await? else {
+            self.reread_inbox(leadership).await;
+            return Ok(());
+        };
+        let known = leadership.inbox();
+        let mut count = 0;
+        for change in &changes {
+            if let Change::Written(item) = change
+                && item.revision > known.revision
+            {
+                self.apply_item(leadership, item);
+                count += 1;
+            }
+        }
+        if count > 0 {
+            metrics::counter!("marigold_inbox_changes_total", "via" => via).increment(count);
+            log::debug!(
+                target: "node",
+                "event=inbox-changed via={via} changes={count} unconfirmed_ms={}",
+                sent.since(known.as_of).0
+            );
+        }
+        leadership.advance_inbox(revision, sent);
+        Ok(())
+    }
 }
 
 /// Parses the roster; there is none if no part is stored, or if one can't be read.
--- a/crates/marigoldpick-node/src/leadership.rs
+++ b/crates/marigoldpick-node/src/leadership.rs
@@ -8,6 +8,7 @@
 use marigoldpick_job::{Lead, askers};
 
 use crate::config::Config;
+use crate::inbox::View;
 use crate::paths;
 use crate::phases::{Phase, Phases};
 use crate::settings::Settings;
@@ -40,6 +41,8 @@
     phases: Cell<Phases>,
     /// The number of items that were read before the claim.
     items_ahead: Cell<usize>,
+    /// What the lead knows of the inbox.
+    inbox: Cell<View>,
     /// The entries that relay orders.
     pub(crate) paths: RefCell<paths::Table>,
     wake_sender: Sender<()>,
@@ -74,6 +77,10 @@
             commits_held_until: Cell::new(Millis::ZERO),
             phases: Cell::new(phases),
             items_ahead: Cell::new(0),
+            inbox: Cell::new(View {
+                revision: 0,
+                as_of: confirmed,
+            }),
             paths: RefCell::default(),
             wake_sender,
             wake_receiver,
@@ -195,6 +202,18 @@
         self.update(|lead| lead.set_askers(members));
     }
 
+    /// Returns what the lead knows of the inbox.
+    pub(crate) const fn inbox(&self) -> View {
+        self.inbox.get()
+    }
+
+    /// Records that all changes of the inbox up to `revision` are applied, as an answer to a call sent at `sent` had them.
+    pub(crate) fn advance_inbox(&self, revision: u64, sent: Millis) {
+        let view = self.inbox.get().advance(revision, sent);
+        self.inbox.set(view);
+        self.update(|lead| lead.confirm_inbox(view.as_of));
+    }
+
     /// Records the number of items that were read before the claim.
     pub(crate) fn set_items_ahead(&self, items: usize) {
         self.items_ahead.set(items);
--- a/crates/marigoldpick-node/src/lib.rs
+++ b/crates/marigoldpick-node/src/lib.rs
@@ -15,7 +15,7 @@
 pub mod election;
 mod explain;
 pub mod handover;
-mod inbox;
+pub mod inbox;
 pub mod keys;
 mod leadership;
 pub mod listing;
--- a/crates/marigoldpick-node/tests/decisions.rs
+++ b/crates/marigoldpick-node/tests/decisions.rs
@@ -10,6 +10,7 @@
 use marigoldpick_node::config::confirmation_interval;
 use marigoldpick_node::election::{campaign_delay, is_worth_handing_over};
 use marigoldpick_node::handover::{claimant, remaining_after};
+use marigoldpick_node::inbox::View;
 use marigoldpick_node::member::Member;
 use marigoldpick_node::paths::{Path, is_kept};
 use marigoldpick_node::phases::{Phase, Phases};
@@ -235,3 +236,14 @@
     expect_true!(phases.take_report(Millis(900)));
     expect_false!(phases.take_report(Millis(3_000)));
 }
+
+#[googletest::test]
+fn view_advance_ignores_older_answers() {
+    let view = View {
+        revision: 7,
+        as_of: Millis(1_000),
+    };
+    let newer = view.advance(9, Millis(1_500));
+    expect_that!(newer.advance(8, Millis(1_200)), eq(newer));
+    expect_that!(newer.next_confirmation(Millis(500)), eq(Millis(2_000)));
+}
--- a/crates/marigoldpick-node/tests/node/admission.rs
+++ b/crates/marigoldpick-node/tests/node/admission.rs
@@ -77,13 +77,6 @@
         });
         job_id(number)
     }
-
-    fn cancel(&self, at: usize, id: &id::Job) -> Receipt {
-        let cancel = self.nodes[at]
-            .handle()
-            .cancel(id.clone(), Access::default());
-        block_on(cancel)
-    }
 }
 
 /// Guards against a rejected job that an entry or a lead takes for a job, against a stored job that is rejected when its
--- a/crates/marigoldpick-node/tests/node/cluster.rs
+++ b/crates/marigoldpick-node/tests/node/cluster.rs
@@ -15,7 +15,7 @@
     Advice, Adviser, Ended, Exit, Fault, Order, Refusal, Reply, Report, Running, Target, Ticket,
     Workers,
 };
-use marigoldpick_core::work::{Access, Job, Part, Phase, Step, Task};
+use marigoldpick_core::work::{Access, Job, Part, Phase, Schedule, Step, Task};
 use marigoldpick_job::Queue;
 use marigoldpick_job::queue::Policy;
 use marigoldpick_node::access::{self, Directory, Team};
@@ -99,6 +99,11 @@
         }
     }
 
+    /// Returns the number of runs on all workers.
+    pub fn count_running(&self) -> usize {
+        self.workers.iter().map(|worker| worker.running.len()).sum()
+    }
+
     /// Lets a worker leave: it is no longer listed and answers no order.
     pub fn depart(&mut self, at: usize) {
         self.workers[at].has_departed = true;
@@ -489,6 +494,8 @@
     pub lost_histories: Vec<Arc<AtomicUsize>>,
     /// The number of a node's reads of large pages since its last claim to the lead.
     pub page_reads: Vec<Arc<AtomicUsize>>,
+    /// How often the connections on which a node's watches wait have gone silent.
+    pub silenced_watches: Vec<Arc<AtomicUsize>>,
     pub lead_faults: Arc<LeadFaults>,
     /// Whether entries read ahead while the lead is suspect.
     standby: bool,
@@ -664,6 +671,7 @@
             page_delay_ms: Arc::default(),
             lost_histories: strengths.iter().map(|_| Arc::default()).collect(),
             page_reads: strengths.iter().map(|_| Arc::default()).collect(),
+            silenced_watches: strengths.iter().map(|_| Arc::default()).collect(),
             lead_faults: Arc::default(),
             standby: false,
             unconfigured: None,
@@ -686,11 +694,22 @@
         });
     }
 
+    /// Cancels a job.
+    pub fn cancel(&self, at: usize, id: &id::Job) -> Receipt {
+        let handle = self.nodes[at].handle();
+        task::block_on(handle.cancel(id.clone(), Access::default()))
+    }
+
     /// Returns the position of the node that leads according to the store.
     pub fn lead(&self) -> usize {
         self.lead_if_any().expect("a lead")
     }
 
+    /// Lets the connections on which a node's watches wait go silent; new ones work.
+    pub fn silence_watches(&self, at: usize) {
+        self.silenced_watches[at].fetch_add(1, Ordering::SeqCst);
+    }
+
     /// Ends the process of an entry; the later ones move up by one position.
     pub fn kill(&mut self, at: usize) {
         drop(self.nodes.remove(at));
@@ -760,6 +779,7 @@
                 page_delay_ms: Arc::clone(&self.page_delay_ms),
                 lost_histories: Arc::clone(&self.lost_histories[number]),
                 page_reads: Arc::clone(&self.page_reads[number]),
+                silenced_watches: Arc::clone(&self.silenced_watches[number]),
                 faults: Arc::clone(&self.lead_faults),
             },
             fake_workers: Arc::clone(&self.fake_workers),
@@ -848,6 +868,32 @@
         id
     }
 
+    /// Submits a job of one task that is due at `due`, in milliseconds since 1970.
+    pub fn submit_at(&self, at: usize, number: u32, due: u64, span: u64) -> id::Job {
+        let step = Step {
+            count: 1,
+            needs: Amount::new(1_000, 100),
+            estimate: Millis(span),
+            ..Step::default()
+        };
+        let job = Job {
+            queue: name("q"),
+            payload: span.to_string(),
+            steps: vec![step],
+            schedule: Some(Schedule {
+                first: due,
+                every: Millis(1_000),
+                times: 1,
+            }),
+            accepted: 0,
+            team: None,
+        };
+        let id = id::Job::new(&format!("{number:016x}")).expect("a name");
+        let receipt = task::block_on(self.nodes[at].handle().submit(id.clone(), Arc::new(job)));
+        assert_eq!(receipt, Receipt::Stored);
+        id
+    }
+
     pub fn phase(&self, at: usize, id: &id::Job) -> Option<Phase> {
         task::block_on(self.nodes[at].handle().phase(id.clone(), Access::default()))
             .ok()
--- a/crates/marigoldpick-node/tests/node/faulty_store.rs
+++ b/crates/marigoldpick-node/tests/node/faulty_store.rs
@@ -2,13 +2,16 @@
 
 use std::sync::Arc;
 use std::sync::atomic::{AtomicBool, AtomicU64, AtomicUsize, Ordering};
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 use async_std::task;
 use marigoldpick_core::store;
 use marigoldpick_node::keys;
 use marigoldpick_platform::Store;
 
+/// The timeout of a watch on a silent connection, beyond its wait.
+const SILENT_CALL_TIMEOUT: Duration = Duration::from_millis(700);
+
 /// `FaultyStore` is a store client with faults: no answers, lost answers, or answers to watches only.
 #[derive(Clone, Debug)]
 pub struct FaultyStore {
@@ -26,6 +29,8 @@
     pub lost_histories: Arc<AtomicUsize>,
     /// The number of reads of large pages since the last claim to the lead.
     pub page_reads: Arc<AtomicUsize>,
+    /// How often the connections on which watches wait have gone silent; later calls use new ones.
+    pub silenced_watches: Arc<AtomicUsize>,
     pub faults: Arc<LeadFaults>,
 }
 
@@ -105,7 +110,20 @@
         if is_claim {
             self.page_reads.store(0, order);
         }
+        let watch_wait = match &call {
+            store::Call::Follow { wait, .. } => Some(*wait),
+            _ => None,
+        };
+        let silenced = self.silenced_watches.load(order);
+        let began = Instant::now();
         let mut answer = self.store.call(call).await;
+        if let Some(wait) = watch_wait
+            && self.silenced_watches.load(order) != silenced
+        {
+            let limit = wait.duration() + SILENT_CALL_TIMEOUT;
+            task::sleep(limit.saturating_sub(began.elapsed())).await;
+            return Err(store::Fault::Unknown);
+        }
         if let Ok(answer) = &mut answer {
             self.faults.apply(answer);
         }
--- a/crates/marigoldpick-node/tests/node/main.rs
+++ b/crates/marigoldpick-node/tests/node/main.rs
@@ -11,6 +11,7 @@
 mod relays;
 mod standby;
 mod takeover;
+mod watches;
 
 use std::sync::Arc;
 use std::sync::atomic::Ordering;
