Read the lead's key again when the lead is suspect and its watch is silent

A lead that ended after the connections of all watches on its key had gone silent was missed for up to 4.7 s, the wait of the watch and the timeout of its call, in which nothing started.

A standby pings the lead. If that is suspect once the lease on its key would have lapsed, the standby reads the key in place of the watch.

--- a/crates/marigoldpick-node/src/vacancy.rs
+++ b/crates/marigoldpick-node/src/vacancy.rs
@@ -3,6 +3,7 @@
 use std::pin::pin;
 use std::rc::Rc;
 
+use async_std::task;
 use futures::future::{Either, select};
 use marigoldpick_core::excerpt::Excerpt;
 use marigoldpick_core::prelude::*;
@@ -15,18 +16,20 @@
 use crate::snapshot::Snapshot;
 use crate::standby::Shelf;
 
-/// The timeout of a watch on the lead's key; a dead connection is noticed only when the watch times out.
+/// The timeout of a watch on the lead's key. An entry that is no standby notices a dead connection only then.
 const WATCH_TIMEOUT: Millis = Millis(4_000);
 
 impl<P: Platform> Control<P> {
-    /// Watches the lead's key from `revision` until it is removed, or until this entry is asked to take over: then
-    /// returns what was read for that. Reads ahead into `shelf` meanwhile if this entry is a standby.
+    /// Watches the lead's key from `revision` until it is removed or has to be read again, or until this entry is asked to
+    /// take over: then returns what was read for that. Reads ahead into `shelf` meanwhile if this entry is a standby.
     pub(crate) async fn await_vacancy(
         self: &Rc<Self>,
         mut revision: u64,
         shelf: &mut Shelf,
     ) -> Result<Option<Snapshot>, Fault> {
-        let mut standby = pin!(self.stand_by(shelf));
+        let reader = pin!(self.stand_by(shelf));
+        let suspicion = pin!(self.await_suspicion());
+        let mut standby = select(reader, suspicion);
         loop {
             let follow = Call::Follow {
                 prefix: keys::LEAD.to_owned(),
@@ -35,7 +38,7 @@
             };
             let follow = pin!(self.call_store(follow));
             let succession = pin!(self.succession_receiver.recv());
-            let event = select(follow, select(succession, standby.as_mut())).await;
+            let event = select(follow, select(succession, &mut standby)).await;
             let answer = match event {
                 Either::Left((answer, _)) => answer?,
                 Either::Right((Either::Left((succession, _)), _)) => {
@@ -45,8 +48,8 @@
                         None => continue,
                     }
                 }
-                // A standby does not end by itself.
-                Either::Right((Either::Right(((), _)), _)) => return Err(Fault::Unknown),
+                // A standby does not end by itself, so that the lead is suspect.
+                Either::Right((Either::Right(_), _)) => return Ok(None),
             };
             match answer {
                 Answer::Changes {
@@ -65,6 +68,18 @@
         }
     }
 
+    /// Waits until the lead is suspect to this standby and its lease would have lapsed since.
+    ///
+    /// Load pattern: the lead is killed after the connections on which the watches of its key wait have gone silent.
+    async fn await_suspicion(&self) {
+        loop {
+            task::sleep(self.settings.lead_lease.duration()).await;
+            if self.standby.watch.borrow().suspicion().is_some() {
+                return;
+            }
+        }
+    }
+
     /// Records the lead that the store names, and logs a change.
     pub(crate) fn record_lead(&self, item: Option<&Item>) {
         let known = item.and_then(|item| match serde_json::from_str::<Claim>(&item.value) {
--- a/crates/marigoldpick-node/tests/node/watches.rs
+++ b/crates/marigoldpick-node/tests/node/watches.rs
@@ -51,3 +51,21 @@
     cluster.wait_for_phase(0, &id, Phase::Completed);
     expect_that!(starts(), eq(7));
 }
+
+/// The lead ends beside silent watches of all entries: a standby notices by its pings of the lead, and reads the key.
+#[googletest::test]
+fn standby_with_a_silent_watch_replaces_an_ended_lead() {
+    let mut cluster = Cluster::start_with_standby(3, Millis(1_500), false);
+    let (id, _) = cluster.submit(0, 1, 3, 300);
+    cluster.wait_for_phase(0, &id, Phase::Completed);
+    let lead = cluster.lead();
+    // Watches of the lead's key last for up to 4 s; each has at least 3 s left.
+    let holder = cluster.holder();
+    (0..3).for_each(|at| cluster.silence_watches(at));
+    cluster.kill(lead);
+    let ended = Instant::now();
+    let (later, _) = cluster.submit(0, 2, 3, 50);
+    cluster.wait_for_phase(0, &later, Phase::Completed);
+    expect_that!(ended.elapsed(), lt(Duration::from_millis(3_500)));
+    expect_that!(cluster.holder(), not(eq(&holder)));
+}
