Keep state of only those tasks and occurrences that have run or may run

The state of every task of every occurrence was made when a job was read, so that memory followed the numbers in a request. A few hundred ordinary timed jobs, or a few jobs of 640,000 tasks, had the same effect as their sum.

Occurrences are opened when they are due, at most 32 of which nothing has run at a time, and closed when they are over. A step keeps finished tasks as ranges, and states of those tasks that are placed or have failed. Both follow what the job's record has. The record keeps closed occurrences as ranges, so that it no longer grows with each of them. An occurrence that an earlier lead has run before it is due here is opened when a report or record names it.

--- a/crates/marigoldpick-job/src/delay.rs
+++ b/crates/marigoldpick-job/src/delay.rs
@@ -9,7 +9,7 @@
 use marigoldpick_core::prelude::*;
 use marigoldpick_core::work::Step;
 
-use crate::job::{Job, Occurrence, Stage};
+use crate::job::{Job, Occurrence};
 use crate::queue::Queue;
 use crate::rank::{LATE_FACTOR, task_work};
 
@@ -58,18 +58,11 @@
     for (step, stage) in job.spec.steps.iter().zip(&occurrence.stages) {
         let each = work_of_task(step);
         work.total += each * f64::from(step.count);
-        work.unplaced += each * count_unplaced(stage) as f64;
+        work.unplaced += each * f64::from(stage.count_unplaced());
     }
     work
 }
 
-fn count_unplaced(stage: &Stage) -> usize {
-    if stage.unfinished == 0 {
-        return 0;
-    }
-    stage.tasks.iter().filter(|t| t.is_unplaced()).count()
-}
-
 /// Returns the worth of a job that ends at `end`, as a part of that of one on time.
 fn worth(job: &Job, occurrence: &Occurrence, end: Millis) -> f64 {
     if end <= occurrence.due + job.objective {
--- a/crates/marigoldpick-job/src/job.rs
+++ b/crates/marigoldpick-job/src/job.rs
@@ -1,114 +1,28 @@
 //! The lead's state of a job: its finished tasks and the placements of the others.
 
+mod stage;
+
 use std::sync::Arc;
 
 use marigoldpick_core::prelude::*;
 use marigoldpick_core::work::{self, Part, Phase, Step};
 
-use crate::advice::Tickets;
-use crate::record::{self, Record, ranges};
-
-/// `Place` is a worker on which a task's run is or may be active.
-#[derive(Clone, Debug, PartialEq, Eq)]
-pub struct Place {
-    /// The worker.
-    pub worker: id::Worker,
-    /// The number of the run.
-    pub run: u64,
-}
-
-/// `Task` is the state of one task.
-#[derive(Clone, Debug, Default)]
-pub struct Task {
-    /// Whether the task is finished.
-    pub done: bool,
-    /// The runs that failed.
-    pub failed: Vec<u64>,
-    /// The last checkpoint, empty if there is none.
-    pub checkpoint: String,
-    /// Possible placements; more than one only with copies or while a stop is in flight.
-    pub places: Vec<Place>,
-    /// Workers on which the task failed; other workers are preferred.
-    pub avoid: Vec<id::Worker>,
-    /// The runs after whose start a worker crashed. Members of a gang share their run, so that each start of it
-    /// counts once.
-    pub crashed: Vec<u64>,
-    /// The runs in `crashed` of which it is not known that they began.
-    pub unconfirmed: Vec<u64>,
-    /// Placements whose workers' connections broke right after the start; they may have crashed.
-    pub possible_crashes: Vec<Place>,
-    /// Whether the task is given up because of its crashes.
-    pub is_given_up: bool,
-}
-
-impl Task {
-    /// Returns whether the task is unfinished and has no placement.
-    #[must_use]
-    pub const fn is_unplaced(&self) -> bool {
-        !self.done && self.places.is_empty()
-    }
-
-    /// Returns the number of runs that are known to have begun before their worker crashed.
-    #[must_use]
-    pub fn confirmed_crashes(&self) -> usize {
-        let is_confirmed = |run: &&u64| !self.unconfirmed.contains(run);
-        self.crashed.iter().filter(is_confirmed).count()
-    }
+pub use self::stage::{Place, Stage, Task};
+use crate::ranges::Ranges;
+use crate::record::{self, Record};
 
-    /// Returns the number of runs after whose start a worker crashed or may have crashed.
-    #[must_use]
-    pub fn suspected_crashes(&self) -> usize {
-        let mut runs = self.crashed.clone();
-        runs.extend(self.possible_crashes.iter().map(|place| place.run));
-        runs.sort_unstable();
-        runs.dedup();
-        runs.len()
-    }
-}
-
-/// `Stage` is the state of a step in one occurrence.
-#[derive(Clone, Debug)]
-pub struct Stage {
-    /// The tasks by number; empty in a job that had ended before the term, unless its record has some state of them.
-    pub tasks: Vec<Task>,
-    /// The number of unfinished tasks.
-    pub unfinished: u32,
-    /// The adviser's answers for the step.
-    pub tickets: Tickets,
-    /// Whether tasks of the step waited for their team's limit in the last pass.
-    pub over_quota: bool,
-}
-
-impl Stage {
-    fn new(step: &Step) -> Self {
-        Self {
-            tasks: vec![Task::default(); step.count as usize],
-            unfinished: step.count,
-            tickets: Tickets::default(),
-            over_quota: false,
-        }
-    }
-
-    /// Creates the stage of a job that has ended and of whose tasks nothing is recorded.
-    fn ended(step: &Step) -> Self {
-        Self {
-            tasks: Vec::new(),
-            unfinished: step.count,
-            tickets: Tickets::default(),
-            over_quota: false,
-        }
-    }
-
-    /// Returns whether some task is unfinished and has no placement.
-    #[must_use]
-    pub fn has_unplaced(&self) -> bool {
-        self.unfinished > 0 && self.tasks.iter().any(Task::is_unplaced)
-    }
-}
+/// The maximum number of occurrences of a job that are due and of which nothing has run yet. Further ones are opened when
+/// tasks of these have been placed.
+///
+/// Load pattern: a job of 525,600 occurrences, one for each minute of a year, or one whose occurrences were all due long
+/// before it was submitted. Memory and the time of a pass grow with what runs or has run, not with these numbers.
+pub const MAX_NEW_OCCURRENCES: usize = 32;
 
 /// `Occurrence` is the state of one scheduled execution of a job.
 #[derive(Clone, Debug)]
 pub struct Occurrence {
+    /// Its number, from zero.
+    pub number: u32,
     /// The due time, by the lead's clock.
     pub due: Millis,
     /// The steps by number.
@@ -132,6 +46,34 @@
             .iter()
             .all(|before| self.stages[*before as usize].unfinished == 0)
     }
+
+    /// Returns whether nothing of it has run or is placed.
+    fn is_new(&self) -> bool {
+        self.stages.iter().all(Stage::is_new)
+    }
+
+    /// Returns whether all tasks are finished and no run of theirs may be active.
+    fn is_over(&self) -> bool {
+        self.stages.iter().all(Stage::is_over)
+    }
+}
+
+/// `Origin` is a moment on both the wall clock and the lead's clock.
+#[derive(Clone, Copy, Debug)]
+struct Origin {
+    /// Unix time in milliseconds.
+    wall: u64,
+    now: Millis,
+}
+
+impl Origin {
+    /// Returns the time of the lead's clock at the Unix time `wall`.
+    fn local(self, wall: u64) -> Millis {
+        match wall.checked_sub(self.wall) {
+            Some(ahead) => self.now + Millis(ahead),
+            None => self.now - Millis(self.wall - wall),
+        }
+    }
 }
 
 /// `Job` is the lead's state of one job.
@@ -161,8 +103,15 @@
     pub loaded: bool,
     /// Whether the job exceeds the rate of its team.
     pub excess: bool,
-    /// The occurrences by number.
+    /// The occurrences that are due or of which something has run, and that are not over; sorted by number.
     pub occurrences: Vec<Occurrence>,
+    /// The numbers of the occurrences that are over.
+    finished: Ranges,
+    /// Occurrences with lower numbers have been opened.
+    opened: u32,
+    /// The critical path of the estimated work of an occurrence of which nothing has run.
+    full_time: Millis,
+    origin: Origin,
 }
 
 impl Job {
@@ -171,7 +120,9 @@
     /// `wall` is the Unix time in milliseconds at `now`.
     #[must_use]
     pub fn new(id: id::Job, spec: Arc<work::Job>, wall: u64, now: Millis) -> Self {
-        Self::with_stages(id, spec, Stage::new, wall, now)
+        let mut job = Self::without_occurrences(id, spec, wall, now);
+        job.open_due(now);
+        job
     }
 
     /// Creates the state of a job from its record, if the store has one.
@@ -186,39 +137,17 @@
         wall: u64,
         now: Millis,
     ) -> Self {
-        let has_tasks =
-            record.is_none_or(|record| !record.phase.is_over() || !record.parts.is_empty());
-        let stage = if has_tasks { Stage::new } else { Stage::ended };
-        let mut job = Self::with_stages(id, spec, stage, wall, now);
+        let mut job = Self::without_occurrences(id, spec, wall, now);
         job.loaded = true;
         if let Some(record) = record {
             job.restore(record, now);
         }
+        job.open_due(now);
         job
     }
 
-    fn with_stages(
-        id: id::Job,
-        spec: Arc<work::Job>,
-        stage: fn(&Step) -> Stage,
-        wall: u64,
-        now: Millis,
-    ) -> Self {
+    fn without_occurrences(id: id::Job, spec: Arc<work::Job>, wall: u64, now: Millis) -> Self {
         let age = wall.saturating_sub(spec.accepted);
-        let local = |at: u64| match at.checked_sub(wall) {
-            Some(ahead) => now + Millis(ahead),
-            None => now - Millis(wall - at),
-        };
-        let occurrences = (0..spec.occurrences())
-            .map(|number| Occurrence {
-                due: spec.schedule.map_or(now - Millis(age), |schedule| {
-                    let waited = schedule.every.times(u64::from(number));
-                    local(schedule.first.saturating_add(waited.0))
-                }),
-                stages: spec.steps.iter().map(stage).collect(),
-                time_left: Millis::ZERO,
-            })
-            .collect();
         Self {
             id,
             claims: spec.steps.iter().map(Step::claim).collect(),
@@ -231,60 +160,147 @@
             ended_at: None,
             loaded: false,
             excess: false,
-            occurrences,
+            occurrences: Vec::new(),
+            finished: Ranges::new(),
+            opened: 0,
+            full_time: Millis::ZERO,
+            origin: Origin { wall, now },
             spec,
         }
     }
 
+    /// Opens the occurrences that are due, in their order, as far as not too many of which nothing has run are open.
+    pub fn open_due(&mut self, now: Millis) {
+        if !self.has_unopened() || self.phase.is_over() {
+            return;
+        }
+        let new = self.occurrences.iter().filter(|o| o.is_new()).count();
+        let mut room = MAX_NEW_OCCURRENCES.saturating_sub(new);
+        while room > 0 && self.has_unopened() && self.due(self.opened) <= now {
+            room -= usize::from(self.open(self.opened).is_some());
+            self.opened = self.finished.first_missing(self.opened.saturating_add(1));
+        }
+    }
+
+    /// Returns whether occurrences remain that are opened when they are due.
+    #[must_use]
+    pub fn has_unopened(&self) -> bool {
+        self.opened < self.spec.occurrences()
+    }
+
+    /// Sets the critical path of the estimated work of an occurrence of which nothing has run.
+    pub fn set_full_time(&mut self, full_time: Millis) {
+        self.full_time = full_time;
+    }
+
+    /// Returns when an occurrence is due, by the lead's clock.
+    fn due(&self, number: u32) -> Millis {
+        self.spec.schedule.map_or(self.arrived, |schedule| {
+            let waited = schedule.every.times(u64::from(number));
+            self.origin.local(schedule.first.saturating_add(waited.0))
+        })
+    }
+
+    /// Opens an occurrence, also one that is not due yet; returns its position unless it is over or there is none.
+    fn open(&mut self, number: u32) -> Option<usize> {
+        if number >= self.spec.occurrences() || self.finished.contains(number) {
+            return None;
+        }
+        Some(self.find(number).unwrap_or_else(|at| {
+            let occurrence = Occurrence {
+                number,
+                due: self.due(number),
+                stages: self.spec.steps.iter().map(Stage::new).collect(),
+                time_left: self.full_time,
+            };
+            self.occurrences.insert(at, occurrence);
+            at
+        }))
+    }
+
+    /// Returns the position of an open occurrence, or the position at which to insert it.
+    fn find(&self, number: u32) -> Result<usize, usize> {
+        self.occurrences.binary_search_by_key(&number, |o| o.number)
+    }
+
+    /// Drops what is known of a task that has become like any other one, and of its occurrence once that is over.
+    pub fn settle(&mut self, task: &work::Task) {
+        let Ok(at) = self.find(task.part.occurrence) else {
+            return;
+        };
+        if let Some(stage) = self.occurrences[at].stages.get_mut(task.part.step as usize) {
+            stage.settle(task.index);
+        }
+        self.close_if_over(at);
+    }
+
+    /// Drops the state of an occurrence that is over.
+    fn close_if_over(&mut self, at: usize) {
+        if self.occurrences[at].is_over() {
+            let over = self.occurrences.remove(at);
+            self.finished.insert(over.number);
+        }
+    }
+
     /// Restores the progress that the store has recorded.
     pub fn restore(&mut self, record: &Record, now: Millis) {
         self.phase = record.phase;
         self.recorded = record.phase;
         self.ended_at = record.phase.is_over().then_some(now);
+        for (first, last) in &record.finished {
+            let last = (*last).min(self.spec.occurrences() - 1);
+            self.finished.insert_range(*first, last);
+        }
+        self.opened = self.finished.first_missing(0);
         for part in &record.parts {
-            let Some(stage) = self.stage_mut(part.occurrence, part.step) else {
-                continue;
-            };
-            for (first, last) in &part.done {
-                for index in *first..=*last {
-                    stage.finish_task(index);
-                }
+            self.restore_part(part);
+            if let Ok(at) = self.find(part.occurrence) {
+                self.close_if_over(at);
             }
-            for (index, run) in &part.failed {
-                if let Some(task) = stage.tasks.get_mut(*index as usize) {
-                    task.failed.push(*run);
-                }
+        }
+    }
+
+    fn restore_part(&mut self, part: &record::Part) {
+        let Some(stage) = self.stage_mut(part.occurrence, part.step) else {
+            return;
+        };
+        for (first, last) in &part.done {
+            stage.finish_tasks(*first, *last);
+        }
+        for (index, run) in &part.failed {
+            if let Some(task) = stage.task_mut(*index) {
+                task.failed.push(*run);
             }
-            for (index, run) in &part.crashed {
-                if let Some(task) = stage.tasks.get_mut(*index as usize) {
-                    task.crashed.push(*run);
-                }
+        }
+        for (index, run) in &part.crashed {
+            if let Some(task) = stage.task_mut(*index) {
+                task.crashed.push(*run);
             }
-            for (index, run) in &part.unconfirmed {
-                if let Some(task) = stage.tasks.get_mut(*index as usize) {
-                    task.unconfirmed.push(*run);
-                }
+        }
+        for (index, run) in &part.unconfirmed {
+            if let Some(task) = stage.task_mut(*index) {
+                task.unconfirmed.push(*run);
             }
-            for (index, worker, run) in &part.possible_crashes {
-                if let Some(task) = stage.tasks.get_mut(*index as usize) {
-                    task.possible_crashes.push(Place {
-                        worker: worker.clone(),
-                        run: *run,
-                    });
-                }
+        }
+        for (index, worker, run) in &part.possible_crashes {
+            if let Some(task) = stage.task_mut(*index) {
+                task.possible_crashes.push(Place {
+                    worker: worker.clone(),
+                    run: *run,
+                });
             }
-            for (index, checkpoint) in &part.checkpoints {
-                if let Some(task) = stage.tasks.get_mut(*index as usize) {
-                    task.checkpoint.clone_from(checkpoint);
-                }
+        }
+        for (index, checkpoint) in &part.checkpoints {
+            if let Some(task) = stage.task_mut(*index) {
+                task.checkpoint.clone_from(checkpoint);
             }
-            for (index, worker, run) in &part.places {
-                if let Some(task) = stage.tasks.get_mut(*index as usize) {
-                    task.places.push(Place {
-                        worker: worker.clone(),
-                        run: *run,
-                    });
-                }
+        }
+        for (index, worker, run) in &part.places {
+            if let Some(task) = stage.task_mut(*index) {
+                task.places.push(Place {
+                    worker: worker.clone(),
+                    run: *run,
+                });
             }
         }
     }
@@ -297,9 +313,9 @@
     pub fn record(&self) -> Record {
         let is_over = self.phase.is_over();
         let mut parts = Vec::new();
-        for (occurrence, state) in (0..).zip(&self.occurrences) {
-            for (step, stage) in (0..).zip(&state.stages) {
-                let part = stage.record(occurrence, step);
+        for occurrence in &self.occurrences {
+            for (step, stage) in (0..).zip(&occurrence.stages) {
+                let part = stage.record(occurrence.number, step);
                 parts.extend(part.and_then(|part| {
                     if is_over {
                         part.only_places()
@@ -309,36 +325,49 @@
                 }));
             }
         }
+        let finished = if is_over {
+            Vec::new()
+        } else {
+            self.finished.as_slice().to_vec()
+        };
         Record {
             phase: self.phase,
+            finished,
             parts,
         }
     }
 
-    /// Returns the state of a step in an occurrence.
+    /// Returns an open occurrence.
+    #[must_use]
+    pub fn occurrence(&self, number: u32) -> Option<&Occurrence> {
+        self.find(number).ok().map(|at| &self.occurrences[at])
+    }
+
+    /// Returns the state of a step in an open occurrence.
     #[must_use]
     pub fn stage(&self, occurrence: u32, step: u32) -> Option<&Stage> {
-        let occurrence = self.occurrences.get(occurrence as usize)?;
-        occurrence.stages.get(step as usize)
+        self.occurrence(occurrence)?.stages.get(step as usize)
     }
 
-    /// Returns the state of a step in an occurrence, mutably.
+    /// Returns the state of a step in an occurrence, mutably, unless that is over; opens the occurrence.
+    ///
+    /// An earlier lead whose clock was ahead may have run occurrences that are not due yet.
     pub fn stage_mut(&mut self, occurrence: u32, step: u32) -> Option<&mut Stage> {
-        let occurrence = self.occurrences.get_mut(occurrence as usize)?;
-        occurrence.stages.get_mut(step as usize)
+        let at = self.open(occurrence)?;
+        self.occurrences[at].stages.get_mut(step as usize)
     }
 
-    /// Returns the state of a task.
+    /// Returns the state of a task in an open occurrence.
     #[must_use]
     pub fn task(&self, task: &work::Task) -> Option<&Task> {
         let stage = self.stage(task.part.occurrence, task.part.step)?;
-        stage.tasks.get(task.index as usize)
+        stage.task(task.index)
     }
 
-    /// Returns the state of a task, mutably.
+    /// Returns the state of a task, mutably, unless its occurrence is over; see [`Self::settle`].
     pub fn task_mut(&mut self, task: &work::Task) -> Option<&mut Task> {
         let stage = self.stage_mut(task.part.occurrence, task.part.step)?;
-        stage.tasks.get_mut(task.index as usize)
+        stage.task_mut(task.index)
     }
 
     /// Returns the step that `part` names.
@@ -350,28 +379,29 @@
     /// Returns whether all tasks of all occurrences are finished.
     #[must_use]
     pub fn is_done(&self) -> bool {
-        self.occurrences.iter().all(Occurrence::is_done)
+        let open = self.occurrences.iter().filter(|o| o.is_done()).count();
+        self.finished.count() + open as u64 == u64::from(self.spec.occurrences())
     }
 
     /// Returns whether an unfinished task has failed at least `attempts` times.
     #[must_use]
     pub fn has_failed(&self, attempts: u32) -> bool {
-        let mut stages = self.occurrences.iter().flat_map(|o| &o.stages);
-        stages.any(|stage| {
-            let mut tasks = stage.tasks.iter();
-            tasks.any(|task| !task.done && task.failed.len() >= attempts as usize)
-        })
+        self.has_unfinished(|task| task.failed.len() >= attempts as usize)
     }
 
     /// Returns whether an unfinished task is given up because it crashes its workers.
     #[must_use]
     pub fn has_given_up(&self) -> bool {
+        self.has_unfinished(|task| task.is_given_up)
+    }
+
+    /// Returns whether `condition` holds for an unfinished task with a state of its own.
+    fn has_unfinished(&self, condition: impl Fn(&Task) -> bool) -> bool {
         let mut stages = self.occurrences.iter().flat_map(|o| &o.stages);
         stages.any(|stage| {
             stage
-                .tasks
-                .iter()
-                .any(|task| !task.done && task.is_given_up)
+                .touched()
+                .any(|(_, task)| !task.done && condition(task))
         })
     }
 
@@ -390,13 +420,13 @@
     /// Returns what `select` finds in each task, together with the task.
     fn collect<T: Clone>(&self, select: impl Fn(&Task) -> &[T]) -> Vec<(work::Task, T)> {
         let mut found = Vec::new();
-        for (occurrence, state) in (0..).zip(&self.occurrences) {
-            for (step, stage) in (0..).zip(&state.stages) {
-                for (index, task) in (0..).zip(&stage.tasks) {
+        for occurrence in &self.occurrences {
+            for (step, stage) in (0..).zip(&occurrence.stages) {
+                for (index, task) in stage.touched() {
                     for item in select(task) {
                         let part = Part {
                             job: self.id.clone(),
-                            occurrence,
+                            occurrence: occurrence.number,
                             step,
                         };
                         found.push((part.task(index), item.clone()));
@@ -407,60 +437,3 @@
         found
     }
 }
-
-impl Stage {
-    /// Marks a task as finished.
-    pub fn finish_task(&mut self, index: u32) {
-        if let Some(task) = self.tasks.get_mut(index as usize)
-            && !task.done
-        {
-            task.done = true;
-            task.checkpoint.clear();
-            self.unfinished -= 1;
-        }
-    }
-
-    fn record(&self, occurrence: u32, step: u32) -> Option<record::Part> {
-        let tasks = || (0u32..).zip(&self.tasks);
-        let part = record::Part {
-            occurrence,
-            step,
-            done: ranges(tasks().filter(|(_, t)| t.done).map(|(index, _)| index)),
-            failed: tasks()
-                .flat_map(|(index, t)| t.failed.iter().map(move |run| (index, *run)))
-                .collect(),
-            crashed: tasks()
-                .filter(|(_, t)| !t.done)
-                .flat_map(|(index, t)| t.crashed.iter().map(move |run| (index, *run)))
-                .collect(),
-            unconfirmed: tasks()
-                .filter(|(_, t)| !t.done)
-                .flat_map(|(index, t)| t.unconfirmed.iter().map(move |run| (index, *run)))
-                .collect(),
-            possible_crashes: tasks()
-                .filter(|(_, t)| !t.done)
-                .flat_map(|(index, t)| {
-                    let places = t.possible_crashes.iter();
-                    places.map(move |place| (index, place.worker.clone(), place.run))
-                })
-                .collect(),
-            checkpoints: tasks()
-                .filter(|(_, t)| !t.checkpoint.is_empty())
-                .map(|(index, t)| (index, t.checkpoint.clone()))
-                .collect(),
-            places: tasks()
-                .flat_map(|(index, t)| {
-                    let places = t.places.iter();
-                    places.map(move |place| (index, place.worker.clone(), place.run))
-                })
-                .collect(),
-        };
-        let is_empty = part.done.is_empty()
-            && part.failed.is_empty()
-            && part.crashed.is_empty()
-            && part.possible_crashes.is_empty()
-            && part.checkpoints.is_empty()
-            && part.places.is_empty();
-        (!is_empty).then_some(part)
-    }
-}
--- a/crates/marigoldpick-job/src/lead/copies.rs
+++ b/crates/marigoldpick-job/src/lead/copies.rs
@@ -34,15 +34,16 @@
         if !step.copies || step.gang || step.lasting {
             return Vec::new();
         }
-        let occurrence = &job.occurrences[part.occurrence as usize];
-        let Some(queue) = self.queue(&job.spec.queue) else {
+        let (Some(occurrence), Some(queue)) =
+            (job.occurrence(part.occurrence), self.queue(&job.spec.queue))
+        else {
             return Vec::new();
         };
         let end = rank::latest_end(job, step, occurrence, queue, now);
         let is_late = |ends: &Millis| end.is_some_and(|end| *ends > end);
         let stage = &occurrence.stages[part.step as usize];
-        (0..)
-            .zip(&stage.tasks)
+        stage
+            .touched()
             .filter(|(_, task)| !task.done)
             .filter_map(|(index, task)| Some((index, self.expected_end(task, part, index, now)?)))
             .filter(|(_, ends)| is_late(ends))
@@ -53,18 +54,17 @@
     pub(super) fn has_stragglers(
         &self,
         job: &Job,
-        occurrence: (u32, &Occurrence),
+        occurrence: &Occurrence,
         step: u32,
         now: Millis,
     ) -> bool {
         let spec = &job.spec.steps[step as usize];
-        let (number, state) = occurrence;
-        if !spec.copies || state.stages[step as usize].unfinished == 0 {
+        if !spec.copies || occurrence.stages[step as usize].unfinished == 0 {
             return false;
         }
         let part = Part {
             job: job.id.clone(),
-            occurrence: number,
+            occurrence: occurrence.number,
             step,
         };
         !self.stragglers(job, &part, spec, now).is_empty()
--- a/crates/marigoldpick-job/src/lead/crash.rs
+++ b/crates/marigoldpick-job/src/lead/crash.rs
@@ -188,11 +188,16 @@
         if job.phase.is_over() {
             return None;
         }
-        let state = job.task_mut(task).filter(|state| !state.done)?;
+        if job.task(task).is_some_and(|state| state.done) {
+            return None;
+        }
+        let state = job.task_mut(task)?;
         let before = (state.crashed.len(), state.possible_crashes.len());
         update(state);
         let crashes = state.crashed.len();
-        if before != (crashes, state.possible_crashes.len()) {
+        let after = (crashes, state.possible_crashes.len());
+        job.settle(task);
+        if before != after {
             self.mark_changed(at);
             self.mark_waiting(at);
             self.record_failures(at);
--- a/crates/marigoldpick-job/src/lead/evacuate.rs
+++ b/crates/marigoldpick-job/src/lead/evacuate.rs
@@ -85,8 +85,8 @@
                 found.is_ok_and(|run| worker.runs[run].phase == Phase::Running)
             })
         };
-        (0..)
-            .zip(&stage.tasks)
+        stage
+            .touched()
             .filter(|(_, task)| self.is_on_draining_worker(task))
             .filter_map(|(index, task)| Some((index, task.places.first()?.clone())))
             .filter(|(index, place)| is_running(*index, place))
--- a/crates/marigoldpick-job/src/lead/gauge.rs
+++ b/crates/marigoldpick-job/src/lead/gauge.rs
@@ -20,7 +20,7 @@
     #[must_use]
     pub fn interrupted_tasks(&self) -> usize {
         let is_interrupted = |task: &job::Task| match task.places.as_slice() {
-            [] => !task.done,
+            [] => false,
             [place] => self.worker_index(&place.worker).is_none_or(|at| {
                 let worker = &self.workers[at];
                 !worker.is_registered || !worker.is_responsive()
@@ -32,10 +32,12 @@
             let occurrences = job.occurrences.iter();
             occurrences.flat_map(|occurrence| job.spec.steps.iter().zip(&occurrence.stages))
         });
-        let tasks = stages.filter(|(step, _)| step.lasting);
-        tasks
-            .flat_map(|(_, stage)| &stage.tasks)
-            .filter(|task| is_interrupted(task))
-            .count()
+        let lasting = stages.filter(|(step, _)| step.lasting);
+        lasting
+            .map(|(_, stage)| {
+                let placed = stage.touched().filter(|(_, task)| is_interrupted(task));
+                stage.count_unplaced() as usize + placed.count()
+            })
+            .sum()
     }
 }
--- a/crates/marigoldpick-job/src/lead/load.rs
+++ b/crates/marigoldpick-job/src/lead/load.rs
@@ -10,7 +10,7 @@
 
 use super::Lead;
 use super::unrecorded::UnrecordedRuns;
-use crate::job::{Job, Occurrence, Stage, Task};
+use crate::job::{Job, Occurrence, Stage};
 use crate::rank::{self, Order, counted_millicores, task_work};
 use crate::worker::Worker;
 
@@ -69,10 +69,8 @@
 fn waiting_work(job: &Job, occurrence: &Occurrence) -> u64 {
     let steps = job.spec.steps.iter().zip(&occurrence.stages);
     let waiting = steps.filter(|(step, stage)| stage.unfinished > 0 && competes(step, stage));
-    let work = waiting.map(|(step, stage)| {
-        let tasks = stage.tasks.iter().filter(|task| Task::is_unplaced(task));
-        task_work(step).saturating_mul(tasks.count() as u64)
-    });
+    let work = waiting
+        .map(|(step, stage)| task_work(step).saturating_mul(u64::from(stage.count_unplaced())));
     work.fold(0, u64::saturating_add)
 }
 
--- a/crates/marigoldpick-job/src/lead/placement.rs
+++ b/crates/marigoldpick-job/src/lead/placement.rs
@@ -136,5 +136,6 @@
         if let Some(state) = self.jobs[at].task_mut(&task) {
             state.places.retain(|place| place.run != run);
         }
+        self.jobs[at].settle(&task);
     }
 }
--- a/crates/marigoldpick-job/src/lead/report.rs
+++ b/crates/marigoldpick-job/src/lead/report.rs
@@ -110,9 +110,9 @@
         let task = &running.task;
         let job = self.job_index(&task.part.job);
         let open = job.filter(|job| !self.jobs[*job].phase.is_over());
-        let state = open.and_then(|job| self.jobs[job].task(task));
-        let is_open = state.is_some_and(|state| !state.done);
-        let wanted = is_open && state.is_some_and(|state| state.places.is_empty());
+        let state = open.and_then(|job| self.jobs[job].task_mut(task));
+        let is_open = state.as_ref().is_some_and(|state| !state.done);
+        let wanted = state.is_some_and(|state| state.is_unplaced());
         let phase = if wanted { Phase::Running } else { Phase::Stop };
         let unknown = || Run::new(task.clone(), running.run, Phase::Stop, now);
         let mut run = self
@@ -217,6 +217,7 @@
             self.mark_started(&end.task);
             self.apply_end(job, &worker, end, now);
         }
+        self.jobs[job].settle(&end.task);
         let revision = self.jobs[job].revision;
         if self.jobs[job].stored_revision < revision {
             let id = end.task.part.job.clone();
@@ -241,11 +242,11 @@
             Exit::Done if !lasting => {
                 let unfinished = stage.unfinished;
                 if gang {
-                    (0..stage.tasks.len() as u32).for_each(|index| stage.finish_task(index));
+                    stage.finish_all();
                 } else {
                     stage.finish_task(end.task.index);
                 }
-                let (left, tasks) = (stage.unfinished, stage.tasks.len());
+                let (left, tasks) = (stage.unfinished, stage.count());
                 self.record_throughput(at, &end.task.part, unfinished - left, now);
                 if left == 0 {
                     let detail = format!("tasks={tasks}");
@@ -260,7 +261,7 @@
                 }
             }
             Exit::Failed if !lasting => {
-                let Some(task) = stage.tasks.get_mut(index as usize) else {
+                let Some(task) = stage.task_mut(index) else {
                     return;
                 };
                 if !task.failed.contains(&end.run) {
@@ -272,7 +273,7 @@
                 self.resolve_failures(now);
             }
             _ => {
-                if let Some(task) = stage.tasks.get_mut(end.task.index as usize)
+                if let Some(task) = stage.task_mut(end.task.index)
                     && !end.checkpoint.is_empty()
                 {
                     task.checkpoint.clone_from(&end.checkpoint);
--- a/crates/marigoldpick-job/src/lead/runs.rs
+++ b/crates/marigoldpick-job/src/lead/runs.rs
@@ -104,16 +104,15 @@
         let Some(at) = self.job_index(&task.part.job) else {
             return;
         };
-        let Some(state) = self.jobs[at].task_mut(task) else {
-            return;
-        };
-        let before = state.places.len();
-        state
-            .places
-            .retain(|place| place.run != run || place.worker != *worker);
-        if state.places.len() == before {
+        let is_gone = |place: &Place| place.run == run && place.worker == *worker;
+        let known = self.jobs[at].task(task);
+        if !known.is_some_and(|state| state.places.iter().any(is_gone)) {
             return;
         }
+        if let Some(state) = self.jobs[at].task_mut(task) {
+            state.places.retain(|place| !is_gone(place));
+        }
+        self.jobs[at].settle(task);
         if !self.jobs[at].phase.is_over() {
             self.mark_changed(at);
             self.mark_waiting(at);
--- a/crates/marigoldpick-job/src/lead/schedule.rs
+++ b/crates/marigoldpick-job/src/lead/schedule.rs
@@ -120,6 +120,7 @@
             let Some(at) = self.job_index(id) else {
                 return false;
             };
+            self.jobs[at].open_due(now);
             let job = &self.jobs[at];
             if job.phase.is_over() {
                 return false;
@@ -135,7 +136,7 @@
             // A worker that becomes slow or unresponsive does not mark its jobs as waiting. Jobs
             // that react to this, those with copies or lasting tasks, therefore stay in the list.
             let is_watched = steps.any(|step| step.copies || step.lasting);
-            let is_due_later = job.occurrences.iter().any(|o| now < o.due);
+            let is_due_later = job.has_unopened() || job.occurrences.iter().any(|o| now < o.due);
             queued.len() > before || is_watched || is_due_later || unrecorded.can_include(job)
         });
         self.waiting = waiting;
@@ -150,15 +151,15 @@
         now: Millis,
         queued: &mut Vec<WaitingStep>,
     ) {
-        for (number, occurrence) in (0..).zip(&job.occurrences) {
+        for occurrence in &job.occurrences {
+            let number = occurrence.number;
             if now < occurrence.due || occurrence.is_done() {
                 continue;
             }
             for (step, stage) in occurrence.stages.iter().enumerate() {
                 let spec = &job.spec.steps[step];
-                let at = (number, occurrence);
                 let wants = stage.has_unplaced()
-                    || self.has_stragglers(job, at, step as u32, now)
+                    || self.has_stragglers(job, occurrence, step as u32, now)
                     || (spec.copies && self.has_task_on_unresponsive_worker(stage))
                     || (spec.lasting && self.count_at_risk(stage, now) > 0);
                 if !wants || !occurrence.is_ready(&job.spec, step) {
@@ -214,15 +215,15 @@
         if !can_fit && !can_ask {
             return;
         }
-        let mut waiting: Vec<u32> = (0..)
-            .zip(&stage.tasks)
+        let mut waiting: Vec<u32> = stage
+            .tasks()
             .filter(|(_, task)| {
                 task.is_unplaced() || (step.copies && self.is_on_unresponsive_worker(task))
             })
             .map(|(index, _)| index)
             .filter(|index| self.may_start(&part.task(*index), now))
             .collect();
-        if step.gang && waiting.len() != stage.tasks.len() {
+        if step.gang && waiting.len() != stage.count() as usize {
             // Stops of earlier members must complete before the gang can start again.
             return;
         }
@@ -295,9 +296,8 @@
     fn has_task_on_unresponsive_worker(&self, stage: &Stage) -> bool {
         stage.unfinished > 0
             && stage
-                .tasks
-                .iter()
-                .any(|task| self.is_on_unresponsive_worker(task))
+                .touched()
+                .any(|(_, task)| self.is_on_unresponsive_worker(task))
     }
 
     /// Counts the tasks of a lasting step whose worker is unresponsive, drains or has left the registry.
@@ -312,12 +312,12 @@
             let worker = self.worker_index(&place.worker);
             worker.is_some_and(|at| !self.workers[at].is_registered)
         };
-        let is_at_risk = |task: &&Task| {
+        let is_at_risk = |(_, task): &(u32, &Task)| {
             self.is_on_unresponsive_worker(task)
                 || self.is_on_draining_worker(task)
                 || (is_settled && has_left(task))
         };
-        stage.tasks.iter().filter(is_at_risk).count()
+        stage.touched().filter(is_at_risk).count()
     }
 
     /// Returns whether an unfinished task has its only run on an unresponsive worker.
--- a/crates/marigoldpick-job/src/lead/start.rs
+++ b/crates/marigoldpick-job/src/lead/start.rs
@@ -117,7 +117,7 @@
             return None;
         }
         let stage = job.stage(task.part.occurrence, task.part.step)?;
-        let state = stage.tasks.get(task.index as usize)?;
+        let state = stage.task(task.index)?;
         let has_policy = self
             .queue(&job.spec.queue)
             .is_some_and(|queue| queue.policy.is_some());
@@ -415,8 +415,8 @@
         let Some(stage) = job.stage(task.part.occurrence, task.part.step) else {
             return;
         };
-        let members: Vec<(Task, id::Worker)> = (0..)
-            .zip(&stage.tasks)
+        let members: Vec<(Task, id::Worker)> = stage
+            .touched()
             .flat_map(|(index, state)| {
                 let places = state.places.iter().filter(|place| place.run == run);
                 let member = task.part.task(index);
--- a/crates/marigoldpick-job/src/lib.rs
+++ b/crates/marigoldpick-job/src/lib.rs
@@ -19,6 +19,7 @@
 pub mod question;
 pub mod queue;
 pub mod quota;
+pub mod ranges;
 pub mod rank;
 pub mod rate;
 pub mod record;
--- a/crates/marigoldpick-job/src/rank.rs
+++ b/crates/marigoldpick-job/src/rank.rs
@@ -148,6 +148,7 @@
 /// Sets what a job's rank depends on: its time objective and its remaining critical path.
 pub fn estimate(job: &mut Job, queue: &Queue) {
     job.objective = objective(&job.spec, queue);
+    job.set_full_time(full_time(&job.spec, queue));
     for occurrence in &mut job.occurrences {
         occurrence.time_left = time_left(&job.spec, occurrence, queue);
     }
--- a/crates/marigoldpick-job/src/record.rs
+++ b/crates/marigoldpick-job/src/record.rs
@@ -9,7 +9,10 @@
 pub struct Record {
     /// The phase reported to callers.
     pub phase: Phase,
-    /// The progress of each step that has begun, sorted by occurrence and step.
+    /// The occurrences that are over, as ranges of first and last numbers.
+    #[serde(rename = "o", default, skip_serializing_if = "Vec::is_empty")]
+    pub finished: Vec<(u32, u32)>,
+    /// The progress of each step of the other occurrences that has begun, sorted by occurrence and step.
     #[serde(default, skip_serializing_if = "Vec::is_empty")]
     pub parts: Vec<Part>,
 }
@@ -60,19 +63,6 @@
     }
 }
 
-/// Merges ascending task numbers into ranges.
-#[must_use]
-pub fn ranges(numbers: impl Iterator<Item = u32>) -> Vec<(u32, u32)> {
-    let mut ranges: Vec<(u32, u32)> = Vec::new();
-    for number in numbers {
-        match ranges.last_mut() {
-            Some((_, last)) if *last + 1 == number => *last = number,
-            _ => ranges.push((number, number)),
-        }
-    }
-    ranges
-}
-
 impl Record {
     /// Parses a record.
     ///
--- a/crates/marigoldpick-job/tests/lead/loading.rs
+++ b/crates/marigoldpick-job/tests/lead/loading.rs
@@ -36,6 +36,7 @@
     for parts in [Vec::new(), vec![part]] {
         let record = Record {
             phase: Phase::Cancelled,
+            finished: Vec::new(),
             parts: parts.clone(),
         };
         let job = load(Some(&record));
@@ -54,12 +55,13 @@
 fn load_keeps_the_tasks_of_a_job_that_has_not_ended() {
     let running = Record {
         phase: Phase::Running,
+        finished: Vec::new(),
         parts: Vec::new(),
     };
     for record in [None, Some(&running)] {
         let job = load(record);
         let stage = job.stage(0, 0).expect("a step");
-        expect_that!(stage.tasks.len(), eq(3));
+        expect_that!(stage.count(), eq(3));
         expect_true!(stage.has_unplaced());
     }
 }
--- a/crates/marigoldpick-job/tests/lead/main.rs
+++ b/crates/marigoldpick-job/tests/lead/main.rs
@@ -11,6 +11,7 @@
 mod outages;
 mod records;
 mod repeats;
+mod repetition;
 mod restarts;
 mod teams;
 mod work;
--- a/crates/marigoldpick-job/tests/lead/world.rs
+++ b/crates/marigoldpick-job/tests/lead/world.rs
@@ -156,6 +156,8 @@
     pub store_latency: Millis,
     /// Whether the store answers the lead.
     pub store_up: bool,
+    /// How far the time of day of the next lead is behind that of the first one, in milliseconds.
+    pub wall_offset: u64,
     /// Whether the lead can't read the inbox, although the store takes its records.
     pub inbox_silent: bool,
     /// The percentage of starts that get no answer and are carried out late.
@@ -230,6 +232,7 @@
             sent_stops: 0,
             store_latency: STORE_LATENCY,
             store_up: true,
+            wall_offset: 0,
             inbox_silent: false,
             late_percent: 0,
             carries_out_replaced: false,
@@ -297,7 +300,7 @@
         for (id, job) in jobs {
             let record = self.records.get(id);
             let record = record.map(|text| Record::parse(text).expect("a record"));
-            let wall = WALL + self.now.0;
+            let wall = WALL + self.now.0 - self.wall_offset;
             let origin = if later.contains(id) {
                 Origin::New
             } else {
--- a/crates/marigoldpick-job/tests/order/replay.rs
+++ b/crates/marigoldpick-job/tests/order/replay.rs
@@ -177,9 +177,11 @@
             entry.ends.retain(|(end, step)| {
                 if *end <= now {
                     free += of.millicores;
-                    let tasks = &stages[*step].tasks;
-                    let index = tasks.iter().position(|t| !t.done && !t.places.is_empty());
-                    stages[*step].finish_task(index.expect("a running task") as u32);
+                    let mut tasks = stages[*step].tasks();
+                    let running = tasks.find(|(_, t)| !t.done && !t.places.is_empty());
+                    let (index, _) = running.expect("a running task");
+                    drop(tasks);
+                    stages[*step].finish_task(index);
                 }
                 *end > now
             });
@@ -204,15 +206,16 @@
             while entry.unplaced[step] > 0 && free >= of.millicores {
                 free -= of.millicores;
                 entry.unplaced[step] -= 1;
-                let tasks = &mut entry.job.occurrences[0].stages[step].tasks;
+                let stage = &mut entry.job.occurrences[0].stages[step];
                 let place = Place {
                     worker: id::Worker::new("w").expect("a name"),
                     run: 1,
                 };
-                let task = tasks
-                    .iter_mut()
-                    .find(|t| t.is_unplaced())
-                    .expect("an unplaced task");
+                let mut tasks = stage.tasks();
+                let unplaced = tasks.find(|(_, t)| t.is_unplaced());
+                let (index, _) = unplaced.expect("an unplaced task");
+                drop(tasks);
+                let task = stage.task_mut(index).expect("a task");
                 task.places.push(place);
                 let span = of.estimate as f64 / 2.0 * (0.7 + 0.6 * random.unit());
                 entry.ends.push((now + Millis(span as u64), step));
