--- a/crates/marigoldpick-soak/src/fault.rs
+++ b/crates/marigoldpick-soak/src/fault.rs
@@ -37,6 +37,10 @@
     OneWayStore,
     /// An entry's connections to the store are reset.
     ResetStore,
+    /// The open connections between an entry and the store go silent for good; new ones work.
+    StallStore,
+    /// The open connections between a worker and the entries go silent for good; new ones work.
+    StallWorker,
     /// The link from an entry to the store has a high latency.
     DelayStore,
     /// The link between a worker and the entries drops everything in both directions.
@@ -110,6 +114,10 @@
 const CUT_DELAY_MS: std::ops::RangeInclusive<u64> = 300..=3_000;
 /// How long a worker is cut off after a restart, in milliseconds: up to the time in which leases expire.
 const CUT_MS: std::ops::RangeInclusive<u64> = 1_000..=9_000;
+/// The stream of random numbers from which connections that go silent are drawn, so that a seed keeps the other faults.
+const STALL_STREAM: u64 = 3;
+/// The mean time between two moments at which connections go silent, in milliseconds.
+const MEAN_STALL_GAP_MS: u64 = 2_500;
 /// The number of failure domains over which workers are spread.
 const DOMAINS: usize = 3;
 
@@ -174,6 +182,30 @@
     (0..length / MEAN_TEAM_GAP_MS).map(change).collect()
 }
 
+/// Draws the moments at which open connections of an entry to the store, or of a worker, go silent for good.
+#[must_use]
+pub fn draw_stalls(seed: u64, shape: &Shape) -> Vec<Fault> {
+    let mut rng = ChaCha8Rng::seed_from_u64(seed);
+    rng.set_stream(STALL_STREAM);
+    let length = u64::from(shape.seconds) * 1_000;
+    let stall = |_| {
+        let (kind, targets) = if rng.random_range(0..3) > 0 {
+            (Kind::StallStore, shape.entries)
+        } else {
+            (Kind::StallWorker, shape.workers)
+        };
+        Fault {
+            at: Millis(rng.random_range(FIRST_FAULT_MS..length.max(FIRST_FAULT_MS + 1))),
+            kind,
+            target: rng.random_range(0..targets.max(1)) as usize,
+            duration: Millis::ZERO,
+        }
+    };
+    let mut faults: Vec<Fault> = (0..length / MEAN_STALL_GAP_MS).map(stall).collect();
+    faults.sort_by_key(|fault| fault.at);
+    faults
+}
+
 /// Draws the restarts of workers under their ids in a run, in the order of their starts.
 ///
 /// One in three takes all workers of a failure domain. In two of three, orders that are sent meanwhile are held
--- a/crates/marigoldpick-soak/src/process.rs
+++ b/crates/marigoldpick-soak/src/process.rs
@@ -1,6 +1,6 @@
 //! A child process that runs one of the project's programs and receives signals by process id.
 
-use std::fs::{File, OpenOptions};
+use std::fs::{self, File, OpenOptions};
 use std::io::{self, BufRead, BufReader};
 use std::path::{Path, PathBuf};
 use std::process::{Child, Command, Stdio};
@@ -65,6 +65,14 @@
         self.child.id()
     }
 
+    /// Returns the memory that the process uses, in kibibytes; `None` if it has ended.
+    #[must_use]
+    pub fn resident_kib(&self) -> Option<u64> {
+        let status = fs::read_to_string(format!("/proc/{}/status", self.id())).ok()?;
+        let line = status.lines().find(|line| line.starts_with("VmRSS:"))?;
+        line.split_whitespace().nth(1)?.parse().ok()
+    }
+
     /// Returns whether the process has ended.
     pub fn has_ended(&mut self) -> bool {
         matches!(self.child.try_wait(), Ok(Some(_)))
--- a/crates/marigoldpick-soak/src/run.rs
+++ b/crates/marigoldpick-soak/src/run.rs
@@ -47,6 +47,10 @@
 const RETRIES: [Millis; 2] = [Millis(150), Millis::ZERO];
 /// The share of jobs with long tasks, in percent.
 const LONG_PERCENT: u32 = 15;
+/// The share of jobs that are repeated far more often than they can run, in percent.
+const REPEATED_PERCENT: u32 = 10;
+/// The memory of an entry's machine on the smallest deployments, in kibibytes.
+const MACHINE_KIB: u64 = 260_000;
 /// The longest time from the stop signal to the exit of an entry.
 const STOP_TIMEOUT: Duration = Duration::from_secs(10);
 
@@ -134,9 +138,11 @@
         .await;
     if verdict.begun {
         let restarts = fault::draw_restarts(seed, shape);
+        let stalls = fault::draw_stalls(seed, shape);
         let faults: Vec<_> = fault::draw(seed, shape)
             .into_iter()
             .chain(restarts)
+            .chain(stalls)
             .map(|fault| task::spawn_local(Rc::clone(&site).inject(fault)))
             .collect();
         for fault in faults {
@@ -198,7 +204,8 @@
     let ready: Vec<&String> = ports.iter().map(|[_, ready, ..]| ready).collect();
     let text = format!(
         "seed = {seed}\nworkers = {}\nrelays = {:?}\nfronts = {:?}\nready = {ready:?}\n\
-         seconds = {}\njobs_per_second = {}\nlease_ms = {}\nlong_percent = {LONG_PERCENT}\n",
+         seconds = {}\njobs_per_second = {}\nlease_ms = {}\nlong_percent = {LONG_PERCENT}\n\
+         repeated_percent = {REPEATED_PERCENT}\n",
         shape.workers,
         list(&relays),
         list(&fronts),
@@ -325,10 +332,14 @@
         reply.status.is_success().then_some(reply.body)
     }
 
-    /// Records each entry whose process exited while no fault affected it.
+    /// Records each entry whose process exited while no fault affected it, or uses more memory than its machine has.
     fn record_unexpected_exits(&self) {
         for (number, entry) in self.entries.iter().enumerate() {
             let mut process = entry.process.borrow_mut();
+            let used = process.as_ref().and_then(Process::resident_kib);
+            if let Some(used) = used.filter(|used| *used > MACHINE_KIB) {
+                self.record(format!("entry {number} uses {used} KiB"));
+            }
             let ended = process.as_mut().is_some_and(Process::has_ended);
             if ended && *entry.faults.borrow() == 0 {
                 self.record(format!("entry {number} ended by itself"));
@@ -457,6 +468,7 @@
             | Kind::OneWayWorker
             | Kind::ResetWorker
             | Kind::DelayWorker
+            | Kind::StallWorker
             | Kind::HoldOrders => &self.workers[index],
             Kind::SilenceFront | Kind::ResetFront => &self.entries[index].front,
             _ => &self.entries[index].store,
@@ -465,6 +477,8 @@
             Kind::SilenceStore | Kind::SilenceWorker | Kind::SilenceFront => relay.partition(on),
             Kind::OneWayStore | Kind::OneWayWorker => relay.partition_back(on),
             Kind::HoldOrders => relay.partition_forward(on),
+            Kind::StallStore | Kind::StallWorker if on => relay.silence(),
+            Kind::StallStore | Kind::StallWorker => {}
             Kind::DelayStore | Kind::DelayWorker => {
                 relay.set_latency(if on { SLOW_LINK_LATENCY } else { Millis::ZERO });
             }
--- a/crates/marigoldpick-soak/tests/soak.rs
+++ b/crates/marigoldpick-soak/tests/soak.rs
@@ -95,6 +95,26 @@
     }
 }
 
+#[googletest::test]
+fn draw_stalls_affect_entries_and_workers_within_the_run() {
+    let draw = |seed| fault::draw_stalls(seed, &SHAPE);
+    expect_that!(draw(5), eq(&draw(5)));
+    let mut seen: Vec<Kind> = Vec::new();
+    for stall in (0..50).flat_map(draw) {
+        let targets = match stall.kind {
+            Kind::StallStore => SHAPE.entries,
+            Kind::StallWorker => SHAPE.workers,
+            other => panic!("{other:?} is no stall"),
+        };
+        expect_that!(stall.target, lt(targets as usize));
+        expect_that!(stall.at, lt(Millis(6_000)));
+        seen.push(stall.kind);
+    }
+    for kind in [Kind::StallStore, Kind::StallWorker] {
+        expect_that!(seen, contains(eq(&kind)));
+    }
+}
+
 #[googletest::test]
 fn play_short_runs_violate_no_guarantee() {
     for seed in SEEDS {
--- a/crates/marigoldpick-standin/src/relay.rs
+++ b/crates/marigoldpick-standin/src/relay.rs
@@ -41,9 +41,18 @@
     from_target_partitions: AtomicU32,
     /// The number of times that all connections were reset.
     resets: AtomicU64,
+    /// The number of times that all connections went silent for good.
+    silences: AtomicU64,
     ended: AtomicBool,
 }
 
+/// `Era` is when a connection began, as the numbers of resets and silences until then.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+struct Era {
+    resets: u64,
+    silences: u64,
+}
+
 /// `Direction` is one direction of a connection.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 enum Direction {
@@ -120,6 +129,11 @@
         self.link.resets.fetch_add(1, Ordering::SeqCst);
     }
 
+    /// Lets no more bytes pass on all open connections, which stay open; new ones work.
+    pub fn silence(&self) {
+        self.link.silences.fetch_add(1, Ordering::SeqCst);
+    }
+
     /// Ends the relay and all its connections.
     pub fn end(&self) {
         self.link.ended.store(true, Ordering::SeqCst);
@@ -149,8 +163,12 @@
         partitions.load(Ordering::SeqCst) > 0
     }
 
-    fn resets(&self) -> u64 {
-        self.resets.load(Ordering::SeqCst)
+    /// Returns what tells the connections that open now from those that open after the next reset or silence.
+    fn era(&self) -> Era {
+        Era {
+            resets: self.resets.load(Ordering::SeqCst),
+            silences: self.silences.load(Ordering::SeqCst),
+        }
     }
 
     fn is_ended(&self) -> bool {
@@ -161,13 +179,14 @@
         Duration::from_millis(self.latency.load(Ordering::SeqCst))
     }
 
-    /// Waits until `due` has passed and the direction is not partitioned.
+    /// Waits until `due` has passed and the direction is not partitioned; without end if the connection has gone silent.
     ///
-    /// Returns false when the link has ended, or was reset since the connection began at `resets`.
-    async fn wait_for_arrival(&self, due: Instant, direction: Direction, resets: u64) -> bool {
+    /// Returns false when the link has ended, or was reset since the connection began in `era`.
+    async fn wait_for_arrival(&self, due: Instant, direction: Direction, era: Era) -> bool {
         task::sleep(due.saturating_duration_since(Instant::now())).await;
-        let is_over = || self.is_ended() || self.resets() != resets;
-        while self.is_partitioned(direction) && !is_over() {
+        let is_over = || self.is_ended() || self.era().resets != era.resets;
+        let is_silent = || self.era().silences != era.silences;
+        while (self.is_partitioned(direction) || is_silent()) && !is_over() {
             task::sleep(HEAL_POLL).await;
         }
         !is_over()
@@ -202,13 +221,10 @@
 }
 
 async fn forward_connection(client: TcpStream, target: SocketAddr, link: Arc<Link>) {
-    let resets = link.resets();
+    let era = link.era();
     // The TCP handshake takes one round trip before data may follow.
     let due = Instant::now() + link.latency() * 2;
-    if !link
-        .wait_for_arrival(due, Direction::ToTarget, resets)
-        .await
-    {
+    if !link.wait_for_arrival(due, Direction::ToTarget, era).await {
         return;
     }
     let Ok(server) = TcpStream::connect(target).await else {
@@ -223,18 +239,18 @@
                 server.clone(),
                 &link,
                 Direction::ToTarget,
-                resets,
+                era,
             ),
             forward_bytes(
                 server.clone(),
                 client.clone(),
                 &link,
                 Direction::FromTarget,
-                resets,
+                era,
             ),
         );
         let reset = async {
-            while link.resets() == resets {
+            while link.era().resets == era.resets {
                 task::sleep(RESET_POLL).await;
             }
         };
@@ -252,7 +268,7 @@
     mut to: TcpStream,
     link: &Link,
     direction: Direction,
-    resets: u64,
+    era: Era,
 ) {
     let (sender, receiver) = async_channel::bounded::<(Instant, Vec<u8>)>(MAX_CHUNKS_IN_FLIGHT);
     let read = async move {
@@ -266,7 +282,7 @@
     };
     let write = async move {
         while let Ok((due, bytes)) = receiver.recv().await {
-            let has_arrived = link.wait_for_arrival(due, direction, resets).await;
+            let has_arrived = link.wait_for_arrival(due, direction, era).await;
             if !has_arrived || to.write_all(&bytes).await.is_err() {
                 drop(to.shutdown(Shutdown::Both));
                 return;
@@ -274,7 +290,7 @@
         }
         // The end of the stream arrives with the same latency as the bytes.
         let due = Instant::now() + link.latency();
-        if link.wait_for_arrival(due, direction, resets).await {
+        if link.wait_for_arrival(due, direction, era).await {
             drop(to.shutdown(Shutdown::Write));
         } else {
             drop(to.shutdown(Shutdown::Both));
--- a/crates/marigoldpick-standin/tests/standin/relay.rs
+++ b/crates/marigoldpick-standin/tests/standin/relay.rs
@@ -17,10 +17,14 @@
     let listener = TcpListener::bind("127.0.0.1:0").await.expect("a free port");
     let target = listener.local_addr().expect("an address");
     async_std::task::spawn(async move {
-        let (stream, _) = listener.accept().await.expect("a connection");
-        async_std::io::copy(&stream, &stream)
-            .await
-            .expect("an echo");
+        loop {
+            let (stream, _) = listener.accept().await.expect("a connection");
+            async_std::task::spawn(async move {
+                async_std::io::copy(&stream, &stream)
+                    .await
+                    .expect("an echo");
+            });
+        }
     });
     let relay = Relay::start(target, LATENCY).await.expect("a free port");
     let stream = TcpStream::connect(relay.address())
@@ -59,6 +63,24 @@
     expect_that!(&answer, eq(b"late"));
 }
 
+#[googletest::test]
+#[async_std::test]
+async fn relay_silence_stops_open_connections_alone() {
+    let (relay, mut open) = start_echo().await;
+    let mut answer = [0; 4];
+    open.write_all(b"once").await.expect("the link is whole");
+    open.read_exact(&mut answer).await.expect("an answer");
+    relay.silence();
+    open.write_all(b"lost").await.expect("it is buffered");
+    let early = async_std::future::timeout(PARTITION_TIME, open.read(&mut answer)).await;
+    expect_that!(early.is_err(), eq(true));
+    let connected = TcpStream::connect(relay.address()).await;
+    let mut later = connected.expect("the relay listens");
+    later.write_all(b"anew").await.expect("the link is whole");
+    later.read_exact(&mut answer).await.expect("an answer");
+    expect_that!(&answer, eq(b"anew"));
+}
+
 #[googletest::test]
 #[async_std::test]
 async fn relay_end_closes_its_connections() {
