Confirm the inbox as soon as the store is back

After an outage of more than three seconds, recorded starts would have waited for up to a second: the confirmation of the inbox slept for its interval while the store was lost. It now waits for the other calls to reach the store, at no cost in calls.

--- a/crates/marigoldpick-node/src/inbox.rs
+++ b/crates/marigoldpick-node/src/inbox.rs
@@ -168,22 +168,22 @@
         let interval = confirmation_interval(self.settings.job.inbox_bound);
         while !leadership.is_over() {
             let due = leadership.inbox().next_confirmation(interval);
-            let now = self.now();
-            if now < due {
-                task::sleep(due.since(now).duration()).await;
+            let wait = due.since(self.now());
+            if wait > Millis::ZERO {
+                task::sleep(wait.duration()).await;
                 continue;
             }
-            let read = self.read_changes(&leadership, CONFIRMATION_WAIT, "confirmation");
-            if let Err(fault) = read.await {
-                log::debug!(target: "node", "event=inbox-unconfirmed why={fault}");
-                // While the store is lost, a faster retry would only add calls.
-                let pause = if self.can_reach_store() {
-                    STORE_RETRY
-                } else {
-                    interval
-                };
-                task::sleep(pause.duration()).await;
+            // Other calls probe a store that is lost, and starts wait for the inbox once it is back.
+            if self.can_reach_store() {
+                let read = self.read_changes(&leadership, CONFIRMATION_WAIT, "confirmation");
+                match read.await {
+                    Ok(()) => continue,
+                    Err(fault) => {
+                        log::debug!(target: "node", "event=inbox-unconfirmed why={fault}");
+                    }
+                }
             }
+            task::sleep(STORE_RETRY.duration()).await;
         }
     }
 
