Play random outages with repeated jobs, and close occurrences by placements alone

An occurrence whose tasks have finished was kept open by a suspicion of a crash, which a record of a finished task does not have either. The random tests of outages now also play jobs of several occurrences.

--- a/crates/marigoldpick-job/src/job.rs
+++ b/crates/marigoldpick-job/src/job.rs
@@ -58,15 +58,15 @@
     }
 }
 
-/// `Origin` is a moment on both the wall clock and the lead's clock.
+/// `Anchor` is a moment on both the wall clock and the lead's clock.
 #[derive(Clone, Copy, Debug)]
-struct Origin {
+struct Anchor {
     /// Unix time in milliseconds.
     wall: u64,
     now: Millis,
 }
 
-impl Origin {
+impl Anchor {
     /// Returns the time of the lead's clock at the Unix time `wall`.
     fn local(self, wall: u64) -> Millis {
         match wall.checked_sub(self.wall) {
@@ -111,7 +111,7 @@
     opened: u32,
     /// The critical path of the estimated work of an occurrence of which nothing has run.
     full_time: Millis,
-    origin: Origin,
+    anchor: Anchor,
 }
 
 impl Job {
@@ -164,7 +164,7 @@
             finished: Ranges::new(),
             opened: 0,
             full_time: Millis::ZERO,
-            origin: Origin { wall, now },
+            anchor: Anchor { wall, now },
             spec,
         }
     }
@@ -197,7 +197,7 @@
     fn due(&self, number: u32) -> Millis {
         self.spec.schedule.map_or(self.arrived, |schedule| {
             let waited = schedule.every.times(u64::from(number));
-            self.origin.local(schedule.first.saturating_add(waited.0))
+            self.anchor.local(schedule.first.saturating_add(waited.0))
         })
     }
 
--- a/crates/marigoldpick-job/src/job/stage.rs
+++ b/crates/marigoldpick-job/src/job/stage.rs
@@ -86,18 +86,17 @@
         runs.len()
     }
 
-    /// Returns whether runs of the task may be active, or may have crashed their workers.
-    const fn is_active(&self) -> bool {
-        !self.places.is_empty() || !self.possible_crashes.is_empty()
-    }
-
     /// Returns whether the task is like any other new or finished one.
     const fn is_plain(&self) -> bool {
+        if !self.places.is_empty() || !self.failed.is_empty() {
+            return false;
+        }
         let has_history = !self.crashed.is_empty()
+            || !self.possible_crashes.is_empty()
             || !self.checkpoint.is_empty()
             || !self.avoid.is_empty()
             || self.is_given_up;
-        self.failed.is_empty() && !self.is_active() && (self.done || !has_history)
+        self.done || !has_history
     }
 }
 
@@ -205,7 +204,8 @@
 
     /// Returns whether all tasks have finished and no run of theirs may be active.
     pub(super) fn is_over(&self) -> bool {
-        self.unfinished == 0 && !self.touched.iter().any(|(_, task)| task.is_active())
+        let mut touched = self.touched.iter();
+        self.unfinished == 0 && touched.all(|(_, task)| task.places.is_empty())
     }
 
     /// Marks a task as finished.
--- a/crates/marigoldpick-job/src/settings.rs
+++ b/crates/marigoldpick-job/src/settings.rs
@@ -54,9 +54,9 @@
     pub commit_retry: Millis,
     /// How long a lead may renew leases after the store last confirmed its term.
     pub term_grace: Millis,
-    /// The time after which a submitted cancel must be known to the lead, by the platform's contract.
+    /// The time within which an acknowledged cancel must take effect, by the platform's contract.
     ///
-    /// A lead that knows less of the submissions than those until this time ago starts nothing.
+    /// A lead whose knowledge of submissions and cancels is older orders no recorded starts.
     pub inbox_bound: Millis,
     /// The margin before expiry in which a ticket is no longer used.
     ///
--- a/crates/marigoldpick-job/tests/lead/outages.rs
+++ b/crates/marigoldpick-job/tests/lead/outages.rs
@@ -1,11 +1,11 @@
 //! Random outages of the store, in which leads start tasks without records, with cut-off and unlisted workers.
 
 use marigoldpick_core::prelude::*;
-use marigoldpick_core::work::Step;
+use marigoldpick_core::work::{Schedule, Step};
 use proptest::prelude::*;
 
 use crate::disruption::{Disruption, longest_lease};
-use crate::world::{World, job, step};
+use crate::world::{WALL, World, job, step};
 
 /// The number of workers.
 const WORKERS: usize = 4;
@@ -13,6 +13,8 @@
 const LISTED_ENDS: usize = 6;
 /// How long starts without records are allowed after a poll of the entries.
 const ALLOWANCE: Millis = Millis(1_200);
+/// The time between two occurrences of repeated jobs.
+const REPETITION_INTERVAL: Millis = Millis(700);
 /// The time without an outage that entries attest.
 const ATTESTED_TIME: Millis = Millis(10_000);
 
@@ -62,6 +64,8 @@
 struct Site {
     world: World,
     submitted: u32,
+    /// How often jobs are repeated; zero for jobs that run once.
+    repetitions: u32,
     /// When the store was last down.
     last_outage: Option<Millis>,
 }
@@ -99,7 +103,13 @@
                 after: vec![0],
                 ..first.clone()
             };
-            world.submit(site.submitted, job(vec![first, second]));
+            let mut submitted = job(vec![first, second]);
+            submitted.schedule = (site.repetitions > 0).then(|| Schedule {
+                first: WALL + world.now.0,
+                every: REPETITION_INTERVAL,
+                times: site.repetitions,
+            });
+            world.submit(site.submitted, submitted);
         }
         Event::Partition { at } => world.partitioned[*at] = true,
         Event::Unlist { at } => world.unlisted[*at] = true,
@@ -134,6 +144,36 @@
     }
 }
 
+/// Plays the events with jobs that run `repetitions` times, and then waits until all jobs are completed.
+fn play(longest: Millis, events: &[Event], repetitions: u32) -> Result<(), TestCaseError> {
+    let mut world = World::new(WORKERS);
+    world.allow_leases(longest);
+    world.pool.max_listed_ends = LISTED_ENDS;
+    world.run(200);
+    let mut site = Site {
+        world,
+        submitted: 0,
+        repetitions,
+        last_outage: None,
+    };
+    for event in events {
+        apply(&mut site, event);
+    }
+    let world = &mut site.world;
+    world.late_percent = 0;
+    world.unanswered_percent = 0;
+    world.store_up = true;
+    world.lead.forbid_unrecorded();
+    world.partitioned = vec![false; WORKERS];
+    world.unlisted = vec![false; WORKERS];
+    world.run(60_000 * u64::from(repetitions.max(1)));
+    prop_assert!(world.pool.broken.is_empty(), "{:?}", world.pool.broken);
+    for id in world.pool.jobs.keys() {
+        prop_assert!(world.pool.is_done(id), "{id} is not done");
+    }
+    Ok(())
+}
+
 proptest! {
     #![proptest_config(ProptestConfig { cases: 96, ..ProptestConfig::default() })]
 
@@ -144,25 +184,20 @@
         longest in longest_lease(),
         events in prop::collection::vec(event(), 1..60),
     ) {
-        let mut world = World::new(WORKERS);
-        world.allow_leases(longest);
-        world.pool.max_listed_ends = LISTED_ENDS;
-        world.run(200);
-        let mut site = Site { world, submitted: 0, last_outage: None };
-        for event in &events {
-            apply(&mut site, event);
-        }
-        let world = &mut site.world;
-        world.late_percent = 0;
-        world.unanswered_percent = 0;
-        world.store_up = true;
-        world.lead.forbid_unrecorded();
-        world.partitioned = vec![false; WORKERS];
-        world.unlisted = vec![false; WORKERS];
-        world.run(60_000);
-        prop_assert!(world.pool.broken.is_empty(), "{:?}", world.pool.broken);
-        for id in world.pool.jobs.keys() {
-            prop_assert!(world.pool.is_done(id), "{id} is not done");
-        }
+        play(longest, &events, 0)?;
+    }
+}
+
+proptest! {
+    #![proptest_config(ProptestConfig { cases: 32, ..ProptestConfig::default() })]
+
+    /// The same with repeated jobs, whose occurrences are opened when they are due and closed when they are over.
+    #[test]
+    fn no_occurrence_runs_twice_across_outages(
+        longest in longest_lease(),
+        events in prop::collection::vec(event(), 1..30),
+        repetitions in 2..5_u32,
+    ) {
+        play(longest, &events, repetitions)?;
     }
 }
--- a/crates/marigoldpick-standin/src/jobs/pool.rs
+++ b/crates/marigoldpick-standin/src/jobs/pool.rs
@@ -383,19 +383,23 @@
         self.workers[at].active.len()
     }
 
-    /// Returns whether all tasks of a job's first occurrence have ended as done.
+    /// Returns whether all tasks of a job have ended as done.
     #[must_use]
     pub fn is_done(&self, id: &id::Job) -> bool {
         let Some(job) = self.jobs.get(id) else {
             return false;
         };
-        (0..).zip(&job.steps).all(|(step, spec)| {
+        let is_done = |occurrence: u32, step: u32, spec: &Step| {
             let part = Part {
                 job: id.clone(),
-                occurrence: 0,
+                occurrence,
                 step,
             };
             (0..spec.count).all(|index| self.done.contains(&part.task(index)))
+        };
+        (0..job.occurrences()).all(|occurrence| {
+            let mut steps = (0..).zip(&job.steps);
+            steps.all(|(step, spec)| is_done(occurrence, step, spec))
         })
     }
 }
