Read the lead's key again only once the lead has been suspect for its lease

The look at the key came at fixed times, and could cut off what a standby was reading ahead, which is resumed only five seconds after it began. It now comes once the suspicion has lasted for the lease on the key, by when the watch tells of a vacancy unless its connection is dead.

--- a/crates/marigoldpick-node/src/vacancy.rs
+++ b/crates/marigoldpick-node/src/vacancy.rs
@@ -19,6 +19,9 @@
 /// The timeout of a watch on the lead's key. An entry that is no standby notices a dead connection only then.
 const WATCH_TIMEOUT: Millis = Millis(4_000);
 
+/// The time between two looks at whether the lead is suspect.
+const SUSPICION_POLL: Millis = Millis(250);
+
 impl<P: Platform> Control<P> {
     /// Watches the lead's key from `revision` until it is removed or has to be read again, or until this entry is asked to
     /// take over: then returns what was read for that. Reads ahead into `shelf` meanwhile if this entry is a standby.
@@ -68,13 +71,20 @@
         }
     }
 
-    /// Waits until the lead is suspect to this standby and its lease would have lapsed since.
+    /// Waits until the lead has been suspect to this standby for the time of its lease, within which its key lapses.
     ///
     /// Load pattern: the lead is killed after the connections on which the watches of its key wait have gone silent.
     async fn await_suspicion(&self) {
+        let mut suspect_since = None;
         loop {
-            task::sleep(self.settings.lead_lease.duration()).await;
-            if self.standby.watch.borrow().suspicion().is_some() {
+            task::sleep(SUSPICION_POLL.duration()).await;
+            let now = self.now();
+            if self.standby.watch.borrow().suspicion().is_none() {
+                suspect_since = None;
+                continue;
+            }
+            let since = *suspect_since.get_or_insert(now);
+            if now.since(since) >= self.settings.lead_lease {
                 return;
             }
         }
