List all tasks of a step in one pass, and don't wake the lead for the inbox

An answer about the inbox without changes woke the lead, which only starts that are held need, and these wait for at most 20 ms more.

--- a/crates/marigoldpick-job/src/job/stage.rs
+++ b/crates/marigoldpick-job/src/job/stage.rs
@@ -174,7 +174,16 @@
 
     /// Returns all tasks with their numbers, ascending.
     pub fn tasks(&self) -> impl Iterator<Item = (u32, &Task)> {
-        (0..self.count).filter_map(|index| Some((index, self.task(index)?)))
+        let mut touched = self.touched.iter().peekable();
+        let mut done = self.done.as_slice().iter().peekable();
+        (0..self.count).map(move |index| {
+            if let Some((_, task)) = touched.next_if(|(have, _)| *have == index) {
+                return (index, task);
+            }
+            while done.next_if(|(_, last)| *last < index).is_some() {}
+            let is_done = done.peek().is_some_and(|(first, _)| *first <= index);
+            (index, if is_done { &FINISHED } else { &NEW })
+        })
     }
 
     /// Returns the tasks with a state of their own and their numbers, ascending; all placed tasks are among them.
@@ -194,7 +203,7 @@
     /// Returns whether some task is unfinished and has no placement.
     #[must_use]
     pub fn has_unplaced(&self) -> bool {
-        self.count_unplaced() > 0
+        self.unfinished as usize > self.touched.len() || self.count_unplaced() > 0
     }
 
     /// Returns whether no task differs from a new one.
--- a/crates/marigoldpick-job/tests/lead/loading.rs
+++ b/crates/marigoldpick-job/tests/lead/loading.rs
@@ -5,7 +5,7 @@
 use googletest::prelude::*;
 use marigoldpick_core::prelude::*;
 use marigoldpick_core::work::{self, Phase, Step};
-use marigoldpick_job::job::Job;
+use marigoldpick_job::job::{Job, Stage, Task};
 use marigoldpick_job::record::{Part, Record};
 
 fn load(record: Option<&Record>) -> Job {
@@ -65,3 +65,27 @@
         expect_true!(stage.has_unplaced());
     }
 }
+
+/// What a stage tells of all tasks at once equals what it tells of each.
+#[googletest::test]
+fn stage_tasks_equal_single_ones() {
+    let step = Step {
+        count: 12,
+        ..Step::default()
+    };
+    let mut stage = Stage::new(&step);
+    stage.finish_tasks(2, 4);
+    stage.finish_task(8);
+    stage.finish_task(11);
+    for index in [3, 6, 8] {
+        let task = stage.task_mut(index).expect("a task");
+        task.failed.push(u64::from(index));
+    }
+    let state = |task: &Task| (task.done, task.failed.clone());
+    let single = (0..12).map(|index| state(stage.task(index).expect("a task")));
+    let all = stage.tasks().map(|(_, task)| state(task));
+    expect_that!(all.collect::<Vec<_>>(), eq(&single.collect::<Vec<_>>()));
+    let unplaced = stage.tasks().filter(|(_, task)| task.is_unplaced()).count();
+    expect_that!(unplaced, eq(7));
+    expect_that!(stage.count_unplaced(), eq(7));
+}
--- a/crates/marigoldpick-node/src/leadership.rs
+++ b/crates/marigoldpick-node/src/leadership.rs
@@ -211,7 +211,8 @@
     pub(crate) fn advance_inbox(&self, revision: u64, sent: Millis) {
         let view = self.inbox.get().advance(revision, sent);
         self.inbox.set(view);
-        self.update(|lead| lead.confirm_inbox(view.as_of));
+        // Only starts that are held wait for this, and the next regular step orders them.
+        self.update_quietly(|lead| lead.confirm_inbox(view.as_of));
     }
 
     /// Records the number of items that were read before the claim.
