--- a/crates/marigoldpick-node/tests/node/cluster.rs
+++ b/crates/marigoldpick-node/tests/node/cluster.rs
@@ -848,43 +848,34 @@
     /// Submits a job of one lasting task.
     pub fn submit_lasting(&self, at: usize, number: u32) -> id::Job {
         let step = Step {
-            count: 1,
-            needs: Amount::new(1_000, 100),
-            estimate: Millis(LASTING_SPAN),
             lasting: true,
-            ..Step::default()
+            ..one_task(LASTING_SPAN)
         };
-        let job = Job {
-            queue: name("q"),
-            payload: LASTING_SPAN.to_string(),
-            steps: vec![step],
-            schedule: None,
-            accepted: 0,
-            team: None,
-        };
-        let id = id::Job::new(&format!("{number:016x}")).expect("a name");
-        let receipt = task::block_on(self.nodes[at].handle().submit(id.clone(), Arc::new(job)));
-        assert_eq!(receipt, Receipt::Stored);
-        id
+        self.submit_step(at, number, step, None)
     }
 
     /// Submits a job of one task that is due at `due`, in milliseconds since 1970.
     pub fn submit_at(&self, at: usize, number: u32, due: u64, span: u64) -> id::Job {
-        let step = Step {
-            count: 1,
-            needs: Amount::new(1_000, 100),
-            estimate: Millis(span),
-            ..Step::default()
+        let schedule = Schedule {
+            first: due,
+            every: Millis(1_000),
+            times: 1,
         };
+        self.submit_step(at, number, one_task(span), Some(schedule))
+    }
+
+    fn submit_step(
+        &self,
+        at: usize,
+        number: u32,
+        step: Step,
+        schedule: Option<Schedule>,
+    ) -> id::Job {
         let job = Job {
             queue: name("q"),
-            payload: span.to_string(),
+            payload: step.estimate.0.to_string(),
             steps: vec![step],
-            schedule: Some(Schedule {
-                first: due,
-                every: Millis(1_000),
-                times: 1,
-            }),
+            schedule,
             accepted: 0,
             team: None,
         };
@@ -907,6 +898,16 @@
     }
 }
 
+/// Returns a step of one task that runs for `span` milliseconds.
+fn one_task(span: u64) -> Step {
+    Step {
+        count: 1,
+        needs: Amount::new(1_000, 100),
+        estimate: Millis(span),
+        ..Step::default()
+    }
+}
+
 pub fn wait_until(what: &str, mut holds: impl FnMut() -> bool) {
     let start = Instant::now();
     while !holds() {
