Search workers for runs of a new job only where unknown runs were found

Each accepted job was compared with every run of every worker, also while a new lead loads all stored jobs. Only a run that was found before its job was known can match, so that the search is left out unless there was one.

--- a/crates/marigoldpick-job/src/lead.rs
+++ b/crates/marigoldpick-job/src/lead.rs
@@ -147,6 +147,8 @@
     end_waits: Vec<Millis>,
     /// Starts to order once the store has the revision of the job that contains them.
     pending_starts: Vec<PendingStart>,
+    /// Whether runs of jobs that were not known have been found in this term.
+    has_unknown_runs: bool,
     /// The time until which all submissions and cancels are known.
     inbox_as_of: Millis,
     /// Whether recorded starts are held back since later cancels are unknown.
@@ -223,6 +225,7 @@
             backlog: backlog::Backlog::new(now),
             end_waits: Vec::new(),
             pending_starts: Vec::new(),
+            has_unknown_runs: false,
             inbox_as_of: now,
             holds_starts: false,
             waiting: Vec::new(),
@@ -386,7 +389,9 @@
             self.expect_run(&task, &place, now);
         }
         self.expect_crash_suspects(at, now);
-        self.attach_found_runs(at);
+        if self.has_unknown_runs {
+            self.attach_found_runs(at);
+        }
         self.needs_pass = true;
     }
 
--- a/crates/marigoldpick-job/src/lead/report.rs
+++ b/crates/marigoldpick-job/src/lead/report.rs
@@ -109,6 +109,7 @@
     fn handle_unexpected_run(&mut self, at: usize, running: &Running, now: Millis) {
         let task = &running.task;
         let job = self.job_index(&task.part.job);
+        self.has_unknown_runs |= job.is_none();
         let open = job.filter(|job| !self.jobs[*job].phase.is_over());
         let state = open.and_then(|job| self.jobs[job].task_mut(task));
         let is_open = state.as_ref().is_some_and(|state| !state.done);
