Count a reread inbox as of its first attempt

A reread that fails keeps the pages that it has. The time from which on the inbox counts as known was that of the last attempt, although its first pages may be older, so that starts could rest on them for up to a second too long. Found by reading; there is no test of its own.

Measured: all tests of the node pass.

--- a/crates/marigoldpick-node/src/inbox.rs
+++ b/crates/marigoldpick-node/src/inbox.rs
@@ -91,8 +91,9 @@
     async fn reread_inbox(self: &Rc<Self>, leadership: &Leadership) {
         let mut inbox = Listing::new(keys::INBOX);
         let mut width = MAX_READS;
+        // Pages are kept when a later one fails, so that all are known only as of the first attempt.
+        let sent = self.now();
         while !leadership.is_over() {
-            let sent = self.now();
             let call = |call| self.call_store(call);
             if self
                 .read_on(&mut [&mut inbox], &mut width, call)
