Log which waiting work keeps resources from other work

A step that keeps the budget for questions, its team's quota or workers from others leaves no line, so that three causes of a service at rest look alike: nothing waits, nothing fits, or something is withheld. Log a holder once it has held a resource for a second and again when it lets go, and publish marigold_withheld.

--- a/crates/marigoldpick-job/src/lead.rs
+++ b/crates/marigoldpick-job/src/lead.rs
@@ -31,6 +31,7 @@
 mod start;
 mod unrecorded;
 mod waiting;
+pub mod withheld;
 
 use std::sync::Arc;
 
@@ -131,6 +132,8 @@
     rates: Rates,
     /// Gangs for which their teams' quotas are held, found in the last pass.
     held_gangs: Vec<(id::Team, Part)>,
+    /// What waiting steps kept from others in the last pass.
+    holders: withheld::Holders,
     workers: Vec<Worker>,
     /// Whether the registry's list has been read in this term.
     has_list: bool,
@@ -215,6 +218,7 @@
             quotas: Quotas::default(),
             rates: Rates::default(),
             held_gangs: Vec::new(),
+            holders: withheld::Holders::default(),
             workers: Vec::new(),
             has_list: false,
             jobs: Vec::new(),
--- a/crates/marigoldpick-job/src/lead/reserve.rs
+++ b/crates/marigoldpick-job/src/lead/reserve.rs
@@ -84,7 +84,7 @@
             return;
         }
         for (at, empty) in reserved {
-            room.reserve(at, empty);
+            room.reserve(at, part, empty);
         }
     }
 }
--- a/crates/marigoldpick-job/src/lead/room.rs
+++ b/crates/marigoldpick-job/src/lead/room.rs
@@ -9,8 +9,10 @@
 //! service, be it processors, memory or accelerators.
 
 use marigoldpick_core::prelude::*;
+use marigoldpick_core::work::Part;
 
 use crate::question::Share;
+use crate::rank::counted_millicores;
 use crate::worker::Worker;
 
 /// The most capacity to ask for, in percent of the free capacity.
@@ -37,8 +39,21 @@
     used: Amount,
     /// The total claims of tasks earlier in rank that were asked about or wait for capacity.
     asked_for: Amount,
-    /// Reserved workers, sorted by position, with the times when they are expected to be empty.
-    reserved: Vec<(usize, Millis)>,
+    /// Reserved workers, sorted by position.
+    reserved: Vec<Reservation>,
+    /// The step that was charged most for questions, in thousandths of a core.
+    largest_charge: Option<(u64, Part)>,
+    /// The steps that got no question for want of budget.
+    unasked: usize,
+}
+
+/// `Reservation` keeps a worker for a waiting step.
+#[derive(Clone, Debug)]
+struct Reservation {
+    worker: usize,
+    part: Part,
+    /// When the worker is expected to be empty.
+    empty: Millis,
 }
 
 impl Room {
@@ -88,6 +103,8 @@
             used: Amount::default(),
             asked_for: Amount::default(),
             reserved: Vec::new(),
+            largest_charge: None,
+            unasked: 0,
         }
     }
 
@@ -124,9 +141,34 @@
     }
 
     /// Charges the question budget for tasks asked about or waiting for capacity.
-    pub(super) fn add_question(&mut self, claim: &Amount, tasks: usize) {
+    pub(super) fn add_question(&mut self, part: &Part, claim: &Amount, tasks: usize) {
         let tasks = u32::try_from(tasks).unwrap_or(u32::MAX);
-        self.asked_for.add(&claim.times(tasks));
+        let charge = claim.times(tasks);
+        let size = counted_millicores(&charge);
+        if self
+            .largest_charge
+            .as_ref()
+            .is_none_or(|(have, _)| size > *have)
+        {
+            self.largest_charge = Some((size, part.clone()));
+        }
+        self.asked_for.add(&charge);
+    }
+
+    /// Counts a step that got no question for want of budget.
+    pub(super) const fn refuse_question(&mut self) {
+        self.unasked += 1;
+    }
+
+    /// Returns the number of steps that got no question for want of budget.
+    pub(super) const fn unasked(&self) -> usize {
+        self.unasked
+    }
+
+    /// Returns the step with the largest part of a budget that was too small for others.
+    pub(super) fn question_holder(&self) -> Option<&Part> {
+        let charge = self.largest_charge.as_ref().filter(|_| self.unasked > 0);
+        charge.map(|(_, part)| part)
     }
 
     /// Returns whether one more worker may be reserved in addition to `more`.
@@ -135,22 +177,43 @@
         self.reserved.len() + more < limit
     }
 
-    /// Reserves a worker that is expected to be empty at `empty`.
-    pub(super) fn reserve(&mut self, worker: usize, empty: Millis) {
-        if let Err(at) = self
-            .reserved
-            .binary_search_by_key(&worker, |(have, _)| *have)
-        {
-            self.reserved.insert(at, (worker, empty));
+    /// Reserves a worker that is expected to be empty at `empty` for a step.
+    pub(super) fn reserve(&mut self, worker: usize, part: &Part, empty: Millis) {
+        if let Err(at) = self.find_reservation(worker) {
+            let reservation = Reservation {
+                worker,
+                part: part.clone(),
+                empty,
+            };
+            self.reserved.insert(at, reservation);
         }
     }
 
+    /// Returns the number of reserved workers.
+    pub(super) const fn count_reserved(&self) -> usize {
+        self.reserved.len()
+    }
+
+    /// Returns the steps that have reserved workers; a step may come more than once.
+    pub(super) fn reserving_steps(&self) -> impl Iterator<Item = &Part> {
+        self.reserved.iter().map(|reservation| &reservation.part)
+    }
+
+    /// Returns the workers that are reserved for a step.
+    pub(super) fn reserved_for(&self, part: &Part) -> impl Iterator<Item = usize> {
+        let own = self.reserved.iter().filter(move |r| r.part == *part);
+        own.map(|reservation| reservation.worker)
+    }
+
+    fn find_reservation(&self, worker: usize) -> Result<usize, usize> {
+        self.reserved
+            .binary_search_by_key(&worker, |reservation| reservation.worker)
+    }
+
     /// Returns whether a task that ends at `end` delays no reservation of a worker.
     pub(super) fn can_start(&self, worker: usize, end: Millis) -> bool {
-        let found = self
-            .reserved
-            .binary_search_by_key(&worker, |(have, _)| *have);
-        found.is_err() || found.is_ok_and(|at| end <= self.reserved[at].1)
+        let found = self.find_reservation(worker);
+        found.is_err() || found.is_ok_and(|at| end <= self.reserved[at].empty)
     }
 
     /// Recomputes the largest free capacity after placements.
--- a/crates/marigoldpick-job/src/lead/schedule.rs
+++ b/crates/marigoldpick-job/src/lead/schedule.rs
@@ -103,9 +103,11 @@
         let mut rooms = Room::of(&self.workers, now);
         self.counters.looks += self.workers.len() as u64;
         let mut availability = Availability::default();
+        self.holders.held_back = 0;
         for queued in queued {
             self.schedule_step(&queued, &held_gangs, &mut rooms, &mut availability, now);
         }
+        self.record_holders(&rooms, now);
         self.pass_interval = next_pass_interval(steps, self.counters.looks - looks);
     }
 
@@ -192,6 +194,7 @@
         let part = &queued.part;
         let team = self.job(&part.job).and_then(|job| job.spec.team.as_ref());
         if is_held_back(queued, team, held_gangs) {
+            self.holders.held_back += 1;
             return;
         }
         let Some(at) = self.job_index(&part.job) else {
@@ -211,6 +214,9 @@
         };
         let restarts = queued.rank.precedence == Precedence::Restart;
         let can_ask = restarts || rooms[service].can_ask(&claim, self.share(&queue.name));
+        if !can_ask && queue.policy.is_some() {
+            rooms[service].refuse_question();
+        }
         let can_fit = rooms[service].can_fit(&claim);
         if !can_fit && !can_ask {
             return;
@@ -253,7 +259,7 @@
                     now,
                 );
             }
-            rooms[service].add_question(&claim, waiting.len());
+            rooms[service].add_question(part, &claim, waiting.len());
             return;
         }
         let mut candidates = self.candidates(part, &step, &rooms[service], now);
@@ -284,7 +290,7 @@
                 availability,
                 now,
             );
-            rooms[service].add_question(&claim, missing);
+            rooms[service].add_question(part, &claim, missing);
         }
         if placed < waiting.len() && has_accelerators(&step) {
             let left = waiting.len() - placed;
--- a/crates/marigoldpick-node/src/driver.rs
+++ b/crates/marigoldpick-node/src/driver.rs
@@ -16,6 +16,7 @@
 use marigoldpick_job::lead::Counters;
 use marigoldpick_job::lead::backlog::Reason;
 use marigoldpick_job::lead::commit::Outcome;
+use marigoldpick_job::lead::withheld::Resource;
 
 use crate::control::Control;
 use crate::election::{Head, is_held_by};
@@ -121,6 +122,10 @@
             let count = leadership.read(|lead| lead.waiting_records(reason));
             metrics::gauge!("marigold_waiting_records", "why" => reason.name()).set(count as f64);
         }
+        for resource in Resource::ALL {
+            let count = leadership.read(|lead| lead.withheld(resource));
+            metrics::gauge!("marigold_withheld", "resource" => resource.name()).set(count as f64);
+        }
         let Some(active) = self.shared.config.load_full() else {
             return;
         };
