Charge questions only for work that can use the capacity

Cause: the budget for questions was charged with the claims of all unplaced tasks of a step, whether any worker could take them or not. Steps first in rank that could not start used it up in each pass. The line resource-withheld named them as holders while no question was in flight and all workers were idle.

Charge a step against the workers that it can use, by label, verdict and spread limit, for what is free there or expected to be free before tickets expire, and each worker twice at most. A gang is charged as a whole. What is charged nothing asks nothing, so that other steps keep budget and askers.

--- a/crates/marigoldpick-job/src/lead.rs
+++ b/crates/marigoldpick-job/src/lead.rs
@@ -12,6 +12,7 @@
 mod crash;
 mod evacuate;
 mod explain;
+mod forecast;
 mod gauge;
 mod hold;
 mod lease;
--- a/crates/marigoldpick-job/src/lead/advise.rs
+++ b/crates/marigoldpick-job/src/lead/advise.rs
@@ -6,7 +6,7 @@
 
 use marigoldpick_core::prelude::*;
 use marigoldpick_core::work::port::{Advice, Refusal};
-use marigoldpick_core::work::{Part, Step, Task};
+use marigoldpick_core::work::{Part, Step};
 
 use super::Lead;
 use super::room::Room;
@@ -129,7 +129,6 @@
         let mut good: Vec<(u64, &id::Worker)> = Vec::new();
         let mut unknown: Vec<(u64, u64, &id::Worker)> = Vec::new();
         let mut good_capacity = 0_u64;
-        let first = part.task(0);
         let end = now + step.estimate;
         let admitted = room.workers.iter().filter(|at| room.can_start(**at, end));
         for worker in admitted.map(|at| &self.workers[*at]) {
@@ -141,7 +140,7 @@
             if fitting == 0 || !worker.has_label_for(step) {
                 continue;
             }
-            let fitting = fitting.min(spread_allowance(step, worker, &first));
+            let fitting = fitting.min(spread_allowance(step, worker, part));
             if fitting == 0 {
                 continue;
             }
@@ -302,9 +301,9 @@
 }
 
 /// Returns how many more tasks the step's spread limit allows on a worker.
-pub(super) fn spread_allowance(step: &Step, worker: &Worker, task: &Task) -> u64 {
+pub(super) fn spread_allowance(step: &Step, worker: &Worker, part: &Part) -> u64 {
     step.spread.map_or(u64::MAX, |most| {
-        u64::from(most.saturating_sub(worker.count_of_step(task)))
+        u64::from(most.saturating_sub(worker.count_of_step(part)))
     })
 }
 
--- a/crates/marigoldpick-job/src/lead/explain.rs
+++ b/crates/marigoldpick-job/src/lead/explain.rs
@@ -197,13 +197,12 @@
     ) -> Vec<(Reason, usize)> {
         let step = &job.spec.steps[part.step as usize];
         let claim = &job.claims[part.step as usize];
-        let first = part.task(0);
         let reason = |worker: &Worker| {
             if !worker.node.capacity.holds(claim) {
                 Reason::Size
             } else if !worker.has_label_for(step) {
                 Reason::Label
-            } else if spread_allowance(step, worker, &first) == 0 {
+            } else if spread_allowance(step, worker, part) == 0 {
                 Reason::Spread
             } else if !worker.free().holds(claim) || queue.policy.is_none() {
                 Reason::Full
--- /dev/null
+++ b/crates/marigoldpick-job/src/lead/forecast.rs
@@ -0,0 +1,88 @@
+//! The waiting tasks that can use capacity which is expected to become free.
+//!
+//! Load pattern: work waits that nothing on its way will let start, since lasting tasks or long runs hold what it needs,
+//! its label is gone or its spread limit is reached. What is kept from other work for a waiting step is therefore kept
+//! only as far as the runs on the workers show that the step can use it.
+
+use marigoldpick_core::prelude::*;
+use marigoldpick_core::work::{Part, Step};
+
+use super::Lead;
+use super::room::Room;
+use crate::job::Stage;
+use crate::queue::Queue;
+use crate::worker::Worker;
+
+/// How far ahead free capacity counts in a service without advised queues: as far as with tickets of this validity.
+const DEFAULT_HORIZON: Millis = Millis(2_500);
+
+/// Returns whether a worker may run tasks of a step, as far as is known.
+fn is_allowed(queue: &Queue, step: &Step, stage: &Stage, worker: &Worker) -> bool {
+    let verdict = stage.tickets.find(&worker.node.id);
+    let is_refused = verdict.is_some_and(|verdict| verdict.ticket.is_none());
+    worker.has_label_for(step) && !(queue.policy.is_some() && is_refused)
+}
+
+/// Returns how many more tasks the step's spread limit allows on a worker at `at`.
+fn spread_allowance_at(step: &Step, worker: &Worker, part: &Part, at: Millis, now: Millis) -> u64 {
+    step.spread.map_or(u64::MAX, |most| {
+        u64::from(most.saturating_sub(worker.count_of_step_at(part, at, now)))
+    })
+}
+
+impl Lead {
+    /// Returns the time until which tickets that are asked for now are valid, the longest one of a service's queues.
+    pub(super) fn horizon(&self, service: &Name, now: Millis) -> Millis {
+        let queues = self.queues.iter().filter(|queue| queue.service == *service);
+        let policies = queues.filter_map(|queue| queue.policy);
+        let valid = policies.map(|policy| policy.span(1) + policy.valid).max();
+        now + valid.unwrap_or(DEFAULT_HORIZON)
+    }
+
+    /// Charges the question budget of a service for `most` waiting tasks of a step.
+    ///
+    /// Only tasks that can use capacity are charged: capacity that is free or expected to be free within the room's
+    /// horizon, and not charged yet for steps earlier in rank. A gang is charged as a whole or not at all. Returns the
+    /// number of tasks charged.
+    pub(super) fn charge_questions(
+        &mut self,
+        room: &mut Room,
+        part: &Part,
+        most: usize,
+        now: Millis,
+    ) -> u64 {
+        let Some(job) = self.job(&part.job) else {
+            return 0;
+        };
+        let (Some(step), Some(stage), Some(queue)) = (
+            job.step(part),
+            job.stage(part.occurrence, part.step),
+            self.queue(&job.spec.queue),
+        ) else {
+            return 0;
+        };
+        let claim = &job.claims[part.step as usize];
+        if !room.can_fit_soon(&self.workers, claim, now) {
+            return 0;
+        }
+        let (at, end) = (room.horizon(), now + step.estimate);
+        let allowance = |position: usize| {
+            let worker = &self.workers[position];
+            if is_allowed(queue, step, stage, worker) {
+                spread_allowance_at(step, worker, part, at, now)
+            } else {
+                0
+            }
+        };
+        let shares = room.share_out(claim, most as u64, end, allowance);
+        let charged = shares.iter().map(|(_, tasks)| tasks).sum();
+        let looks = room.workers.len() as u64;
+        if step.gang && charged < most as u64 {
+            self.counters.looks += looks;
+            return 0;
+        }
+        room.charge(part, claim, &shares);
+        self.counters.looks += looks;
+        charged
+    }
+}
--- a/crates/marigoldpick-job/src/lead/room.rs
+++ b/crates/marigoldpick-job/src/lead/room.rs
@@ -7,16 +7,20 @@
 //! before their tickets expire. Questions are therefore limited to the steps first in rank, up to
 //! the capacity that is free or will be soon. The resource with the least capacity bounds a
 //! service, be it processors, memory or accelerators.
+//!
+//! Load pattern: the steps first in rank can't start, or only on few workers. A step is therefore charged against
+//! the workers that it can use, and only for what is expected to be free there before tickets expire.
 
 use marigoldpick_core::prelude::*;
 use marigoldpick_core::work::Part;
 
+use super::advise::count_fitting;
 use crate::question::Share;
 use crate::rank::counted_millicores;
 use crate::worker::Worker;
 
 /// The most capacity to ask for, in percent of the free capacity.
-const FREE_ROOM_PERCENT: f64 = 200.0;
+const FREE_ROOM_PERCENT: u32 = 200;
 /// The share of the used capacity, in percent, expected to become free before tickets expire.
 const USED_ROOM_PERCENT: u32 = 25;
 
@@ -39,6 +43,10 @@
     used: Amount,
     /// The total claims of tasks earlier in rank that were asked about or wait for capacity.
     asked_for: Amount,
+    /// The time until which capacity counts for questions.
+    horizon: Millis,
+    /// What each worker is expected to have free then; computed when it is first needed.
+    outlook: Option<Outlook>,
     /// Reserved workers, sorted by position.
     reserved: Vec<Reservation>,
     /// The step that was charged most for questions, in thousandths of a core.
@@ -47,6 +55,36 @@
     unasked: usize,
 }
 
+/// `Outlook` is the capacity that is expected to be free on the workers of a service.
+#[derive(Clone, Debug, Default)]
+struct Outlook {
+    /// The free capacity of each worker.
+    free: Vec<Amount>,
+    /// The part of each worker's capacity that may still be charged.
+    left: Vec<Amount>,
+    /// The most free capacity on any one worker, for each resource separately.
+    max_free: Amount,
+    /// A claim that fits nowhere beside the charges so far; neither does a larger one.
+    unfit: Option<Amount>,
+}
+
+impl Outlook {
+    fn of(workers: &[Worker], positions: &[usize], at: Millis, now: Millis) -> Self {
+        let mut outlook = Self::default();
+        for position in positions {
+            let free = workers[*position].free_at(at, now);
+            outlook.max_free.widen(&free);
+            outlook.left.push(free.share(FREE_ROOM_PERCENT));
+            outlook.free.push(free);
+        }
+        outlook
+    }
+
+    fn can_fit(&self, claim: &Amount) -> bool {
+        self.max_free.holds(claim) && self.unfit.as_ref().is_none_or(|unfit| !claim.holds(unfit))
+    }
+}
+
 /// `Reservation` keeps a worker for a waiting step.
 #[derive(Clone, Debug)]
 struct Reservation {
@@ -58,7 +96,13 @@
 
 impl Room {
     /// Returns the room of each service, sorted by service.
-    pub(super) fn of(workers: &[Worker], now: Millis) -> Vec<Self> {
+    ///
+    /// `horizon` returns the time until which capacity counts for the questions of a service.
+    pub(super) fn of(
+        workers: &[Worker],
+        now: Millis,
+        horizon: impl Fn(&Name) -> Millis,
+    ) -> Vec<Self> {
         let mut rooms: Vec<Self> = Vec::new();
         for (position, worker) in workers.iter().enumerate() {
             if !worker.is_registered {
@@ -68,7 +112,9 @@
             let at = rooms
                 .binary_search_by(|room| room.service.cmp(service))
                 .unwrap_or_else(|at| {
-                    rooms.insert(at, Self::empty(service.clone()));
+                    let mut room = Self::empty(service.clone());
+                    room.horizon = horizon(service);
+                    rooms.insert(at, room);
                     at
                 });
             // An entry of another writer may claim any capacity, and no worker may stand behind it.
@@ -102,6 +148,8 @@
             free: Amount::default(),
             used: Amount::default(),
             asked_for: Amount::default(),
+            horizon: Millis::ZERO,
+            outlook: None,
             reserved: Vec::new(),
             largest_charge: None,
             unasked: 0,
@@ -135,15 +183,77 @@
         budget.add(
             &self
                 .free
-                .share((100.0 / share.value()).min(FREE_ROOM_PERCENT) as u32),
+                .share((100.0 / share.value()).min(f64::from(FREE_ROOM_PERCENT)) as u32),
         );
         budget.holds(&wanted)
     }
 
-    /// Charges the question budget for tasks asked about or waiting for capacity.
-    pub(super) fn add_question(&mut self, part: &Part, claim: &Amount, tasks: usize) {
-        let tasks = u32::try_from(tasks).unwrap_or(u32::MAX);
-        let charge = claim.times(tasks);
+    /// Returns the time until which capacity counts for questions.
+    pub(super) const fn horizon(&self) -> Millis {
+        self.horizon
+    }
+
+    /// Returns whether some worker may have uncharged capacity for a claim by the horizon; if false, none has.
+    pub(super) fn can_fit_soon(&mut self, workers: &[Worker], claim: &Amount, now: Millis) -> bool {
+        let (positions, horizon) = (&self.workers, self.horizon);
+        let outlook = self
+            .outlook
+            .get_or_insert_with(|| Outlook::of(workers, positions, horizon, now));
+        outlook.can_fit(claim)
+    }
+
+    /// Distributes at most `most` tasks that end at `end` over the uncharged capacity of the workers.
+    ///
+    /// `allowance` returns how many tasks the worker at a position may run. Returns the numbers of tasks with the
+    /// indices of their workers in the room.
+    pub(super) fn share_out(
+        &mut self,
+        claim: &Amount,
+        most: u64,
+        end: Millis,
+        allowance: impl Fn(usize) -> u64,
+    ) -> Vec<(usize, u64)> {
+        let mut shares = Vec::new();
+        let Some(outlook) = &self.outlook else {
+            return shares;
+        };
+        let (mut left, mut fits_anywhere) = (most, false);
+        for (index, position) in self.workers.iter().enumerate() {
+            if left == 0 {
+                break;
+            }
+            let fitting = count_fitting(&outlook.left[index], claim)
+                .min(count_fitting(&outlook.free[index], claim));
+            if fitting == 0 {
+                continue;
+            }
+            fits_anywhere = true;
+            if !self.can_start(*position, end) {
+                continue;
+            }
+            let tasks = fitting.min(allowance(*position)).min(left);
+            if tasks > 0 {
+                shares.push((index, tasks));
+                left -= tasks;
+            }
+        }
+        if !fits_anywhere && let Some(outlook) = &mut self.outlook {
+            outlook.unfit = Some(claim.clone());
+        }
+        shares
+    }
+
+    /// Charges the question budget for tasks of a step, as distributed over the workers.
+    pub(super) fn charge(&mut self, part: &Part, claim: &Amount, shares: &[(usize, u64)]) {
+        let Some(outlook) = &mut self.outlook else {
+            return;
+        };
+        let mut charge = Amount::default();
+        for (index, tasks) in shares {
+            let claims = claim.times(u32::try_from(*tasks).unwrap_or(u32::MAX));
+            outlook.left[*index].subtract(&claims);
+            charge.add(&claims);
+        }
         let size = counted_millicores(&charge);
         if self
             .largest_charge
--- a/crates/marigoldpick-job/src/lead/schedule.rs
+++ b/crates/marigoldpick-job/src/lead/schedule.rs
@@ -100,7 +100,7 @@
         queued.sort_by_key(|queued| queued.rank);
         self.quotas.set_unheard(self.unheard(now));
         let held_gangs = std::mem::take(&mut self.held_gangs);
-        let mut rooms = Room::of(&self.workers, now);
+        let mut rooms = Room::of(&self.workers, now, |service| self.horizon(service, now));
         self.counters.looks += self.workers.len() as u64;
         let mut availability = Availability::default();
         self.holders.held_back = 0;
@@ -221,6 +221,14 @@
         if !can_fit && !can_ask {
             return;
         }
+        let is_reservable = has_accelerators(step);
+        if !can_fit
+            && !is_reservable
+            && !step.gang
+            && !rooms[service].can_fit_soon(&self.workers, &claim, now)
+        {
+            return;
+        }
         let mut waiting: Vec<u32> = stage
             .tasks()
             .filter(|(_, task)| {
@@ -249,7 +257,7 @@
         }
         waiting.truncate(admitted);
         if !can_fit {
-            if has_accelerators(&step) {
+            if is_reservable {
                 self.reserve(
                     queued,
                     &step,
@@ -259,7 +267,7 @@
                     now,
                 );
             }
-            rooms[service].add_question(part, &claim, waiting.len());
+            self.charge_questions(&mut rooms[service], part, waiting.len(), now);
             return;
         }
         let mut candidates = self.candidates(part, &step, &rooms[service], now);
@@ -281,7 +289,10 @@
             rooms[service].update_max_free(&self.workers);
         }
         let missing = waiting.len() - placed + at_risk;
-        if missing > 0 && can_ask {
+        if missing > 0
+            && can_ask
+            && self.charge_questions(&mut rooms[service], part, missing, now) > 0
+        {
             self.ask(
                 queued,
                 missing,
@@ -290,9 +301,8 @@
                 availability,
                 now,
             );
-            rooms[service].add_question(part, &claim, missing);
         }
-        if placed < waiting.len() && has_accelerators(&step) {
+        if placed < waiting.len() && is_reservable {
             let left = waiting.len() - placed;
             self.reserve(queued, &step, left, &mut rooms[service], availability, now);
         }
@@ -356,7 +366,6 @@
         };
         let queue = self.queue(&job.spec.queue);
         let claim = &job.claims[part.step as usize];
-        let first = part.task(0);
         let end = now + step.estimate;
         let candidate = |at: usize| {
             let worker = &self.workers[at];
@@ -366,7 +375,7 @@
             {
                 return None;
             }
-            let left = spread_allowance(step, worker, &first);
+            let left = spread_allowance(step, worker, part);
             (left > 0).then(|| Candidate {
                 worker: at,
                 left,
--- a/crates/marigoldpick-job/src/worker.rs
+++ b/crates/marigoldpick-job/src/worker.rs
@@ -26,6 +26,9 @@
 /// The quarantine after a worker refused an order as unhealthy.
 const UNHEALTHY_QUARANTINE: Millis = Millis(1_000);
 
+/// A run that is overdue for longer than this is expected to go on for as long as it has been overdue.
+const OVERDUE_GRACE: Millis = Millis(4_000);
+
 /// `Phase` is the progress of a run's orders.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Phase {
@@ -135,6 +138,31 @@
             Phase::Recording | Phase::Stop | Phase::Stopping | Phase::Stopped(_) => false,
         }
     }
+
+    /// Returns when the run is expected to end; `None` for a lasting one that is not being stopped.
+    ///
+    /// Load pattern: a run goes on far past its estimate, so that its end is not expected soon just because it is due.
+    #[must_use]
+    pub fn expected_end(&self, now: Millis) -> Option<Millis> {
+        match self.phase {
+            Phase::Stop | Phase::Stopping | Phase::Stopped(_) => return Some(now),
+            _ if self.lasting => return None,
+            Phase::Recording | Phase::Ordered | Phase::Running | Phase::Unknown(_) => {}
+        }
+        let planned = self.confirmed_at + self.estimate;
+        let overdue = now.since(planned);
+        Some(if overdue > OVERDUE_GRACE {
+            now + overdue
+        } else {
+            planned.max(now)
+        })
+    }
+
+    /// Returns whether the run still holds its claim at `at`, as far as can be expected.
+    #[must_use]
+    pub fn is_expected_at(&self, at: Millis, now: Millis) -> bool {
+        self.expected_end(now).is_none_or(|end| at < end)
+    }
 }
 
 /// `Suspect` is a run that may have crashed its worker.
@@ -463,6 +491,19 @@
         ends.fold(now, Millis::max)
     }
 
+    /// Returns the capacity that is expected to be free at `at` if nothing else starts.
+    ///
+    /// With [`Millis::MAX`] only lasting runs and the room for evacuated tasks are left out.
+    #[must_use]
+    pub fn free_at(&self, at: Millis, now: Millis) -> Amount {
+        let mut free = self.node.capacity.clone();
+        free.subtract(&self.reserved);
+        for run in self.runs.iter().filter(|run| run.is_expected_at(at, now)) {
+            free.subtract(&run.claim);
+        }
+        free
+    }
+
     /// Returns whether orders to the worker may extend its lease.
     #[must_use]
     pub const fn is_renewable(&self) -> bool {
@@ -518,13 +559,20 @@
         Some(run)
     }
 
-    /// Returns the number of runs that belong to the step of `task`.
+    /// Returns the number of runs that belong to a step.
     #[must_use]
-    pub fn count_of_step(&self, task: &Task) -> u32 {
-        let of_step = |run: &&Run| run.task.part == task.part;
+    pub fn count_of_step(&self, part: &Part) -> u32 {
+        let of_step = |run: &&Run| run.task.part == *part;
         self.runs.iter().filter(of_step).count() as u32
     }
 
+    /// Returns the number of runs that belong to a step and are expected to go on at `at`.
+    #[must_use]
+    pub fn count_of_step_at(&self, part: &Part, at: Millis, now: Millis) -> u32 {
+        let remains = |run: &&Run| run.task.part == *part && run.is_expected_at(at, now);
+        self.runs.iter().filter(remains).count() as u32
+    }
+
     /// Returns the runs whose start or stop is to be sent again, `interval` after the last order.
     ///
     /// A worker that is not responsive gets none, and neither does one whose life is over or in question.
--- a/crates/marigoldpick-job/tests/lead/main.rs
+++ b/crates/marigoldpick-job/tests/lead/main.rs
@@ -14,5 +14,6 @@
 mod repetition;
 mod restarts;
 mod teams;
+mod withheld;
 mod work;
 mod world;
