Hold a team's quota only for a gang that can start

Cause: the quota was held for a late gang if an empty quota admits it. What lasting tasks hold never becomes free, so that the gang never started and the hold never ended; resource-withheld named the gang, and no release followed. The same held for gangs that no worker can take and for runs far past their estimate.

Hold the quota only if the ends expected of the team's runs, and the capacity expected on the workers that may run it, show when the gang can start. Work of the team that ends before then starts meanwhile.

--- a/crates/marigoldpick-job/src/lead.rs
+++ b/crates/marigoldpick-job/src/lead.rs
@@ -39,7 +39,7 @@
 use marigoldpick_core::prelude::*;
 use marigoldpick_core::team::Share as TeamShare;
 use marigoldpick_core::work::load::Summary;
-use marigoldpick_core::work::{self, Part, Phase, Task};
+use marigoldpick_core::work::{self, Phase, Task};
 
 use crate::action::Action;
 use crate::askers::{self, Askers};
@@ -131,8 +131,8 @@
     queues: Vec<Queue>,
     quotas: Quotas,
     rates: Rates,
-    /// Gangs for which their teams' quotas are held, found in the last pass.
-    held_gangs: Vec<(id::Team, Part)>,
+    /// The teams' quotas that are held for gangs, found in the last pass; one a team.
+    holds: Vec<quota::Hold>,
     /// What waiting steps kept from others in the last pass.
     holders: withheld::Holders,
     workers: Vec<Worker>,
@@ -218,7 +218,7 @@
             queues: Vec::new(),
             quotas: Quotas::default(),
             rates: Rates::default(),
-            held_gangs: Vec::new(),
+            holds: Vec::new(),
             holders: withheld::Holders::default(),
             workers: Vec::new(),
             has_list: false,
--- a/crates/marigoldpick-job/src/lead/explain.rs
+++ b/crates/marigoldpick-job/src/lead/explain.rs
@@ -151,7 +151,7 @@
     ) -> Answer {
         let part = &queued.part;
         let step = &job.spec.steps[part.step as usize];
-        let held = is_held_back(queued, job.spec.team.as_ref(), &self.held_gangs);
+        let held = is_held_back(queued, job.spec.team.as_ref(), step, &self.holds, now);
         let tasks = (0..step.count).filter(|index| self.may_start(&part.task(*index), now));
         let waiting = tasks.count();
         let admitted = if held {
--- a/crates/marigoldpick-job/src/lead/forecast.rs
+++ b/crates/marigoldpick-job/src/lead/forecast.rs
@@ -8,6 +8,7 @@
 use marigoldpick_core::work::{Part, Step};
 
 use super::Lead;
+use super::advise::count_fitting;
 use super::room::Room;
 use crate::job::Stage;
 use crate::queue::Queue;
@@ -85,4 +86,40 @@
         self.counters.looks += looks;
         charged
     }
+
+    /// Returns when the workers of a room are expected to have capacity for `count` tasks of a step at once; `None` if
+    /// the runs don't show that.
+    pub(super) fn expected_room(
+        &self,
+        part: &Part,
+        room: &Room,
+        count: u32,
+        now: Millis,
+    ) -> Option<Millis> {
+        let job = self.job(&part.job)?;
+        let step = job.step(part)?;
+        let stage = job.stage(part.occurrence, part.step)?;
+        let queue = self.queue(&job.spec.queue)?;
+        let claim = &job.claims[part.step as usize];
+        let workers = room.workers.iter().map(|at| &self.workers[*at]);
+        let allowed: Vec<&Worker> = workers
+            .filter(|worker| is_allowed(queue, step, stage, worker))
+            .collect();
+        let has_room = |at: Millis| {
+            let fitting = allowed.iter().map(|worker| {
+                count_fitting(&worker.free_at(at, now), claim)
+                    .min(spread_allowance_at(step, worker, part, at, now))
+            });
+            fitting.fold(0, u64::saturating_add) >= u64::from(count)
+        };
+        if has_room(now) {
+            return Some(now);
+        }
+        let runs = allowed.iter().flat_map(|worker| &worker.runs);
+        let mut ends: Vec<Millis> = runs.filter_map(|run| run.expected_end(now)).collect();
+        ends.sort_unstable();
+        ends.dedup();
+        let first = ends.partition_point(|end| !has_room(*end));
+        ends.get(first).copied()
+    }
 }
--- a/crates/marigoldpick-job/src/lead/schedule.rs
+++ b/crates/marigoldpick-job/src/lead/schedule.rs
@@ -8,7 +8,7 @@
 use super::Lead;
 use super::advise::{Basis, spread_allowance};
 use super::crash::Exposure;
-use super::quota::is_held_back;
+use super::quota::{Hold, is_held_back};
 use super::reserve::has_accelerators;
 use super::room::Room;
 use super::waiting::WaitingStep;
@@ -99,13 +99,13 @@
         let steps = queued.len();
         queued.sort_by_key(|queued| queued.rank);
         self.quotas.set_unheard(self.unheard(now));
-        let held_gangs = std::mem::take(&mut self.held_gangs);
+        let holds = std::mem::take(&mut self.holds);
         let mut rooms = Room::of(&self.workers, now, |service| self.horizon(service, now));
         self.counters.looks += self.workers.len() as u64;
         let mut availability = Availability::default();
         self.holders.held_back = 0;
         for queued in queued {
-            self.schedule_step(&queued, &held_gangs, &mut rooms, &mut availability, now);
+            self.schedule_step(&queued, &holds, &mut rooms, &mut availability, now);
         }
         self.record_holders(&rooms, now);
         self.pass_interval = next_pass_interval(steps, self.counters.looks - looks);
@@ -186,17 +186,12 @@
     fn schedule_step(
         &mut self,
         queued: &WaitingStep,
-        held_gangs: &[(id::Team, Part)],
+        holds: &[Hold],
         rooms: &mut [Room],
         availability: &mut Availability,
         now: Millis,
     ) {
         let part = &queued.part;
-        let team = self.job(&part.job).and_then(|job| job.spec.team.as_ref());
-        if is_held_back(queued, team, held_gangs) {
-            self.holders.held_back += 1;
-            return;
-        }
         let Some(at) = self.job_index(&part.job) else {
             return;
         };
@@ -208,6 +203,10 @@
         ) else {
             return;
         };
+        if is_held_back(queued, job.spec.team.as_ref(), step, holds, now) {
+            self.holders.held_back += 1;
+            return;
+        }
         let claim = job.claims[part.step as usize].clone();
         let Some(service) = Room::find(rooms, &queue.service) else {
             return;
@@ -251,7 +250,7 @@
             0
         };
         let step = step.clone();
-        self.note_quota(queued, &step, is_over_quota);
+        self.note_quota(queued, &step, is_over_quota, holds, &rooms[service], now);
         if is_over_quota && admitted + at_risk == 0 {
             return;
         }
--- a/crates/marigoldpick-job/src/lead/withheld.rs
+++ b/crates/marigoldpick-job/src/lead/withheld.rs
@@ -76,9 +76,9 @@
     pub(super) fn record_holders(&mut self, rooms: &[Room], now: Millis) {
         self.holders.unasked = rooms.iter().map(Room::unasked).sum();
         self.holders.reserved = rooms.iter().map(Room::count_reserved).sum();
-        let quota = self.held_gangs.iter();
+        let quota = self.holds.iter();
         let mut found: Vec<(Resource, Part)> = quota
-            .map(|(_, part)| (Resource::Quota, part.clone()))
+            .map(|hold| (Resource::Quota, hold.part.clone()))
             .collect();
         for room in rooms {
             let questions = room.question_holder().into_iter();
