Reserve workers only for tasks that can start beside lasting ones

Cause: tasks had to fit a worker's whole capacity, and each run counted as about to end, lasting and overdue ones too. The worker was thus reserved, and expected to be empty at once, in each pass; resource-withheld named the three workers and no release followed.

Reserve only workers that the tasks fit beside lasting runs, by verdict, spread limit and, for a gang, number. Let shorter work start beside runs that are long overdue. Bound the time for which a reservation takes no other work at all, since the step may not start on an empty worker either, for want of a ticket.

--- a/crates/marigoldpick-job/src/lead/advise.rs
+++ b/crates/marigoldpick-job/src/lead/advise.rs
@@ -9,6 +9,7 @@
 use marigoldpick_core::work::{Part, Step};
 
 use super::Lead;
+use super::forecast::tasks_at;
 use super::room::Room;
 use super::waiting::WaitingStep;
 use crate::action::Action;
@@ -23,7 +24,7 @@
 pub(super) enum Basis {
     /// The free capacity.
     Free,
-    /// The total capacity, for tasks that wait for an empty worker.
+    /// The capacity beside lasting tasks, for tasks that wait for an empty worker.
     Capacity,
 }
 
@@ -132,22 +133,26 @@
         let end = now + step.estimate;
         let admitted = room.workers.iter().filter(|at| room.can_start(**at, end));
         for worker in admitted.map(|at| &self.workers[*at]) {
-            let capacity = match basis {
-                Basis::Free => worker.free(),
-                Basis::Capacity => &worker.node.capacity,
-            };
-            let fitting = count_fitting(capacity, claim);
-            if fitting == 0 || !worker.has_label_for(step) {
+            if !worker.has_label_for(step) {
                 continue;
             }
-            let fitting = fitting.min(spread_allowance(step, worker, part));
+            let fitting = match basis {
+                Basis::Free => {
+                    count_fitting(worker.free(), claim).min(spread_allowance(step, worker, part))
+                }
+                Basis::Capacity => tasks_at(step, claim, part, worker, Millis::MAX, now),
+            };
             if fitting == 0 {
                 continue;
             }
             match stage.tickets.find(&worker.node.id) {
                 Some(verdict) if verdict.ticket.is_some() => {
                     good_capacity = good_capacity.saturating_add(fitting);
-                    if now >= verdict.expires {
+                    let can_use = || {
+                        basis == Basis::Free
+                            || tasks_at(step, claim, part, worker, room.horizon(), now) > 0
+                    };
+                    if now >= verdict.expires && can_use() {
                         good.push((fitting, &worker.node.id));
                     }
                 }
--- a/crates/marigoldpick-job/src/lead/forecast.rs
+++ b/crates/marigoldpick-job/src/lead/forecast.rs
@@ -18,7 +18,7 @@
 const DEFAULT_HORIZON: Millis = Millis(2_500);
 
 /// Returns whether a worker may run tasks of a step, as far as is known.
-fn is_allowed(queue: &Queue, step: &Step, stage: &Stage, worker: &Worker) -> bool {
+pub(super) fn is_allowed(queue: &Queue, step: &Step, stage: &Stage, worker: &Worker) -> bool {
     let verdict = stage.tickets.find(&worker.node.id);
     let is_refused = verdict.is_some_and(|verdict| verdict.ticket.is_none());
     worker.has_label_for(step) && !(queue.policy.is_some() && is_refused)
@@ -31,6 +31,19 @@
     })
 }
 
+/// Returns how many tasks of a step a worker is expected to be able to take at `at`, if nothing else starts there.
+pub(super) fn tasks_at(
+    step: &Step,
+    claim: &Amount,
+    part: &Part,
+    worker: &Worker,
+    at: Millis,
+    now: Millis,
+) -> u64 {
+    count_fitting(&worker.free_at(at, now), claim)
+        .min(spread_allowance_at(step, worker, part, at, now))
+}
+
 impl Lead {
     /// Returns the time until which tickets that are asked for now are valid, the longest one of a service's queues.
     pub(super) fn horizon(&self, service: &Name, now: Millis) -> Millis {
@@ -106,11 +119,10 @@
             .filter(|worker| is_allowed(queue, step, stage, worker))
             .collect();
         let has_room = |at: Millis| {
-            let fitting = allowed.iter().map(|worker| {
-                count_fitting(&worker.free_at(at, now), claim)
-                    .min(spread_allowance_at(step, worker, part, at, now))
-            });
-            fitting.fold(0, u64::saturating_add) >= u64::from(count)
+            let tasks = allowed
+                .iter()
+                .map(|worker| tasks_at(step, claim, part, worker, at, now));
+            tasks.fold(0, u64::saturating_add) >= u64::from(count)
         };
         if has_room(now) {
             return Some(now);
--- a/crates/marigoldpick-job/src/lead/reserve.rs
+++ b/crates/marigoldpick-job/src/lead/reserve.rs
@@ -5,17 +5,40 @@
 //! empty. The lead therefore reserves workers that the adviser allows and that have the fewest
 //! accelerators in use, up to a share of the service, and keeps their tickets valid. A task may
 //! still start on a reserved worker if it ends before the worker is expected to be empty.
+//!
+//! Load pattern: lasting tasks run on the workers, or runs that go on far past their estimates. Only workers that can
+//! take the tasks beside their lasting runs are reserved. A reserved worker takes no other work at all for
+//! [`BLOCK_LIMIT`](crate::worker::BLOCK_LIMIT) at most, and then it is not reserved for as long.
 
 use marigoldpick_core::prelude::*;
-use marigoldpick_core::work::Step;
+use marigoldpick_core::work::{Part, Step};
 
 use super::Lead;
-use super::advise::{Basis, count_fitting};
+use super::advise::Basis;
+use super::forecast::{is_allowed, tasks_at};
 use super::room::Room;
 use super::waiting::WaitingStep;
 use crate::askers::Availability;
 use crate::worker::Worker;
 
+/// Workers that are expected to be empty within the same multiple of this time count as equally soon.
+const DELAY_CLASS: Millis = Millis(4_000);
+
+/// `Reservable` is a worker that can be reserved for tasks of a step; the least is best.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+struct Reservable {
+    /// The class of the time until it is expected to be empty.
+    delay: u64,
+    /// The number of accelerators in use.
+    in_use: u64,
+    /// The number of tasks that it can take when it is empty.
+    tasks: u64,
+    /// The position of the worker.
+    at: usize,
+    /// When it is expected to be empty, but for lasting tasks.
+    empty: Millis,
+}
+
 /// Returns whether a step needs accelerators, which small tasks fragment.
 pub(super) fn has_accelerators(step: &Step) -> bool {
     !step.needs.accelerators.is_empty()
@@ -42,49 +65,86 @@
             return;
         }
         let part = &queued.part;
-        self.ask(queued, missing, room, Basis::Capacity, availability, now);
-        let Some(job) = self.job(&part.job) else {
-            return;
-        };
-        let Some(stage) = job.stage(part.occurrence, part.step) else {
+        let mut possible = self.reservable(part, room, now);
+        let total = possible.iter().map(|worker| worker.tasks);
+        let total = total.fold(0, u64::saturating_add);
+        if total == 0 || (step.gang && total < missing as u64) {
             return;
-        };
-        let claim = &job.claims[part.step as usize];
-        let queue = self.queue(&job.spec.queue);
-        let is_advised = queue.is_some_and(|queue| queue.policy.is_some());
-        let is_good = |worker: &Worker| {
-            let verdict = stage.tickets.find(&worker.node.id);
-            !is_advised || verdict.is_some_and(|verdict| verdict.ticket.is_some())
-        };
-        let mut good: Vec<(u64, u64, usize)> = room
-            .workers
-            .iter()
-            .map(|at| (*at, &self.workers[*at]))
-            .filter(|(at, worker)| {
-                worker.has_label_for(step) && is_good(worker) && room.can_start(*at, Millis::MAX)
-            })
-            .map(|(at, worker)| {
-                let whole = count_fitting(&worker.node.capacity, claim);
-                (accelerators_in(worker.used()), whole, at)
-            })
-            .filter(|(_, whole, _)| *whole > 0)
-            .collect();
-        good.sort_unstable();
+        }
+        self.ask(queued, missing, room, Basis::Capacity, availability, now);
+        possible.retain(|worker| self.is_known_good(part, &self.workers[worker.at]));
+        possible.sort_unstable();
         let mut left = missing as u64;
-        let mut reserved = Vec::new();
-        for (_, whole, at) in good {
-            if left == 0 || !room.can_reserve(reserved.len()) {
+        let mut chosen = Vec::new();
+        for worker in possible {
+            if left == 0 || !room.can_reserve(chosen.len()) {
                 break;
             }
-            left = left.saturating_sub(whole);
-            reserved.push((at, self.workers[at].expected_idle(now)));
+            left = left.saturating_sub(worker.tasks);
+            chosen.push((worker.at, worker.empty));
         }
         if step.gang && left > 0 {
             // A gang starts as a whole, so a reservation for part of it is of no use.
             return;
         }
-        for (at, empty) in reserved {
-            room.reserve(at, part, empty);
+        if step.gang {
+            let last = chosen.iter().map(|(_, empty)| *empty).max();
+            chosen
+                .iter_mut()
+                .for_each(|(_, empty)| *empty = last.unwrap_or(now));
         }
+        for (at, empty) in chosen {
+            if now < empty || self.workers[at].block(now) {
+                room.reserve(at, part, empty);
+            }
+        }
+    }
+
+    /// Returns the workers of a room that can take tasks of a step once the runs there that are expected to end have
+    /// ended.
+    fn reservable(&self, part: &Part, room: &Room, now: Millis) -> Vec<Reservable> {
+        let Some(job) = self.job(&part.job) else {
+            return Vec::new();
+        };
+        let (Some(step), Some(stage), Some(queue)) = (
+            job.step(part),
+            job.stage(part.occurrence, part.step),
+            self.queue(&job.spec.queue),
+        ) else {
+            return Vec::new();
+        };
+        let claim = &job.claims[part.step as usize];
+        let reservable = |at: usize| {
+            let worker = &self.workers[at];
+            if !worker.is_reservable(now)
+                || !is_allowed(queue, step, stage, worker)
+                || !room.can_start(at, Millis::MAX)
+            {
+                return None;
+            }
+            let tasks = tasks_at(step, claim, part, worker, Millis::MAX, now);
+            let empty = worker.expected_idle(now);
+            (tasks > 0).then(|| Reservable {
+                delay: empty.since(now).0 / DELAY_CLASS.0,
+                in_use: accelerators_in(worker.used()),
+                tasks,
+                at,
+                empty,
+            })
+        };
+        let positions = room.workers.iter();
+        positions.filter_map(|at| reservable(*at)).collect()
+    }
+
+    /// Returns whether a worker is known to be allowed to run a step.
+    fn is_known_good(&self, part: &Part, worker: &Worker) -> bool {
+        let Some(job) = self.job(&part.job) else {
+            return false;
+        };
+        let queue = self.queue(&job.spec.queue);
+        let stage = job.stage(part.occurrence, part.step);
+        let verdict = stage.and_then(|stage| stage.tickets.find(&worker.node.id));
+        queue.is_some_and(|queue| queue.policy.is_none())
+            || verdict.is_some_and(|verdict| verdict.ticket.is_some())
     }
 }
--- a/crates/marigoldpick-job/src/worker.rs
+++ b/crates/marigoldpick-job/src/worker.rs
@@ -29,6 +29,12 @@
 /// A run that is overdue for longer than this is expected to go on for as long as it has been overdue.
 const OVERDUE_GRACE: Millis = Millis(4_000);
 
+/// The longest time for which a reservation may keep all other work from a worker, and the time for which the worker is
+/// not reserved after that. It exceeds [`OVERDUE_GRACE`] by the time of a question.
+pub const BLOCK_LIMIT: Millis = Millis(6_000);
+/// A block that was not seen for this time has ended.
+const BLOCK_GAP: Millis = Millis(1_000);
+
 /// `Phase` is the progress of a run's orders.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Phase {
@@ -185,6 +191,15 @@
     pub first_order: u64,
 }
 
+/// `Block` is how long reservations have kept all other work from a worker.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+struct Block {
+    /// When the present block began, and when it was last seen.
+    last: Option<(Millis, Millis)>,
+    /// The time until which the worker is not reserved.
+    excluded_until: Millis,
+}
+
 /// `Worker` is the lead's state of one worker.
 #[derive(Clone, Debug)]
 pub struct Worker {
@@ -262,6 +277,8 @@
     trials: usize,
     /// The run times of its tasks relative to their estimates.
     pub(crate) slowdown: DecayingMean,
+    /// How long reservations have kept all other work from the worker.
+    block: Block,
     /// The number of consecutive task failures.
     failures: u32,
     /// The time until which the worker gets no work.
@@ -308,6 +325,7 @@
             known_since: now,
             trials: 0,
             slowdown: DecayingMean::default(),
+            block: Block::default(),
             failures: 0,
             quarantined_until: Millis::ZERO,
         }
@@ -484,13 +502,40 @@
             && self.lease.has_report()
     }
 
-    /// Returns when all its runs will have ended, by their estimates.
+    /// Returns when all its runs that are expected to end will have ended.
     #[must_use]
     pub fn expected_idle(&self, now: Millis) -> Millis {
-        let ends = self.runs.iter().map(|run| run.confirmed_at + run.estimate);
+        let ends = self.runs.iter().filter_map(|run| run.expected_end(now));
         ends.fold(now, Millis::max)
     }
 
+    /// Returns whether the worker may be reserved.
+    #[must_use]
+    pub fn is_reservable(&self, now: Millis) -> bool {
+        self.block.excluded_until <= now
+    }
+
+    /// Records that a reservation keeps all other work from the worker; returns false once that has lasted too long.
+    ///
+    /// Load pattern: the worker is empty, and the step that it is reserved for does not start, since the adviser gives no
+    /// ticket.
+    pub fn block(&mut self, now: Millis) -> bool {
+        let since = match self.block.last {
+            Some((since, seen)) if now.since(seen) < BLOCK_GAP => since,
+            _ => now,
+        };
+        if now.since(since) < BLOCK_LIMIT {
+            self.block.last = Some((since, now));
+            true
+        } else {
+            self.block = Block {
+                last: None,
+                excluded_until: now + BLOCK_LIMIT,
+            };
+            false
+        }
+    }
+
     /// Returns the capacity that is expected to be free at `at` if nothing else starts.
     ///
     /// With [`Millis::MAX`] only lasting runs and the room for evacuated tasks are left out.
@@ -542,6 +587,7 @@
             return false;
         };
         self.used.add(&run.claim);
+        self.block.last = None;
         self.has_stops |= run.phase == Phase::Stop;
         self.trials += usize::from(run.on_trial);
         self.runs.insert(at, run);
--- a/crates/marigoldpick-job/tests/lead/withheld.rs
+++ b/crates/marigoldpick-job/tests/lead/withheld.rs
@@ -1,11 +1,15 @@
 //! Tests that work which can't start keeps nothing from other work.
 
+use std::sync::Arc;
+
 use googletest::prelude::*;
 use marigoldpick_core::prelude::*;
 use marigoldpick_core::work::{Job, Phase, Step};
 
 use crate::world::{World, advised, job, job_of, name, queue, step};
 
+/// The processors of a worker, in thousandths of a core.
+const WORKER: u64 = 64_000;
 /// The workers of a world.
 const WORKERS: usize = 6;
 
@@ -34,6 +38,37 @@
     }
 }
 
+/// The payload of jobs whose tasks run for 100 s, whatever their estimate.
+const RUNS_LONG: &str = "runs long";
+
+/// Returns the job with tasks that run far past their estimate.
+fn past_estimate(job: Job) -> Job {
+    Job {
+        payload: RUNS_LONG.to_owned(),
+        ..job
+    }
+}
+
+/// Submits a job.
+fn submit(world: &mut World, number: u32, job: Job) -> id::Job {
+    let id = world.submit(number, job);
+    let known = &world.pool.jobs[&id];
+    if known.payload == RUNS_LONG {
+        let mut truth = Job::clone(known);
+        truth.steps[0].estimate = Millis(100_000);
+        world.pool.jobs.insert(id.clone(), Arc::new(truth));
+    }
+    id
+}
+
+/// Returns a step whose tasks need accelerators.
+fn accelerated(count: u32, accelerators: u32, estimate: u64) -> Step {
+    Step {
+        needs: Amount::new(1_000, 1_000).with(name("gpu"), accelerators),
+        ..step(count, 1_000, estimate)
+    }
+}
+
 /// Returns a world with an adviser for both queues.
 fn advised_world() -> World {
     let mut world = World::new(WORKERS);
@@ -50,7 +85,7 @@
 /// have completed two seconds after the last one.
 fn count_completed(world: &mut World, ahead: Vec<Job>, small: &Job) -> usize {
     for (number, job) in (10..).zip(ahead) {
-        world.submit(number, job);
+        submit(world, number, job);
         world.run(500);
     }
     world.run(3_000);
@@ -158,33 +193,20 @@
 #[googletest::test]
 fn gang_that_can_not_start_holds_no_quota() {
     let two_lasting = || job_of("a", vec![lasting(step(2, 4_000, 500))]);
-    // These fill the memory of their workers, so that no other task runs slowly.
-    let slow_run = || {
-        let needs = Amount::new(4_000, 128_000);
-        job_of(
-            "a",
-            vec![Step {
-                needs,
-                ..step(2, 4_000, 500)
-            }],
-        )
-    };
+    let slow_run = || past_estimate(job_of("a", vec![step(2, 4_000, 500)]));
     let long_run = || job_of("a", vec![step(2, 4_000, 100_000)]);
     let gang_of = |step: Step| job_of("a", vec![gang(step)]);
     let cases = [
         (
             "beside lasting tasks of its team",
-            1,
             vec![two_lasting(), gang_of(step(4, 4_000, 1_000))],
         ),
         (
             "wider than its spread",
-            1,
             vec![long_run(), gang_of(spread(step(10, 2_000, 1_000), 1))],
         ),
         (
             "for a label that no worker has",
-            1,
             vec![
                 long_run(),
                 gang_of(Step {
@@ -195,7 +217,6 @@
         ),
         (
             "too large beside lasting tasks of others",
-            1,
             vec![
                 job(vec![spread(lasting(step(6, 60_000, 500)), 1)]),
                 long_run(),
@@ -204,26 +225,18 @@
         ),
         (
             "beside runs that are far past their estimate",
-            200,
             vec![slow_run(), gang_of(step(4, 4_000, 1_000))],
         ),
         (
             "until long runs have ended",
-            1,
             vec![long_run(), gang_of(step(4, 4_000, 1_000))],
         ),
     ];
-    for (case, slowness, ahead) in cases {
+    for (case, ahead) in cases {
         let mut world = World::new(WORKERS);
-        for worker in &mut world.pool.workers[..2] {
-            worker.slowness = slowness;
-        }
         world.set_team("a", 1_000.0, 20);
-        let mut ahead = ahead.into_iter();
-        world.submit(1, ahead.next().expect("a job"));
-        world.run(300);
         let small = job_of("a", vec![step(1, 500, 300)]);
-        let completed = count_completed(&mut world, ahead.collect(), &small);
+        let completed = count_completed(&mut world, ahead, &small);
         expect_that!(completed, ge(9), "{case}");
     }
 }
@@ -254,3 +267,101 @@
     expect_that!(short, ge(100));
     expect_that!(world.pool.broken, is_empty());
 }
+
+/// Returns a world whose workers have eight accelerators each.
+fn accelerated_world() -> World {
+    let mut world = World::new(3);
+    for worker in &mut world.pool.workers {
+        worker.node.capacity = Amount::new(WORKER, 128_000).with(name("gpu"), 8);
+    }
+    world.take_over();
+    world.run(300);
+    world
+}
+
+/// Guards against LOST (incident 0015): workers are reserved for tasks that can't start there.
+#[googletest::test]
+fn workers_are_not_reserved_for_work_that_can_not_start() {
+    let one_each = |estimate: u64| spread(accelerated(3, 1, estimate), 1);
+    let whole = |count: u32| accelerated(count, 8, 1_000);
+    let cases = [
+        (
+            "whole workers with lasting tasks",
+            vec![job(vec![lasting(one_each(500))]), job(vec![whole(3)])],
+        ),
+        (
+            "lasting tasks beyond their spread",
+            vec![job(vec![lasting(Step {
+                count: 9,
+                ..one_each(500)
+            })])],
+        ),
+        (
+            "whole workers with runs far past their estimate",
+            vec![past_estimate(job(vec![one_each(500)])), job(vec![whole(3)])],
+        ),
+        (
+            "whole workers with long runs",
+            vec![job(vec![one_each(100_000)]), job(vec![whole(3)])],
+        ),
+        (
+            "a gang of more workers than can become empty",
+            vec![
+                job(vec![lasting(Step {
+                    count: 2,
+                    ..one_each(500)
+                })]),
+                job(vec![gang(whole(2))]),
+            ],
+        ),
+        (
+            "a gang of which one worker will be empty late",
+            vec![
+                job(vec![Step {
+                    count: 2,
+                    ..one_each(100_000)
+                }]),
+                job(vec![gang(whole(2))]),
+            ],
+        ),
+    ];
+    for (case, ahead) in cases {
+        let mut world = accelerated_world();
+        let small = of_queue("slow", job(vec![accelerated(1, 1, 300)]));
+        let completed = count_completed(&mut world, ahead, &small);
+        expect_that!(completed, ge(8), "{case}");
+    }
+}
+
+/// A worker that is empty and whose step doesn't start, here since the adviser is silent, is not reserved for good.
+#[googletest::test]
+fn reservation_of_an_empty_worker_ends_when_nothing_starts() {
+    let mut world = accelerated_world();
+    world.queues = vec![advised(queue("fast", 0), 24.0, 0.34), queue("slow", 2)];
+    world.lead.set_queues(&world.queues);
+    world.adviser.good_percent = 100;
+    world.submit(1, of_queue("slow", job(vec![accelerated(20, 1, 4_000)])));
+    world.run(100);
+    world.submit(2, job(vec![accelerated(3, 8, 1_000)]));
+    world.run(400);
+    world.lead.set_askers(&[]);
+    world.run(5_000);
+    let id = world.submit(3, of_queue("slow", job(vec![accelerated(12, 1, 300)])));
+    world.run(10_000);
+    expect_that!(world.phase(&id), some(eq(Phase::Completed)));
+}
+
+/// What is withheld is published, and let go once the holder has started.
+#[googletest::test]
+fn withheld_counts_reserved_workers_until_the_step_starts() {
+    let mut world = accelerated_world();
+    world.submit(1, job(vec![accelerated(20, 1, 2_000)]));
+    world.run(100);
+    let id = world.submit(2, job(vec![accelerated(2, 8, 500)]));
+    world.run(500);
+    let resource = marigoldpick_job::lead::withheld::Resource::Workers;
+    expect_that!(world.lead.withheld(resource), eq(2));
+    world.run(3_000);
+    expect_that!(world.phase(&id), some(eq(Phase::Completed)));
+    expect_that!(world.lead.withheld(resource), eq(0));
+}
