Bound what a wide step costs in a pass

A job of 64 steps of 10,000 tasks that no worker can take makes each pass list 640,000 tasks: 44 ms on a whole core, 450 ms with five such jobs. One with candidates puts the next pass off by seconds, since all its tasks times all candidates counted as compared, although placement stops at the first task that does not fit. Other jobs do not start meanwhile.

Count first how many tasks the workers can take, and list no more. Count what was compared. Limit the comparisons for one step in a pass.

--- a/crates/marigoldpick-job/src/lead/forecast.rs
+++ b/crates/marigoldpick-job/src/lead/forecast.rs
@@ -44,6 +44,18 @@
         .min(spread_allowance_at(step, worker, part, at, now))
 }
 
+/// Adds up numbers of tasks until there are `most`.
+fn add_up(most: usize, tasks: impl Iterator<Item = u64>) -> usize {
+    let mut left = most as u64;
+    for tasks in tasks {
+        left = left.saturating_sub(tasks);
+        if left == 0 {
+            return most;
+        }
+    }
+    most - usize::try_from(left).unwrap_or(most)
+}
+
 impl Lead {
     /// Returns the time until which tickets that are asked for now are valid, the longest one of a service's queues.
     pub(super) fn horizon(&self, service: &Name, now: Millis) -> Millis {
@@ -53,6 +65,51 @@
         now + valid.unwrap_or(DEFAULT_HORIZON)
     }
 
+    /// Returns how many of `most` tasks of a step the workers of a room can take now, or are expected to by the room's
+    /// horizon.
+    ///
+    /// Load pattern: a step of 10,000 tasks waits for a label or beyond its spread limit. None of its tasks is looked at.
+    pub(super) fn count_usable(
+        &self,
+        part: &Part,
+        room: &mut Room,
+        most: usize,
+        now: Millis,
+    ) -> usize {
+        let Some(job) = self.job(&part.job) else {
+            return 0;
+        };
+        let (Some(step), Some(stage), Some(queue)) = (
+            job.step(part),
+            job.stage(part.occurrence, part.step),
+            self.queue(&job.spec.queue),
+        ) else {
+            return 0;
+        };
+        let claim = &job.claims[part.step as usize];
+        let allowance = |worker: &Worker, at: Millis| {
+            if is_allowed(queue, step, stage, worker) {
+                spread_allowance_at(step, worker, part, at, now)
+            } else {
+                0
+            }
+        };
+        let mut usable = 0;
+        if room.can_fit(claim) {
+            let workers = room.workers.iter().map(|at| &self.workers[*at]);
+            let fitting = workers.map(|worker| (count_fitting(worker.free(), claim), worker));
+            let tasks = fitting.filter(|(fitting, _)| *fitting > 0);
+            usable = add_up(most, tasks.map(|(n, worker)| n.min(allowance(worker, now))));
+        }
+        if usable < most && room.can_fit_soon(&self.workers, claim, now) {
+            let at = room.horizon();
+            let fitting = room.fitting_soon(claim);
+            let tasks = fitting.map(|(n, position)| n.min(allowance(&self.workers[position], at)));
+            usable = usable.max(add_up(most, tasks));
+        }
+        usable
+    }
+
     /// Charges the question budget of a service for `most` waiting tasks of a step.
     ///
     /// Only tasks that can use capacity are charged: capacity that is free or expected to be free within the room's
--- a/crates/marigoldpick-job/src/lead/room.rs
+++ b/crates/marigoldpick-job/src/lead/room.rs
@@ -202,6 +202,21 @@
         outlook.can_fit(claim)
     }
 
+    /// Returns the workers that are expected to have capacity for a claim by the horizon, as numbers of claims and
+    /// positions.
+    pub(super) fn fitting_soon(&self, claim: &Amount) -> impl Iterator<Item = (u64, usize)> {
+        let free = self.outlook.iter().flat_map(|outlook| &outlook.free);
+        let fitting = free.map(|free| count_fitting(free, claim));
+        let workers = fitting.zip(self.workers.iter().copied());
+        workers.filter(|(fitting, _)| *fitting > 0)
+    }
+
+    /// Returns the number of workers whose runs were examined for a forecast.
+    pub(super) fn count_forecasts(rooms: &[Self]) -> u64 {
+        let outlooks = rooms.iter().filter_map(|room| room.outlook.as_ref());
+        outlooks.map(|outlook| outlook.free.len() as u64).sum()
+    }
+
     /// Distributes at most `most` tasks that end at `end` over the uncharged capacity of the workers.
     ///
     /// `allowance` returns how many tasks the worker at a position may run. Returns the numbers of tasks with the
--- a/crates/marigoldpick-job/src/lead/schedule.rs
+++ b/crates/marigoldpick-job/src/lead/schedule.rs
@@ -34,6 +34,20 @@
 /// Passes take at most this fraction of the time: one part in five.
 const PASS_TIME_DIVISOR: u64 = 5;
 
+/// The most comparisons of tasks with candidates for one step in a pass: 20 ms on an entry with half a core.
+const MAX_STEP_LOOKS: usize = 40_000;
+
+/// Returns how many tasks of a step are placed in one pass at most.
+///
+/// Load pattern: a step of 10,000 small tasks, which all fit. Other steps must not wait until all of them are placed.
+fn placement_limit(step: &Step, candidates: usize) -> usize {
+    if step.gang {
+        step.count as usize
+    } else {
+        (MAX_STEP_LOOKS / candidates.max(1)).max(1)
+    }
+}
+
 /// Returns the least time until the next pass, from the cost of the last one.
 ///
 /// Load pattern: a backlog makes each pass longer. The interval grows with the cost of a pass, so
@@ -108,7 +122,8 @@
             self.schedule_step(&queued, &holds, &mut rooms, &mut availability, now);
         }
         self.record_holders(&rooms, now);
-        self.pass_interval = next_pass_interval(steps, self.counters.looks - looks);
+        let looks = self.counters.looks - looks + Room::count_forecasts(&rooms);
+        self.pass_interval = next_pass_interval(steps, looks);
     }
 
     /// Returns the waiting steps.
@@ -220,28 +235,15 @@
         if !can_fit && !can_ask {
             return;
         }
-        let is_reservable = has_accelerators(step);
-        if !can_fit
-            && !is_reservable
-            && !step.gang
-            && !rooms[service].can_fit_soon(&self.workers, &claim, now)
+        // Stops of earlier members must complete before a gang can start again.
+        if step.gang
+            && (stage.count_unplaced() < stage.count() || !self.may_start(&part.task(0), now))
         {
             return;
         }
-        let mut waiting: Vec<u32> = stage
-            .tasks()
-            .filter(|(_, task)| {
-                task.is_unplaced() || (step.copies && self.is_on_unresponsive_worker(task))
-            })
-            .map(|(index, _)| index)
-            .filter(|index| self.may_start(&part.task(*index), now))
-            .collect();
-        if step.gang && waiting.len() != stage.count() as usize {
-            // Stops of earlier members must complete before the gang can start again.
-            return;
-        }
-        let admitted = self.admitted_tasks(job, step, waiting.len());
-        let is_over_quota = admitted < waiting.len();
+        let wanted = self.count_wanted(step, stage);
+        let admitted = self.admitted_tasks(job, step, wanted);
+        let is_over_quota = admitted < wanted;
         // The adviser is asked in advance about lasting tasks on unresponsive, draining or departed
         // workers, so that they can start elsewhere as soon as their runs have ended.
         let at_risk = if step.lasting {
@@ -254,40 +256,50 @@
         if is_over_quota && admitted + at_risk == 0 {
             return;
         }
-        waiting.truncate(admitted);
-        if !can_fit {
+        // Copies and evacuations need a worker although no task waits.
+        let most = (admitted + at_risk).max(1);
+        let usable = self.count_usable(part, &mut rooms[service], most, now);
+        let can_use = if step.gang {
+            usable >= admitted
+        } else {
+            usable > 0
+        };
+        let is_reservable = has_accelerators(&step);
+        if !can_fit || !can_use {
             if is_reservable {
-                self.reserve(
-                    queued,
-                    &step,
-                    waiting.len(),
-                    &mut rooms[service],
-                    availability,
-                    now,
-                );
+                let room = &mut rooms[service];
+                self.reserve(queued, &step, admitted, room, availability, now);
+            }
+            if can_use {
+                self.charge_questions(&mut rooms[service], part, admitted, now);
             }
-            self.charge_questions(&mut rooms[service], part, waiting.len(), now);
             return;
         }
         let mut candidates = self.candidates(part, &step, &rooms[service], now);
-        self.counters.looks += (candidates.len() * waiting.len()) as u64;
+        let limit = placement_limit(&step, candidates.len()).min(admitted);
+        let waiting = self.waiting_tasks(part, &step, limit.min(usable), now);
         let placed = if step.gang {
             self.place_gang(part, &step, &waiting, &candidates, now)
         } else {
             self.place_each(part, &step, &waiting, &mut candidates, now)
         };
-        let copies = if placed == waiting.len() && !is_over_quota {
-            self.place_copies(part, &step, &mut candidates, now)
+        let tried = waiting.len().min(placed + 1);
+        self.counters.looks += (candidates.len() * tried) as u64;
+        let copies = if placed == wanted {
+            let copies = self.place_copies(part, &step, &mut candidates, now);
+            self.evacuate(part, &step, &mut candidates, now);
+            copies
         } else {
             0
         };
-        if placed == waiting.len() && !is_over_quota {
-            self.evacuate(part, &step, &mut candidates, now);
-        }
         if placed + copies > 0 {
             rooms[service].update_max_free(&self.workers);
         }
-        let missing = waiting.len() - placed + at_risk;
+        if placed == limit && limit < admitted {
+            // The next pass goes on with the step.
+            return;
+        }
+        let missing = admitted - placed + at_risk;
         if missing > 0
             && can_ask
             && self.charge_questions(&mut rooms[service], part, missing, now) > 0
@@ -301,12 +313,48 @@
                 now,
             );
         }
-        if placed < waiting.len() && is_reservable {
-            let left = waiting.len() - placed;
+        if placed < admitted && is_reservable {
+            let left = admitted - placed;
             self.reserve(queued, &step, left, &mut rooms[service], availability, now);
         }
     }
 
+    /// Returns the number of tasks of a step that wait, whether they may start now or not.
+    ///
+    /// With copies, a task whose only run is on an unresponsive worker waits as well.
+    fn count_wanted(&self, step: &Step, stage: &Stage) -> usize {
+        let unplaced = stage.count_unplaced() as usize;
+        if !step.copies {
+            return unplaced;
+        }
+        let touched = stage.touched();
+        unplaced
+            + touched
+                .filter(|(_, task)| self.is_on_unresponsive_worker(task))
+                .count()
+    }
+
+    /// Returns at most `limit` waiting tasks of a step that may start now; all tasks of a gang.
+    fn waiting_tasks(&self, part: &Part, step: &Step, limit: usize, now: Millis) -> Vec<u32> {
+        let stage = self.job(&part.job);
+        let Some(stage) = stage.and_then(|job| job.stage(part.occurrence, part.step)) else {
+            return Vec::new();
+        };
+        if step.gang {
+            return (0..stage.count()).collect();
+        }
+        let is_waiting = |task: &Task| {
+            task.is_unplaced() || (step.copies && self.is_on_unresponsive_worker(task))
+        };
+        stage
+            .tasks()
+            .filter(|(_, task)| is_waiting(task))
+            .map(|(index, _)| index)
+            .filter(|index| self.may_start(&part.task(*index), now))
+            .take(limit)
+            .collect()
+    }
+
     /// Returns whether an unfinished task of the stage has its only run on an unresponsive worker.
     fn has_task_on_unresponsive_worker(&self, stage: &Stage) -> bool {
         stage.unfinished > 0
--- a/crates/marigoldpick-job/tests/lead/withheld.rs
+++ b/crates/marigoldpick-job/tests/lead/withheld.rs
@@ -1,6 +1,7 @@
 //! Tests that work which can't start keeps nothing from other work.
 
 use std::sync::Arc;
+use std::time::{Duration, Instant};
 
 use googletest::prelude::*;
 use marigoldpick_core::prelude::*;
@@ -365,3 +366,40 @@
     expect_that!(world.phase(&id), some(eq(Phase::Completed)));
     expect_that!(world.lead.withheld(resource), eq(0));
 }
+
+/// Guards against LOST (incident 0016): passes over wide steps that can't start take all of the lead's time.
+#[googletest::test]
+fn wide_steps_that_can_not_start_take_no_time() {
+    let mut world = World::new(WORKERS);
+    let wide = Step {
+        label: Some(name("gone")),
+        ..step(10_000, 20, 60_000)
+    };
+    for number in 0..5 {
+        world.submit(number, job(vec![wide.clone(); 64]));
+    }
+    let begin = Instant::now();
+    world.run(1_000);
+    expect_that!(begin.elapsed(), le(Duration::from_secs(5)));
+}
+
+/// Guards against LOST (incident 0016): the tasks of a wide step put off the next pass.
+#[googletest::test]
+fn wide_step_does_not_delay_other_work() {
+    let cases = [
+        (
+            "beyond its spread limit",
+            spread(step(10_000, 20, 60_000), 1),
+        ),
+        ("with room for all tasks", step(10_000, 20, 60_000)),
+    ];
+    for (case, wide) in cases {
+        let mut world = World::new(48);
+        world.run(300);
+        world.submit(1, of_queue("slow", job(vec![wide; 4])));
+        world.run(100);
+        let urgent = world.submit(2, job(vec![step(1, 500, 300)]));
+        world.run(1_000);
+        expect_that!(world.phase(&urgent), some(eq(Phase::Completed)), "{case}");
+    }
+}
