Judge a stall by the pace that a task is expected to have

A task of 600 s, or one that takes that long with an estimate of 500 ms, was started on another worker every 2.7 s and never completed, and each worker that it left took no work for three seconds.

Cause: the same percentage for 1.5 s counted as a stall, while a task of 600 s progresses by one percent in six seconds.

Take three times the time of one percent by the estimate and by the pace so far, if that is longer, and double it from the second stall of a task on.

Before: tasks_of_minutes_are_not_moved_for_good failed in both forms, with 33 starts in 90 s. After: it passes, as do the tests of stalls.

--- a/crates/marigoldpick-job/src/job/stage.rs
+++ b/crates/marigoldpick-job/src/job/stage.rs
@@ -41,6 +41,8 @@
     pub possible_crashes: Vec<Place>,
     /// Whether the task is given up because of its crashes.
     pub is_given_up: bool,
+    /// The number of runs that were stopped since they stalled.
+    pub stalls: u32,
 }
 
 /// A task of which nothing is known but that it has not finished.
@@ -60,6 +62,7 @@
             unconfirmed: Vec::new(),
             possible_crashes: Vec::new(),
             is_given_up: false,
+            stalls: 0,
         }
     }
 
@@ -95,7 +98,8 @@
             || !self.possible_crashes.is_empty()
             || !self.checkpoint.is_empty()
             || !self.avoid.is_empty()
-            || self.is_given_up;
+            || self.is_given_up
+            || self.stalls > 0;
         self.done || !has_history
     }
 }
--- a/crates/marigoldpick-job/src/lead/report.rs
+++ b/crates/marigoldpick-job/src/lead/report.rs
@@ -7,8 +7,28 @@
 use super::Lead;
 use crate::worker::{Phase, Run, Worker};
 
-/// A running task without progress for this time is stalled.
+/// A running task without progress for this time is stalled, unless its progress is known to be slow.
 const STALL_TIMEOUT: Millis = Millis(1_500);
+/// A task stalls only after this multiple of the time in which it is expected to progress by one percent.
+const STALL_FACTOR: u64 = 3;
+/// The number of stalls that leave the timeout of a task as it is; each further one doubles it.
+const UNCOUNTED_STALLS: u32 = 1;
+/// The most doublings of the timeout.
+const MAX_DOUBLINGS: u32 = 8;
+
+/// Returns how long a run may make no progress, after earlier runs of its task have stalled.
+///
+/// Load pattern: a task takes minutes, or far longer than its estimate, and progresses by one percent in seconds. It is
+/// not moved from worker to worker for good.
+fn stall_timeout(run: &Run, stalls: u32) -> Millis {
+    let worked = run.progressed_at.since(run.confirmed_at).0;
+    let measured = worked.checked_div(u64::from(run.percent));
+    let expected = measured.unwrap_or(0).max(run.estimate.0 / 100);
+    let doublings = stalls.saturating_sub(UNCOUNTED_STALLS).min(MAX_DOUBLINGS);
+    STALL_TIMEOUT
+        .max(Millis(expected.saturating_mul(STALL_FACTOR)))
+        .times(1 << doublings)
+}
 /// Above this share of a serving task's latency target, in percent, filling tasks slow down.
 const HIGH_LATENCY_PERCENT: u64 = 80;
 /// Below this share of a serving task's latency target, in percent, filling tasks speed up.
@@ -86,20 +106,30 @@
     /// Load pattern: tasks on some workers make no progress for seconds while the workers answer
     /// every call. For comparison, a task of 30 s progresses by one percent every 300 ms.
     fn check_stall(&mut self, at: usize, task: &Task, run: u64, now: Millis) {
+        let job = self.job(&task.part.job);
+        let stalls = job
+            .and_then(|job| job.task(task))
+            .map_or(0, |task| task.stalls);
         let worker = &mut self.workers[at];
         let Some(entry) = worker.run_mut(task, run) else {
             return;
         };
+        let timeout = stall_timeout(entry, stalls);
         let works_alone = !entry.lasting && !entry.fills && !entry.gang;
-        let stalls = now.since(entry.progressed_at) >= STALL_TIMEOUT
-            && now.since(entry.confirmed_at) >= STALL_TIMEOUT;
-        if works_alone && stalls && entry.phase == Phase::Running && entry.percent < 100 {
+        let has_stalled =
+            now.since(entry.progressed_at) >= timeout && now.since(entry.confirmed_at) >= timeout;
+        if works_alone && has_stalled && entry.phase == Phase::Running && entry.percent < 100 {
             entry.phase = Phase::Stop;
             let percent = entry.percent;
             worker.has_stops = true;
             let detail = format!("worker={} run={run} percent={percent}", worker.node.id);
             worker.quarantine_stalled(now);
             self.log("run-stalled", task.to_string(), detail);
+            if let Some(job) = self.job_index(&task.part.job)
+                && let Some(state) = self.jobs[job].task_mut(task)
+            {
+                state.stalls += 1;
+            }
         }
     }
 
--- a/crates/marigoldpick-job/tests/lead/faults.rs
+++ b/crates/marigoldpick-job/tests/lead/faults.rs
@@ -1,5 +1,7 @@
 //! Tests with faults: takeovers, partitions, lost answers, late orders, restarts and store outages.
 
+use std::sync::Arc;
+
 use googletest::prelude::*;
 use marigoldpick_core::prelude::*;
 use marigoldpick_core::work::{Phase, Step};
@@ -381,6 +383,24 @@
     expect_that!(world.pool.started.len(), eq(4));
 }
 
+/// Guards against LOST (incident 0017): a task that progresses by one percent in six seconds is moved for good.
+#[googletest::test]
+fn tasks_of_minutes_are_not_moved_for_good() {
+    for estimate in [600_000, 500] {
+        let mut world = World::new(4);
+        let id = world.submit(1, job(vec![step(1, 20_000, estimate)]));
+        let mut truth = job(vec![step(1, 20_000, 600_000)]);
+        truth.accepted = world.pool.jobs[&id].accepted;
+        world.pool.jobs.insert(id, Arc::new(truth));
+        world.run(30_000);
+        let moves = world.pool.started.len();
+        expect_that!(moves, le(6));
+        world.run(60_000);
+        expect_that!(world.pool.started.len(), eq(moves));
+        expect_that!(world.pool.broken, is_empty());
+    }
+}
+
 /// The platform ends members that wait for the rest of their gang for too long.
 #[googletest::test]
 fn gang_with_a_member_that_does_not_start_is_stopped() {
