--- a/crates/marigoldpick-job/tests/lead/load.rs
+++ b/crates/marigoldpick-job/tests/lead/load.rs
@@ -2,6 +2,7 @@
 
 use googletest::prelude::*;
 use marigoldpick_core::prelude::*;
+use marigoldpick_core::work::Step;
 use marigoldpick_core::work::load::{Service, Summary};
 
 use crate::world::{World, job, job_of, name, step, team_id};
@@ -104,3 +105,37 @@
     world.run(2_000);
     expect_that!(world.load().above_rate, is_empty());
 }
+
+/// Guards against rejections (incident 0018) for the sake of work that can't start beside lasting tasks.
+#[googletest::test]
+fn load_leaves_out_work_that_can_not_start() {
+    let mut world = World::new(4);
+    world.run(300);
+    let lasting = Step {
+        lasting: true,
+        spread: Some(1),
+        ..step(4, 54_000, 500)
+    };
+    world.submit(1, job(vec![lasting]));
+    world.run(1_000);
+    let gang = |step: Step| Step { gang: true, ..step };
+    // Ten cores are free on each worker.
+    for (number, step) in [
+        (2, step(100, 20_000, 60_000)),
+        (3, gang(step(5, 10_000, 60_000))),
+        (
+            4,
+            gang(Step {
+                spread: Some(1),
+                ..step(8, 1_000, 60_000)
+            }),
+        ),
+    ] {
+        world.submit(number, job(vec![step]));
+    }
+    world.run(500);
+    expect_that!(waiting(service(&world.load())), eq((0, 0)));
+    world.submit(5, job(vec![step(8, 10_000, 60_000)]));
+    world.run(500);
+    expect_that!(waiting(service(&world.load())), eq((4 * 10 * 60_000, 1)));
+}
