Ask the adviser only about workers that can take the step later

A question names busy workers beside free ones, so that their verdicts are known when they become free. Workers that lasting tasks keep full were named too, which occupies an asker for nothing.

--- a/crates/marigoldpick-job/src/lead/advise.rs
+++ b/crates/marigoldpick-job/src/lead/advise.rs
@@ -191,12 +191,17 @@
         if has_few && count == unknown.len() && share.value() * (count as f64) < needed as f64 {
             let most = question::extra_worker_limit(&policy)
                 .min(self.settings.advice_most.saturating_sub(asked.len()));
-            asked.extend(self.choose_busy_workers(room, step, stage, claim, most, now));
+            let has_room_later = |worker: &Worker| {
+                count_fitting(worker.free(), claim) == 0
+                    && worker.has_label_for(step)
+                    && tasks_at(step, claim, part, worker, Millis::MAX, now) > 0
+            };
+            asked.extend(self.choose_busy_workers(room, stage, has_room_later, most, now));
         }
         asked
     }
 
-    /// Returns unknown workers without free capacity, in the order of their expected idle times.
+    /// Returns unknown workers that will have capacity later, in the order of their expected idle times.
     ///
     /// Load pattern: the fixed cost of a question far exceeds the cost of naming a worker, and few
     /// workers have capacity. Which workers are good does not change, so asking about busy workers
@@ -204,17 +209,13 @@
     fn choose_busy_workers(
         &self,
         room: &Room,
-        step: &Step,
         stage: &Stage,
-        claim: &Amount,
+        has_room_later: impl Fn(&Worker) -> bool,
         most: usize,
         now: Millis,
     ) -> Vec<id::Worker> {
         let later = |worker: &&Worker| {
-            count_fitting(worker.free(), claim) == 0
-                && count_fitting(&worker.node.capacity, claim) > 0
-                && worker.has_label_for(step)
-                && stage.tickets.find(&worker.node.id).is_none()
+            has_room_later(worker) && stage.tickets.find(&worker.node.id).is_none()
         };
         let workers = room.workers.iter().map(|at| &self.workers[*at]);
         let mut later: Vec<&Worker> = workers.filter(later).collect();
--- a/crates/marigoldpick-job/tests/lead/withheld.rs
+++ b/crates/marigoldpick-job/tests/lead/withheld.rs
@@ -190,6 +190,20 @@
     expect_that!(world.lead.counters().questions - before, le(4));
 }
 
+/// Workers whose lasting tasks leave no room for a step are not named in its questions.
+#[googletest::test]
+fn questions_leave_out_workers_that_stay_full() {
+    let mut world = World::new(10);
+    world.queues.push(advised(queue("wide", 1), 560.0, 8.0));
+    world.lead.set_queues(&world.queues);
+    world.submit(1, job(vec![lasting(step(9, 60_000, 500))]));
+    world.run(200);
+    let id = world.submit(2, of_queue("wide", job(vec![step(3, 60_000, 1_000)])));
+    world.run(1_000);
+    let stage = world.lead.job(&id).and_then(|job| job.stage(0, 0));
+    expect_that!(stage.map(|stage| stage.tickets.verdicts.len()), some(eq(1)));
+}
+
 /// Guards against LOST (incident 0014): a late gang holds its team's quota although it can't start.
 #[googletest::test]
 fn gang_that_can_not_start_holds_no_quota() {
