End a gang's reservation when the runs it waits for are long overdue

On the product's own interface a gang kept the shard's one reservation, and the room claimed for it, for as long as a run went on past its expected end. No other gang or aged task could have a reservation, and nothing started in that room.

End it once the runs are overdue for as long as the wait was expected to be, 30 s at least, and give the job no other one for as long as it held that one.

Before: gang_reservation_ends_when_runs_are_long_overdue failed. After: the scheduler's tests pass.

--- a/crates/marigoldpick-place/src/scheduler.rs
+++ b/crates/marigoldpick-place/src/scheduler.rs
@@ -36,7 +36,7 @@
 use crate::size::AcceleratorKinds;
 use crate::{job, kind, run};
 use claim::Claim;
-use reserve::Reservation;
+use reserve::{Exclusion, Reservation};
 
 /// The longest elapsed time for which one tick adds restart tokens, and the interval between
 /// retries of all job kinds that are blocked by anything but their quota.
@@ -103,6 +103,8 @@
     stability_checks: VecDeque<StabilityCheck>,
     claims: Vec<Claim>,
     reservation: Option<Reservation>,
+    /// The jobs that get no reservation for a while.
+    exclusions: Vec<Exclusion>,
     throttled_runs: Vec<ThrottledRun>,
     quarantined_workers: Vec<u32>,
     missing_runs: Vec<u32>,
@@ -147,6 +149,7 @@
             stability_checks: VecDeque::new(),
             claims: Vec::new(),
             reservation: None,
+            exclusions: Vec::new(),
             throttled_runs: Vec::new(),
             quarantined_workers: Vec::new(),
             missing_runs: Vec::new(),
--- a/crates/marigoldpick-place/src/scheduler/displace.rs
+++ b/crates/marigoldpick-place/src/scheduler/displace.rs
@@ -112,7 +112,7 @@
         for choice in &choices {
             self.displace_victims(waiter, choice, out);
         }
-        self.set_reservation(waiter, request, workers, now);
+        self.set_reservation(waiter, request, workers, now, now);
         true
     }
 
--- a/crates/marigoldpick-place/src/scheduler/reserve.rs
+++ b/crates/marigoldpick-place/src/scheduler/reserve.rs
@@ -3,6 +3,9 @@
 //! It serves a gang, or a task that has waited for too long. Only one job at a time has the
 //! reservation, so two gangs cannot wait for each other. A claim on a worker that is still full moves
 //! to a worker that has room, so every run that ends brings the start of the job nearer.
+//!
+//! Load pattern: a run goes on far past its expected end, so that the job can't start. The reservation then ends, and the
+//! job gets none for as long as it held that one, so that other jobs may have it.
 
 use marigoldpick_core::intent::{Class, Where};
 use marigoldpick_core::prelude::*;
@@ -20,6 +23,9 @@
 /// Assumed duration of a backfilled run, in percent of its expected run time.
 const BACKFILL_MARGIN_PERCENT: u64 = 150;
 
+/// Minimum time for which a reservation is kept past the expected end of the runs that it waits for.
+const MIN_OVERDUE: Millis = Millis::from_secs(30);
+
 /// Maximum number of claims of one reservation that are counted on one worker.
 const MAX_CLAIMS_PER_WORKER: u32 = 10_000;
 
@@ -41,13 +47,37 @@
     pub request: Size,
     /// The workers, one for each task.
     pub workers: Vec<u32>,
+    /// When it was made.
+    pub since: Millis,
     /// When all of the room is expected to be free.
     pub at: Millis,
 }
 
+impl Reservation {
+    /// Returns whether the runs that it waits for are overdue for so long that it ends.
+    fn is_expired(&self, now: Millis) -> bool {
+        now > self.at + self.at.since(self.since).max(MIN_OVERDUE)
+    }
+}
+
+/// `Exclusion` keeps a job from another reservation after one that has expired.
+#[derive(Clone, Copy, Debug)]
+pub(super) struct Exclusion {
+    waiter: Waiter,
+    until: Millis,
+}
+
 impl<P: Policy> Scheduler<P> {
     /// Reserves room for `count` tasks of a job if enough openings are expected.
     pub(super) fn reserve(&mut self, waiter: Waiter, request: &Size, count: u32, now: Millis) {
+        self.exclusions.retain(|exclusion| now < exclusion.until);
+        if self
+            .exclusions
+            .iter()
+            .any(|exclusion| exclusion.waiter == waiter)
+        {
+            return;
+        }
         let place = self.jobs.get(waiter.job).spec.place.clone();
         let openings = self.earliest_openings(request, &place, count, now);
         if openings.len() < count as usize {
@@ -58,7 +88,7 @@
         for &worker in &workers {
             self.adjust_claimed(worker, request, true);
         }
-        self.set_reservation(waiter, request, workers, at);
+        self.set_reservation(waiter, request, workers, at, now);
     }
 
     /// Records the reservation; its room must already be claimed.
@@ -68,11 +98,13 @@
         request: &Size,
         workers: Vec<u32>,
         at: Millis,
+        now: Millis,
     ) {
         self.reservation = Some(Reservation {
             waiter,
             request: *request,
             workers,
+            since: now,
             at,
         });
     }
@@ -186,7 +218,15 @@
         }
         let reservation = self.move_claims(reservation);
         if !self.has_room_for_all(&reservation) {
-            self.reservation = Some(reservation);
+            if reservation.is_expired(now) {
+                self.exclusions.push(Exclusion {
+                    waiter: reservation.waiter,
+                    until: now + now.since(reservation.since),
+                });
+                self.drop_reservation(&reservation);
+            } else {
+                self.reservation = Some(reservation);
+            }
             return;
         }
         self.drop_reservation(&reservation);
--- a/crates/marigoldpick-place/tests/policy.rs
+++ b/crates/marigoldpick-place/tests/policy.rs
@@ -119,6 +119,25 @@
     expect_that!(passed, elements_are![eq("short")]);
 }
 
+/// Guards against a gang that keeps room for good because a run goes on far past its expected end (incident 0015).
+#[googletest::test]
+fn gang_reservation_ends_when_runs_are_long_overdue() {
+    let mut harness = Harness::new(2, 2);
+    harness.accept(job("b", "batch", &format!("run_ms = 10000\n{NEEDS}")));
+    harness.run_starts();
+    harness.accept(job("g", "gang", &format!("count = 4\n{NEEDS}")));
+    harness.accept(job("late", "batch", &format!("run_ms = 60000\n{NEEDS}")));
+    harness.accept(job("h", "gang", &format!("count = 3\n{NEEDS}")));
+    expect_that!(harness.starts(), is_empty());
+    let mut passed = Vec::new();
+    for _ in 0..50 {
+        harness.advance(Millis::from_secs(1));
+        let starts = harness.run_starts();
+        passed.extend(starts.iter().map(|s| s.spec.run.task.job.to_string()));
+    }
+    expect_that!(passed, not(is_empty()));
+}
+
 #[googletest::test]
 fn two_gangs_both_start_in_turn() {
     let mut harness = Harness::new(2, 2);
