Bound the starts and stops in flight

A wide job that was recorded ended each lead: thousands of starts went out at once, each with a connection and some 80 KB, and the process exceeded 260 MB. Cancelling such a job did the same with stops.

Keep at most 512 orders in flight, 16 to one worker. Further starts wait in their order; while 2,048 wait, only gangs are placed.

--- a/crates/marigoldpick-job/src/lead.rs
+++ b/crates/marigoldpick-job/src/lead.rs
@@ -157,6 +157,8 @@
     inbox_as_of: Millis,
     /// Whether recorded starts are held back since later cancels are unknown.
     holds_starts: bool,
+    /// Whether starts wait for earlier orders to be answered.
+    caps_starts: bool,
     /// Jobs with steps that may be waiting for placement, sorted.
     waiting: Vec<id::Job>,
     /// Jobs with failed tasks for which it is undecided whether the job fails; sorted.
@@ -233,6 +235,7 @@
             has_unknown_runs: false,
             inbox_as_of: now,
             holds_starts: false,
+            caps_starts: false,
             waiting: Vec::new(),
             needs_pass: true,
             last_pass: Millis::ZERO,
@@ -556,7 +559,8 @@
         }
         self.update_outdated_roster(now);
         self.send_commit(now);
-        if self.allows_unrecorded(now) || (self.holds_starts && self.knows_inbox(now)) {
+        let is_due = self.caps_starts || (self.holds_starts && self.knows_inbox(now));
+        if self.allows_unrecorded(now) || is_due {
             self.start_recorded(now);
         }
         std::mem::take(&mut self.actions)
--- a/crates/marigoldpick-job/src/lead/schedule.rs
+++ b/crates/marigoldpick-job/src/lead/schedule.rs
@@ -37,15 +37,19 @@
 /// The most comparisons of tasks with candidates for one step in a pass: 20 ms on an entry with half a core.
 const MAX_STEP_LOOKS: usize = 40_000;
 
-/// Returns how many tasks of a step are placed in one pass at most.
+/// The number of starts that wait for their records or for earlier orders from which on only gangs are placed: four times
+/// the orders in flight.
+const MAX_PENDING_STARTS: usize = 2_048;
+
+/// Returns how many tasks of a step are placed in one pass at most, if `pending` starts wait.
 ///
 /// Load pattern: a step of 10,000 small tasks, which all fit. Other steps must not wait until all of them are placed.
-fn placement_limit(step: &Step, candidates: usize) -> usize {
+fn placement_limit(step: &Step, candidates: usize, pending: usize) -> usize {
     if step.gang {
-        step.count as usize
-    } else {
-        (MAX_STEP_LOOKS / candidates.max(1)).max(1)
+        return step.count as usize;
     }
+    let looks = (MAX_STEP_LOOKS / candidates.max(1)).max(1);
+    looks.min(MAX_PENDING_STARTS.saturating_sub(pending))
 }
 
 /// Returns the least time until the next pass, from the cost of the last one.
@@ -276,7 +280,8 @@
             return;
         }
         let mut candidates = self.candidates(part, &step, &rooms[service], now);
-        let limit = placement_limit(&step, candidates.len()).min(admitted);
+        let pending = self.pending_starts.len();
+        let limit = placement_limit(&step, candidates.len(), pending).min(admitted);
         let waiting = self.waiting_tasks(part, &step, limit.min(usable), now);
         let placed = if step.gang {
             self.place_gang(part, &step, &waiting, &candidates, now)
--- a/crates/marigoldpick-job/src/lead/start.rs
+++ b/crates/marigoldpick-job/src/lead/start.rs
@@ -9,6 +9,11 @@
 use crate::open::Kind;
 use crate::worker::{Phase, Run};
 
+/// The most starts and stops in flight to one worker, a quarter of the connections that a worker accepts.
+const MAX_WORKER_ORDERS: usize = 16;
+/// The most starts and stops in flight to all workers. Each takes about 80 KB of the lead's memory.
+const MAX_ORDERS: usize = 512;
+
 impl Lead {
     /// Orders the recorded starts, and the unrecorded ones if that is allowed.
     ///
@@ -17,12 +22,20 @@
     /// Recorded starts wait while the lead may have missed cancels: the store takes its records, but does not answer its
     /// reads of the inbox, or the process was paused since. In an outage, in which unrecorded starts are allowed, the
     /// store acknowledges no cancel.
+    ///
+    /// Load pattern: a record names 10,000 placements. Starts beyond the limits on orders in flight wait in their order.
     pub(super) fn start_recorded(&mut self, now: Millis) {
         if !self.allows_unrecorded(now) && !self.knows_inbox(now) {
             self.hold_starts(now);
             return;
         }
         self.holds_starts = false;
+        self.caps_starts = false;
+        let mut free = self.free_orders();
+        if free == 0 {
+            self.caps_starts = true;
+            return;
+        }
         let waiting = std::mem::take(&mut self.pending_starts);
         let mut ordered: Vec<PendingStart> = Vec::new();
         for start in waiting {
@@ -34,16 +47,32 @@
                 || self.lacks_crash_record(&start.task, now);
             if !stored && waits {
                 self.pending_starts.push(start);
+            } else if free == 0 || !self.has_free_order(&start.worker) {
+                self.caps_starts = true;
+                self.pending_starts.push(start);
             } else if self.order_start(&start.worker, &start.task, start.run, now) {
                 if !stored {
                     self.note_unrecorded();
                 }
+                free -= 1;
                 ordered.push(start);
             }
         }
         self.log_starts(&ordered);
     }
 
+    /// Returns how many more starts and stops may be in flight to all workers.
+    fn free_orders(&self) -> usize {
+        let open = self.workers.iter().map(|worker| worker.orders.count());
+        MAX_ORDERS.saturating_sub(open.sum())
+    }
+
+    /// Returns whether one more start may be in flight to a worker; one that is unknown takes none anyway.
+    fn has_free_order(&self, worker: &id::Worker) -> bool {
+        let at = self.worker_index(worker);
+        at.is_none_or(|at| self.workers[at].orders.count() < MAX_WORKER_ORDERS)
+    }
+
     /// Leaves the pending starts until the inbox has been read.
     fn hold_starts(&mut self, now: Millis) {
         if !self.holds_starts && !self.pending_starts.is_empty() {
@@ -154,8 +183,10 @@
                 && found.is_ok_and(|at| jobs[at].stored_revision < run.recorded_by)
         };
         let mut due: Vec<(usize, Task, u64)> = Vec::new();
+        let mut free = self.free_orders();
         for at in 0..self.workers.len() {
             let worker = &mut self.workers[at];
+            let mut free_here = MAX_WORKER_ORDERS.saturating_sub(worker.orders.count());
             if !worker.has_stops || worker.node.address.is_empty() || now < worker.next_stop {
                 continue;
             }
@@ -164,9 +195,10 @@
                 if run.phase != Phase::Stop {
                     continue;
                 }
-                if is_unrecorded(run) {
+                if is_unrecorded(run) || free_here == 0 || free == 0 {
                     worker.has_stops = true;
                 } else {
+                    (free, free_here) = (free - 1, free_here - 1);
                     run.phase = Phase::Stopping;
                     run.attempts.begin(now);
                     due.push((at, run.task.clone(), run.run));
--- a/crates/marigoldpick-job/src/open.rs
+++ b/crates/marigoldpick-job/src/open.rs
@@ -56,6 +56,12 @@
         found.map(|at| self.0.remove(at)).is_ok()
     }
 
+    /// Returns the number of open orders.
+    #[must_use]
+    pub const fn count(&self) -> usize {
+        self.0.len()
+    }
+
     /// Returns whether an order of this kind for the run may still be answered.
     #[must_use]
     pub fn has(&self, kind: Kind, task: &Task, run: u64) -> bool {
--- a/crates/marigoldpick-job/tests/lead/withheld.rs
+++ b/crates/marigoldpick-job/tests/lead/withheld.rs
@@ -417,3 +417,31 @@
         expect_that!(world.phase(&urgent), some(eq(Phase::Completed)), "{case}");
     }
 }
+
+/// Guards against LOST (incident 0016): the starts or stops of a wide job in flight end the lead's process.
+#[googletest::test]
+fn orders_of_a_wide_job_in_flight_are_bounded() {
+    let mut world = World::new(48);
+    world.run(300);
+    let wide = Step {
+        needs: Amount::new(20, 10),
+        ..step(2_000, 20, 60_000)
+    };
+    let id = world.submit(1, of_queue("slow", job(vec![wide])));
+    let in_flight = |world: &World| -> usize {
+        let workers = world.lead.workers().iter();
+        workers.map(|worker| worker.orders.count()).sum()
+    };
+    for _ in 0..1_000 {
+        world.run(1);
+        expect_that!(in_flight(&world), le(512));
+    }
+    expect_that!(world.pool.running().len(), eq(2_000));
+    world.cancel(&id);
+    for _ in 0..2_000 {
+        world.run(1);
+        expect_that!(in_flight(&world), le(512));
+    }
+    expect_that!(world.pool.running(), is_empty());
+    expect_that!(world.pool.broken, is_empty());
+}
