Resume a gang from one checkpoint

Cause: each task kept the checkpoint that its own runs had told last. The value of any member is valid for the gang, but all members must carry the same.

Keep one checkpoint a gang, the newest that any member has told, and give all starts of a run the value of the first. Record it for each member, as earlier versions need it; take the first of the values that they recorded.

--- a/crates/marigoldpick-job/src/job.rs
+++ b/crates/marigoldpick-job/src/job.rs
@@ -290,11 +290,7 @@
                 });
             }
         }
-        for (index, checkpoint) in &part.checkpoints {
-            if let Some(task) = stage.task_mut(*index) {
-                task.checkpoint.clone_from(checkpoint);
-            }
-        }
+        stage.restore_checkpoints(part);
         for (index, worker, run) in &part.places {
             if let Some(task) = stage.task_mut(*index) {
                 task.places.push(Place {
--- a/crates/marigoldpick-job/src/job/stage.rs
+++ b/crates/marigoldpick-job/src/job/stage.rs
@@ -104,6 +104,40 @@
     }
 }
 
+/// The progress that counts for a value told at the end of a run, above all progress of a running one.
+const END_PROGRESS: u32 = 101;
+
+/// `GangCheckpoint` is the checkpoint from which all members of a gang resume.
+///
+/// Each member tells values of its own, of which any is valid for the gang, and all members of a run must carry the same.
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+pub struct GangCheckpoint {
+    /// The newest value, empty if there is none.
+    value: String,
+    /// The run and the progress, in percent, at which it was told.
+    told: (u64, u32),
+    /// The last run of which a start was ordered, and the value that its starts carry.
+    started: Option<(u64, String)>,
+}
+
+impl GangCheckpoint {
+    /// Records a value that a member has told, unless a newer one is known.
+    fn record(&mut self, value: &str, run: u64, progress: u32) {
+        if !value.is_empty() && (run, progress) >= self.told {
+            value.clone_into(&mut self.value);
+            self.told = (run, progress);
+        }
+    }
+
+    /// Returns the value for the starts of a run, which stays the same whatever is told meanwhile.
+    fn for_run(&mut self, run: u64) -> &str {
+        if self.started.as_ref().is_none_or(|(have, _)| *have != run) {
+            self.started = Some((run, self.value.clone()));
+        }
+        self.started.as_ref().map_or("", |(_, value)| value)
+    }
+}
+
 /// `Stage` is the state of a step in an occurrence.
 #[derive(Clone, Debug)]
 pub struct Stage {
@@ -119,6 +153,8 @@
     pub tickets: Tickets,
     /// Whether tasks of the step waited for their team's limit in the last pass.
     pub over_quota: bool,
+    /// The checkpoint of a gang; `None` if the step is none.
+    gang: Option<GangCheckpoint>,
 }
 
 impl Stage {
@@ -132,6 +168,7 @@
             unfinished: step.count,
             tickets: Tickets::default(),
             over_quota: false,
+            gang: step.gang.then(GangCheckpoint::default),
         }
     }
 
@@ -211,8 +248,76 @@
     }
 
     /// Returns whether no task differs from a new one.
-    pub(super) const fn is_new(&self) -> bool {
-        self.touched.is_empty() && self.unfinished == self.count
+    pub(super) fn is_new(&self) -> bool {
+        self.touched.is_empty()
+            && self.unfinished == self.count
+            && self.gang_checkpoint().is_empty()
+    }
+
+    /// Records a checkpoint that a running task has told; `progress` is in percent.
+    pub fn record_checkpoint(&mut self, index: u32, run: u64, progress: u32, value: &str) {
+        if value.is_empty() || self.unfinished == 0 {
+            return;
+        }
+        if let Some(gang) = &mut self.gang {
+            gang.record(value, run, progress);
+        } else if let Some(task) = self.task_mut(index)
+            && !task.done
+        {
+            value.clone_into(&mut task.checkpoint);
+        }
+    }
+
+    /// Records a checkpoint that was told at the end of a run.
+    pub fn record_last_checkpoint(&mut self, index: u32, run: u64, value: &str) {
+        self.record_checkpoint(index, run, END_PROGRESS, value);
+    }
+
+    /// Returns the checkpoint for a start, empty if there is none; the same for all starts of a gang's run.
+    pub fn checkpoint_for(&mut self, index: u32, run: u64) -> String {
+        if let Some(gang) = &mut self.gang {
+            return gang.for_run(run).to_owned();
+        }
+        let task = self.task(index);
+        task.map_or_else(String::new, |task| task.checkpoint.clone())
+    }
+
+    /// Restores the checkpoints of a record.
+    ///
+    /// Earlier versions recorded the members of a gang with values of their own, of which the first is taken. Values told
+    /// by runs before those that are placed are older.
+    pub(super) fn restore_checkpoints(&mut self, part: &record::Part) {
+        if let Some(gang) = &mut self.gang {
+            let first = part.places.iter().map(|(_, _, run)| *run).min();
+            let value = part.checkpoints.first().map(|(_, value)| value);
+            if let Some(value) = value {
+                gang.record(value, first.unwrap_or(0), 0);
+            }
+            return;
+        }
+        for (index, checkpoint) in &part.checkpoints {
+            if let Some(task) = self.task_mut(*index) {
+                task.checkpoint.clone_from(checkpoint);
+            }
+        }
+    }
+
+    fn gang_checkpoint(&self) -> &str {
+        self.gang.as_ref().map_or("", |gang| &gang.value)
+    }
+
+    /// Returns the checkpoints to record, with the numbers of their tasks; all members of a gang have the same one, as
+    /// earlier versions need it.
+    fn checkpoints(&self) -> Vec<(u32, String)> {
+        let value = self.gang_checkpoint();
+        if !value.is_empty() && self.unfinished > 0 {
+            return (0..self.count)
+                .map(|index| (index, value.to_owned()))
+                .collect();
+        }
+        let told = self.touched().filter(|(_, t)| !t.checkpoint.is_empty());
+        told.map(|(index, t)| (index, t.checkpoint.clone()))
+            .collect()
     }
 
     /// Returns whether all tasks have finished and no run of theirs may be active.
@@ -280,10 +385,7 @@
                     places.map(move |place| (index, place.worker.clone(), place.run))
                 })
                 .collect(),
-            checkpoints: tasks()
-                .filter(|(_, t)| !t.checkpoint.is_empty())
-                .map(|(index, t)| (index, t.checkpoint.clone()))
-                .collect(),
+            checkpoints: self.checkpoints(),
             places: tasks()
                 .flat_map(|(index, t)| {
                     let places = t.places.iter();
--- a/crates/marigoldpick-job/src/lead/report.rs
+++ b/crates/marigoldpick-job/src/lead/report.rs
@@ -94,10 +94,16 @@
         self.check_stall(at, &running.task, running.run, now);
         if !running.checkpoint.is_empty()
             && let Some(job) = self.job_index(&running.task.part.job)
-            && let Some(task) = self.jobs[job].task_mut(&running.task)
-            && !task.done
+            && let part = &running.task.part
+            && let Some(stage) = self.jobs[job].stage_mut(part.occurrence, part.step)
         {
-            task.checkpoint.clone_from(&running.checkpoint);
+            let Running {
+                run,
+                percent,
+                checkpoint,
+                ..
+            } = running;
+            stage.record_checkpoint(running.task.index, *run, *percent, checkpoint);
         }
     }
 
@@ -304,11 +310,7 @@
                 self.resolve_failures(now);
             }
             _ => {
-                if let Some(task) = stage.task_mut(end.task.index)
-                    && !end.checkpoint.is_empty()
-                {
-                    task.checkpoint.clone_from(&end.checkpoint);
-                }
+                stage.record_last_checkpoint(end.task.index, end.run, &end.checkpoint);
                 self.mark_changed(at);
             }
         }
--- a/crates/marigoldpick-job/src/lead/start.rs
+++ b/crates/marigoldpick-job/src/lead/start.rs
@@ -141,12 +141,12 @@
             return None;
         }
         let settings = self.settings;
+        let checkpoint = self.start_checkpoint(task, run);
         let job = self.job(&task.part.job)?;
         if job.phase.is_over() {
             return None;
         }
         let stage = job.stage(task.part.occurrence, task.part.step)?;
-        let state = stage.task(task.index)?;
         let has_policy = self
             .queue(&job.spec.queue)
             .is_some_and(|queue| queue.policy.is_some());
@@ -159,13 +159,21 @@
             run,
             payload: job.spec.payload.clone(),
             until: Millis::ZERO,
-            checkpoint: (!state.checkpoint.is_empty()).then(|| state.checkpoint.clone()),
+            checkpoint,
             ticket: ticket.map(str::to_owned),
         };
         start.until = self.workers[at].extend_lease(&settings, now)?;
         Some(start)
     }
 
+    /// Returns the checkpoint from which a run starts, if there is one.
+    fn start_checkpoint(&mut self, task: &Task, run: u64) -> Option<String> {
+        let at = self.job_index(&task.part.job)?;
+        let stage = self.jobs[at].stage_mut(task.part.occurrence, task.part.step)?;
+        let value = stage.checkpoint_for(task.index, run);
+        (!value.is_empty()).then_some(value)
+    }
+
     /// Orders the stops that are due.
     ///
     /// Load pattern: connections to a domain are reset, so that each order fails at once. Without a
--- a/crates/marigoldpick-job/tests/lead/records.rs
+++ b/crates/marigoldpick-job/tests/lead/records.rs
@@ -2,8 +2,9 @@
 
 use googletest::prelude::*;
 use marigoldpick_core::prelude::*;
-use marigoldpick_core::work::Phase;
 use marigoldpick_core::work::lease::Handover;
+use marigoldpick_core::work::{Phase, Step};
+use marigoldpick_job::record::Record;
 
 use crate::world::{World, job, step};
 
@@ -85,3 +86,30 @@
     world.run(200);
     expect_false!(world.settled);
 }
+
+/// Earlier versions recorded a checkpoint for each member of a gang, as its own runs told it.
+#[googletest::test]
+fn gang_checkpoints_of_earlier_versions_become_one() {
+    let mut world = World::new(4);
+    let gang = Step {
+        gang: true,
+        spread: Some(1),
+        checkpoints: true,
+        ..step(3, 4_000, 2_000)
+    };
+    let id = world.submit(1, job(vec![gang]));
+    let text = r#"{"phase":"running","parts":[{"k":0,"s":0,"c":[[0,"a"],[1,"b"],[2,"c"]]}]}"#;
+    world.records.insert(id.clone(), text.to_owned());
+    world.take_over();
+    world.run(1_000);
+    let starts = &world.pool.started;
+    let values: Vec<Option<&str>> = starts.iter().map(|s| s.checkpoint.as_deref()).collect();
+    expect_that!(values, eq(&vec![Some("a"); 3]));
+    let stored = Record::parse(&world.records[&id]).expect("a record");
+    let values: Vec<&str> = stored.parts[0]
+        .checkpoints
+        .iter()
+        .map(|(_, value)| value.as_str())
+        .collect();
+    expect_that!(values, eq(&vec!["a"; 3]));
+}
--- a/crates/marigoldpick-job/tests/lead/work.rs
+++ b/crates/marigoldpick-job/tests/lead/work.rs
@@ -91,6 +91,45 @@
     expect_that!(world.phase(&id), some(eq(Phase::Completed)));
 }
 
+/// Guards against UNASKED (incident 0019): members of one run that resume from different checkpoints.
+#[googletest::test]
+fn gang_resumes_from_one_checkpoint() {
+    // With a take-over before the next run, starts that are answered late, and both.
+    for (has_take_over, delay) in [(false, 0), (true, 0), (false, 80), (true, 80)] {
+        let mut world = World::new(6);
+        for worker in &mut world.pool.workers {
+            worker.saving = true;
+        }
+        let gang = Step {
+            gang: true,
+            spread: Some(1),
+            checkpoints: true,
+            ..step(4, 10_000, 6_000)
+        };
+        let id = world.submit(1, job(vec![gang]));
+        world.run(2_000);
+        world.answer_delay = Millis(delay);
+        let first = world.pool.started[0].worker;
+        world.pool.crash(first);
+        if has_take_over {
+            world.run(300);
+            world.take_over();
+        }
+        world.run(30_000);
+        expect_that!(world.phase(&id), some(eq(Phase::Completed)));
+        let starts = &world.pool.started;
+        let resumed = starts.iter().filter(|start| start.run != starts[0].run);
+        let mut values: Vec<_> = resumed.map(|s| (s.run, s.checkpoint.clone())).collect();
+        values.sort();
+        expect_that!(values.len(), ge(4));
+        let is_same = values.chunk_by(|a, b| a.0 == b.0).all(|run| {
+            let value = &run[0].1;
+            value.is_some() && run.iter().all(|(_, own)| own == value)
+        });
+        expect_that!(is_same, eq(true), "{values:?}");
+    }
+}
+
 #[googletest::test]
 fn gang_that_does_not_fit_starts_no_member() {
     let mut world = World::new(2);
--- a/crates/marigoldpick-standin/src/jobs/pool.rs
+++ b/crates/marigoldpick-standin/src/jobs/pool.rs
@@ -24,6 +24,8 @@
     pub worker: usize,
     /// The time of the start.
     pub at: Millis,
+    /// The checkpoint that it carried.
+    pub checkpoint: Option<String>,
 }
 
 /// `Crash` is a crash of a worker under a task.
@@ -288,6 +290,7 @@
             run: start.run,
             worker: at,
             at: now,
+            checkpoint: start.checkpoint.clone(),
         });
         Ok(())
     }
--- a/crates/marigoldpick-standin/src/jobs/worker.rs
+++ b/crates/marigoldpick-standin/src/jobs/worker.rs
@@ -66,6 +66,15 @@
         self.progress > Millis::ZERO
     }
 
+    /// Returns the checkpoint that the run tells, empty if it has none.
+    fn checkpoint(&self, is_saving: bool) -> String {
+        if is_saving && self.has_worked() {
+            format!("{}.{}.{}", self.task.index, self.run, self.progress.0)
+        } else {
+            String::new()
+        }
+    }
+
     fn percent(&self) -> u32 {
         if self.lasting {
             return 100;
@@ -104,6 +113,8 @@
     pub hung: bool,
     /// The factor by which its tasks take longer than their estimates.
     pub slowness: u64,
+    /// Whether its tasks tell checkpoints, each a value of its own.
+    pub saving: bool,
     /// Whether it refuses all starts as an unhealthy worker.
     pub refusing: bool,
     /// The rate of its clock in thousandths of the actual rate.
@@ -135,6 +146,7 @@
             failing: false,
             hung: false,
             slowness: 1,
+            saving: false,
             refusing: false,
             clock_permille: 1_000,
             began: Millis::ZERO,
@@ -229,7 +241,7 @@
                 .map(|active| Running {
                     task: active.task.clone(),
                     run: active.run,
-                    checkpoint: String::new(),
+                    checkpoint: active.checkpoint(self.saving),
                     percent: active.percent(),
                     figure: active.claim.millicores,
                 })
