Separate what a step waits for from its placement

On the last read: the function that schedules a step did both, the checks of which worker may run a step came four times, and a task under suspicion of crashes that may not start yet counted for reservations and questions. A late gang of which nothing shows when it can start is estimated again each second only.

--- a/crates/marigoldpick-job/src/job/stage.rs
+++ b/crates/marigoldpick-job/src/job/stage.rs
@@ -153,6 +153,8 @@
     pub tickets: Tickets,
     /// Whether tasks of the step waited for their team's limit in the last pass.
     pub over_quota: bool,
+    /// When it is next estimated whether a gang for which no quota is held can start.
+    pub next_estimate: Millis,
     /// The checkpoint of a gang; `None` if the step is none.
     gang: Option<GangCheckpoint>,
 }
@@ -168,6 +170,7 @@
             unfinished: step.count,
             tickets: Tickets::default(),
             over_quota: false,
+            next_estimate: Millis::ZERO,
             gang: step.gang.then(GangCheckpoint::default),
         }
     }
--- a/crates/marigoldpick-job/src/lead/advise.rs
+++ b/crates/marigoldpick-job/src/lead/advise.rs
@@ -9,7 +9,7 @@
 use marigoldpick_core::work::{Part, Step};
 
 use super::Lead;
-use super::forecast::tasks_at;
+use super::forecast::Request;
 use super::room::Room;
 use super::waiting::WaitingStep;
 use crate::action::Action;
@@ -119,10 +119,14 @@
         basis: Basis,
         now: Millis,
     ) -> Vec<id::Worker> {
-        let (Some(step), Some(stage), Some(policy)) = (
+        let Some(queue) = self.queue(&job.spec.queue) else {
+            return Vec::new();
+        };
+        let (Some(step), Some(stage), Some(policy), Some(request)) = (
             job.step(part),
             job.stage(part.occurrence, part.step),
-            self.queue(&job.spec.queue).and_then(|queue| queue.policy),
+            queue.policy,
+            Request::new(job, queue, part),
         ) else {
             return Vec::new();
         };
@@ -140,7 +144,7 @@
                 Basis::Free => {
                     count_fitting(worker.free(), claim).min(spread_allowance(step, worker, part))
                 }
-                Basis::Capacity => tasks_at(step, claim, part, worker, Millis::MAX, now),
+                Basis::Capacity => request.tasks_at(worker, Millis::MAX, now),
             };
             if fitting == 0 {
                 continue;
@@ -149,8 +153,7 @@
                 Some(verdict) if verdict.ticket.is_some() => {
                     good_capacity = good_capacity.saturating_add(fitting);
                     let can_use = || {
-                        basis == Basis::Free
-                            || tasks_at(step, claim, part, worker, room.horizon(), now) > 0
+                        basis == Basis::Free || request.tasks_at(worker, room.horizon(), now) > 0
                     };
                     if now >= verdict.expires && can_use() {
                         good.push((fitting, &worker.node.id));
@@ -194,7 +197,7 @@
             let has_room_later = |worker: &Worker| {
                 count_fitting(worker.free(), claim) == 0
                     && worker.has_label_for(step)
-                    && tasks_at(step, claim, part, worker, Millis::MAX, now) > 0
+                    && request.tasks_at(worker, Millis::MAX, now) > 0
             };
             asked.extend(self.choose_busy_workers(room, stage, has_room_later, most, now));
         }
--- a/crates/marigoldpick-job/src/lead/forecast.rs
+++ b/crates/marigoldpick-job/src/lead/forecast.rs
@@ -10,7 +10,7 @@
 use super::Lead;
 use super::advise::count_fitting;
 use super::room::Room;
-use crate::job::Stage;
+use crate::job::{Job, Stage};
 use crate::queue::Queue;
 use crate::worker::Worker;
 
@@ -24,24 +24,47 @@
     worker.has_label_for(step) && !(queue.policy.is_some() && is_refused)
 }
 
-/// Returns how many more tasks the step's spread limit allows on a worker at `at`.
-fn spread_allowance_at(step: &Step, worker: &Worker, part: &Part, at: Millis, now: Millis) -> u64 {
-    step.spread.map_or(u64::MAX, |most| {
-        u64::from(most.saturating_sub(worker.count_of_step_at(part, at, now)))
-    })
+/// `Request` is a waiting step with what decides where its tasks may run.
+#[derive(Clone, Copy, Debug)]
+pub(super) struct Request<'a> {
+    part: &'a Part,
+    step: &'a Step,
+    stage: &'a Stage,
+    queue: &'a Queue,
+    claim: &'a Amount,
 }
 
-/// Returns how many tasks of a step a worker is expected to be able to take at `at`, if nothing else starts there.
-pub(super) fn tasks_at(
-    step: &Step,
-    claim: &Amount,
-    part: &Part,
-    worker: &Worker,
-    at: Millis,
-    now: Millis,
-) -> u64 {
-    count_fitting(&worker.free_at(at, now), claim)
-        .min(spread_allowance_at(step, worker, part, at, now))
+impl<'a> Request<'a> {
+    /// Creates the request of a step; `None` if the job has no such step, or the occurrence is not open.
+    pub(super) fn new(job: &'a Job, queue: &'a Queue, part: &'a Part) -> Option<Self> {
+        Some(Self {
+            part,
+            step: job.step(part)?,
+            stage: job.stage(part.occurrence, part.step)?,
+            queue,
+            claim: job.claims.get(part.step as usize)?,
+        })
+    }
+
+    /// Returns whether a worker may run tasks of the step, as far as is known.
+    pub(super) fn allows(&self, worker: &Worker) -> bool {
+        is_allowed(self.queue, self.step, self.stage, worker)
+    }
+
+    /// Returns how many more tasks a worker may run at `at`, whatever its capacity.
+    fn allowance_at(&self, worker: &Worker, at: Millis, now: Millis) -> u64 {
+        if !self.allows(worker) {
+            return 0;
+        }
+        self.step.spread.map_or(u64::MAX, |most| {
+            u64::from(most.saturating_sub(worker.count_of_step_at(self.part, at, now)))
+        })
+    }
+
+    /// Returns how many tasks a worker is expected to be able to take at `at`, if nothing else starts there.
+    pub(super) fn tasks_at(&self, worker: &Worker, at: Millis, now: Millis) -> u64 {
+        count_fitting(&worker.free_at(at, now), self.claim).min(self.allowance_at(worker, at, now))
+    }
 }
 
 /// Adds up numbers of tasks until there are `most`.
@@ -57,6 +80,12 @@
 }
 
 impl Lead {
+    /// Returns the request of a step; `None` if its job, occurrence or queue is not known.
+    pub(super) fn request<'a>(&'a self, part: &'a Part) -> Option<Request<'a>> {
+        let job = self.job(&part.job)?;
+        Request::new(job, self.queue(&job.spec.queue)?, part)
+    }
+
     /// Returns the time until which tickets that are asked for now are valid, the longest one of a service's queues.
     pub(super) fn horizon(&self, service: &Name, now: Millis) -> Millis {
         let queues = self.queues.iter().filter(|queue| queue.service == *service);
@@ -76,24 +105,11 @@
         most: usize,
         now: Millis,
     ) -> usize {
-        let Some(job) = self.job(&part.job) else {
+        let Some(request) = self.request(part) else {
             return 0;
         };
-        let (Some(step), Some(stage), Some(queue)) = (
-            job.step(part),
-            job.stage(part.occurrence, part.step),
-            self.queue(&job.spec.queue),
-        ) else {
-            return 0;
-        };
-        let claim = &job.claims[part.step as usize];
-        let allowance = |worker: &Worker, at: Millis| {
-            if is_allowed(queue, step, stage, worker) {
-                spread_allowance_at(step, worker, part, at, now)
-            } else {
-                0
-            }
-        };
+        let claim = request.claim;
+        let allowance = |worker: &Worker, at: Millis| request.allowance_at(worker, at, now);
         let mut usable = 0;
         if room.can_fit(claim) {
             let workers = room.workers.iter().map(|at| &self.workers[*at]);
@@ -122,29 +138,15 @@
         most: usize,
         now: Millis,
     ) -> u64 {
-        let Some(job) = self.job(&part.job) else {
+        let Some(request) = self.request(part) else {
             return 0;
         };
-        let (Some(step), Some(stage), Some(queue)) = (
-            job.step(part),
-            job.stage(part.occurrence, part.step),
-            self.queue(&job.spec.queue),
-        ) else {
-            return 0;
-        };
-        let claim = &job.claims[part.step as usize];
+        let (step, claim) = (request.step, request.claim);
         if !room.can_fit_soon(&self.workers, claim, now) {
             return 0;
         }
         let (at, end) = (room.horizon(), now + step.estimate);
-        let allowance = |position: usize| {
-            let worker = &self.workers[position];
-            if is_allowed(queue, step, stage, worker) {
-                spread_allowance_at(step, worker, part, at, now)
-            } else {
-                0
-            }
-        };
+        let allowance = |position: usize| request.allowance_at(&self.workers[position], at, now);
         let shares = room.share_out(claim, most as u64, end, allowance);
         let charged = shares.iter().map(|(_, tasks)| tasks).sum();
         let looks = room.workers.len() as u64;
@@ -166,24 +168,21 @@
         count: u32,
         now: Millis,
     ) -> Option<Millis> {
-        let job = self.job(&part.job)?;
-        let step = job.step(part)?;
-        let stage = job.stage(part.occurrence, part.step)?;
-        let queue = self.queue(&job.spec.queue)?;
-        let claim = &job.claims[part.step as usize];
+        let request = self.request(part)?;
         let workers = room.workers.iter().map(|at| &self.workers[*at]);
-        let allowed: Vec<&Worker> = workers
-            .filter(|worker| is_allowed(queue, step, stage, worker))
-            .collect();
+        let allowed: Vec<&Worker> = workers.filter(|worker| request.allows(worker)).collect();
         let has_room = |at: Millis| {
             let tasks = allowed
                 .iter()
-                .map(|worker| tasks_at(step, claim, part, worker, at, now));
+                .map(|worker| request.tasks_at(worker, at, now));
             tasks.fold(0, u64::saturating_add) >= u64::from(count)
         };
         if has_room(now) {
             return Some(now);
         }
+        if !has_room(Millis::MAX) {
+            return None;
+        }
         let runs = allowed.iter().flat_map(|worker| &worker.runs);
         let mut ends: Vec<Millis> = runs.filter_map(|run| run.expected_end(now)).collect();
         ends.sort_unstable();
--- a/crates/marigoldpick-job/src/lead/quota.rs
+++ b/crates/marigoldpick-job/src/lead/quota.rs
@@ -20,6 +20,8 @@
 
 /// The time between two estimates of when a gang can start.
 const ESTIMATE_INTERVAL: Millis = Millis(100);
+/// The time until the next estimate for a gang of which nothing shows when it can start.
+const ESTIMATE_RETRY: Millis = Millis(1_000);
 /// The run time assumed for work that starts before a gang, in percent of its estimate.
 const BACKFILL_PERCENT: u64 = 150;
 
@@ -145,6 +147,11 @@
             self.holds.push(hold.clone());
             return;
         }
+        let job = self.job(&part.job);
+        let stage = job.and_then(|job| job.stage(part.occurrence, part.step));
+        if stage.is_none_or(|stage| now < stage.next_estimate) {
+            return;
+        }
         if let Some(until) = self.expected_start(team, part, room, now) {
             self.holds.push(Hold {
                 team: team.clone(),
@@ -152,6 +159,10 @@
                 until,
                 estimated: now,
             });
+        } else if let Some(at) = self.job_index(&part.job)
+            && let Some(stage) = self.jobs[at].stage_mut(part.occurrence, part.step)
+        {
+            stage.next_estimate = now + ESTIMATE_RETRY;
         }
     }
 
--- a/crates/marigoldpick-job/src/lead/reserve.rs
+++ b/crates/marigoldpick-job/src/lead/reserve.rs
@@ -15,7 +15,6 @@
 
 use super::Lead;
 use super::advise::Basis;
-use super::forecast::{is_allowed, tasks_at};
 use super::room::Room;
 use super::waiting::WaitingStep;
 use crate::askers::Availability;
@@ -103,26 +102,15 @@
     /// Returns the workers of a room that can take tasks of a step once the runs there that are expected to end have
     /// ended.
     fn reservable(&self, part: &Part, room: &Room, now: Millis) -> Vec<Reservable> {
-        let Some(job) = self.job(&part.job) else {
-            return Vec::new();
-        };
-        let (Some(step), Some(stage), Some(queue)) = (
-            job.step(part),
-            job.stage(part.occurrence, part.step),
-            self.queue(&job.spec.queue),
-        ) else {
+        let Some(request) = self.request(part) else {
             return Vec::new();
         };
-        let claim = &job.claims[part.step as usize];
         let reservable = |at: usize| {
             let worker = &self.workers[at];
-            if !worker.is_reservable(now)
-                || !is_allowed(queue, step, stage, worker)
-                || !room.can_start(at, Millis::MAX)
-            {
+            if !worker.is_reservable(now) || !room.can_start(at, Millis::MAX) {
                 return None;
             }
-            let tasks = tasks_at(step, claim, part, worker, Millis::MAX, now);
+            let tasks = request.tasks_at(worker, Millis::MAX, now);
             let empty = worker.expected_idle(now);
             (tasks > 0).then(|| Reservable {
                 delay: empty.since(now).0 / DELAY_CLASS.0,
--- a/crates/marigoldpick-job/src/lead/schedule.rs
+++ b/crates/marigoldpick-job/src/lead/schedule.rs
@@ -84,6 +84,21 @@
     }
 }
 
+/// `Waiting` is what a step waits for in a pass.
+#[derive(Clone, Copy, Debug)]
+struct Waiting {
+    /// The tasks that may start now.
+    wanted: usize,
+    /// Those of them that the quota of the team admits.
+    admitted: usize,
+    /// The tasks that run on workers which are about to be lost.
+    at_risk: usize,
+    /// The tasks that workers can take now, or are expected to before tickets expire.
+    usable: usize,
+    /// Whether the budget admits a question.
+    can_ask: bool,
+}
+
 /// `Choice` says how well a candidate suits a task; the least is best.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
 pub(super) struct Choice {
@@ -245,7 +260,7 @@
         {
             return;
         }
-        let wanted = self.count_wanted(step, stage);
+        let wanted = self.count_wanted(part, step, stage, now);
         let admitted = self.admitted_tasks(job, step, wanted);
         let is_over_quota = admitted < wanted;
         // The adviser is asked in advance about lasting tasks on unresponsive, draining or departed
@@ -262,81 +277,98 @@
         }
         // Copies and evacuations need a worker although no task waits.
         let most = (admitted + at_risk).max(1);
-        let usable = self.count_usable(part, &mut rooms[service], most, now);
+        let waiting = Waiting {
+            wanted,
+            admitted,
+            at_risk,
+            usable: self.count_usable(part, &mut rooms[service], most, now),
+            can_ask,
+        };
         let can_use = if step.gang {
-            usable >= admitted
+            waiting.usable >= admitted
         } else {
-            usable > 0
+            waiting.usable > 0
         };
-        let is_reservable = has_accelerators(&step);
-        if !can_fit || !can_use {
-            if is_reservable {
-                let room = &mut rooms[service];
-                self.reserve(queued, &step, admitted, room, availability, now);
-            }
-            if can_use {
-                self.charge_questions(&mut rooms[service], part, admitted, now);
-            }
+        let room = &mut rooms[service];
+        if can_fit && can_use {
+            self.place_step(queued, &step, waiting, room, availability, now);
             return;
         }
-        let mut candidates = self.candidates(part, &step, &rooms[service], now);
+        if admitted > 0 && has_accelerators(&step) {
+            self.reserve(queued, &step, admitted, room, availability, now);
+        }
+        if can_use {
+            self.charge_questions(room, part, admitted, now);
+        }
+    }
+
+    /// Places tasks of a step for which some worker may have room, and asks the adviser for the rest.
+    fn place_step(
+        &mut self,
+        queued: &WaitingStep,
+        step: &Step,
+        waiting: Waiting,
+        room: &mut Room,
+        availability: &mut Availability,
+        now: Millis,
+    ) {
+        let part = &queued.part;
+        let mut candidates = self.candidates(part, step, room, now);
         let pending = self.pending_starts.len();
-        let limit = placement_limit(&step, candidates.len(), pending).min(admitted);
-        let waiting = self.waiting_tasks(part, &step, limit.min(usable), now);
+        let limit = placement_limit(step, candidates.len(), pending).min(waiting.admitted);
+        let tasks = self.waiting_tasks(part, step, limit.min(waiting.usable), now);
         let placed = if step.gang {
-            self.place_gang(part, &step, &waiting, &candidates, now)
+            self.place_gang(part, step, &tasks, &candidates, now)
         } else {
-            self.place_each(part, &step, &waiting, &mut candidates, now)
-        };
-        let tried = waiting.len().min(placed + 1);
-        self.counters.looks += (candidates.len() * tried) as u64;
-        let copies = if placed == wanted {
-            let copies = self.place_copies(part, &step, &mut candidates, now);
-            self.evacuate(part, &step, &mut candidates, now);
-            copies
-        } else {
-            0
+            self.place_each(part, step, &tasks, &mut candidates, now)
         };
+        let compared = tasks.len().min(placed + 1);
+        self.counters.looks += (candidates.len() * compared) as u64;
+        let mut copies = 0;
+        if placed == waiting.wanted {
+            copies = self.place_copies(part, step, &mut candidates, now);
+            self.evacuate(part, step, &mut candidates, now);
+        }
         if placed + copies > 0 {
-            rooms[service].update_max_free(&self.workers);
+            room.update_max_free(&self.workers);
         }
-        if placed == limit && limit < admitted {
+        if placed == limit && limit < waiting.admitted {
             // The next pass goes on with the step.
             return;
         }
-        let missing = admitted - placed + at_risk;
-        if missing > 0
-            && can_ask
-            && self.charge_questions(&mut rooms[service], part, missing, now) > 0
-        {
-            self.ask(
-                queued,
-                missing,
-                &rooms[service],
-                Basis::Free,
-                availability,
-                now,
-            );
+        let left = waiting.admitted - placed;
+        let missing = left + waiting.at_risk;
+        if missing > 0 && waiting.can_ask && self.charge_questions(room, part, missing, now) > 0 {
+            self.ask(queued, missing, room, Basis::Free, availability, now);
         }
-        if placed < admitted && is_reservable {
-            let left = admitted - placed;
-            self.reserve(queued, &step, left, &mut rooms[service], availability, now);
+        if left > 0 && has_accelerators(step) {
+            self.reserve(queued, step, left, room, availability, now);
         }
     }
 
-    /// Returns the number of tasks of a step that wait, whether they may start now or not.
-    ///
-    /// With copies, a task whose only run is on an unresponsive worker waits as well.
-    fn count_wanted(&self, step: &Step, stage: &Stage) -> usize {
+    /// Returns the number of waiting tasks of a step that may start now; all tasks of a gang.
+    fn count_wanted(&self, part: &Part, step: &Step, stage: &Stage, now: Millis) -> usize {
         let unplaced = stage.count_unplaced() as usize;
-        if !step.copies {
+        if step.gang {
             return unplaced;
         }
-        let touched = stage.touched();
-        unplaced
-            + touched
-                .filter(|(_, task)| self.is_on_unresponsive_worker(task))
-                .count()
+        // Tasks without a state of their own are under no suspicion.
+        let (mut extra, mut refused) = (0, 0);
+        for (index, task) in stage.touched() {
+            if !self.is_waiting(step, task) {
+                continue;
+            }
+            extra += usize::from(!task.is_unplaced());
+            refused += usize::from(!self.may_start(&part.task(index), now));
+        }
+        unplaced + extra - refused
+    }
+
+    /// Returns whether a task waits for a placement.
+    ///
+    /// With copies, a task whose only run is on an unresponsive worker waits as well.
+    fn is_waiting(&self, step: &Step, task: &Task) -> bool {
+        task.is_unplaced() || (step.copies && self.is_on_unresponsive_worker(task))
     }
 
     /// Returns at most `limit` waiting tasks of a step that may start now; all tasks of a gang.
@@ -348,12 +380,9 @@
         if step.gang {
             return (0..stage.count()).collect();
         }
-        let is_waiting = |task: &Task| {
-            task.is_unplaced() || (step.copies && self.is_on_unresponsive_worker(task))
-        };
         stage
             .tasks()
-            .filter(|(_, task)| is_waiting(task))
+            .filter(|(_, task)| self.is_waiting(step, task))
             .map(|(index, _)| index)
             .filter(|index| self.may_start(&part.task(*index), now))
             .take(limit)
