Count comparisons with forecasts as what they cost

Count the comparisons that were made, at a tenth of the cost of a look, and begin each search at the worker that was charged last.

--- a/crates/marigoldpick-job/src/lead/forecast.rs
+++ b/crates/marigoldpick-job/src/lead/forecast.rs
@@ -119,9 +119,10 @@
         }
         if usable < most && room.can_fit_soon(&self.workers, claim, now) {
             let at = room.horizon();
-            let fitting = room.fitting_soon(claim);
-            let tasks = fitting.map(|(n, position)| n.min(allowance(&self.workers[position], at)));
-            usable = usable.max(add_up(most, tasks));
+            let soon = room.count_soon(claim, most, |position| {
+                allowance(&self.workers[position], at)
+            });
+            usable = usable.max(soon);
         }
         usable
     }
@@ -132,7 +133,7 @@
     /// horizon, and not charged yet for steps earlier in rank. A gang is charged as a whole or not at all. Returns the
     /// number of tasks charged.
     pub(super) fn charge_questions(
-        &mut self,
+        &self,
         room: &mut Room,
         part: &Part,
         most: usize,
@@ -149,13 +150,10 @@
         let allowance = |position: usize| request.allowance_at(&self.workers[position], at, now);
         let shares = room.share_out(claim, most as u64, end, allowance);
         let charged = shares.iter().map(|(_, tasks)| tasks).sum();
-        let looks = room.workers.len() as u64;
         if step.gang && charged < most as u64 {
-            self.counters.looks += looks;
             return 0;
         }
         room.charge(part, claim, &shares);
-        self.counters.looks += looks;
         charged
     }
 
--- a/crates/marigoldpick-job/src/lead/room.rs
+++ b/crates/marigoldpick-job/src/lead/room.rs
@@ -66,6 +66,10 @@
     max_free: Amount,
     /// A claim that fits nowhere beside the charges so far; neither does a larger one.
     unfit: Option<Amount>,
+    /// The index of the worker that was charged last. Workers before it are mostly charged, so that a search begins there.
+    cursor: usize,
+    /// The number of times that a worker's forecast was compared with a claim.
+    comparisons: u64,
 }
 
 impl Outlook {
@@ -85,6 +89,11 @@
     }
 }
 
+/// Returns all indices below `count`, beginning at `first`.
+fn rotate(first: usize, count: usize) -> impl Iterator<Item = usize> {
+    (first.min(count)..count).chain(0..first.min(count))
+}
+
 /// `Reservation` keeps a worker for a waiting step.
 #[derive(Clone, Debug)]
 struct Reservation {
@@ -202,13 +211,36 @@
         outlook.can_fit(claim)
     }
 
-    /// Returns the workers that are expected to have capacity for a claim by the horizon, as numbers of claims and
-    /// positions.
-    pub(super) fn fitting_soon(&self, claim: &Amount) -> impl Iterator<Item = (u64, usize)> {
-        let free = self.outlook.iter().flat_map(|outlook| &outlook.free);
-        let fitting = free.map(|free| count_fitting(free, claim));
-        let workers = fitting.zip(self.workers.iter().copied());
-        workers.filter(|(fitting, _)| *fitting > 0)
+    /// Returns how many of `most` tasks fit the capacity that is expected to be free by the horizon.
+    ///
+    /// `allowance` returns how many tasks the worker at a position may run.
+    pub(super) fn count_soon(
+        &mut self,
+        claim: &Amount,
+        most: usize,
+        allowance: impl Fn(usize) -> u64,
+    ) -> usize {
+        let Some(outlook) = &mut self.outlook else {
+            return 0;
+        };
+        let mut left = most as u64;
+        for index in rotate(outlook.cursor, self.workers.len()) {
+            outlook.comparisons += 1;
+            let fitting = count_fitting(&outlook.free[index], claim);
+            if fitting > 0 {
+                left = left.saturating_sub(fitting.min(allowance(self.workers[index])));
+            }
+            if left == 0 {
+                return most;
+            }
+        }
+        most - usize::try_from(left).unwrap_or(most)
+    }
+
+    /// Returns the number of times that a forecast was compared with a claim.
+    pub(super) fn count_comparisons(rooms: &[Self]) -> u64 {
+        let outlooks = rooms.iter().filter_map(|room| room.outlook.as_ref());
+        outlooks.map(|outlook| outlook.comparisons).sum()
     }
 
     /// Returns the number of workers whose runs were examined for a forecast.
@@ -233,10 +265,13 @@
             return shares;
         };
         let (mut left, mut fits_anywhere) = (most, false);
-        for (index, position) in self.workers.iter().enumerate() {
+        let (mut comparisons, mut cursor) = (0, outlook.cursor);
+        for index in rotate(outlook.cursor, self.workers.len()) {
             if left == 0 {
                 break;
             }
+            comparisons += 1;
+            let position = &self.workers[index];
             let fitting = count_fitting(&outlook.left[index], claim)
                 .min(count_fitting(&outlook.free[index], claim));
             if fitting == 0 {
@@ -250,10 +285,15 @@
             if tasks > 0 {
                 shares.push((index, tasks));
                 left -= tasks;
+                cursor = index;
             }
         }
-        if !fits_anywhere && let Some(outlook) = &mut self.outlook {
-            outlook.unfit = Some(claim.clone());
+        if let Some(outlook) = &mut self.outlook {
+            outlook.cursor = cursor;
+            outlook.comparisons += comparisons;
+            if !fits_anywhere {
+                outlook.unfit = Some(claim.clone());
+            }
         }
         shares
     }
--- a/crates/marigoldpick-job/src/lead/schedule.rs
+++ b/crates/marigoldpick-job/src/lead/schedule.rs
@@ -31,6 +31,8 @@
 const STEP_COST_NS: u64 = 2_000;
 /// The time a pass needs per worker examined on an entry with half a core, in nanoseconds.
 const LOOK_COST_NS: u64 = 500;
+/// The time a pass needs to compare the forecast of a worker with a claim on an entry with half a core, in nanoseconds.
+const COMPARISON_COST_NS: u64 = 50;
 /// Passes take at most this fraction of the time: one part in five.
 const PASS_TIME_DIVISOR: u64 = 5;
 
@@ -57,8 +59,9 @@
 /// Load pattern: a backlog makes each pass longer. The interval grows with the cost of a pass, so
 /// that the lead keeps the same share of time for starts, ends and leases, and works off the
 /// backlog.
-fn next_pass_interval(steps: usize, looks: u64) -> Millis {
-    let taken = steps as u64 * STEP_COST_NS + looks * LOOK_COST_NS;
+fn next_pass_interval(steps: usize, looks: u64, comparisons: u64) -> Millis {
+    let taken =
+        steps as u64 * STEP_COST_NS + looks * LOOK_COST_NS + comparisons * COMPARISON_COST_NS;
     MIN_PASS_INTERVAL.max(Millis(taken * PASS_TIME_DIVISOR / 1_000_000))
 }
 
@@ -142,7 +145,8 @@
         }
         self.record_holders(&rooms, now);
         let looks = self.counters.looks - looks + Room::count_forecasts(&rooms);
-        self.pass_interval = next_pass_interval(steps, looks);
+        let comparisons = Room::count_comparisons(&rooms);
+        self.pass_interval = next_pass_interval(steps, looks, comparisons);
     }
 
     /// Returns the waiting steps.
