Share the counting of tasks that workers can take

Four loops added up how many tasks workers can take until there are enough, the spread limit was computed in two places, and the reservation looked up a verdict beside the request that has it. One function serves each.

--- a/crates/marigoldpick-job/src/lead/advise.rs
+++ b/crates/marigoldpick-job/src/lead/advise.rs
@@ -311,9 +311,13 @@
 
 /// Returns how many more tasks the step's spread limit allows on a worker.
 pub(super) fn spread_allowance(step: &Step, worker: &Worker, part: &Part) -> u64 {
-    step.spread.map_or(u64::MAX, |most| {
-        u64::from(most.saturating_sub(worker.count_of_step(part)))
-    })
+    spread_left(step, || worker.count_of_step(part))
+}
+
+/// Returns how many more tasks the step's spread limit allows beside the runs that `count` returns.
+pub(super) fn spread_left(step: &Step, count: impl FnOnce() -> u32) -> u64 {
+    step.spread
+        .map_or(u64::MAX, |most| u64::from(most.saturating_sub(count())))
 }
 
 /// Returns how many claims fit into an amount of capacity.
--- a/crates/marigoldpick-job/src/lead/forecast.rs
+++ b/crates/marigoldpick-job/src/lead/forecast.rs
@@ -8,7 +8,7 @@
 use marigoldpick_core::work::{Part, Step};
 
 use super::Lead;
-use super::advise::count_fitting;
+use super::advise::{count_fitting, spread_left};
 use super::room::Room;
 use crate::job::{Job, Stage};
 use crate::queue::Queue;
@@ -51,14 +51,18 @@
         is_allowed(self.queue, self.step, self.stage, worker)
     }
 
+    /// Returns whether a worker may run tasks of the step, and no question is needed to know that.
+    pub(super) fn is_known_to_allow(&self, worker: &Worker) -> bool {
+        let verdict = self.stage.tickets.find(&worker.node.id);
+        self.allows(worker) && (self.queue.policy.is_none() || verdict.is_some())
+    }
+
     /// Returns how many more tasks a worker may run at `at`, whatever its capacity.
     fn allowance_at(&self, worker: &Worker, at: Millis, now: Millis) -> u64 {
         if !self.allows(worker) {
             return 0;
         }
-        self.step.spread.map_or(u64::MAX, |most| {
-            u64::from(most.saturating_sub(worker.count_of_step_at(self.part, at, now)))
-        })
+        spread_left(self.step, || worker.count_of_step_at(self.part, at, now))
     }
 
     /// Returns how many tasks a worker is expected to be able to take at `at`, if nothing else starts there.
@@ -68,7 +72,7 @@
 }
 
 /// Adds up numbers of tasks until there are `most`.
-fn add_up(most: usize, tasks: impl Iterator<Item = u64>) -> usize {
+pub(super) fn add_up(most: usize, tasks: impl Iterator<Item = u64>) -> usize {
     let mut left = most as u64;
     for tasks in tasks {
         left = left.saturating_sub(tasks);
@@ -173,7 +177,7 @@
             let tasks = allowed
                 .iter()
                 .map(|worker| request.tasks_at(worker, at, now));
-            tasks.fold(0, u64::saturating_add) >= u64::from(count)
+            add_up(count as usize, tasks) == count as usize
         };
         if has_room(now) {
             return Some(now);
--- a/crates/marigoldpick-job/src/lead/load.rs
+++ b/crates/marigoldpick-job/src/lead/load.rs
@@ -11,7 +11,7 @@
 
 use super::Lead;
 use super::advise::count_fitting;
-use super::forecast::is_allowed;
+use super::forecast::{add_up, is_allowed};
 use super::unrecorded::UnrecordedRuns;
 use crate::job::{Job, Occurrence, Stage};
 use crate::queue::Queue;
@@ -119,18 +119,9 @@
             .iter()
             .filter(|(at, _)| is_allowed(queue, step, stage, &self.workers[*at]));
         let most = step.spread.map_or(u64::MAX, u64::from);
-        let mut left = if step.gang {
-            u64::from(stage.count())
-        } else {
-            1
-        };
-        for (_, free) in allowed {
-            left = left.saturating_sub(count_fitting(free, claim).min(most));
-            if left == 0 {
-                return true;
-            }
-        }
-        false
+        let wanted = if step.gang { stage.count() as usize } else { 1 };
+        let tasks = allowed.map(|(_, free)| count_fitting(free, claim).min(most));
+        add_up(wanted, tasks) == wanted
     }
 
     /// Records finished tasks of a step, for the rate at which its service finishes work.
--- a/crates/marigoldpick-job/src/lead/reserve.rs
+++ b/crates/marigoldpick-job/src/lead/reserve.rs
@@ -18,7 +18,6 @@
 use super::room::Room;
 use super::waiting::WaitingStep;
 use crate::askers::Availability;
-use crate::worker::Worker;
 
 /// Workers that are expected to be empty within the same multiple of this time count as equally soon.
 const DELAY_CLASS: Millis = Millis(4_000);
@@ -71,7 +70,9 @@
             return;
         }
         self.ask(queued, missing, room, Basis::Capacity, availability, now);
-        possible.retain(|worker| self.is_known_good(part, &self.workers[worker.at]));
+        if let Some(request) = self.request(part) {
+            possible.retain(|worker| request.is_known_to_allow(&self.workers[worker.at]));
+        }
         possible.sort_unstable();
         let mut left = missing as u64;
         let mut chosen = Vec::new();
@@ -123,16 +124,4 @@
         let positions = room.workers.iter();
         positions.filter_map(|at| reservable(*at)).collect()
     }
-
-    /// Returns whether a worker is known to be allowed to run a step.
-    fn is_known_good(&self, part: &Part, worker: &Worker) -> bool {
-        let Some(job) = self.job(&part.job) else {
-            return false;
-        };
-        let queue = self.queue(&job.spec.queue);
-        let stage = job.stage(part.occurrence, part.step);
-        let verdict = stage.and_then(|stage| stage.tickets.find(&worker.node.id));
-        queue.is_some_and(|queue| queue.policy.is_none())
-            || verdict.is_some_and(|verdict| verdict.ticket.is_some())
-    }
 }
--- a/crates/marigoldpick-job/src/lead/room.rs
+++ b/crates/marigoldpick-job/src/lead/room.rs
@@ -15,6 +15,7 @@
 use marigoldpick_core::work::Part;
 
 use super::advise::count_fitting;
+use super::forecast::add_up;
 use crate::question::Share;
 use crate::rank::counted_millicores;
 use crate::worker::Worker;
@@ -223,18 +224,13 @@
         let Some(outlook) = &mut self.outlook else {
             return 0;
         };
-        let mut left = most as u64;
-        for index in rotate(outlook.cursor, self.workers.len()) {
-            outlook.comparisons += 1;
-            let fitting = count_fitting(&outlook.free[index], claim);
-            if fitting > 0 {
-                left = left.saturating_sub(fitting.min(allowance(self.workers[index])));
-            }
-            if left == 0 {
-                return most;
-            }
-        }
-        most - usize::try_from(left).unwrap_or(most)
+        let (free, comparisons) = (&outlook.free, &mut outlook.comparisons);
+        let fitting = rotate(outlook.cursor, self.workers.len()).map(|index| {
+            *comparisons += 1;
+            (count_fitting(&free[index], claim), self.workers[index])
+        });
+        let tasks = fitting.filter(|(fitting, _)| *fitting > 0);
+        add_up(most, tasks.map(|(n, position)| n.min(allowance(position))))
     }
 
     /// Returns the number of times that a forecast was compared with a claim.
