--- a/crates/marigoldpick-job/src/lead.rs
+++ b/crates/marigoldpick-job/src/lead.rs
@@ -21,6 +21,7 @@
 mod placement;
 mod quota;
 mod registry;
+mod release;
 mod repeat;
 mod report;
 mod reserve;
@@ -41,6 +42,7 @@
 use marigoldpick_core::work::load::Summary;
 use marigoldpick_core::work::{self, Phase, Task};
 
+use self::release::{Evidence, Ground};
 use crate::action::Action;
 use crate::askers::{self, Askers};
 use crate::job::Job;
@@ -121,6 +123,10 @@
     term: u64,
     /// The start of the term.
     term_start: Millis,
+    /// When the term was last confirmed; see [`Self::confirm`].
+    confirmed: Millis,
+    /// When an order last extended a lease.
+    last_extension: Millis,
     /// What is known of the leases that earlier leads granted.
     inherited: lease::Inherited,
     next_run: u64,
@@ -159,6 +165,8 @@
     holds_starts: bool,
     /// Whether starts wait for earlier orders to be answered.
     caps_starts: bool,
+    /// The runs that were given up and whose tasks have not started again.
+    releases: release::Releases,
     /// Jobs with steps that may be waiting for placement, sorted.
     waiting: Vec<id::Job>,
     /// Jobs with failed tasks for which it is undecided whether the job fails; sorted.
@@ -204,7 +212,7 @@
 }
 
 impl Lead {
-    /// Creates the lead of a term.
+    /// Creates the lead of a term, which counts as confirmed at `now`.
     ///
     /// `term` exceeds the term of every earlier lead, so that its fencing tokens exceed theirs.
     #[must_use]
@@ -213,6 +221,8 @@
             settings,
             term,
             term_start: now,
+            confirmed: now,
+            last_extension: Millis::ZERO,
             inherited: lease::Inherited::unknown(&settings, now),
             next_run: term << RUN_NUMBER_BITS,
             last_order: 0,
@@ -236,6 +246,7 @@
             inbox_as_of: now,
             holds_starts: false,
             caps_starts: false,
+            releases: release::Releases::default(),
             waiting: Vec::new(),
             needs_pass: true,
             last_pass: Millis::ZERO,
@@ -259,6 +270,33 @@
         }
     }
 
+    /// Sets when the claim to the term was made, which is the first confirmation.
+    #[must_use]
+    pub const fn claimed_at(mut self, at: Millis) -> Self {
+        self.confirmed = at;
+        self
+    }
+
+    /// Records that the term was confirmed at `at`.
+    ///
+    /// `at` is the send time of a call that the store answered, or the time at which most entries reported
+    /// that they do not reach the store, so that no other entry can take over.
+    pub fn confirm(&mut self, at: Millis) {
+        self.confirmed = self.confirmed.max(at);
+    }
+
+    /// Returns when the term was last confirmed.
+    #[must_use]
+    pub const fn confirmed(&self) -> Millis {
+        self.confirmed
+    }
+
+    /// Returns when an order last extended a lease.
+    #[must_use]
+    pub const fn last_extension(&self) -> Millis {
+        self.last_extension
+    }
+
     /// Returns the term of this lead.
     #[must_use]
     pub const fn term(&self) -> u64 {
@@ -445,15 +483,16 @@
         let job = &mut self.jobs[at];
         job.phase = phase;
         job.ended_at = Some(now);
+        self.releases.forget(&self.jobs[at].id);
         for (task, place) in placed {
-            self.stop_run(&task, &place.worker, place.run);
+            self.stop_run(&task, &place.worker, place.run, now);
         }
         self.mark_changed(at);
         self.needs_pass = true;
     }
 
     /// Stops a run; a run that has not been ordered is dropped.
-    fn stop_run(&mut self, task: &Task, worker: &id::Worker, run: u64) {
+    fn stop_run(&mut self, task: &Task, worker: &id::Worker, run: u64, now: Millis) {
         let Some(at) = self.worker_index(worker) else {
             return;
         };
@@ -461,7 +500,10 @@
             return;
         };
         match entry.phase {
-            worker::Phase::Recording => self.release_run(at, task, run),
+            worker::Phase::Recording => {
+                let evidence = Evidence::new(Ground::Unordered, now);
+                self.release_run(at, task, run, evidence, now);
+            }
             worker::Phase::Stop | worker::Phase::Stopping | worker::Phase::Stopped(_) => {}
             // A stop is ordered even while the start is in flight; the answer to the start does not
             // undo it.
@@ -472,6 +514,15 @@
         }
     }
 
+    /// Extends the lease of a worker from `now` and returns its end by the worker's clock.
+    ///
+    /// Returns `None` while no reading of the clock is known.
+    fn extend_lease(&mut self, at: usize, now: Millis) -> Option<Millis> {
+        let until = self.workers[at].extend_lease(&self.settings, now)?;
+        self.last_extension = now;
+        Some(until)
+    }
+
     /// Increments the revision of a job and queues its record for a commit.
     fn mark_changed(&mut self, at: usize) {
         self.mark_changed_for(at, backlog::Reason::Other);
--- a/crates/marigoldpick-job/src/lead/crash.rs
+++ b/crates/marigoldpick-job/src/lead/crash.rs
@@ -10,6 +10,7 @@
 use marigoldpick_core::work::port::{Ended, Exit, Running};
 
 use super::Lead;
+use super::release::{Evidence, Ground};
 use crate::job::{self, Place};
 use crate::worker::{Phase, SETTLE_TIME, Suspect, Worker};
 
@@ -55,7 +56,8 @@
         self.count_crash(at, now);
         for run in runs {
             self.log_loss(at, &run, now);
-            self.release_run(at, &run.task, run.run);
+            let evidence = Evidence::new(Ground::Replaced, now);
+            self.release_run(at, &run.task, run.run, evidence, now);
         }
     }
 
--- a/crates/marigoldpick-job/src/lead/evacuate.rs
+++ b/crates/marigoldpick-job/src/lead/evacuate.rs
@@ -53,7 +53,7 @@
             let id = self.workers[target].node.id.clone();
             let detail = format!("worker={} run={} to={id}", place.worker, place.run);
             self.log("task-evacuated", task.to_string(), detail);
-            self.stop_run(&task, &place.worker, place.run);
+            self.stop_run(&task, &place.worker, place.run, now);
             self.evacuations.push(Evacuation {
                 task,
                 run: place.run,
--- a/crates/marigoldpick-job/src/lead/hold.rs
+++ b/crates/marigoldpick-job/src/lead/hold.rs
@@ -4,6 +4,7 @@
 use marigoldpick_core::work::port::{Fault, Order, Reply};
 
 use super::Lead;
+use super::release::{Evidence, Ground};
 use crate::open::{Hold, Probe, Source};
 use crate::worker::{BROKEN_CALL_TIME, Phase, SETTLE_TIME, Worker};
 
@@ -175,10 +176,11 @@
         // arrive late, and the lead could not tell when the lease ends.
         let renews = worker.is_renewable() && !worker.runs.is_empty();
         let until = if renews {
-            worker.extend_lease(&settings, now)
+            self.extend_lease(at, now)
         } else {
             None
         };
+        let worker = &self.workers[at];
         // A hold that does not renew the lease must not keep the next one, which may, waiting.
         let returns_at_once = worker.runs.is_empty() || !worker.is_renewable();
         let wait = if returns_at_once || recorded < worker.last_end {
@@ -367,18 +369,21 @@
             let id = worker.node.id.to_string();
             let runs = self.workers[at].runs.clone();
             let detail = format!(
-                "runs={} reported={} silent_ms={} term_ms={} bound={}",
+                "runs={} reported={} silent_ms={} term_ms={} confirmed_ms={} bound={}",
                 runs.len(),
                 worker.has_reported,
                 now.since(worker.earliest_loss(now)).0,
                 now.since(self.term_start).0,
+                now.since(self.confirmed).0,
                 worker.lease.source()
             );
+            let evidence =
+                Evidence::new(Ground::Lapsed(worker.lease.source()), worker.lease.lapse());
             self.counters.lease_releases += 1;
             self.log("worker-lapsed", id, detail);
             for run in runs {
                 self.log_loss(at, &run, now);
-                self.release_run(at, &run.task, run.run);
+                self.release_run(at, &run.task, run.run, evidence, now);
             }
         }
     }
--- /dev/null
+++ b/crates/marigoldpick-job/src/lead/release.rs
@@ -0,0 +1,104 @@
+//! The release of placements, and the evidence that it rests on.
+
+use displaydoc::Display;
+use marigoldpick_core::prelude::*;
+use marigoldpick_core::work::Task;
+use marigoldpick_core::work::port::Fault;
+
+use super::Lead;
+use crate::lease::Source;
+
+/// The most released runs that are remembered for the start that replaces them.
+const MAX_REMEMBERED: usize = 1_024;
+
+/// `Ground` is what shows that a run has ended or will never begin.
+#[derive(Clone, Copy, Debug, Display, PartialEq, Eq)]
+pub(super) enum Ground {
+    /// lapsed
+    Lapsed(Source),
+    /// stopped
+    Stopped,
+    /// outlived
+    Outlived,
+    /// replaced
+    Replaced,
+    /// refused
+    Refused(Fault),
+    /// unordered
+    Unordered,
+}
+
+/// `Evidence` is what a placement is given up on, and how old that is.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(super) struct Evidence {
+    /// What was found.
+    pub(super) ground: Ground,
+    /// When the worker told it, or the lease lapsed.
+    pub(super) since: Millis,
+}
+
+impl Evidence {
+    /// Creates evidence that dates from `since`.
+    pub(super) const fn new(ground: Ground, since: Millis) -> Self {
+        Self { ground, since }
+    }
+}
+
+/// `Releases` remembers which run of a task was given up last, sorted by task, until the task starts again.
+#[derive(Debug, Default)]
+pub(super) struct Releases(Vec<(Task, u64)>);
+
+impl Releases {
+    /// Remembers a run that was given up.
+    pub(super) fn record(&mut self, task: &Task, run: u64) {
+        match self.find(task) {
+            Ok(at) => self.0[at].1 = run,
+            Err(at) if self.0.len() < MAX_REMEMBERED => self.0.insert(at, (task.clone(), run)),
+            Err(_) => {}
+        }
+    }
+
+    /// Removes and returns the run that a start of the task replaces, if it is remembered.
+    pub(super) fn take(&mut self, task: &Task) -> Option<u64> {
+        let at = self.find(task).ok()?;
+        Some(self.0.remove(at).1)
+    }
+
+    /// Forgets the tasks of a job that is over.
+    pub(super) fn forget(&mut self, job: &id::Job) {
+        self.0.retain(|(task, _)| task.part.job != *job);
+    }
+
+    fn find(&self, task: &Task) -> Result<usize, usize> {
+        self.0.binary_search_by(|(have, _)| have.cmp(task))
+    }
+}
+
+impl Lead {
+    /// Releases the claim and the placement of a run that has ended or never began.
+    pub(super) fn release_run(
+        &mut self,
+        at: usize,
+        task: &Task,
+        run: u64,
+        evidence: Evidence,
+        now: Millis,
+    ) {
+        if let Some(released) = self.remove_run(at, task, run) {
+            let worker = &self.workers[at];
+            let id = worker.node.id.clone();
+            let detail = format!(
+                "worker={id} born={} token={} run={run} phase={:?} confirmed={} age_ms={} evidence={}",
+                worker.node.born,
+                worker.target().fencing_token(self.term),
+                released.phase,
+                released.attempts.is_confirmed,
+                now.since(evidence.since).0,
+                evidence.ground
+            );
+            self.log("run-released", task.to_string(), detail);
+            self.releases.record(task, run);
+            self.remove_place(task, run, &id);
+        }
+    }
+}
--- a/crates/marigoldpick-job/src/lead/report.rs
+++ b/crates/marigoldpick-job/src/lead/report.rs
@@ -5,6 +5,7 @@
 use marigoldpick_core::work::{self, Task};
 
 use super::Lead;
+use super::release::{Evidence, Ground};
 use crate::worker::{Phase, Run, Worker};
 
 /// A running task without progress for this time is stalled, unless its progress is known to be slow.
@@ -69,7 +70,7 @@
         }
         // A run that is missing in a report whose list of ends is cut may have ended as done.
         if !report.is_cut {
-            self.handle_missing_runs(at, &report.running, sent);
+            self.handle_missing_runs(at, &report.running, sent, now);
         }
         self.adjust_pace(at, &report.running);
     }
@@ -177,14 +178,14 @@
     }
 
     /// Handles expected runs that are missing from a report requested at `sent`.
-    fn handle_missing_runs(&mut self, at: usize, running: &[Running], sent: Millis) {
+    fn handle_missing_runs(&mut self, at: usize, running: &[Running], sent: Millis, now: Millis) {
         let stop_bound = self.settings.stop_bound();
         let is_reported = |run: &Run| {
             running
                 .iter()
                 .any(|reported| reported.run == run.run && reported.task == run.task)
         };
-        let mut gone: Vec<(Task, u64)> = Vec::new();
+        let mut gone: Vec<(Task, u64, Millis)> = Vec::new();
         let mut outlived: Vec<(Task, u64)> = Vec::new();
         let mut lost: Vec<(Task, u64)> = Vec::new();
         for run in &mut self.workers[at].runs {
@@ -192,7 +193,7 @@
                 // Until the stop completes, the run may be in neither list and still occupy the
                 // worker.
                 Phase::Stopped(since) if since + stop_bound <= sent && !is_reported(run) => {
-                    gone.push((run.task.clone(), run.run));
+                    gone.push((run.task.clone(), run.run, since));
                 }
                 // The report answers an order with a token under which no earlier start is carried out any more.
                 Phase::Ordered | Phase::Unknown(_) | Phase::Running
@@ -213,15 +214,17 @@
             }
         }
         self.workers[at].has_stops |= !lost.is_empty();
-        for (task, run) in gone {
-            self.release_run(at, &task, run);
+        for (task, run, since) in gone {
+            let evidence = Evidence::new(Ground::Stopped, since);
+            self.release_run(at, &task, run, evidence, now);
         }
         for (task, run) in outlived {
-            self.release_run(at, &task, run);
-            self.stop_gang(&task, run);
+            let evidence = Evidence::new(Ground::Outlived, sent);
+            self.release_run(at, &task, run, evidence, now);
+            self.stop_gang(&task, run, now);
         }
         for (task, run) in lost {
-            self.stop_gang(&task, run);
+            self.stop_gang(&task, run, now);
         }
     }
 
@@ -243,6 +246,7 @@
         if end.how != Exit::Done {
             let detail = format!("worker={worker} run={} how={}", end.run, end.how);
             self.log("run-ended", end.task.to_string(), detail);
+            self.releases.record(&end.task, end.run);
         }
         self.remove_place(&end.task, end.run, &worker);
         self.clear_ended(end);
@@ -292,7 +296,7 @@
                     self.mark_waiting(at);
                 }
                 self.mark_changed(at);
-                self.stop_copies(at, &end.task, gang);
+                self.stop_copies(at, &end.task, gang, now);
                 if self.jobs[at].is_done() {
                     self.finish_job(at, work::Phase::Completed, now);
                 }
@@ -356,7 +360,7 @@
     }
 
     /// Stops the remaining runs of a finished task.
-    fn stop_copies(&mut self, at: usize, task: &Task, gang: bool) {
+    fn stop_copies(&mut self, at: usize, task: &Task, gang: bool, now: Millis) {
         if gang {
             return;
         }
@@ -365,7 +369,7 @@
             .map(|state| state.places.clone())
             .unwrap_or_default();
         for place in places {
-            self.stop_run(task, &place.worker, place.run);
+            self.stop_run(task, &place.worker, place.run, now);
         }
     }
 
--- a/crates/marigoldpick-job/src/lead/runs.rs
+++ b/crates/marigoldpick-job/src/lead/runs.rs
@@ -90,14 +90,6 @@
         self.log("run-lost", run.task.to_string(), detail);
     }
 
-    /// Releases the claim and the placement of a run that has ended or never began.
-    pub(super) fn release_run(&mut self, at: usize, task: &Task, run: u64) {
-        if self.remove_run(at, task, run).is_some() {
-            let id = self.workers[at].node.id.clone();
-            self.remove_place(task, run, &id);
-        }
-    }
-
     /// Removes the placement of a run, so that its task waits again.
     pub(super) fn remove_place(&mut self, task: &Task, run: u64, worker: &id::Worker) {
         self.needs_pass = true;
--- a/crates/marigoldpick-job/src/lead/start.rs
+++ b/crates/marigoldpick-job/src/lead/start.rs
@@ -5,6 +5,7 @@
 use marigoldpick_core::work::{self, Task};
 
 use super::losses::{Origin, Recent};
+use super::release::{Evidence, Ground};
 use super::{Lead, PendingStart};
 use crate::open::Kind;
 use crate::worker::{Phase, Run};
@@ -90,11 +91,17 @@
             let tasks: Vec<String> = starts.iter().map(|s| s.task.index.to_string()).collect();
             let runs: Vec<String> = starts.iter().map(|s| s.run.to_string()).collect();
             let workers: Vec<&str> = starts.iter().map(|s| s.worker.as_str()).collect();
+            let replaced = starts.iter().filter_map(|start| {
+                let run = self.releases.take(&start.task)?;
+                Some(format!("{}:{run}", start.task.index))
+            });
+            let replaced: Vec<String> = replaced.collect();
             let detail = format!(
-                "tasks={} workers={} runs={}",
+                "tasks={} workers={} runs={} replaced={}",
                 tasks.join(","),
                 workers.join(","),
-                runs.join(",")
+                runs.join(","),
+                replaced.join(",")
             );
             self.log("starts-ordered", starts[0].task.part.to_string(), detail);
         }
@@ -112,8 +119,9 @@
         }
         let Some(order) = self.start_order(at, task, run, now) else {
             // The ticket has expired, or the worker no longer takes work or has less capacity.
-            self.release_run(at, task, run);
-            self.stop_gang(task, run);
+            let evidence = Evidence::new(Ground::Unordered, now);
+            self.release_run(at, task, run, evidence, now);
+            self.stop_gang(task, run, now);
             return false;
         };
         if let Some(entry) = self.workers[at].run_mut(task, run) {
@@ -140,7 +148,6 @@
         if !self.workers[at].can_take_work(now) || self.workers[at].is_overcommitted() {
             return None;
         }
-        let settings = self.settings;
         let checkpoint = self.start_checkpoint(task, run);
         let job = self.job(&task.part.job)?;
         if job.phase.is_over() {
@@ -162,7 +169,7 @@
             checkpoint,
             ticket: ticket.map(str::to_owned),
         };
-        start.until = self.workers[at].extend_lease(&settings, now)?;
+        start.until = self.extend_lease(at, now)?;
         Some(start)
     }
 
@@ -416,8 +423,9 @@
         fault: Fault,
         now: Millis,
     ) {
-        self.release_run(at, task, run);
-        self.stop_gang(task, run);
+        let evidence = Evidence::new(Ground::Refused(fault), now);
+        self.release_run(at, task, run, evidence, now);
+        self.stop_gang(task, run, now);
         self.apply_refusal(at, task, fault, now);
     }
 
@@ -445,7 +453,7 @@
     /// Stops all members of a gang when one of them does not run.
     ///
     /// The others would only wait for it.
-    pub(super) fn stop_gang(&mut self, task: &Task, run: u64) {
+    pub(super) fn stop_gang(&mut self, task: &Task, run: u64, now: Millis) {
         let Some(job) = self.job(&task.part.job) else {
             return;
         };
@@ -472,7 +480,7 @@
             format!("run={run} members={}", members.len()),
         );
         for (member, worker) in members {
-            self.stop_run(&member, &worker, run);
+            self.stop_run(&member, &worker, run, now);
         }
     }
 
@@ -507,7 +515,8 @@
             }
             // The worker has restarted, and the run ended with the process that ran it.
             Err(Fault::Restarted) => {
-                self.release_run(at, task, run);
+                let evidence = Evidence::new(Ground::Replaced, now);
+                self.release_run(at, task, run, evidence, now);
             }
             // Another order may still be answered.
             Err(_) if is_open => {}
--- a/crates/marigoldpick-job/tests/lead/main.rs
+++ b/crates/marigoldpick-job/tests/lead/main.rs
@@ -10,6 +10,7 @@
 mod numbers;
 mod outages;
 mod records;
+mod releases;
 mod repeats;
 mod repetition;
 mod restarts;
--- a/crates/marigoldpick-job/tests/lead/world.rs
+++ b/crates/marigoldpick-job/tests/lead/world.rs
@@ -12,9 +12,9 @@
 use marigoldpick_core::work::{Job, Part, Phase, Schedule, Step, Task};
 use marigoldpick_job::action::Action;
 use marigoldpick_job::askers::Member;
-use marigoldpick_job::lead::Origin;
 use marigoldpick_job::lead::commit::Outcome;
 use marigoldpick_job::lead::roster;
+use marigoldpick_job::lead::{Decision, Origin};
 use marigoldpick_job::queue::Policy;
 use marigoldpick_job::record::Record;
 use marigoldpick_job::{Lead, Queue, Settings, worker};
@@ -183,6 +183,8 @@
     pub executes_unanswered: bool,
     /// The starts that were lost in this way, with their times.
     pub unanswered_starts: Vec<(Task, u64, Millis)>,
+    /// The decisions on placements that were given up and on starts.
+    pub decisions: Vec<Decision>,
     /// Starts that the lead sent, with time and worker, whether they arrived or not.
     pub sent_starts: Vec<(Millis, usize)>,
     /// The runs for which the lead has sent a start.
@@ -245,6 +247,7 @@
             unanswered_percent: 0,
             executes_unanswered: true,
             unanswered_starts: Vec::new(),
+            decisions: Vec::new(),
             sent_starts: Vec::new(),
             sent_runs: BTreeSet::new(),
             released_starts: Vec::new(),
@@ -416,13 +419,24 @@
             if self.store_up && !self.inbox_silent {
                 self.lead.confirm_inbox(self.now);
             }
+            if self.store_up || self.lead.allows_unrecorded(self.now) {
+                self.lead.confirm(self.now);
+            }
             let actions = self.lead.tick(self.now);
-            self.lead.take_decisions();
+            self.keep_decisions();
             actions.into_iter().for_each(|action| self.perform(action));
             self.release_starts();
         }
     }
 
+    /// Keeps the decisions on placements that were given up and on starts.
+    fn keep_decisions(&mut self) {
+        let kept = ["run-released", "starts-ordered"];
+        let decisions = self.lead.take_decisions().into_iter();
+        let decisions = decisions.filter(|decision| kept.contains(&decision.event));
+        self.decisions.extend(decisions);
+    }
+
     /// Runs for `span` milliseconds in which the lead neither acts nor gets or sends messages, and then lets it act before
     /// all messages arrive at once. Late orders have left it, and are carried out meanwhile.
     pub fn freeze(&mut self, span: u64) {
--- a/crates/marigoldpick-node/src/election.rs
+++ b/crates/marigoldpick-node/src/election.rs
@@ -9,6 +9,7 @@
 use marigoldpick_core::store::{Answer, Call, Condition, Expect, Fault, Item, Write};
 use marigoldpick_core::work::lease::Bound;
 use marigoldpick_core::work::peer;
+use marigoldpick_job::Lead;
 use rand::Rng;
 use serde::{Deserialize, Serialize};
 
@@ -342,7 +343,14 @@
         *self.tenure.borrow_mut() = None;
         *self.leadership.borrow_mut() = None;
         *self.lead.borrow_mut() = None;
-        log::info!(target: "node", "event=lead-ended term={term} why={outcome:?}");
+        let confirmed = leadership.confirmed();
+        let extended = leadership.read(Lead::last_extension);
+        log::info!(
+            target: "node",
+            "event=lead-ended term={term} why={outcome:?} confirmed_ms={} extended_ms={}",
+            self.now().since(confirmed).0,
+            extended.since(confirmed).0
+        );
         Ok(())
     }
 
--- a/crates/marigoldpick-node/src/leadership.rs
+++ b/crates/marigoldpick-node/src/leadership.rs
@@ -23,8 +23,6 @@
     pub(crate) holder: String,
     /// The store's lease on the lead's key.
     pub(crate) lease: Cell<u64>,
-    /// When the term was last confirmed; see [`Self::confirm`].
-    confirmed: Cell<Millis>,
     /// The revision of the chain's key after this lead's last write.
     chain: Cell<u64>,
     /// The number of the last write under this claim.
@@ -63,12 +61,11 @@
         let mut phases = Phases::new(confirmed);
         phases.end(Phase::Claim, now);
         Self {
-            lead: RefCell::new(Lead::new(settings.job, term, now)),
+            lead: RefCell::new(Lead::new(settings.job, term, now).claimed_at(confirmed)),
             term,
             began: now,
             holder,
             lease: Cell::new(lease),
-            confirmed: Cell::new(confirmed),
             chain: Cell::new(term),
             writes: Cell::new(0),
             end_reason: Cell::new(None),
@@ -162,16 +159,13 @@
         now < self.commits_held_until.get()
     }
 
-    /// Records that the term was confirmed at `at`.
-    ///
-    /// `at` is the send time of a call that the store answered, or the time at which most entries reported
-    /// that they do not reach the store, so that no other entry can take over.
+    /// Records that the term was confirmed at `at`; see [`Lead::confirm`].
     pub(crate) fn confirm(&self, at: Millis) {
-        self.confirmed.set(self.confirmed.get().max(at));
+        self.update_quietly(|lead| lead.confirm(at));
     }
 
     pub(crate) fn confirmed(&self) -> Millis {
-        self.confirmed.get()
+        self.read(Lead::confirmed)
     }
 
     /// Changes the lead's state and wakes the loop of the term.
