--- a/crates/marigoldpick-job/tests/lead/leases.rs
+++ b/crates/marigoldpick-job/tests/lead/leases.rs
@@ -204,6 +204,28 @@
     expect_that!(runs.count(), eq(1));
 }
 
+/// Incident 0020: a lead that was paused acts again beside its successor, which does not reach one of the workers.
+#[googletest::test]
+fn lead_that_was_paused_beyond_its_grace_extends_no_lease() {
+    let mut world = World::new(2);
+    world.run(100);
+    let id = world.submit(1, job(vec![step(1, 4_000, 30_000)]));
+    world.run(1_000);
+    let mut workers = 0..2;
+    let at = workers.find(|at| world.pool.workers[*at].has_job(&id));
+    let at = at.expect("a worker in use");
+    while world.lead.workers()[at].holds.current.is_some() {
+        world.run(1);
+    }
+    world.partitioned[at] = true;
+    let mut former = world.take_over_unnoticed();
+    world.run(3_500);
+    world.run_beside(&mut former, 1_000);
+    world.run(20_000);
+    expect_that!(world.pool.broken, is_empty());
+    expect_that!(world.pool.started.len(), eq(2));
+}
+
 /// `Event` is a random event in a simulated cluster whose workers and leads are replaced.
 #[derive(Clone, Debug)]
 enum Event {
--- a/crates/marigoldpick-job/tests/lead/world.rs
+++ b/crates/marigoldpick-job/tests/lead/world.rs
@@ -282,6 +282,41 @@
         self.take_over_before(&[]);
     }
 
+    /// Lets another entry take over from the lead, which does not learn of it and is returned.
+    pub fn take_over_unnoticed(&mut self) -> Lead {
+        let next = Lead::new(self.settings, self.term, self.now);
+        let former = std::mem::replace(&mut self.lead, next);
+        self.take_over();
+        former
+    }
+
+    /// Runs for `span` milliseconds in which a former lead acts, too. It reaches all workers that are up at once, and
+    /// the store does not answer it.
+    pub fn run_beside(&mut self, former: &mut Lead, span: u64) {
+        for _ in 0..span {
+            self.run(1);
+            for action in former.tick(self.now) {
+                let Action::Order {
+                    target,
+                    order,
+                    number,
+                    ..
+                } = action
+                else {
+                    continue;
+                };
+                let mut workers = self.pool.workers.iter();
+                let at = workers.position(|worker| worker.node.address == target.address);
+                let at = at.filter(|at| self.pool.workers[*at].up);
+                let answer = at.map_or(Err(Fault::Unknown), |at| {
+                    self.pool
+                        .order(at, target.fencing_token(former.term()), &order)
+                });
+                former.handle_reply(&target.id, (&order, number), answer, self.now, self.now);
+            }
+        }
+    }
+
     /// Lets another entry take over from the lead, which gives its term up.
     pub fn hand_over(&mut self) {
         let handover = self.lead.handover(self.now);
--- a/crates/marigoldpick-node/tests/node/cluster.rs
+++ b/crates/marigoldpick-node/tests/node/cluster.rs
@@ -72,6 +72,8 @@
     has_departed: bool,
     /// Whether it answers no order, though it is listed.
     is_cut_off: bool,
+    /// The entry that does not reach it, if there is one.
+    unreachable_for: Option<usize>,
 }
 
 impl FakeWorkers {
@@ -85,6 +87,7 @@
             lease_end: Millis::ZERO,
             has_departed: false,
             is_cut_off: false,
+            unreachable_for: None,
         };
         Self {
             started: Instant::now(),
@@ -120,6 +123,16 @@
         self.workers[at].is_cut_off = is_cut_off;
     }
 
+    /// Separates one of two entries and a worker from the other entry and the other workers.
+    ///
+    /// Runs on a worker that an entry does not reach end with its lease.
+    pub fn separate(&mut self, entry: usize, worker: usize) {
+        for (at, separated) in self.workers.iter_mut().enumerate() {
+            let other = if at == worker { 1 - entry } else { entry };
+            separated.unreachable_for = Some(other);
+        }
+    }
+
     /// Returns the time of the workers' clocks.
     fn clock(&self) -> Millis {
         let elapsed = self.started.elapsed().as_millis();
@@ -130,7 +143,8 @@
     fn is_running(&self, task: &Task) -> bool {
         let clock = self.clock();
         let may_run = |worker: &&Worker| {
-            let is_reachable = !worker.has_departed && !worker.is_cut_off;
+            let is_cut_off = worker.is_cut_off || worker.unreachable_for.is_some();
+            let is_reachable = !worker.has_departed && !is_cut_off;
             is_reachable || clock < worker.lease_end
         };
         let mut workers = self.workers.iter().filter(may_run);
@@ -285,7 +299,8 @@
         }
         let is_unreachable = {
             let worker = &lock(&self.fake_workers).workers[at];
-            worker.has_departed || worker.is_cut_off
+            let is_cut_off = worker.unreachable_for == Some(self.number);
+            worker.has_departed || worker.is_cut_off || is_cut_off
         };
         if is_unreachable {
             task::sleep(Duration::from_millis(500)).await;
@@ -854,6 +869,11 @@
         self.submit_step(at, number, step, None)
     }
 
+    /// Submits a job of one task that runs longer than any test.
+    pub fn submit_long(&self, at: usize, number: u32) -> id::Job {
+        self.submit_step(at, number, one_task(LASTING_SPAN), None)
+    }
+
     /// Submits a job of one task that is due at `due`, in milliseconds since 1970.
     pub fn submit_at(&self, at: usize, number: u32, due: u64, span: u64) -> id::Job {
         let schedule = Schedule {
--- a/crates/marigoldpick-node/tests/node/handover.rs
+++ b/crates/marigoldpick-node/tests/node/handover.rs
@@ -1,5 +1,6 @@
 //! Handover of the workers' leases from an earlier lead to its successor.
 
+use std::sync::atomic::Ordering;
 use std::time::{Duration, Instant};
 
 use async_std::task;
@@ -21,6 +22,10 @@
 const TAKE_OVER_GAP: Millis = Millis(2_000);
 /// Several intervals in which a lead sends orders to a worker with runs.
 const ORDER_INTERVALS: Millis = Millis(1_000);
+/// The duration of the lead's lease.
+const LEAD_LEASE: Millis = Millis(1_500);
+/// How long a lead is paused: longer than its successor expects orders of it, and shorter than leases last.
+const PAUSE: Millis = Millis(5_400);
 
 fn sleep(span: Millis) {
     task::block_on(task::sleep(span.duration()));
@@ -245,3 +250,22 @@
     sleep(TAKE_OVER_GAP);
     expect_that!(cluster.lead_if_any(), some(eq(lead)));
 }
+
+/// Incident 0020: a failure domain is cut off with the lead in it, which was paused and still reaches a worker there.
+#[googletest::test]
+fn lead_that_was_paused_extends_no_lease_beyond_what_its_successor_expects() {
+    let cluster = Cluster::start_with_standby(2, LEAD_LEASE, true);
+    cluster.submit_long(0, 1);
+    wait_until("the task starts", || {
+        !lock(&cluster.fake_workers).starts.is_empty()
+    });
+    sleep(ORDER_INTERVALS);
+    let (lead, worker) = (cluster.lead(), lock(&cluster.fake_workers).start_workers[0]);
+    lock(&cluster.fake_workers).separate(lead, worker);
+    cluster.hangs[lead].store(true, Ordering::SeqCst);
+    sleep(PAUSE);
+    cluster.only_watches[lead].store(true, Ordering::SeqCst);
+    cluster.hangs[lead].store(false, Ordering::SeqCst);
+    wait_for_second_start(&cluster, Instant::now());
+    expect_one_more_start(&cluster, worker);
+}
