Give no orders in a term whose confirmation has expired

Cause: a successor that hears neither from the lead before it nor from a worker relies on that lead's silence three seconds (term_grace) after its last confirmation. Only the loop that renews the term kept to that, after each of its calls to the store and with pauses between them; the loop that gives orders did not look at all. A process that was paused, or short of processor time, renewed leases first and ended its term later. Change: the lead holds the time of its confirmation and gives no orders while that is older than term_grace, by the same reading of the clock from which orders extend leases.

--- a/crates/marigoldpick-job/src/lead.rs
+++ b/crates/marigoldpick-job/src/lead.rs
@@ -285,6 +285,12 @@
         self.confirmed = self.confirmed.max(at);
     }
 
+    /// Returns whether the last confirmation is so old that a successor relies on the end of this lead's orders.
+    #[must_use]
+    pub fn has_expired(&self, now: Millis) -> bool {
+        now > self.confirmed + self.settings.term_grace
+    }
+
     /// Returns when the term was last confirmed.
     #[must_use]
     pub const fn confirmed(&self) -> Millis {
@@ -597,7 +603,13 @@
     }
 
     /// Advances the lead to `now` and returns the actions to take.
+    ///
+    /// There are none while the term has expired, so that a process that was paused sends no order before the store has
+    /// confirmed its term again.
     pub fn tick(&mut self, now: Millis) -> Vec<Action> {
+        if self.has_expired(now) {
+            return Vec::new();
+        }
         self.backlog.advance(now);
         self.release_lapsed_runs(now);
         self.end_expectation(now);
--- a/crates/marigoldpick-node/src/driver.rs
+++ b/crates/marigoldpick-node/src/driver.rs
@@ -90,7 +90,7 @@
                 return why;
             }
             let began = self.now();
-            let actions = leadership.update_quietly(|lead| lead.tick(self.now()));
+            let actions = leadership.update_quietly(|lead| lead.tick(began));
             for action in actions {
                 self.execute(leadership, action);
             }
--- a/crates/marigoldpick-node/src/renewal.rs
+++ b/crates/marigoldpick-node/src/renewal.rs
@@ -67,8 +67,8 @@
 
     /// Renews the lead's lease until the term ends, then revokes it.
     ///
-    /// Each renewal confirms the term, which ends if it is not confirmed within the `term_grace` setting. If
-    /// the lease has ended, the lead's key is claimed again.
+    /// Each renewal confirms the term. One that has expired ends unless the next renewal confirms it; the lead gives no
+    /// orders meanwhile. If the lease has ended, the lead's key is claimed again.
     pub(crate) async fn renew_term(self: Rc<Self>, leadership: Rc<Leadership>) {
         let pause = Millis(self.settings.lead_lease.0 / RENEWALS_PER_LEASE);
         while !leadership.is_over() {
@@ -82,7 +82,7 @@
                 Ok(_) => self.reclaim(&leadership).await,
                 Err(_) => {}
             }
-            if self.now().since(leadership.confirmed()) > self.settings.job.term_grace {
+            if leadership.read(|lead| lead.has_expired(self.now())) {
                 leadership.end("term-unconfirmed");
             }
             task::sleep(pause.duration()).await;
