Count reports of an outage from the time at which they were asked for

A lead that does not reach the store confirmed its term, and allowed starts without records, as of the moment at which it had read that most entries don't reach it either.

Both now count from the time at which the entries were asked. The allowance is longer by the timeout of one poll, so that starts go on between two polls as before.

--- a/crates/marigoldpick-node/src/driver.rs
+++ b/crates/marigoldpick-node/src/driver.rs
@@ -42,9 +42,6 @@
 /// The timeout of a probe by a lead whose commit is slow. A healthy store answers in about ten
 /// milliseconds, or a little more on a busy machine.
 const PROBE_TIMEOUT: Millis = Millis(150);
-/// How long starts without records are allowed after most entries reported that they do not reach the
-/// store. It covers the pause between two polls of the entries and the timeout of one poll.
-const UNRECORDED_ALLOWANCE: Millis = Millis(1_200);
 /// The reason for the end of a term whose lead does not reach the store.
 const STORE_LOST_REASON: &str = "store-lost-here";
 /// How long after a failed read of the registry a worker is kept that is no longer listed. Its
@@ -267,10 +264,9 @@
             });
             return;
         }
-        if reports.are_most_cut_off() {
-            let now = self.now();
-            leadership.confirm(now);
-            leadership.update(|lead| lead.allow_unrecorded(now + UNRECORDED_ALLOWANCE));
+        if let Some(outage) = reports.outage() {
+            leadership.confirm(outage.confirmed);
+            leadership.update(|lead| lead.allow_unrecorded(outage.unrecorded_until));
         } else {
             leadership.update(Lead::forbid_unrecorded);
         }
--- a/crates/marigoldpick-node/src/lib.rs
+++ b/crates/marigoldpick-node/src/lib.rs
@@ -23,7 +23,7 @@
 mod members;
 mod node;
 pub mod paths;
-mod peer_reports;
+pub mod peer_reports;
 pub mod phases;
 pub mod platform;
 mod probe;
--- a/crates/marigoldpick-node/src/peer_reports.rs
+++ b/crates/marigoldpick-node/src/peer_reports.rs
@@ -1,21 +1,42 @@
 //! Reports of the other entries on whether they reach the store.
 
 use marigoldpick_core::control::Known;
+use marigoldpick_core::prelude::*;
+
+/// How long after most entries were asked, and reported that they do not reach the store, starts without records
+/// are allowed. It covers their answers, the pause until they are asked again, and those answers.
+pub const UNRECORDED_ALLOWANCE: Millis = Millis(1_900);
 
 /// `PeerReports` summarizes the answers of the other entries to a poll.
 #[derive(Clone, Debug, Default)]
-pub(crate) struct PeerReports {
+pub struct PeerReports {
+    /// When the entries were asked. A process that was paused reads their answers long after they were sent.
+    pub asked: Millis,
     /// The entries that reach the store, strongest first.
-    pub(crate) reaching: Vec<Known>,
+    pub reaching: Vec<Known>,
     /// The number of entries that answered that they do not reach the store.
-    pub(crate) cut_off: usize,
+    pub cut_off: usize,
     /// The number of other entries that are known, whether they answer or not.
-    pub(crate) known: usize,
+    pub known: usize,
+}
+
+/// `Outage` is what a lead may rely on while nobody reaches the store.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Outage {
+    /// When no other entry could take over.
+    pub confirmed: Millis,
+    /// Until when starts without records are allowed.
+    pub unrecorded_until: Millis,
 }
 
 impl PeerReports {
-    /// Returns whether most entries, including this one, are alive and none of them reaches the store.
-    pub(crate) const fn are_most_cut_off(&self) -> bool {
-        self.reaching.is_empty() && 2 * (self.cut_off + 1) > self.known + 1
+    /// Returns what follows if most entries, including this one, are alive and none of them reaches the store.
+    #[must_use]
+    pub fn outage(&self) -> Option<Outage> {
+        let are_most_cut_off = self.reaching.is_empty() && 2 * (self.cut_off + 1) > self.known + 1;
+        are_most_cut_off.then(|| Outage {
+            confirmed: self.asked,
+            unrecorded_until: self.asked + UNRECORDED_ALLOWANCE,
+        })
     }
 }
--- a/crates/marigoldpick-node/src/probe.rs
+++ b/crates/marigoldpick-node/src/probe.rs
@@ -94,9 +94,10 @@
     ///
     /// Once one of the strongest entries reports that it does, the remaining answers are not awaited.
     pub(crate) async fn poll_peers(&self) -> PeerReports {
+        let asked = self.now();
         let peers = self.peers.borrow().clone();
         let strongest = peers.iter().map(|member| member.strength).max();
-        let mut asked: FuturesUnordered<_> = peers
+        let mut answers: FuturesUnordered<_> = peers
             .iter()
             .map(|member| async move {
                 let sent = self.now();
@@ -110,11 +111,12 @@
             })
             .collect();
         let mut reports = PeerReports {
+            asked,
             known: peers.len(),
             ..PeerReports::default()
         };
         let mut reaching: Vec<&Member> = Vec::new();
-        while let Some((member, answer)) = asked.next().await {
+        while let Some((member, answer)) = answers.next().await {
             match answer {
                 Ok(peer::Answer::Pong { store: true, .. }) => {
                     reaching.push(member);
--- a/crates/marigoldpick-node/tests/decisions.rs
+++ b/crates/marigoldpick-node/tests/decisions.rs
@@ -13,6 +13,7 @@
 use marigoldpick_node::inbox::View;
 use marigoldpick_node::member::Member;
 use marigoldpick_node::paths::{Path, is_kept};
+use marigoldpick_node::peer_reports::{Outage, PeerReports, UNRECORDED_ALLOWANCE};
 use marigoldpick_node::phases::{Phase, Phases};
 use marigoldpick_node::reachability::Reachability;
 use marigoldpick_node::{relay, retry};
@@ -247,3 +248,21 @@
     expect_that!(newer.advance(8, Millis(1_200)), eq(newer));
     expect_that!(newer.next_confirmation(Millis(500)), eq(Millis(2_000)));
 }
+
+/// Incident 0020: a lead that was paused reads answers of other entries long after they were sent.
+#[googletest::test]
+fn outage_counts_from_the_time_at_which_the_entries_were_asked() {
+    let asked = Millis(20_000);
+    let reports = |cut_off| PeerReports {
+        asked,
+        cut_off,
+        known: 6,
+        ..PeerReports::default()
+    };
+    let outage = Outage {
+        confirmed: asked,
+        unrecorded_until: asked + UNRECORDED_ALLOWANCE,
+    };
+    expect_that!(reports(2).outage(), none());
+    expect_that!(reports(3).outage(), some(eq(outage)));
+}
