Confirm a lead in an outage only if all other entries deny the store

Cause: a lead that does not reach the store confirmed its term as long as most entries told it that they don't reach it either. An entry that did not answer, behind a cut, may reach the store and lead; its wait for silent workers counts on the other lead's silence. So may one that leads in a later term in the same outage. Change: only denials of all other known entries, none of which leads in a later term, confirm the term. Starts without records need most entries, as before, and the term.

--- a/crates/marigoldpick-node/src/driver.rs
+++ b/crates/marigoldpick-node/src/driver.rs
@@ -264,8 +264,10 @@
             });
             return;
         }
-        if let Some(outage) = reports.outage() {
-            leadership.confirm(outage.confirmed);
+        if let Some(outage) = reports.outage(leadership.term()) {
+            if let Some(at) = outage.confirmed {
+                leadership.confirm(at);
+            }
             leadership.update(|lead| lead.allow_unrecorded(outage.unrecorded_until));
         } else {
             leadership.update(Lead::forbid_unrecorded);
--- a/crates/marigoldpick-node/src/peer_reports.rs
+++ b/crates/marigoldpick-node/src/peer_reports.rs
@@ -16,6 +16,8 @@
     pub reaching: Vec<Known>,
     /// The number of entries that answered that they do not reach the store.
     pub cut_off: usize,
+    /// The highest term in which one of the entries leads; zero if none does.
+    pub term: u64,
     /// The number of other entries that are known, whether they answer or not.
     pub known: usize,
 }
@@ -23,19 +25,20 @@
 /// `Outage` is what a lead may rely on while nobody reaches the store.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct Outage {
-    /// When no other entry could take over.
-    pub confirmed: Millis,
+    /// When no other entry could take over; `None` if an entry that did not answer may have.
+    pub confirmed: Option<Millis>,
     /// Until when starts without records are allowed.
     pub unrecorded_until: Millis,
 }
 
 impl PeerReports {
-    /// Returns what follows if most entries, including this one, are alive and none of them reaches the store.
+    /// Returns what a lead in `term` may rely on if most entries, including this one, are alive and none of them reaches
+    /// the store; nothing if one of them leads in a later term.
     #[must_use]
-    pub fn outage(&self) -> Option<Outage> {
+    pub fn outage(&self, term: u64) -> Option<Outage> {
         let are_most_cut_off = self.reaching.is_empty() && 2 * (self.cut_off + 1) > self.known + 1;
-        are_most_cut_off.then(|| Outage {
-            confirmed: self.asked,
+        (are_most_cut_off && self.term <= term).then(|| Outage {
+            confirmed: (self.cut_off == self.known).then_some(self.asked),
             unrecorded_until: self.asked + UNRECORDED_ALLOWANCE,
         })
     }
--- a/crates/marigoldpick-node/src/probe.rs
+++ b/crates/marigoldpick-node/src/probe.rs
@@ -117,6 +117,9 @@
         };
         let mut reaching: Vec<&Member> = Vec::new();
         while let Some((member, answer)) = answers.next().await {
+            if let Ok(peer::Answer::Pong { term, .. }) = &answer {
+                reports.term = reports.term.max(*term);
+            }
             match answer {
                 Ok(peer::Answer::Pong { store: true, .. }) => {
                     reaching.push(member);
--- a/crates/marigoldpick-node/tests/node/cluster.rs
+++ b/crates/marigoldpick-node/tests/node/cluster.rs
@@ -388,6 +388,9 @@
         }
         if revision > 0 {
             task::sleep(wait.duration()).await;
+            if self.store.is_down.load(Ordering::SeqCst) {
+                return Err(store::Fault::Unknown);
+            }
             return Ok(Update {
                 config: None,
                 revision,
@@ -403,7 +406,11 @@
 
     async fn confirm(&self, known: u64) -> Result<Confirmed, store::Fault> {
         let is_lost = || {
-            let faults = [&self.store.only_watches, &self.store.silent];
+            let faults = [
+                &self.store.only_watches,
+                &self.store.silent,
+                &self.store.is_down,
+            ];
             faults.iter().any(|fault| fault.load(Ordering::SeqCst))
         };
         if is_lost() {
@@ -501,6 +508,8 @@
     pub hangs: Vec<Arc<AtomicBool>>,
     /// Whether the store answers only watches of a node.
     pub only_watches: Vec<Arc<AtomicBool>>,
+    /// Whether all of a node's calls to the store fail without an answer.
+    pub down: Vec<Arc<AtomicBool>>,
     /// Whether a node's reads of large pages get no answer in time.
     pub slow: Vec<Arc<AtomicBool>>,
     /// How long answers to any node's reads of large pages take after they were made, in milliseconds.
@@ -511,6 +520,8 @@
     pub page_reads: Vec<Arc<AtomicUsize>>,
     /// How often the connections on which a node's watches wait have gone silent.
     pub silenced_watches: Vec<Arc<AtomicUsize>>,
+    /// One more than the number of the entry that a node does not reach; zero for none.
+    pub cut_entries: Vec<Arc<AtomicUsize>>,
     pub lead_faults: Arc<LeadFaults>,
     /// Whether entries read ahead while the lead is suspect.
     standby: bool,
@@ -557,6 +568,19 @@
         cluster
     }
 
+    /// Starts three entries, the first two of which don't reach each other. The first one leads, and the second one is the
+    /// next.
+    pub fn start_with_cut(lead_lease: Millis) -> Self {
+        let mut cluster = Self::new(8, Some(lead_lease), vec![1_000, 1_000, 500]);
+        cluster.cut_entries[0].store(2, Ordering::SeqCst);
+        cluster.cut_entries[1].store(1, Ordering::SeqCst);
+        for number in 0..3 {
+            cluster.nodes.push(cluster.start_node(number));
+            cluster.await_lead();
+        }
+        cluster
+    }
+
     /// Starts a cluster with the given duration of the lead's lease.
     pub fn start_with_lease(entries: usize, workers: usize, lead_lease: Option<Millis>) -> Self {
         let mut cluster = Self::new(workers, lead_lease, vec![1_000; entries]);
@@ -682,11 +706,13 @@
             cut_off: strengths.iter().map(|_| Arc::default()).collect(),
             hangs: strengths.iter().map(|_| Arc::default()).collect(),
             only_watches: strengths.iter().map(|_| Arc::default()).collect(),
+            down: strengths.iter().map(|_| Arc::default()).collect(),
             slow: strengths.iter().map(|_| Arc::default()).collect(),
             page_delay_ms: Arc::default(),
             lost_histories: strengths.iter().map(|_| Arc::default()).collect(),
             page_reads: strengths.iter().map(|_| Arc::default()).collect(),
             silenced_watches: strengths.iter().map(|_| Arc::default()).collect(),
+            cut_entries: strengths.iter().map(|_| Arc::default()).collect(),
             lead_faults: Arc::default(),
             standby: false,
             unconfigured: None,
@@ -790,11 +816,13 @@
                 silent: Arc::clone(&self.silent[number]),
                 lost_answers: Arc::clone(&self.lost_answers[number]),
                 only_watches: Arc::clone(&self.only_watches[number]),
+                is_down: Arc::clone(&self.down[number]),
                 is_slow: Arc::clone(&self.slow[number]),
                 page_delay_ms: Arc::clone(&self.page_delay_ms),
                 lost_histories: Arc::clone(&self.lost_histories[number]),
                 page_reads: Arc::clone(&self.page_reads[number]),
                 silenced_watches: Arc::clone(&self.silenced_watches[number]),
+                cut_entry: Arc::clone(&self.cut_entries[number]),
                 faults: Arc::clone(&self.lead_faults),
             },
             fake_workers: Arc::clone(&self.fake_workers),
--- a/crates/marigoldpick-node/tests/node/faulty_store.rs
+++ b/crates/marigoldpick-node/tests/node/faulty_store.rs
@@ -21,6 +21,8 @@
     pub lost_answers: Arc<AtomicUsize>,
     /// Whether only watches are answered.
     pub only_watches: Arc<AtomicBool>,
+    /// Whether all calls fail without an answer.
+    pub is_down: Arc<AtomicBool>,
     /// Whether reads of large pages get no answer in time.
     pub is_slow: Arc<AtomicBool>,
     /// How long answers to reads of large pages take after they were made, in milliseconds.
@@ -31,6 +33,8 @@
     pub page_reads: Arc<AtomicUsize>,
     /// How often the connections on which watches wait have gone silent; later calls use new ones.
     pub silenced_watches: Arc<AtomicUsize>,
+    /// One more than the number of the entry whose address is read wrong, so that no call to it arrives; zero for none.
+    pub cut_entry: Arc<AtomicUsize>,
     pub faults: Arc<LeadFaults>,
 }
 
@@ -45,11 +49,15 @@
 
 impl LeadFaults {
     /// Replaces the addresses in the values of the keys of the lead and the entries.
-    fn apply(&self, answer: &mut store::Answer) {
+    ///
+    /// `cut` is [`FaultyStore::cut_entry`].
+    fn apply(&self, answer: &mut store::Answer, cut: usize) {
         const MARK: &str = "\"address\":\"";
-        if !self.hides_addresses.load(Ordering::SeqCst) {
+        let hides_all = self.hides_addresses.load(Ordering::SeqCst);
+        if !hides_all && cut == 0 {
             return;
         }
+        let cut_entry = format!("\"entry\":\"e{}\"", cut.wrapping_sub(1));
         let items: Vec<&mut store::Item> = match answer {
             store::Answer::Page { items, .. } => items.iter_mut().collect(),
             store::Answer::Changes { changes, .. } => {
@@ -63,7 +71,11 @@
         };
         let has_address =
             |item: &store::Item| item.key == keys::LEAD || item.key.starts_with(keys::ENTRIES);
-        for item in items.into_iter().filter(|item| has_address(item)) {
+        let is_hidden = |item: &store::Item| hides_all || item.value.contains(&cut_entry);
+        for item in items
+            .into_iter()
+            .filter(|item| has_address(item) && is_hidden(item))
+        {
             let from = item.value.find(MARK).expect("an address") + MARK.len();
             let length = item.value[from..].find('"').expect("an end");
             item.value.replace_range(from..from + length, "127.0.0.1:1");
@@ -77,7 +89,8 @@
             return std::future::pending().await;
         }
         let is_watch = matches!(call, store::Call::Follow { .. });
-        if !is_watch && self.only_watches.load(Ordering::SeqCst) {
+        let is_down = self.is_down.load(Ordering::SeqCst);
+        if is_down || (!is_watch && self.only_watches.load(Ordering::SeqCst)) {
             task::sleep(Duration::from_millis(400)).await;
             return Err(store::Fault::Unknown);
         }
@@ -125,7 +138,7 @@
             return Err(store::Fault::Unknown);
         }
         if let Ok(answer) = &mut answer {
-            self.faults.apply(answer);
+            self.faults.apply(answer, self.cut_entry.load(order));
         }
         if is_large {
             let delay = self.page_delay_ms.load(order);
--- a/crates/marigoldpick-node/tests/node/handover.rs
+++ b/crates/marigoldpick-node/tests/node/handover.rs
@@ -24,6 +24,10 @@
 const ORDER_INTERVALS: Millis = Millis(1_000);
 /// The duration of the lead's lease.
 const LEAD_LEASE: Millis = Millis(1_500);
+/// The duration of the lead's lease where another entry leads long before the grace of the one before it is over.
+const SHORT_LEAD_LEASE: Millis = Millis(800);
+/// How long the store is out: until the leases of the lead before the outage have lapsed.
+const OUTAGE: Millis = Millis(10_000);
 /// How long a lead is paused: longer than its successor expects orders of it, and shorter than leases last.
 const PAUSE: Millis = Millis(5_400);
 
@@ -269,3 +273,49 @@
     wait_for_second_start(&cluster, Instant::now());
     expect_one_more_start(&cluster, worker);
 }
+
+/// Incident 0020: a lead asks an entry that does not reach the store either, while the third one, which it does not reach,
+/// has taken over. No process is paused.
+#[googletest::test]
+fn lead_that_most_entries_confirm_extends_no_lease_beside_its_successor() {
+    let cluster = Cluster::start_with_cut(LEAD_LEASE);
+    cluster.submit_long(0, 1);
+    wait_until("the task starts", || {
+        !lock(&cluster.fake_workers).starts.is_empty()
+    });
+    expect_that!(cluster.lead(), eq(0));
+    let worker = lock(&cluster.fake_workers).start_workers[0];
+    // All entries know of each other.
+    sleep(Millis(3_000));
+    lock(&cluster.fake_workers).separate(0, worker);
+    cluster.down[0].store(true, Ordering::SeqCst);
+    cluster.down[2].store(true, Ordering::SeqCst);
+    wait_for_second_start(&cluster, Instant::now());
+    expect_one_more_start(&cluster, worker);
+}
+
+/// Incident 0020: a lead that was paused for less than its grace goes on in an outage of the store that has begun meanwhile.
+/// It asks an entry that has seen its successor lead.
+#[googletest::test]
+fn lead_that_was_replaced_is_not_confirmed_by_an_entry_that_knows_its_successor() {
+    let cluster = Cluster::start_with_cut(SHORT_LEAD_LEASE);
+    cluster.submit_long(0, 1);
+    wait_until("the task starts", || {
+        !lock(&cluster.fake_workers).starts.is_empty()
+    });
+    expect_that!(cluster.lead(), eq(0));
+    let worker = lock(&cluster.fake_workers).start_workers[0];
+    // All entries know of each other.
+    sleep(Millis(3_000));
+    lock(&cluster.fake_workers).separate(0, worker);
+    cluster.hangs[0].store(true, Ordering::SeqCst);
+    wait_until("the second entry leads", || term(&cluster, 1) > 0);
+    (0..3).for_each(|at| cluster.down[at].store(true, Ordering::SeqCst));
+    // The other entries notice the outage.
+    sleep(Millis(500));
+    cluster.hangs[0].store(false, Ordering::SeqCst);
+    sleep(OUTAGE);
+    (1..3).for_each(|at| cluster.down[at].store(false, Ordering::SeqCst));
+    wait_for_second_start(&cluster, Instant::now());
+    expect_one_more_start(&cluster, worker);
+}
