Confirm a term by the lead's key, not by its lease alone

Cause: an entry that is asked to take over replaces the lead's key whoever holds it. An entry that was paused reads the request late, and replaces the key of a later lead, whose lease goes on: each renewal of it confirmed a term that was over. Change: commits confirm a term. A lead that has had none for a second reads its key after a renewal, and is confirmed by that.

--- a/crates/marigoldpick-node/src/renewal.rs
+++ b/crates/marigoldpick-node/src/renewal.rs
@@ -14,6 +14,9 @@
 
 /// The number of renewals during the duration of the lead's lease.
 const RENEWALS_PER_LEASE: u64 = 4;
+/// The age of the last confirmation from which on a lead that commits nothing reads its key. It leaves most of the
+/// `term_grace` setting for the read.
+const KEY_CHECK_AGE: Millis = Millis(1_000);
 
 impl<P: Platform> Control<P> {
     /// Claims the lead's key again after its lease has ended, unless another entry has led since.
@@ -46,39 +49,37 @@
         }
     }
 
-    /// Returns whether the lead's key is still that of the term, and ends the term if another claim has replaced it.
+    /// Confirms the term if the lead's key is still that of the term, and ends it if another claim has replaced the key.
     ///
-    /// Without an offer no other entry replaces the key while its lease lasts. After one the lease may be renewed
-    /// although a successor leads, which must not confirm the term.
-    async fn holds_lead_key(self: &Rc<Self>, leadership: &Leadership) -> bool {
-        if !leadership.has_offered() {
-            return true;
-        }
+    /// That the lease lasts does not show this: an entry that was asked to take over replaces the key, also if it reads the
+    /// request late, when another entry leads than the one that has sent it.
+    async fn check_lead_key(self: &Rc<Self>, leadership: &Leadership) {
+        let sent = self.now();
         let key = keys::LEAD.to_owned();
         match self.call_store(Call::Get { key }).await {
-            Ok(Answer::Item(Some(item))) if is_held_by(&item, &leadership.holder) => true,
-            Ok(Answer::Item(Some(_))) => {
-                leadership.end_as_replaced("another-leads");
-                false
+            Ok(Answer::Item(Some(item))) if is_held_by(&item, &leadership.holder) => {
+                leadership.confirm(sent);
             }
-            Ok(_) | Err(_) => false,
+            Ok(Answer::Item(Some(_))) => leadership.end_as_replaced("another-leads"),
+            Ok(_) | Err(_) => {}
         }
     }
 
     /// Renews the lead's lease until the term ends, then revokes it.
     ///
-    /// Each renewal confirms the term. One that has expired ends unless the next renewal confirms it; the lead gives no
-    /// orders meanwhile. If the lease has ended, the lead's key is claimed again.
+    /// Commits confirm the term; without one, the lead's key is read after a renewal. A term that has expired ends unless
+    /// it is confirmed then; the lead gives no orders meanwhile. If the lease has ended, the lead's key is claimed again.
     pub(crate) async fn renew_term(self: Rc<Self>, leadership: Rc<Leadership>) {
         let pause = Millis(self.settings.lead_lease.0 / RENEWALS_PER_LEASE);
         while !leadership.is_over() {
-            let sent = self.now();
             let lease = leadership.lease.get();
             match self.call_store(Call::Renew { lease }).await {
-                Ok(Answer::Lease(_)) if self.holds_lead_key(&leadership).await => {
-                    leadership.confirm(sent);
+                Ok(Answer::Lease(_)) => {
+                    let age = self.now().since(leadership.confirmed());
+                    if leadership.has_offered() || age >= KEY_CHECK_AGE {
+                        self.check_lead_key(&leadership).await;
+                    }
                 }
-                Ok(Answer::Lease(_)) => {}
                 Ok(_) => self.reclaim(&leadership).await,
                 Err(_) => {}
             }
--- a/crates/marigoldpick-node/tests/node/handover.rs
+++ b/crates/marigoldpick-node/tests/node/handover.rs
@@ -294,6 +294,24 @@
     expect_one_more_start(&cluster, worker);
 }
 
+/// Incident 0020: an entry that was paused reads a request to take over long after it was sent, when another entry leads that
+/// has not asked it. That lead does not notice, since its lease lasts.
+#[googletest::test]
+fn late_request_to_take_over_does_not_replace_another_lead() {
+    let cluster = Cluster::start_with_standby(2, LEAD_LEASE, true);
+    cluster.submit_long(0, 1);
+    wait_until("the task starts", || {
+        !lock(&cluster.fake_workers).starts.is_empty()
+    });
+    sleep(ORDER_INTERVALS);
+    let (lead, worker) = (cluster.lead(), lock(&cluster.fake_workers).start_workers[0]);
+    lock(&cluster.fake_workers).separate(lead, worker);
+    // The lead before this one has sent it.
+    call(&cluster, 1 - lead, peer::Call::Succeed);
+    wait_for_second_start(&cluster, Instant::now());
+    expect_one_more_start(&cluster, worker);
+}
+
 /// Incident 0020: a lead that was paused for less than its grace goes on in an outage of the store that has begun meanwhile.
 /// It asks an entry that has seen its successor lead.
 #[googletest::test]
