--- a/crates/marigoldpick-job/src/lead/registry.rs
+++ b/crates/marigoldpick-job/src/lead/registry.rs
@@ -5,6 +5,7 @@
 use marigoldpick_core::work::port::Node;
 
 use super::Lead;
+use super::release::{Evidence, Ground};
 use crate::job::Place;
 use crate::lease::Lease;
 use crate::worker::{self, Worker};
@@ -153,6 +154,8 @@
                     self.add_run(at, run);
                 }
                 worker::Phase::Recording => {
+                    let evidence = Evidence::new(Ground::Unordered, now);
+                    self.record_release(at, &run, evidence, now);
                     self.end_evacuation(&run.task, run.run);
                     self.remove_place(&run.task, run.run, &id);
                 }
--- a/crates/marigoldpick-job/src/lead/release.rs
+++ b/crates/marigoldpick-job/src/lead/release.rs
@@ -7,6 +7,7 @@
 
 use super::Lead;
 use crate::lease::Source;
+use crate::worker::Run;
 
 /// The most released runs that are remembered for the start that replaces them.
 const MAX_REMEMBERED: usize = 1_024;
@@ -14,7 +15,7 @@
 /// `Ground` is what shows that a run has ended or will never begin.
 #[derive(Clone, Copy, Debug, Display, PartialEq, Eq)]
 pub(super) enum Ground {
-    /// lapsed
+    /// lapsed-{0}
     Lapsed(Source),
     /// stopped
     Stopped,
@@ -22,7 +23,7 @@
     Outlived,
     /// replaced
     Replaced,
-    /// refused
+    /// refused: {0}
     Refused(Fault),
     /// unordered
     Unordered,
@@ -33,7 +34,7 @@
 pub(super) struct Evidence {
     /// What was found.
     pub(super) ground: Ground,
-    /// When the worker told it, or the lease lapsed.
+    /// When it was true at the latest: the time of an answer, or the end of a lease.
     pub(super) since: Millis,
 }
 
@@ -85,20 +86,27 @@
         now: Millis,
     ) {
         if let Some(released) = self.remove_run(at, task, run) {
-            let worker = &self.workers[at];
-            let id = worker.node.id.clone();
-            let detail = format!(
-                "worker={id} born={} token={} run={run} phase={:?} confirmed={} age_ms={} evidence={}",
-                worker.node.born,
-                worker.target().fencing_token(self.term),
-                released.phase,
-                released.attempts.is_confirmed,
-                now.since(evidence.since).0,
-                evidence.ground
-            );
-            self.log("run-released", task.to_string(), detail);
-            self.releases.record(task, run);
+            self.record_release(at, &released, evidence, now);
+            let id = self.workers[at].node.id.clone();
             self.remove_place(task, run, &id);
         }
     }
+
+    /// Logs why a run was given up, and remembers it for the start that replaces it.
+    pub(super) fn record_release(&mut self, at: usize, run: &Run, evidence: Evidence, now: Millis) {
+        let worker = &self.workers[at];
+        let detail = format!(
+            "worker={} born={} token={} run={} phase={:?} confirmed={} age_ms={} evidence={}",
+            worker.node.id,
+            worker.node.born,
+            worker.target().fencing_token(self.term),
+            run.run,
+            run.phase,
+            run.attempts.is_confirmed,
+            now.since(evidence.since).0,
+            evidence.ground
+        );
+        self.log("run-released", run.task.to_string(), detail);
+        self.releases.record(&run.task, run.run);
+    }
 }
--- a/crates/marigoldpick-job/src/lead/report.rs
+++ b/crates/marigoldpick-job/src/lead/report.rs
@@ -164,6 +164,7 @@
         self.add_run(at, run);
         let detail = format!("run={} adopted={wanted}", running.run);
         self.log("run-found", task.to_string(), detail);
+        self.releases.take(task);
         if is_open && let Some(job) = job {
             let worker = self.workers[at].node.id.clone();
             if let Some(state) = self.jobs[job].task_mut(task) {
--- a/crates/marigoldpick-job/tests/lead/releases.rs
+++ b/crates/marigoldpick-job/tests/lead/releases.rs
@@ -37,7 +37,7 @@
         all!(
             contains_substring(format!("worker={} born=1 ", world.pool.workers[at].node.id)),
             contains_substring(format!(" run={run} phase=Running confirmed=true ")),
-            ends_with(" evidence=lapsed"),
+            ends_with(" evidence=lapsed-granted"),
         )
     );
     let started = details(&world, "starts-ordered");
@@ -55,5 +55,6 @@
     world.submit(1, job(vec![step(1, 4_000, 30_000)]));
     world.run(500);
     let released = details(&world, "run-released");
-    expect_that!(released.first(), some(ends_with(" evidence=refused")));
+    let refusal = " evidence=refused: the worker is unhealthy; nothing was done";
+    expect_that!(released.first(), some(ends_with(refusal)));
 }
