End a term in an outage once a later one is known

Recorded starts are held while the term has expired, so that extended_ms in lead-ended counts orders that were sent.

--- a/crates/marigoldpick-job/src/lead/start.rs
+++ b/crates/marigoldpick-job/src/lead/start.rs
@@ -26,7 +26,8 @@
     ///
     /// Load pattern: a record names 10,000 placements. Starts beyond the limits on orders in flight wait in their order.
     pub(super) fn start_recorded(&mut self, now: Millis) {
-        if !self.allows_unrecorded(now) && !self.knows_inbox(now) {
+        let is_inbox_old = !self.allows_unrecorded(now) && !self.knows_inbox(now);
+        if is_inbox_old || self.has_expired(now) {
             self.hold_starts(now);
             return;
         }
--- a/crates/marigoldpick-node/src/driver.rs
+++ b/crates/marigoldpick-node/src/driver.rs
@@ -264,8 +264,15 @@
             });
             return;
         }
-        if let Some(outage) = reports.outage(leadership.term()) {
-            if let Some(at) = outage.confirmed {
+        if reports.term > leadership.term() {
+            leadership.end_as_replaced("another-leads");
+            return;
+        }
+        if let Some(outage) = reports.outage() {
+            // A term that has expired is confirmed by the store alone: another entry may have led and ended since.
+            if let Some(at) = outage.confirmed
+                && !leadership.read(|lead| lead.has_expired(self.now()))
+            {
                 leadership.confirm(at);
             }
             leadership.update(|lead| lead.allow_unrecorded(outage.unrecorded_until));
--- a/crates/marigoldpick-node/src/peer_reports.rs
+++ b/crates/marigoldpick-node/src/peer_reports.rs
@@ -32,12 +32,11 @@
 }
 
 impl PeerReports {
-    /// Returns what a lead in `term` may rely on if most entries, including this one, are alive and none of them reaches
-    /// the store; nothing if one of them leads in a later term.
+    /// Returns what follows if most entries, including this one, are alive and none of them reaches the store.
     #[must_use]
-    pub fn outage(&self, term: u64) -> Option<Outage> {
+    pub fn outage(&self) -> Option<Outage> {
         let are_most_cut_off = self.reaching.is_empty() && 2 * (self.cut_off + 1) > self.known + 1;
-        (are_most_cut_off && self.term <= term).then(|| Outage {
+        are_most_cut_off.then(|| Outage {
             confirmed: (self.cut_off == self.known).then_some(self.asked),
             unrecorded_until: self.asked + UNRECORDED_ALLOWANCE,
         })
--- a/crates/marigoldpick-node/tests/decisions.rs
+++ b/crates/marigoldpick-node/tests/decisions.rs
@@ -263,14 +263,9 @@
         confirmed: None,
         unrecorded_until: asked + UNRECORDED_ALLOWANCE,
     };
-    expect_that!(reports(2).outage(5), none());
-    expect_that!(reports(3).outage(5), some(eq(outage)));
+    expect_that!(reports(2).outage(), none());
+    expect_that!(reports(3).outage(), some(eq(outage)));
     // An entry that did not answer may have taken over.
-    let confirmed = reports(6).outage(5).and_then(|outage| outage.confirmed);
+    let confirmed = reports(6).outage().and_then(|outage| outage.confirmed);
     expect_that!(confirmed, some(eq(asked)));
-    let replaced = PeerReports {
-        term: 6,
-        ..reports(6)
-    };
-    expect_that!(replaced.outage(5), none());
 }
