Stop workers and pause the lead in the soak

A stopped worker's runs neither progress nor end nor lapse while its clock goes on; when it goes on, what has lapsed ends first, and then it reads all that waits, in any order. "Runs twice" counts a run on a stopped worker until its lease has lapsed, since the worker ends it before anything else. In two of three series the entry that leads is paused for 3 to 6 s; faults.log says which. The faults are drawn from a stream of their own.

--- a/crates/marigoldpick-soak/src/fault.rs
+++ b/crates/marigoldpick-soak/src/fault.rs
@@ -27,6 +27,8 @@
     KillAll,
     /// An entry is paused and resumed.
     PauseEntry,
+    /// The entry that leads is paused and resumed; the target if no lead is known.
+    PauseLead,
     /// An entry receives the stop signal, and starts again after it has exited.
     StopEntry,
     /// An entry receives the signal to reload its settings.
@@ -57,12 +59,14 @@
     SilenceFront,
     /// Callers' connections to an entry are reset.
     ResetFront,
+    /// A worker is stopped as by SIGSTOP: its clock goes on, and it reads what has arrived meanwhile all at once.
+    StopWorker,
     /// A fault of the platform itself, under its name in the stand-in's control interface.
     Platform(&'static str),
 }
 
 impl Kind {
-    /// The kinds that [`draw`] chooses from.
+    /// The kinds that [`draw`] chooses from; the others are drawn apart, so that seeds keep their faults.
     pub const ALL: &'static [Self] = &[
         Self::KillEntry,
         Self::KillAll,
@@ -118,6 +122,14 @@
 const STALL_STREAM: u64 = 3;
 /// The mean time between two moments at which connections go silent, in milliseconds.
 const MEAN_STALL_GAP_MS: u64 = 2_500;
+/// The stream of random numbers from which stops of workers are drawn, so that a seed keeps the other faults.
+const STOP_STREAM: u64 = 4;
+/// The mean time between two stops of workers, in milliseconds.
+const MEAN_STOP_GAP_MS: u64 = 2_500;
+/// How long a worker is stopped, in milliseconds: up to the time in which leases expire.
+const STOPPED_MS: std::ops::RangeInclusive<u64> = 200..=9_000;
+/// How long the lead is paused beside it, in milliseconds: the time in which another entry leads, and twice as long.
+const LEAD_PAUSED_MS: std::ops::RangeInclusive<u64> = 3_000..=6_000;
 /// The number of failure domains over which workers are spread.
 const DOMAINS: usize = 3;
 
@@ -248,3 +260,48 @@
     faults.sort_by_key(|fault| fault.at);
     faults
 }
+
+/// Draws the stops of workers in a run, with pauses of the lead beside them, in the order of their starts.
+///
+/// One in three takes all workers of a failure domain, and one in three cuts the workers off instead. In two of
+/// three, the lead is paused at some time in it.
+#[must_use]
+pub fn draw_stops(seed: u64, shape: &Shape) -> Vec<Fault> {
+    let mut rng = ChaCha8Rng::seed_from_u64(seed);
+    rng.set_stream(STOP_STREAM);
+    let length = u64::from(shape.seconds) * 1_000;
+    let workers = shape.workers as usize;
+    let mut faults = Vec::new();
+    for _ in 0..length / MEAN_STOP_GAP_MS {
+        let at = Millis(rng.random_range(FIRST_FAULT_MS..length.max(FIRST_FAULT_MS + 1)));
+        let duration = Millis(rng.random_range(STOPPED_MS));
+        let kind = if rng.random_range(0..3) > 0 {
+            Kind::StopWorker
+        } else {
+            Kind::SilenceWorker
+        };
+        let target = rng.random_range(0..workers.max(1));
+        let step = if rng.random_range(0..3) == 0 {
+            DOMAINS
+        } else {
+            workers.max(1)
+        };
+        let targets = (target % step..workers).step_by(step);
+        faults.extend(targets.map(|target| Fault {
+            at,
+            kind,
+            target,
+            duration,
+        }));
+        if rng.random_range(0..3) > 0 {
+            faults.push(Fault {
+                at: at + Millis(rng.random_range(0..duration.0)),
+                kind: Kind::PauseLead,
+                target: rng.random_range(0..shape.entries.max(1)) as usize,
+                duration: Millis(rng.random_range(LEAD_PAUSED_MS)),
+            });
+        }
+    }
+    faults.sort_by_key(|fault| fault.at);
+    faults
+}
--- a/crates/marigoldpick-soak/src/lib.rs
+++ b/crates/marigoldpick-soak/src/lib.rs
@@ -3,9 +3,11 @@
 //! The stand-in of the platform checks the system's guarantees during the run.
 
 pub mod fault;
+mod lead;
 pub mod port;
 pub mod process;
 pub mod run;
+mod settings;
 
 pub use fault::{Fault, Kind};
 pub use run::{Outcome, Shape};
--- a/crates/marigoldpick-soak/src/run.rs
+++ b/crates/marigoldpick-soak/src/run.rs
@@ -1,8 +1,8 @@
 //! Plays one soak run on real processes, with relays between them that take faults.
 
 use std::cell::RefCell;
-use std::fs;
-use std::io;
+use std::fs::{self, File};
+use std::io::{self, Write};
 use std::net::SocketAddr;
 use std::path::{Path, PathBuf};
 use std::rc::Rc;
@@ -11,6 +11,7 @@
 use async_std::task;
 use displaydoc::Display;
 use http_types::{Method, Request, Url};
+use marigoldpick_core::clock::time_of_day;
 use marigoldpick_core::prelude::*;
 use marigoldpick_platform::Settings;
 use marigoldpick_platform::exchange::Client;
@@ -20,8 +21,10 @@
 use serde::{Deserialize, Serialize};
 
 use crate::fault::{self, Fault, Kind};
+use crate::lead;
 use crate::port;
 use crate::process::Process;
+use crate::settings::{longest_lease, toml_of, worker_section};
 
 /// The name of the entry program for the platform.
 const ENTRY_PROGRAM: &str = "marigold-platform";
@@ -40,11 +43,6 @@
 const POLL_INTERVAL: Duration = Duration::from_millis(250);
 /// The one-way latency of a slow link.
 const SLOW_LINK_LATENCY: Millis = Millis(300);
-/// The longest leases that the platform allows: what leads grant, and more than that.
-const LONGEST_LEASES: [Millis; 2] = [Millis(6_000), Millis(10_000)];
-/// After how long entries send an order without an answer again: as deployed, and never. Eight seeds in a row have the
-/// same.
-const RETRIES: [Millis; 2] = [Millis(150), Millis::ZERO];
 /// The share of jobs with long tasks, in percent.
 const LONG_PERCENT: u32 = 15;
 /// The share of jobs that are repeated far more often than they can run, in percent.
@@ -121,7 +119,10 @@
     entries: Vec<Entry>,
     workers: Vec<Relay>,
     control: SocketAddr,
+    store: SocketAddr,
     client: Client,
+    /// The faults that began and ended, with the entries that were paused as leads.
+    journal: RefCell<File>,
     broken: RefCell<Vec<String>>,
 }
 
@@ -139,10 +140,12 @@
     if verdict.begun {
         let restarts = fault::draw_restarts(seed, shape);
         let stalls = fault::draw_stalls(seed, shape);
+        let stops = fault::draw_stops(seed, shape);
         let faults: Vec<_> = fault::draw(seed, shape)
             .into_iter()
             .chain(restarts)
             .chain(stalls)
+            .chain(stops)
             .map(|fault| task::spawn_local(Rc::clone(&site).inject(fault)))
             .collect();
         for fault in faults {
@@ -249,40 +252,14 @@
         entries,
         workers: relays,
         control: addresses.control,
+        store: addresses.store,
         client: Client::anonymous("standin", limits),
+        journal: RefCell::new(File::create(folder.join("faults.log"))?),
         broken: RefCell::default(),
     };
     Ok((standin, site))
 }
 
-/// Returns the longest lease that the platform allows in the run of a seed.
-const fn longest_lease(seed: u64) -> Millis {
-    LONGEST_LEASES[(seed % LONGEST_LEASES.len() as u64) as usize]
-}
-
-/// Returns the section on workers in the settings of all entries.
-fn worker_section(seed: u64) -> String {
-    let retry = RETRIES[(seed / 8 % RETRIES.len() as u64) as usize];
-    format!(
-        "\n[worker]\nlease_ms = {}\nstop_ms = 400\nremote_slowdown = 2.0\nretry_ms = {}\n",
-        longest_lease(seed).0,
-        retry.0
-    )
-}
-
-/// Returns the other settings of an entry; entries with even numbers declare more cores.
-fn toml_of(number: usize, ports: &[String; 4], store: SocketAddr, adviser: SocketAddr) -> String {
-    let [callers, ready, inner, metrics] = ports;
-    let cores = if number.is_multiple_of(2) { 0.5 } else { 0.1 };
-    format!(
-        "entry = \"e{number}\"\ndomain = \"d{}\"\ncallers = \"{callers}\"\nready = \"{ready}\"\n\
-         inner = \"{inner}\"\nmetrics = \"{metrics}\"\nstore = \"{store}\"\nadviser = \"{adviser}\"\n\
-         cores = {cores}\nlink_mbps = 100.0\ngrace_s = 6.0\nrequires_keys = true\n\n\
-         [revocation]\nbound_ms = 3000\nconfig_ms = 2000\n",
-        number % 3
-    )
-}
-
 impl Site {
     /// Records a violation of the guarantees.
     fn record(&self, what: String) {
@@ -350,6 +327,7 @@
 
     async fn inject(self: Rc<Self>, fault: Fault) {
         task::sleep(fault.at.duration()).await;
+        self.note(&format!("began {fault:?}"));
         match fault.kind {
             Kind::KillEntry => self.kill_and_restart(&[fault.target], fault.duration).await,
             Kind::KillAll => {
@@ -357,11 +335,28 @@
                 self.kill_and_restart(&all, fault.duration).await;
             }
             Kind::PauseEntry => self.pause(fault.target, fault.duration).await,
+            Kind::PauseLead => {
+                let lead = lead::find(&self.client, self.store).await;
+                let lead = lead.filter(|lead| *lead < self.entries.len());
+                self.note(&format!("lead {lead:?}"));
+                self.pause(lead.unwrap_or(fault.target), fault.duration)
+                    .await;
+            }
             Kind::StopEntry => self.stop_and_restart(fault.target).await,
             Kind::ReloadEntry => self.signal(fault.target, Signal::SIGHUP),
             Kind::Platform(name) => self.inject_platform_fault(name, &fault).await,
+            Kind::StopWorker => self.inject_platform_fault("worker-stopped", &fault).await,
             kind => self.inject_link_fault(kind, &fault).await,
         }
+        self.note(&format!("ended {fault:?}"));
+    }
+
+    /// Writes a line on the faults, for the trace of a run that failed.
+    fn note(&self, what: &str) {
+        let line = format!("{} {what}", time_of_day());
+        if let Err(error) = writeln!(self.journal.borrow_mut(), "{line}") {
+            self.record(format!("the faults can't be noted: {error}"));
+        }
     }
 
     fn signal(&self, number: usize, signal: Signal) {
--- a/crates/marigoldpick-soak/tests/soak.rs
+++ b/crates/marigoldpick-soak/tests/soak.rs
@@ -115,6 +115,36 @@
     }
 }
 
+#[googletest::test]
+fn draw_stops_pause_the_lead_while_workers_are_away() {
+    let draw = |seed| fault::draw_stops(seed, &SHAPE);
+    expect_that!(draw(5), eq(&draw(5)));
+    expect_that!(draw(5), not(eq(&draw(6))));
+    let mut seen: Vec<Kind> = Vec::new();
+    for faults in (0..200).map(draw) {
+        expect_true!(faults.is_sorted_by_key(|fault| fault.at));
+        for fault in &faults {
+            seen.push(fault.kind);
+            if fault.kind == Kind::PauseLead {
+                expect_that!(fault.target, lt(3));
+                expect_that!(fault.duration, all!(ge(Millis(3_000)), le(Millis(6_000))));
+                let covers = |away: &fault::Fault| {
+                    away.kind != Kind::PauseLead
+                        && (away.at..away.at + away.duration).contains(&fault.at)
+                };
+                expect_true!(faults.iter().any(covers));
+            } else {
+                expect_that!(fault.target, lt(5));
+                expect_that!(fault.at, lt(Millis(6_000)));
+                expect_that!(fault.duration, all!(ge(Millis(200)), le(Millis(9_000))));
+            }
+        }
+    }
+    for kind in [Kind::StopWorker, Kind::SilenceWorker, Kind::PauseLead] {
+        expect_that!(seen, contains(eq(&kind)));
+    }
+}
+
 #[googletest::test]
 fn play_short_runs_violate_no_guarantee() {
     for seed in SEEDS {
--- a/crates/marigoldpick-standin/src/jobs/pool.rs
+++ b/crates/marigoldpick-standin/src/jobs/pool.rs
@@ -106,6 +106,16 @@
         self.workers[at] = worker;
     }
 
+    /// Stops a worker as by SIGSTOP, or lets it go on; then it first ends what has lapsed on its clock.
+    ///
+    /// The caller hands it no orders while it is stopped.
+    pub fn set_stopped(&mut self, at: usize, on: bool, now: Millis) {
+        self.advance(now);
+        self.workers[at].stopped = on;
+        // The time of the stop is over for all workers, so that no run progresses.
+        self.advance(now);
+    }
+
     /// Crashes a worker, which is back after `crash_time` under another id at the same address.
     pub fn crash(&mut self, at: usize) {
         let worker = &mut self.workers[at];
@@ -155,7 +165,7 @@
                 .is_some_and(|members| *members >= count)
         };
         let mut ended: Vec<Ended> = Vec::new();
-        for worker in self.workers.iter_mut().filter(|worker| worker.up) {
+        for worker in self.workers.iter_mut().filter(|w| w.up && !w.stopped) {
             ended.extend(worker.advance(span, now, is_whole));
         }
         for end in ended {
@@ -169,8 +179,8 @@
     /// Counts the members of each gang's run that are not being stopped.
     fn gang_members(&self) -> BTreeMap<(Part, u64), u32> {
         let mut members_at_work: BTreeMap<(Part, u64), u32> = BTreeMap::new();
-        let up = self.workers.iter().filter(|worker| worker.up);
-        let active = up.flat_map(|worker| &worker.active);
+        let at_work = self.workers.iter().filter(|w| w.up && !w.stopped);
+        let active = at_work.flat_map(|worker| &worker.active);
         for member in active.filter(|active| active.gang && active.is_at_work()) {
             let key = (member.task.part.clone(), member.run);
             *members_at_work.entry(key).or_default() += 1;
@@ -188,7 +198,7 @@
         } else {
             Exit::Broken
         };
-        for worker in self.workers.iter_mut().filter(|worker| worker.up) {
+        for worker in self.workers.iter_mut().filter(|w| w.up && !w.stopped) {
             let is_member =
                 |active: &Run| active.task.part == end.task.part && active.run == end.run;
             let (gone, kept) = std::mem::take(&mut worker.active)
@@ -334,8 +344,8 @@
     /// lapsed since.
     fn has_listed_done(&self, task: &Task) -> bool {
         let is_done = |end: &Ended| end.task == *task && end.how == Exit::Done;
-        let mut up = self.workers.iter().filter(|worker| worker.up);
-        up.any(|worker| {
+        let mut live = self.workers.iter().filter(|w| w.is_live(self.now));
+        live.any(|worker| {
             let mut ended = worker.ended.iter();
             ended.any(|end| is_done(end) && end.number > worker.lapsed_end)
         })
@@ -362,10 +372,11 @@
         }
     }
 
-    /// Returns the tasks that are running.
+    /// Returns the tasks that are running; those on a stopped worker run until its lease has lapsed.
     #[must_use]
     pub fn running(&self) -> Vec<Task> {
-        let active = self.workers.iter().filter(|w| w.up).flat_map(|w| &w.active);
+        let live = self.workers.iter().filter(|w| w.is_live(self.now));
+        let active = live.flat_map(|w| &w.active);
         active.map(|active| active.task.clone()).collect()
     }
 
--- a/crates/marigoldpick-standin/src/jobs/worker.rs
+++ b/crates/marigoldpick-standin/src/jobs/worker.rs
@@ -111,6 +111,8 @@
     pub failing: bool,
     /// Whether its tasks make no progress.
     pub hung: bool,
+    /// Whether it is stopped as by SIGSTOP: its runs neither progress nor end nor lapse, while its clock goes on.
+    pub stopped: bool,
     /// The factor by which its tasks take longer than their estimates.
     pub slowness: u64,
     /// Whether its tasks tell checkpoints, each a value of its own.
@@ -145,6 +147,7 @@
             returns_at: None,
             failing: false,
             hung: false,
+            stopped: false,
             slowness: 1,
             saving: false,
             refusing: false,
@@ -168,6 +171,16 @@
         Millis(self.first_reading.0 + span)
     }
 
+    /// Returns whether its lease has lapsed at the actual time `now`.
+    pub(super) fn has_lapsed(&self, now: Millis) -> bool {
+        self.lease < self.clock(now)
+    }
+
+    /// Returns whether its runs count as running: it is up, and won't end them before anything else when it goes on.
+    pub(super) fn is_live(&self, now: Millis) -> bool {
+        self.up && !(self.stopped && self.has_lapsed(now))
+    }
+
     /// Begins an incarnation, whose clock has a reading of its own.
     pub(super) fn begin(&mut self, now: Millis) {
         self.began = now;
@@ -260,7 +273,7 @@
         now: Millis,
         is_whole: impl Fn(&Task, u64) -> bool,
     ) -> Vec<Ended> {
-        let has_lapsed = self.lease < self.clock(now);
+        let has_lapsed = self.has_lapsed(now);
         if has_lapsed {
             self.lapsed_end = self.last_end;
         }
--- a/crates/marigoldpick-standin/tests/standin/jobs.rs
+++ b/crates/marigoldpick-standin/tests/standin/jobs.rs
@@ -132,6 +132,37 @@
     );
 }
 
+#[googletest::test]
+fn pool_stopped_worker_ends_nothing_and_lapses_when_it_goes_on() {
+    let mut pool = pool(false);
+    expect_true!(pool.order(0, 1, &start(0, 1)).is_ok());
+    pool.set_stopped(0, true, Millis(100));
+    pool.advance(Millis(5_000));
+    pool.set_stopped(0, false, Millis(5_500));
+    expect_that!(reported_outcomes(&mut pool, 0), is_empty());
+    pool.set_stopped(0, true, Millis(5_899));
+    pool.advance(Millis(7_000));
+    expect_that!(pool.run_count(0), eq(1));
+    pool.set_stopped(0, false, Millis(7_000));
+    expect_that!(
+        reported_outcomes(&mut pool, 0),
+        elements_are![eq(&Exit::Lapsed)]
+    );
+}
+
+#[googletest::test]
+fn pool_run_on_a_stopped_worker_counts_until_its_lease_has_lapsed() {
+    for (at, broken) in [(6_000, 1), (6_001, 0)] {
+        let mut pool = pool(false);
+        expect_true!(pool.order(0, 1, &start(0, 1)).is_ok());
+        pool.set_stopped(0, true, Millis(100));
+        pool.advance(Millis(at));
+        expect_that!(pool.running().len(), eq(broken));
+        expect_true!(pool.order(1, 1, &start(0, 2)).is_ok());
+        expect_that!(pool.broken.len(), eq(broken), "at {at}");
+    }
+}
+
 #[googletest::test]
 fn pool_records_violations() {
     let mut pool = pool(false);
