Cut workers off from some entries alone in the soak

The stand-in now serves its store at an address for each entry and tells it addresses of its own for the workers, with a relay each. A series keeps a worker, or a failure domain, to the lead or cuts it off from the lead alone, while the lead is paused or loses the store.

--- a/crates/marigoldpick-soak/src/fault.rs
+++ b/crates/marigoldpick-soak/src/fault.rs
@@ -59,6 +59,12 @@
     SilenceFront,
     /// Callers' connections to an entry are reset.
     ResetFront,
+    /// Under the addresses at which all entries but the lead find a worker, nothing arrives in both directions.
+    KeepLeadOnly,
+    /// Under the address at which the lead finds a worker, nothing arrives in both directions.
+    CutLeadOnly,
+    /// The link between the lead and the store drops everything in both directions.
+    SilenceLead,
     /// A worker is stopped as by SIGSTOP: its clock goes on, and it reads what has arrived meanwhile all at once.
     StopWorker,
     /// A fault of the platform itself, under its name in the stand-in's control interface.
@@ -130,6 +136,15 @@
 const STOPPED_MS: std::ops::RangeInclusive<u64> = 200..=9_000;
 /// How long the lead is paused beside it, in milliseconds: the time in which another entry leads, and twice as long.
 const LEAD_PAUSED_MS: std::ops::RangeInclusive<u64> = 3_000..=6_000;
+/// The stream of random numbers from which cuts of workers from some entries are drawn, so that a seed keeps the other
+/// faults.
+const CUT_STREAM: u64 = 5;
+/// The mean time between two cuts of workers from some entries, in milliseconds.
+const MEAN_CUT_GAP_MS: u64 = 4_000;
+/// How long workers are cut off from some entries, in milliseconds: longer than a successor waits for leases.
+const PARTLY_CUT_MS: std::ops::RangeInclusive<u64> = 5_000..=14_000;
+/// The time from such a cut until the lead changes, in milliseconds.
+const LEAD_DELAY_MS: std::ops::Range<u64> = 0..3_000;
 /// The number of failure domains over which workers are spread.
 const DOMAINS: usize = 3;
 
@@ -242,13 +257,7 @@
         if rng.random_range(0..3) > 0 {
             parts.push((Kind::SilenceWorker, at + dark + delay, cut));
         }
-        let target = rng.random_range(0..workers.max(1));
-        let step = if rng.random_range(0..3) == 0 {
-            DOMAINS
-        } else {
-            workers.max(1)
-        };
-        for target in (target % step..workers).step_by(step) {
+        for target in draw_workers(&mut rng, workers) {
             faults.extend(parts.iter().map(|(kind, at, duration)| Fault {
                 at: *at,
                 kind: *kind,
@@ -280,13 +289,7 @@
         } else {
             Kind::SilenceWorker
         };
-        let target = rng.random_range(0..workers.max(1));
-        let step = if rng.random_range(0..3) == 0 {
-            DOMAINS
-        } else {
-            workers.max(1)
-        };
-        let targets = (target % step..workers).step_by(step);
+        let targets = draw_workers(&mut rng, workers);
         faults.extend(targets.map(|target| Fault {
             at,
             kind,
@@ -305,3 +308,54 @@
     faults.sort_by_key(|fault| fault.at);
     faults
 }
+
+/// Draws the cuts of workers from some entries alone, in the order of their starts.
+///
+/// One in three takes all workers of a failure domain. Meanwhile the lead is paused or loses the store, so that
+/// another entry leads.
+#[must_use]
+pub fn draw_cuts(seed: u64, shape: &Shape) -> Vec<Fault> {
+    let mut rng = ChaCha8Rng::seed_from_u64(seed);
+    rng.set_stream(CUT_STREAM);
+    let length = u64::from(shape.seconds) * 1_000;
+    let mut faults = Vec::new();
+    for _ in 0..length / MEAN_CUT_GAP_MS {
+        let at = Millis(rng.random_range(FIRST_FAULT_MS..length.max(FIRST_FAULT_MS + 1)));
+        let duration = Millis(rng.random_range(PARTLY_CUT_MS));
+        let kind = if rng.random_range(0..3) > 0 {
+            Kind::KeepLeadOnly
+        } else {
+            Kind::CutLeadOnly
+        };
+        let targets = draw_workers(&mut rng, shape.workers as usize);
+        faults.extend(targets.map(|target| Fault {
+            at,
+            kind,
+            target,
+            duration,
+        }));
+        faults.push(Fault {
+            at: at + Millis(rng.random_range(LEAD_DELAY_MS)),
+            kind: if rng.random() {
+                Kind::PauseLead
+            } else {
+                Kind::SilenceLead
+            },
+            target: rng.random_range(0..shape.entries.max(1)) as usize,
+            duration: Millis(rng.random_range(LEAD_PAUSED_MS)),
+        });
+    }
+    faults.sort_by_key(|fault| fault.at);
+    faults
+}
+
+/// Draws a worker, or in one of three cases all workers of a failure domain.
+fn draw_workers(rng: &mut ChaCha8Rng, workers: usize) -> impl Iterator<Item = usize> + use<> {
+    let target = rng.random_range(0..workers.max(1));
+    let step = if rng.random_range(0..3) == 0 {
+        DOMAINS
+    } else {
+        workers.max(1)
+    };
+    (target % step..workers).step_by(step)
+}
--- a/crates/marigoldpick-soak/src/lib.rs
+++ b/crates/marigoldpick-soak/src/lib.rs
@@ -3,7 +3,6 @@
 //! The stand-in of the platform checks the system's guarantees during the run.
 
 pub mod fault;
-mod lead;
 pub mod port;
 pub mod process;
 pub mod run;
--- a/crates/marigoldpick-soak/src/run.rs
+++ b/crates/marigoldpick-soak/src/run.rs
@@ -21,11 +21,12 @@
 use serde::{Deserialize, Serialize};
 
 use crate::fault::{self, Fault, Kind};
-use crate::lead;
 use crate::port;
 use crate::process::Process;
 use crate::settings::{longest_lease, toml_of, worker_section};
 
+mod lead;
+
 /// The name of the entry program for the platform.
 const ENTRY_PROGRAM: &str = "marigold-platform";
 /// The name of the program that stands in for the platform.
@@ -97,6 +98,7 @@
 #[derive(Debug, Deserialize)]
 struct Addresses {
     store: SocketAddr,
+    stores: Vec<SocketAddr>,
     control: SocketAddr,
     workers: Vec<SocketAddr>,
     advisers: Vec<SocketAddr>,
@@ -112,6 +114,8 @@
     faults: RefCell<u32>,
     store: Relay,
     front: Relay,
+    /// The relays at which it alone finds the workers.
+    workers: Vec<Relay>,
 }
 
 /// `Site` holds everything that faults are injected into.
@@ -141,11 +145,13 @@
         let restarts = fault::draw_restarts(seed, shape);
         let stalls = fault::draw_stalls(seed, shape);
         let stops = fault::draw_stops(seed, shape);
+        let cuts = fault::draw_cuts(seed, shape);
         let faults: Vec<_> = fault::draw(seed, shape)
             .into_iter()
             .chain(restarts)
             .chain(stalls)
             .chain(stops)
+            .chain(cuts)
             .map(|fault| task::spawn_local(Rc::clone(&site).inject(fault)))
             .collect();
         for fault in faults {
@@ -201,12 +207,20 @@
         let target = callers.parse().map_err(io::Error::other)?;
         fronts.push(Relay::start(target, Millis::ZERO).await?);
     }
+    let mut entry_relays = Vec::new();
+    for _ in &ports {
+        let starts = relays
+            .iter()
+            .map(|r| Relay::start(r.address(), Millis::ZERO));
+        entry_relays.push(futures::future::try_join_all(starts).await?);
+    }
     let list = |relays: &[Relay]| -> Vec<String> {
         relays.iter().map(|r| r.address().to_string()).collect()
     };
     let ready: Vec<&String> = ports.iter().map(|[_, ready, ..]| ready).collect();
+    let lists: Vec<Vec<String>> = entry_relays.iter().map(|relays| list(relays)).collect();
     let text = format!(
-        "seed = {seed}\nworkers = {}\nrelays = {:?}\nfronts = {:?}\nready = {ready:?}\n\
+        "seed = {seed}\nworkers = {}\nrelays = {:?}\nentry_relays = {lists:?}\nfronts = {:?}\nready = {ready:?}\n\
          seconds = {}\njobs_per_second = {}\nlease_ms = {}\nlong_percent = {LONG_PERCENT}\n\
          repeated_percent = {REPEATED_PERCENT}\n",
         shape.workers,
@@ -225,8 +239,9 @@
         pending.forward_to(*target);
     }
     let mut entries = Vec::new();
-    for ((number, ports), front) in ports.iter().enumerate().zip(fronts) {
-        let store = Relay::start(addresses.store, Millis::ZERO).await?;
+    let relays_of_entries = fronts.into_iter().zip(entry_relays);
+    for ((number, ports), (front, workers)) in ports.iter().enumerate().zip(relays_of_entries) {
+        let store = Relay::start(addresses.stores[number], Millis::ZERO).await?;
         let settings = folder.join(format!("entry-{number}.toml"));
         let adviser = addresses.advisers[number];
         let mut text = toml_of(number, ports, store.address(), adviser);
@@ -240,6 +255,7 @@
             faults: RefCell::new(0),
             store,
             front,
+            workers,
         });
     }
     let limits = Settings {
@@ -335,12 +351,8 @@
                 self.kill_and_restart(&all, fault.duration).await;
             }
             Kind::PauseEntry => self.pause(fault.target, fault.duration).await,
-            Kind::PauseLead => {
-                let lead = lead::find(&self.client, self.store).await;
-                let lead = lead.filter(|lead| *lead < self.entries.len());
-                self.note(&format!("lead {lead:?}"));
-                self.pause(lead.unwrap_or(fault.target), fault.duration)
-                    .await;
+            Kind::PauseLead | Kind::SilenceLead | Kind::KeepLeadOnly | Kind::CutLeadOnly => {
+                self.inject_lead_fault(&fault).await;
             }
             Kind::StopEntry => self.stop_and_restart(fault.target).await,
             Kind::ReloadEntry => self.signal(fault.target, Signal::SIGHUP),
--- a/crates/marigoldpick-soak/tests/soak.rs
+++ b/crates/marigoldpick-soak/tests/soak.rs
@@ -145,6 +145,37 @@
     }
 }
 
+#[googletest::test]
+fn draw_cuts_change_the_lead_within_them() {
+    let draw = |seed| fault::draw_cuts(seed, &SHAPE);
+    expect_that!(draw(5), eq(&draw(5)));
+    expect_that!(draw(5), not(eq(&draw(6))));
+    let is_cut = |kind| matches!(kind, Kind::KeepLeadOnly | Kind::CutLeadOnly);
+    let mut seen: Vec<Kind> = Vec::new();
+    for faults in (0..200).map(draw) {
+        expect_true!(faults.is_sorted_by_key(|fault| fault.at));
+        for fault in &faults {
+            seen.push(fault.kind);
+            if is_cut(fault.kind) {
+                expect_that!(fault.target, lt(5));
+                expect_that!(fault.at, lt(Millis(6_000)));
+                expect_that!(fault.duration, all!(ge(Millis(5_000)), le(Millis(14_000))));
+            } else {
+                expect_that!(fault.target, lt(3));
+                expect_that!(fault.duration, all!(ge(Millis(3_000)), le(Millis(6_000))));
+                let covers = |cut: &fault::Fault| {
+                    is_cut(cut.kind) && (cut.at..cut.at + cut.duration).contains(&fault.at)
+                };
+                expect_true!(faults.iter().any(covers));
+            }
+        }
+    }
+    let leads = [Kind::PauseLead, Kind::SilenceLead];
+    for kind in [Kind::KeepLeadOnly, Kind::CutLeadOnly].iter().chain(&leads) {
+        expect_that!(seen, contains(eq(kind)));
+    }
+}
+
 #[googletest::test]
 fn play_short_runs_violate_no_guarantee() {
     for seed in SEEDS {
