--- a/crates/marigoldpick-soak/tests/soak.rs
+++ b/crates/marigoldpick-soak/tests/soak.rs
@@ -116,63 +116,47 @@
 }
 
 #[googletest::test]
-fn draw_stops_pause_the_lead_while_workers_are_away() {
-    let draw = |seed| fault::draw_stops(seed, &SHAPE);
-    expect_that!(draw(5), eq(&draw(5)));
-    expect_that!(draw(5), not(eq(&draw(6))));
-    let mut seen: Vec<Kind> = Vec::new();
-    for faults in (0..200).map(draw) {
-        expect_true!(faults.is_sorted_by_key(|fault| fault.at));
-        for fault in &faults {
-            seen.push(fault.kind);
-            if fault.kind == Kind::PauseLead {
-                expect_that!(fault.target, lt(3));
-                expect_that!(fault.duration, all!(ge(Millis(3_000)), le(Millis(6_000))));
-                let covers = |away: &fault::Fault| {
-                    away.kind != Kind::PauseLead
-                        && (away.at..away.at + away.duration).contains(&fault.at)
-                };
-                expect_true!(faults.iter().any(covers));
-            } else {
+fn draw_stops_and_cuts_affect_the_lead_while_workers_are_away() {
+    type Draw = fn(u64, &Shape) -> Vec<fault::Fault>;
+    let stops = [Kind::StopWorker, Kind::SilenceWorker, Kind::PauseLead].as_slice();
+    let cuts = [
+        Kind::KeepLeadOnly,
+        Kind::CutLeadOnly,
+        Kind::PauseLead,
+        Kind::SilenceLead,
+    ];
+    let series: [(Draw, u64, u64, &[Kind]); 2] = [
+        (fault::draw_stops, 200, 9_000, stops),
+        (fault::draw_cuts, 5_000, 14_000, &cuts),
+    ];
+    for (draw, shortest, longest, kinds) in series {
+        expect_that!(draw(5, &SHAPE), eq(&draw(5, &SHAPE)));
+        expect_that!(draw(5, &SHAPE), not(eq(&draw(6, &SHAPE))));
+        let is_lead =
+            |fault: &&fault::Fault| matches!(fault.kind, Kind::PauseLead | Kind::SilenceLead);
+        let mut seen: Vec<Kind> = Vec::new();
+        for faults in (0..200).map(|seed| draw(seed, &SHAPE)) {
+            expect_true!(faults.is_sorted_by_key(|fault| fault.at));
+            seen.extend(faults.iter().map(|fault| fault.kind));
+            let (leads, away): (Vec<_>, Vec<_>) = faults.iter().partition(is_lead);
+            for fault in &away {
                 expect_that!(fault.target, lt(5));
                 expect_that!(fault.at, lt(Millis(6_000)));
-                expect_that!(fault.duration, all!(ge(Millis(200)), le(Millis(9_000))));
+                expect_that!(
+                    fault.duration,
+                    all!(ge(Millis(shortest)), le(Millis(longest)))
+                );
             }
-        }
-    }
-    for kind in [Kind::StopWorker, Kind::SilenceWorker, Kind::PauseLead] {
-        expect_that!(seen, contains(eq(&kind)));
-    }
-}
-
-#[googletest::test]
-fn draw_cuts_change_the_lead_within_them() {
-    let draw = |seed| fault::draw_cuts(seed, &SHAPE);
-    expect_that!(draw(5), eq(&draw(5)));
-    expect_that!(draw(5), not(eq(&draw(6))));
-    let is_cut = |kind| matches!(kind, Kind::KeepLeadOnly | Kind::CutLeadOnly);
-    let mut seen: Vec<Kind> = Vec::new();
-    for faults in (0..200).map(draw) {
-        expect_true!(faults.is_sorted_by_key(|fault| fault.at));
-        for fault in &faults {
-            seen.push(fault.kind);
-            if is_cut(fault.kind) {
-                expect_that!(fault.target, lt(5));
-                expect_that!(fault.at, lt(Millis(6_000)));
-                expect_that!(fault.duration, all!(ge(Millis(5_000)), le(Millis(14_000))));
-            } else {
+            for fault in leads {
                 expect_that!(fault.target, lt(3));
                 expect_that!(fault.duration, all!(ge(Millis(3_000)), le(Millis(6_000))));
-                let covers = |cut: &fault::Fault| {
-                    is_cut(cut.kind) && (cut.at..cut.at + cut.duration).contains(&fault.at)
-                };
-                expect_true!(faults.iter().any(covers));
+                let covers =
+                    |away: &&fault::Fault| (away.at..away.at + away.duration).contains(&fault.at);
+                expect_true!(away.iter().any(covers));
             }
         }
-    }
-    let leads = [Kind::PauseLead, Kind::SilenceLead];
-    for kind in [Kind::KeepLeadOnly, Kind::CutLeadOnly].iter().chain(&leads) {
-        expect_that!(seen, contains(eq(kind)));
+        expect_true!(seen.iter().all(|kind| kinds.contains(kind)));
+        expect_true!(kinds.iter().all(|kind| seen.contains(kind)));
     }
 }
 
