--- a/crates/marigoldpick-soak/src/lib.rs
+++ b/crates/marigoldpick-soak/src/lib.rs
@@ -6,6 +6,7 @@
 pub mod port;
 pub mod process;
 pub mod run;
+mod settings;
 
 pub use fault::{Fault, Kind};
 pub use run::{Outcome, Shape};
--- a/crates/marigoldpick-soak/src/run.rs
+++ b/crates/marigoldpick-soak/src/run.rs
@@ -1,8 +1,8 @@
 //! Plays one soak run on real processes, with relays between them that take faults.
 
 use std::cell::RefCell;
-use std::fs;
-use std::io;
+use std::fs::{self, File};
+use std::io::{self, Write};
 use std::net::SocketAddr;
 use std::path::{Path, PathBuf};
 use std::rc::Rc;
@@ -11,6 +11,7 @@
 use async_std::task;
 use displaydoc::Display;
 use http_types::{Method, Request, Url};
+use marigoldpick_core::clock::time_of_day;
 use marigoldpick_core::prelude::*;
 use marigoldpick_platform::Settings;
 use marigoldpick_platform::exchange::Client;
@@ -22,6 +23,9 @@
 use crate::fault::{self, Fault, Kind};
 use crate::port;
 use crate::process::Process;
+use crate::settings::{longest_lease, toml_of, worker_section};
+
+mod lead;
 
 /// The name of the entry program for the platform.
 const ENTRY_PROGRAM: &str = "marigold-platform";
@@ -40,11 +44,6 @@
 const POLL_INTERVAL: Duration = Duration::from_millis(250);
 /// The one-way latency of a slow link.
 const SLOW_LINK_LATENCY: Millis = Millis(300);
-/// The longest leases that the platform allows: what leads grant, and more than that.
-const LONGEST_LEASES: [Millis; 2] = [Millis(6_000), Millis(10_000)];
-/// After how long entries send an order without an answer again: as deployed, and never. Eight seeds in a row have the
-/// same.
-const RETRIES: [Millis; 2] = [Millis(150), Millis::ZERO];
 /// The share of jobs with long tasks, in percent.
 const LONG_PERCENT: u32 = 15;
 /// The share of jobs that are repeated far more often than they can run, in percent.
@@ -99,6 +98,7 @@
 #[derive(Debug, Deserialize)]
 struct Addresses {
     store: SocketAddr,
+    stores: Vec<SocketAddr>,
     control: SocketAddr,
     workers: Vec<SocketAddr>,
     advisers: Vec<SocketAddr>,
@@ -114,6 +114,8 @@
     faults: RefCell<u32>,
     store: Relay,
     front: Relay,
+    /// The relays at which it alone finds the workers.
+    workers: Vec<Relay>,
 }
 
 /// `Site` holds everything that faults are injected into.
@@ -121,7 +123,10 @@
     entries: Vec<Entry>,
     workers: Vec<Relay>,
     control: SocketAddr,
+    store: SocketAddr,
     client: Client,
+    /// The faults that began and ended, with the entries that were paused as leads.
+    journal: RefCell<File>,
     broken: RefCell<Vec<String>>,
 }
 
@@ -139,10 +144,14 @@
     if verdict.begun {
         let restarts = fault::draw_restarts(seed, shape);
         let stalls = fault::draw_stalls(seed, shape);
+        let stops = fault::draw_stops(seed, shape);
+        let cuts = fault::draw_cuts(seed, shape);
         let faults: Vec<_> = fault::draw(seed, shape)
             .into_iter()
             .chain(restarts)
             .chain(stalls)
+            .chain(stops)
+            .chain(cuts)
             .map(|fault| task::spawn_local(Rc::clone(&site).inject(fault)))
             .collect();
         for fault in faults {
@@ -198,12 +207,20 @@
         let target = callers.parse().map_err(io::Error::other)?;
         fronts.push(Relay::start(target, Millis::ZERO).await?);
     }
+    let mut entry_relays = Vec::new();
+    for _ in &ports {
+        let starts = relays
+            .iter()
+            .map(|r| Relay::start(r.address(), Millis::ZERO));
+        entry_relays.push(futures::future::try_join_all(starts).await?);
+    }
     let list = |relays: &[Relay]| -> Vec<String> {
         relays.iter().map(|r| r.address().to_string()).collect()
     };
     let ready: Vec<&String> = ports.iter().map(|[_, ready, ..]| ready).collect();
+    let lists: Vec<Vec<String>> = entry_relays.iter().map(|relays| list(relays)).collect();
     let text = format!(
-        "seed = {seed}\nworkers = {}\nrelays = {:?}\nfronts = {:?}\nready = {ready:?}\n\
+        "seed = {seed}\nworkers = {}\nrelays = {:?}\nentry_relays = {lists:?}\nfronts = {:?}\nready = {ready:?}\n\
          seconds = {}\njobs_per_second = {}\nlease_ms = {}\nlong_percent = {LONG_PERCENT}\n\
          repeated_percent = {REPEATED_PERCENT}\n",
         shape.workers,
@@ -222,8 +239,9 @@
         pending.forward_to(*target);
     }
     let mut entries = Vec::new();
-    for ((number, ports), front) in ports.iter().enumerate().zip(fronts) {
-        let store = Relay::start(addresses.store, Millis::ZERO).await?;
+    let relays_of_entries = fronts.into_iter().zip(entry_relays);
+    for ((number, ports), (front, workers)) in ports.iter().enumerate().zip(relays_of_entries) {
+        let store = Relay::start(addresses.stores[number], Millis::ZERO).await?;
         let settings = folder.join(format!("entry-{number}.toml"));
         let adviser = addresses.advisers[number];
         let mut text = toml_of(number, ports, store.address(), adviser);
@@ -237,6 +255,7 @@
             faults: RefCell::new(0),
             store,
             front,
+            workers,
         });
     }
     let limits = Settings {
@@ -249,40 +268,14 @@
         entries,
         workers: relays,
         control: addresses.control,
+        store: addresses.store,
         client: Client::anonymous("standin", limits),
+        journal: RefCell::new(File::create(folder.join("faults.log"))?),
         broken: RefCell::default(),
     };
     Ok((standin, site))
 }
 
-/// Returns the longest lease that the platform allows in the run of a seed.
-const fn longest_lease(seed: u64) -> Millis {
-    LONGEST_LEASES[(seed % LONGEST_LEASES.len() as u64) as usize]
-}
-
-/// Returns the section on workers in the settings of all entries.
-fn worker_section(seed: u64) -> String {
-    let retry = RETRIES[(seed / 8 % RETRIES.len() as u64) as usize];
-    format!(
-        "\n[worker]\nlease_ms = {}\nstop_ms = 400\nremote_slowdown = 2.0\nretry_ms = {}\n",
-        longest_lease(seed).0,
-        retry.0
-    )
-}
-
-/// Returns the other settings of an entry; entries with even numbers declare more cores.
-fn toml_of(number: usize, ports: &[String; 4], store: SocketAddr, adviser: SocketAddr) -> String {
-    let [callers, ready, inner, metrics] = ports;
-    let cores = if number.is_multiple_of(2) { 0.5 } else { 0.1 };
-    format!(
-        "entry = \"e{number}\"\ndomain = \"d{}\"\ncallers = \"{callers}\"\nready = \"{ready}\"\n\
-         inner = \"{inner}\"\nmetrics = \"{metrics}\"\nstore = \"{store}\"\nadviser = \"{adviser}\"\n\
-         cores = {cores}\nlink_mbps = 100.0\ngrace_s = 6.0\nrequires_keys = true\n\n\
-         [revocation]\nbound_ms = 3000\nconfig_ms = 2000\n",
-        number % 3
-    )
-}
-
 impl Site {
     /// Records a violation of the guarantees.
     fn record(&self, what: String) {
@@ -350,6 +343,7 @@
 
     async fn inject(self: Rc<Self>, fault: Fault) {
         task::sleep(fault.at.duration()).await;
+        self.note(&format!("began {fault:?}"));
         match fault.kind {
             Kind::KillEntry => self.kill_and_restart(&[fault.target], fault.duration).await,
             Kind::KillAll => {
@@ -357,11 +351,24 @@
                 self.kill_and_restart(&all, fault.duration).await;
             }
             Kind::PauseEntry => self.pause(fault.target, fault.duration).await,
+            Kind::PauseLead | Kind::SilenceLead | Kind::KeepLeadOnly | Kind::CutLeadOnly => {
+                self.inject_lead_fault(&fault).await;
+            }
             Kind::StopEntry => self.stop_and_restart(fault.target).await,
             Kind::ReloadEntry => self.signal(fault.target, Signal::SIGHUP),
             Kind::Platform(name) => self.inject_platform_fault(name, &fault).await,
+            Kind::StopWorker => self.inject_platform_fault("worker-stopped", &fault).await,
             kind => self.inject_link_fault(kind, &fault).await,
         }
+        self.note(&format!("ended {fault:?}"));
+    }
+
+    /// Writes a line on the faults, for the trace of a run that failed.
+    fn note(&self, what: &str) {
+        let line = format!("{} {what}", time_of_day());
+        if let Err(error) = writeln!(self.journal.borrow_mut(), "{line}") {
+            self.record(format!("the faults can't be noted: {error}"));
+        }
     }
 
     fn signal(&self, number: usize, signal: Signal) {
--- a/crates/marigoldpick-soak/tests/soak.rs
+++ b/crates/marigoldpick-soak/tests/soak.rs
@@ -115,6 +115,51 @@
     }
 }
 
+#[googletest::test]
+fn draw_stops_and_cuts_affect_the_lead_while_workers_are_away() {
+    type Draw = fn(u64, &Shape) -> Vec<fault::Fault>;
+    let stops = [Kind::StopWorker, Kind::SilenceWorker, Kind::PauseLead].as_slice();
+    let cuts = [
+        Kind::KeepLeadOnly,
+        Kind::CutLeadOnly,
+        Kind::PauseLead,
+        Kind::SilenceLead,
+    ];
+    let series: [(Draw, u64, u64, &[Kind]); 2] = [
+        (fault::draw_stops, 200, 9_000, stops),
+        (fault::draw_cuts, 5_000, 14_000, &cuts),
+    ];
+    for (draw, shortest, longest, kinds) in series {
+        expect_that!(draw(5, &SHAPE), eq(&draw(5, &SHAPE)));
+        expect_that!(draw(5, &SHAPE), not(eq(&draw(6, &SHAPE))));
+        let is_lead =
+            |fault: &&fault::Fault| matches!(fault.kind, Kind::PauseLead | Kind::SilenceLead);
+        let mut seen: Vec<Kind> = Vec::new();
+        for faults in (0..200).map(|seed| draw(seed, &SHAPE)) {
+            expect_true!(faults.is_sorted_by_key(|fault| fault.at));
+            seen.extend(faults.iter().map(|fault| fault.kind));
+            let (leads, away): (Vec<_>, Vec<_>) = faults.iter().partition(is_lead);
+            for fault in &away {
+                expect_that!(fault.target, lt(5));
+                expect_that!(fault.at, lt(Millis(6_000)));
+                expect_that!(
+                    fault.duration,
+                    all!(ge(Millis(shortest)), le(Millis(longest)))
+                );
+            }
+            for fault in leads {
+                expect_that!(fault.target, lt(3));
+                expect_that!(fault.duration, all!(ge(Millis(3_000)), le(Millis(6_000))));
+                let covers =
+                    |away: &&fault::Fault| (away.at..away.at + away.duration).contains(&fault.at);
+                expect_true!(away.iter().any(covers));
+            }
+        }
+        expect_true!(seen.iter().all(|kind| kinds.contains(kind)));
+        expect_true!(kinds.iter().all(|kind| seen.contains(kind)));
+    }
+}
+
 #[googletest::test]
 fn play_short_runs_violate_no_guarantee() {
     for seed in SEEDS {
