Play a former lead beside its successor in the random tests

The random tests simulated one lead at a time. A former lead now has a path of its own, on which its orders arrive and their answers wait until it goes on, and the random test nothing_runs_twice_beside_a_former_lead pauses leads, takes over, and cuts workers off from one of the two.

--- a/crates/marigoldpick-job/tests/lead/leases.rs
+++ b/crates/marigoldpick-job/tests/lead/leases.rs
@@ -15,6 +15,9 @@
 /// The time for which a draining worker goes on.
 const DRAIN_TIME: u64 = 2_000;
 
+/// The least time after its last renewal in which a lead's key ends.
+const KEY_LEASE: u64 = 1_500;
+
 /// The time that a worker takes to restart.
 const DOWN_TIME: u64 = 20;
 
@@ -255,9 +258,10 @@
     },
 }
 
-fn event() -> impl Strategy<Value = Event> {
+/// Returns a strategy for events with tasks of up to `longest` milliseconds.
+fn event(longest: u64) -> impl Strategy<Value = Event> {
     prop_oneof![
-        3 => (1..6_u32, 100..2_500_u64, any::<bool>())
+        3 => (1..6_u32, 100..longest, any::<bool>())
             .prop_map(|(tasks, span, lasting)| Event::Submit { tasks, span, lasting }),
         2 => (0..5_usize).prop_map(|at| Event::Drain { at }),
         2 => (0..5_usize).prop_map(|at| Event::Leave { at }),
@@ -305,6 +309,30 @@
     }
 }
 
+/// Ends all disruptions; then nothing may have run twice, and all that lasts must be at work.
+fn settle(world: &mut World) -> Result<(), TestCaseError> {
+    world.lost_holds_percent = 0;
+    world.unanswered_percent = 0;
+    world.partitioned = vec![false; 5];
+    for at in 0..5 {
+        world.pool.workers[at].node.draining = false;
+        if !world.pool.workers[at].up {
+            restart(world, at);
+        }
+    }
+    world.run(20_000);
+    prop_assert!(world.pool.broken.is_empty(), "{:?}", world.pool.broken);
+    let is_lasting = |task: &&Task| world.pool.jobs[&task.part.job].steps[0].lasting;
+    let running = world.pool.running();
+    let steps = world.pool.jobs.values().map(|job| &job.steps[0]);
+    let lasting: u32 = steps
+        .filter(|step| step.lasting)
+        .map(|step| step.count)
+        .sum();
+    prop_assert_eq!(running.iter().filter(is_lasting).count(), lasting as usize);
+    Ok(())
+}
+
 proptest! {
     #![proptest_config(ProptestConfig { cases: 48, ..ProptestConfig::default() })]
 
@@ -313,7 +341,7 @@
     #[test]
     fn nothing_runs_twice_while_workers_and_leads_are_replaced(
         longest in longest_lease(),
-        events in prop::collection::vec(event(), 1..60),
+        events in prop::collection::vec(event(2_500), 1..60),
     ) {
         let mut world = World::new(5);
         world.allow_leases(longest);
@@ -322,21 +350,110 @@
         for event in &events {
             apply(&mut world, event, &mut submitted);
         }
-        world.lost_holds_percent = 0;
-        world.unanswered_percent = 0;
-        world.partitioned = vec![false; 5];
-        for at in 0..5 {
-            world.pool.workers[at].node.draining = false;
-            if !world.pool.workers[at].up {
-                restart(&mut world, at);
+        settle(&mut world)?;
+    }
+}
+
+/// The longest run time of the tasks that may go on until a successor gives their placements up, in milliseconds.
+const LONG_SPAN: u64 = 30_000;
+
+/// `Reach` is which of two leads reaches a worker.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum Reach {
+    Both,
+    Former,
+    Successor,
+}
+
+/// `Beside` is a random event in a cluster whose leads are paused and go on beside their successors.
+#[derive(Clone, Debug)]
+enum Beside {
+    Other(Event),
+    /// The lead is paused for `pause`. If that lasts, another one takes over, and the former one goes on for `span`.
+    Pause {
+        pause: u64,
+        /// How long the pause goes on after the take-over, at most.
+        left: u64,
+        span: u64,
+        reach: Vec<Reach>,
+        /// How long the successor does not reach these workers; until the next [`Event::Heal`] if zero.
+        cut: u64,
+    },
+}
+
+fn beside() -> impl Strategy<Value = Beside> {
+    // A worker that both reach ends the former term when it refuses an order.
+    let reach = prop_oneof![
+        1 => Just(Reach::Both),
+        3 => Just(Reach::Former),
+        3 => Just(Reach::Successor),
+    ];
+    // Shorter pauses end before the successor may rely on the former lead, longer ones after the leases have lapsed.
+    let pause = prop_oneof![1 => 500..7_000_u64, 2 => 4_000..6_000_u64];
+    let left = prop_oneof![1 => 0..5_500_u64, 2 => Just(5_500_u64)];
+    let cut = prop_oneof![1 => Just(0_u64), 1 => 0..15_000_u64, 2 => 9_000..15_000_u64];
+    let reach = prop::collection::vec(reach, 5);
+    prop_oneof![
+        3 => event(LONG_SPAN).prop_map(Beside::Other),
+        2 => (pause, left, 1..1_200_u64, reach, cut).prop_map(
+            |(pause, left, span, reach, cut)| Beside::Pause { pause, left, span, reach, cut }
+        ),
+    ]
+}
+
+fn apply_beside(world: &mut World, event: &Beside, submitted: &mut u32) {
+    match event {
+        Beside::Other(event) => apply(world, event, submitted),
+        Beside::Pause { pause, .. } if *pause < KEY_LEASE => world.pause(*pause),
+        Beside::Pause {
+            pause,
+            left,
+            span,
+            reach,
+            cut,
+        } => {
+            let left = *left.min(&(pause - KEY_LEASE));
+            world.pause(pause - left);
+            world.take_over_beside(left, *span);
+            let earlier = world.partitioned.clone();
+            for (at, reach) in reach.iter().enumerate() {
+                world.partitioned[at] = *reach == Reach::Former;
+                if *reach == Reach::Successor {
+                    world.cut_from_former(at);
+                }
+            }
+            world.run(*cut);
+            if *cut > 0 {
+                world.partitioned = earlier;
             }
         }
-        world.run(20_000);
-        prop_assert!(world.pool.broken.is_empty(), "{:?}", world.pool.broken);
-        let is_lasting = |task: &&Task| world.pool.jobs[&task.part.job].steps[0].lasting;
-        let running = world.pool.running();
-        let steps = world.pool.jobs.values().map(|job| &job.steps[0]);
-        let lasting: u32 = steps.filter(|step| step.lasting).map(|step| step.count).sum();
-        prop_assert_eq!(running.iter().filter(is_lasting).count(), lasting as usize);
     }
 }
+
+proptest! {
+    #![proptest_config(ProptestConfig { cases: 32, ..ProptestConfig::default() })]
+
+    /// The same beside leads that are paused and go on beside their successors, with cuts between workers and one of
+    /// them, and clocks of other rates.
+    #[test]
+    fn nothing_runs_twice_beside_a_former_lead(
+        longest in longest_lease(),
+        rate in prop_oneof![Just(980), 980..=1_020_u64],
+        events in prop::collection::vec(beside(), 1..20),
+    ) {
+        play_beside(longest, rate, &events)?;
+    }
+}
+
+fn play_beside(longest: Millis, rate: u64, events: &[Beside]) -> Result<(), TestCaseError> {
+    let mut world = World::new(5);
+    let workers = world.pool.workers.iter_mut();
+    workers.for_each(|worker| worker.clock_permille = rate);
+    world.allow_leases(longest);
+    world.run(50);
+    let mut submitted = 0;
+    for event in events {
+        apply_beside(&mut world, event, &mut submitted);
+    }
+    settle(&mut world)
+}
--- a/crates/marigoldpick-job/tests/lead/world.rs
+++ b/crates/marigoldpick-job/tests/lead/world.rs
@@ -1,4 +1,4 @@
-//! A simulated cluster for one lead at a time: workers, a store and an adviser in virtual time.
+//! A simulated cluster for a lead and its former one: workers, a store and an adviser in virtual time.
 //!
 //! The workers record what truly ran, and every broken guarantee.
 
@@ -116,6 +116,26 @@
     matches!(message, Message::Order(_, _, _, Millis::ZERO))
 }
 
+/// Returns whether a message is an order.
+const fn is_order(message: &Message) -> bool {
+    matches!(message, Message::Order(..))
+}
+
+/// `Path` is what lies between a lead and the workers.
+#[derive(Debug, Default)]
+struct Path {
+    term: u64,
+    in_flight: Vec<(Millis, u64, Message)>,
+    partitioned: Vec<bool>,
+}
+
+/// `Former` is a lead that goes on beside its successor, for a while.
+struct Former {
+    lead: Lead,
+    goes_on: Millis,
+    ends: Millis,
+}
+
 /// Returns the worker and the start if a message is a late start.
 const fn late_start(message: &Message) -> Option<(usize, &Start)> {
     match message {
@@ -130,7 +150,7 @@
     pub lead: Lead,
     pub settings: Settings,
     pub pool: Pool,
-    /// Workers that no message reaches, by position.
+    /// Workers that no message of the lead reaches, by position.
     pub partitioned: Vec<bool>,
     pub adviser: Adviser,
     pub queues: Vec<Queue>,
@@ -195,6 +215,9 @@
     sequence: u64,
     random_state: u64,
     term: u64,
+    /// The path of the former lead, whose orders in flight arrive and whose answers wait for it.
+    former_path: Path,
+    former: Option<Former>,
 }
 
 impl World {
@@ -255,6 +278,11 @@
             sequence: 0,
             random_state: 1,
             term: 10,
+            former_path: Path {
+                partitioned: vec![false; workers],
+                ..Path::default()
+            },
+            former: None,
         };
         world.configure_lead();
         world
@@ -282,46 +310,96 @@
         self.take_over_before(&[]);
     }
 
-    /// Lets another entry take over from the lead, which does not learn of it and is returned.
+    /// Lets another entry take over from the lead, which gives its term up.
+    pub fn hand_over(&mut self) {
+        let handover = self.lead.handover(self.now);
+        self.take_over();
+        self.lead.inherit(&handover, self.now);
+    }
+
+    /// Lets another entry take over from a lead that does not learn of it, and returns that.
+    ///
+    /// The former lead reaches all workers; what is in flight for it waits until it goes on.
     pub fn take_over_unnoticed(&mut self) -> Lead {
-        let next = Lead::new(self.settings, self.term, self.now);
-        let former = std::mem::replace(&mut self.lead, next);
+        self.former = None;
+        let mut earlier = std::mem::take(&mut self.former_path.in_flight);
+        earlier.retain(|(_, _, message)| is_order(message));
+        self.former_path = Path {
+            term: self.term,
+            in_flight: std::mem::take(&mut self.in_flight),
+            partitioned: vec![false; self.partitioned.len()],
+        };
+        self.in_flight = earlier;
+        let successor = Lead::new(self.settings, self.term, self.now);
+        let former = std::mem::replace(&mut self.lead, successor);
         self.take_over();
         former
     }
 
-    /// Runs for `span` milliseconds in which a former lead acts, too. It reaches all workers that are up at once, and
-    /// the store does not answer it.
+    /// Cuts a worker off from the former lead.
+    pub fn cut_from_former(&mut self, at: usize) {
+        self.former_path.partitioned[at] = true;
+    }
+
+    /// Runs for `span` milliseconds in which the former lead acts too; it does not reach the store.
     pub fn run_beside(&mut self, former: &mut Lead, span: u64) {
         for _ in 0..span {
             self.run(1);
-            for action in former.tick(self.now) {
-                let Action::Order {
-                    target,
-                    order,
-                    number,
-                    ..
-                } = action
-                else {
-                    continue;
-                };
-                let mut workers = self.pool.workers.iter();
-                let at = workers.position(|worker| worker.node.address == target.address);
-                let at = at.filter(|at| self.pool.workers[*at].up);
-                let answer = at.map_or(Err(Fault::Unknown), |at| {
-                    self.pool
-                        .order(at, target.fencing_token(former.term()), &order)
-                });
-                former.handle_reply(&target.id, (&order, number), answer, self.now, self.now);
-            }
+            self.step_beside(former);
         }
     }
 
-    /// Lets another entry take over from the lead, which gives its term up.
-    pub fn hand_over(&mut self) {
-        let handover = self.lead.handover(self.now);
-        self.take_over();
-        self.lead.inherit(&handover, self.now);
+    /// Lets another entry take over, while the present lead stands still for `pause` more milliseconds and then goes on
+    /// for `span`.
+    pub fn take_over_beside(&mut self, pause: u64, span: u64) {
+        let lead = self.take_over_unnoticed();
+        let goes_on = self.now + Millis(pause);
+        let ends = goes_on + Millis(span);
+        self.former = Some(Former {
+            lead,
+            goes_on,
+            ends,
+        });
+    }
+
+    /// Lets the former lead act if it is at work.
+    fn advance_former(&mut self) {
+        if let Some(mut former) = self.former.take_if(|former| former.goes_on <= self.now)
+            && self.now < former.ends
+        {
+            self.step_beside(&mut former.lead);
+            self.former = Some(former);
+        }
+    }
+
+    /// Lets the former lead act, and then get what has arrived for it.
+    fn step_beside(&mut self, former: &mut Lead) {
+        let has_store = std::mem::replace(&mut self.store_up, false);
+        std::mem::swap(&mut self.lead, former);
+        self.swap_paths();
+        if !self.lead.is_deposed() {
+            let actions = self.lead.tick(self.now);
+            self.keep_decisions();
+            actions.into_iter().for_each(|action| self.perform(action));
+        }
+        self.deliver(|_| true);
+        self.swap_paths();
+        std::mem::swap(&mut self.lead, former);
+        self.store_up = has_store;
+    }
+
+    /// Lets the former lead's orders arrive that have left it.
+    fn deliver_former_orders(&mut self) {
+        self.swap_paths();
+        self.deliver(is_order);
+        self.swap_paths();
+    }
+
+    fn swap_paths(&mut self) {
+        let path = &mut self.former_path;
+        std::mem::swap(&mut self.term, &mut path.term);
+        std::mem::swap(&mut self.in_flight, &mut path.in_flight);
+        std::mem::swap(&mut self.partitioned, &mut path.partitioned);
     }
 
     /// Takes over like `take_over`, but submits the jobs in `later` to the new lead as new ones.
@@ -331,8 +409,7 @@
         self.configure_lead();
         let roster = self.roster.clone().into_iter().collect();
         self.lead.inherit_roster(Some(roster), self.now);
-        self.in_flight
-            .retain(|(_, _, message)| matches!(message, Message::Order(..)));
+        self.in_flight.retain(|(_, _, message)| is_order(message));
         let mut jobs: Vec<_> = self.jobs.iter().collect();
         jobs.sort_by_key(|(_, job)| job.accepted);
         for (id, job) in jobs {
@@ -408,8 +485,15 @@
 
     /// Lets the holds fail that wait on a worker.
     fn break_holds(&mut self, at: usize) {
+        self.break_holds_of_lead(at);
+        self.swap_paths();
+        self.break_holds_of_lead(at);
+        self.swap_paths();
+    }
+
+    fn break_holds_of_lead(&mut self, at: usize) {
         let id = self.pool.workers[at].node.id.clone();
-        let own = first_token(self.lead.term());
+        let own = first_token(self.term);
         for (_, _, message) in &mut self.in_flight {
             if let Message::Order(to, token, order @ (Order::Hold { .. }, _), sent) = message
                 && *to == at
@@ -460,6 +544,8 @@
             let actions = self.lead.tick(self.now);
             self.keep_decisions();
             actions.into_iter().for_each(|action| self.perform(action));
+            self.deliver_former_orders();
+            self.advance_former();
             self.release_starts();
         }
     }
@@ -475,13 +561,24 @@
     /// Runs for `span` milliseconds in which the lead neither acts nor gets or sends messages, and then lets it act before
     /// all messages arrive at once. Late orders have left it, and are carried out meanwhile.
     pub fn freeze(&mut self, span: u64) {
+        self.stand_still(span, is_late);
+        let actions = self.lead.tick(self.now);
+        actions.into_iter().for_each(|action| self.perform(action));
+    }
+
+    /// Lets the lead stand still for `span` milliseconds, in which its orders are carried out and their answers wait.
+    pub fn pause(&mut self, span: u64) {
+        self.stand_still(span, is_order);
+    }
+
+    fn stand_still(&mut self, span: u64, arrives: fn(&Message) -> bool) {
         for _ in 0..span {
             self.now += Millis(1);
             self.pool.advance(self.now);
-            self.deliver(is_late);
+            self.deliver(arrives);
+            self.deliver_former_orders();
+            self.advance_former();
         }
-        let actions = self.lead.tick(self.now);
-        actions.into_iter().for_each(|action| self.perform(action));
     }
 
     /// Registers all workers that are up with the entries of their former incarnations.
@@ -733,10 +830,8 @@
 
     /// Records which late starts are of runs that the lead has released.
     fn release_starts(&mut self) {
-        let late = self
-            .in_flight
-            .iter()
-            .filter_map(|entry| late_start(&entry.2));
+        let messages = self.in_flight.iter().chain(&self.former_path.in_flight);
+        let late = messages.filter_map(|entry| late_start(&entry.2));
         let released: Vec<_> = late
             .filter_map(|(to, start)| {
                 let known = self.known_worker(to);
@@ -776,7 +871,7 @@
     fn execute_order(&mut self, at: usize, token: u64, order: Sent, sent: Millis) {
         let id = self.pool.workers[at].node.id.clone();
         // Another lead knows nothing of the order, and may use the same number.
-        let is_awaited = sent > Millis::ZERO && token >= first_token(self.lead.term());
+        let is_awaited = sent > Millis::ZERO && token >= first_token(self.term);
         if self.pool.workers[at].returns_at.is_some() && self.is_connected(at) {
             if is_awaited {
                 let broken = Message::Answer(id, order, Err(Fault::Unknown), sent);
