Let cuts of the soak outlast the leases of earlier leads

A successor waits 3 s and the longest lease (6 s) before it gives up the runs of a worker that it doesn't reach; shorter cuts end before. The lead is away beyond the 3 s after which its term ends unconfirmed.

--- a/crates/marigoldpick-soak/src/fault.rs
+++ b/crates/marigoldpick-soak/src/fault.rs
@@ -142,7 +142,10 @@
 /// The mean time between two cuts of workers from some entries, in milliseconds.
 const MEAN_CUT_GAP_MS: u64 = 4_000;
 /// How long workers are cut off from some entries, in milliseconds: longer than a successor waits for leases.
-const PARTLY_CUT_MS: std::ops::RangeInclusive<u64> = 5_000..=14_000;
+const PARTLY_CUT_MS: std::ops::RangeInclusive<u64> = 9_000..=16_000;
+/// How long the lead is paused or without the store in such a cut, in milliseconds: beyond the time in which its term
+/// ends unconfirmed.
+const LEAD_AWAY_MS: std::ops::RangeInclusive<u64> = 4_000..=7_000;
 /// The time from such a cut until the lead changes, in milliseconds.
 const LEAD_DELAY_MS: std::ops::Range<u64> = 0..3_000;
 /// The number of failure domains over which workers are spread.
@@ -342,7 +345,7 @@
                 Kind::SilenceLead
             },
             target: rng.random_range(0..shape.entries.max(1)) as usize,
-            duration: Millis(rng.random_range(LEAD_PAUSED_MS)),
+            duration: Millis(rng.random_range(LEAD_AWAY_MS)),
         });
     }
     faults.sort_by_key(|fault| fault.at);
