Draw more of what a former lead needs to renew too late

Now short tasks answer holds, long ones outlast a lapse, and leads lose the store and go on without a pause. nothing_runs_twice_beside_replaced_workers adds refusals, older lists, and other workers at a former address, some within 200 ms.

--- a/crates/marigoldpick-job/tests/lead/leases.rs
+++ b/crates/marigoldpick-job/tests/lead/leases.rs
@@ -258,10 +258,10 @@
     },
 }
 
-/// Returns a strategy for events with tasks of up to `longest` milliseconds.
-fn event(longest: u64) -> impl Strategy<Value = Event> {
+/// Returns a strategy for events with tasks of these run times, of which some jobs last.
+fn event(spans: impl Strategy<Value = u64>, lasting: f64) -> impl Strategy<Value = Event> {
     prop_oneof![
-        3 => (1..6_u32, 100..longest, any::<bool>())
+        3 => (1..6_u32, spans, prop::bool::weighted(lasting))
             .prop_map(|(tasks, span, lasting)| Event::Submit { tasks, span, lasting }),
         2 => (0..5_usize).prop_map(|at| Event::Drain { at }),
         2 => (0..5_usize).prop_map(|at| Event::Leave { at }),
@@ -315,6 +315,7 @@
     world.unanswered_percent = 0;
     world.partitioned = vec![false; 5];
     for at in 0..5 {
+        world.pool.workers[at].refusing = false;
         world.pool.workers[at].node.draining = false;
         if !world.pool.workers[at].up {
             restart(world, at);
@@ -341,7 +342,7 @@
     #[test]
     fn nothing_runs_twice_while_workers_and_leads_are_replaced(
         longest in longest_lease(),
-        events in prop::collection::vec(event(2_500), 1..60),
+        events in prop::collection::vec(event(100..2_500_u64, 0.5), 1..60),
     ) {
         let mut world = World::new(5);
         world.allow_leases(longest);
@@ -354,7 +355,7 @@
     }
 }
 
-/// The longest run time of the tasks that may go on until a successor gives their placements up, in milliseconds.
+/// The longest run time of the tasks, in milliseconds. Long ones go on until a successor gives their placements up.
 const LONG_SPAN: u64 = 30_000;
 
 /// `Reach` is which of two leads reaches a worker.
@@ -369,6 +370,23 @@
 #[derive(Clone, Debug)]
 enum Beside {
     Other(Event),
+    /// A worker refuses starts until it restarts.
+    Refuse {
+        at: usize,
+    },
+    /// A worker is down for a while, and another one comes up at its address.
+    Replace {
+        at: usize,
+        down: u64,
+    },
+    /// The registry's list is the one before the last one.
+    RegisterOlder,
+    /// A lead is cut off from the store. It goes on for `span` after another one has taken over.
+    Isolate {
+        span: u64,
+        reach: Vec<Reach>,
+        cut: u64,
+    },
     /// The lead is paused for `pause`. If that lasts, another one takes over, and the former one goes on for `span`.
     Pause {
         pause: u64,
@@ -381,7 +399,20 @@
     },
 }
 
+/// Returns a strategy for events in which workers also refuse starts, and others come up at their addresses.
+fn replaced() -> impl Strategy<Value = Beside> {
+    let down = prop_oneof![1..200_u64, 200..3_000_u64];
+    prop_oneof![
+        8 => beside(),
+        1 => (0..5_usize).prop_map(|at| Beside::Refuse { at }),
+        2 => (0..5_usize, down).prop_map(|(at, down)| Beside::Replace { at, down }),
+        1 => Just(Beside::RegisterOlder),
+    ]
+}
+
 fn beside() -> impl Strategy<Value = Beside> {
+    // The ends of short tasks answer holds, so that a lead may stand still while none is in flight.
+    let spans = prop_oneof![100..600_u64, 10_000..LONG_SPAN];
     // A worker that both reach ends the former term when it refuses an order.
     let reach = prop_oneof![
         1 => Just(Reach::Both),
@@ -389,21 +420,47 @@
         3 => Just(Reach::Successor),
     ];
     // Shorter pauses end before the successor may rely on the former lead, longer ones after the leases have lapsed.
-    let pause = prop_oneof![1 => 500..7_000_u64, 2 => 4_000..6_000_u64];
+    let pause = prop_oneof![1 => 500..7_000_u64, 1 => KEY_LEASE..3_000, 2 => 4_000..6_000_u64];
     let left = prop_oneof![1 => 0..5_500_u64, 2 => Just(5_500_u64)];
     let cut = prop_oneof![1 => Just(0_u64), 1 => 0..15_000_u64, 2 => 9_000..15_000_u64];
     let reach = prop::collection::vec(reach, 5);
+    let isolate = (1..2_700_u64, reach.clone(), cut.clone());
     prop_oneof![
-        3 => event(LONG_SPAN).prop_map(Beside::Other),
-        2 => (pause, left, 1..1_200_u64, reach, cut).prop_map(
+        6 => event(spans, 0.1).prop_map(Beside::Other),
+        1 => isolate.prop_map(|(span, reach, cut)| Beside::Isolate { span, reach, cut }),
+        3 => (pause, left, 1..1_200_u64, reach, cut).prop_map(
             |(pause, left, span, reach, cut)| Beside::Pause { pause, left, span, reach, cut }
         ),
     ]
 }
 
+/// Lets another lead take over that does not reach some workers for `cut`. The former one goes on after `left`, for `span`.
+fn take_over(world: &mut World, (left, span): (u64, u64), reach: &[Reach], cut: u64) {
+    world.take_over_beside(left, span);
+    let earlier = world.partitioned.clone();
+    for (at, reach) in reach.iter().enumerate() {
+        world.partitioned[at] = *reach == Reach::Former;
+        if *reach == Reach::Successor {
+            world.cut_from_former(at);
+        }
+    }
+    world.run(cut);
+    if cut > 0 {
+        world.partitioned = earlier;
+    }
+}
+
 fn apply_beside(world: &mut World, event: &Beside, submitted: &mut u32) {
     match event {
         Beside::Other(event) => apply(world, event, submitted),
+        Beside::Refuse { at } => world.pool.workers[*at].refusing = true,
+        Beside::Replace { at, down } => world.replace_worker(*at, *down),
+        Beside::RegisterOlder => world.register_older(),
+        Beside::Isolate { span, reach, cut } => {
+            world.store_up = false;
+            world.run(KEY_LEASE);
+            take_over(world, (0, *span), reach, *cut);
+        }
         Beside::Pause { pause, .. } if *pause < KEY_LEASE => world.pause(*pause),
         Beside::Pause {
             pause,
@@ -414,18 +471,7 @@
         } => {
             let left = *left.min(&(pause - KEY_LEASE));
             world.pause(pause - left);
-            world.take_over_beside(left, *span);
-            let earlier = world.partitioned.clone();
-            for (at, reach) in reach.iter().enumerate() {
-                world.partitioned[at] = *reach == Reach::Former;
-                if *reach == Reach::Successor {
-                    world.cut_from_former(at);
-                }
-            }
-            world.run(*cut);
-            if *cut > 0 {
-                world.partitioned = earlier;
-            }
+            take_over(world, (left, *span), reach, *cut);
         }
     }
 }
@@ -445,8 +491,30 @@
     }
 }
 
+proptest! {
+    #![proptest_config(ProptestConfig { cases: 16, ..ProptestConfig::default() })]
+
+    /// The same with repeated orders, workers that refuse starts, and others that come up at their addresses.
+    #[test]
+    fn nothing_runs_twice_beside_replaced_workers(
+        longest in longest_lease(),
+        rate in prop_oneof![Just(980), 980..=1_020_u64],
+        events in prop::collection::vec(replaced(), 1..30),
+    ) {
+        play_beside_in(World::with_retries(5), longest, rate, &events)?;
+    }
+}
+
 fn play_beside(longest: Millis, rate: u64, events: &[Beside]) -> Result<(), TestCaseError> {
-    let mut world = World::new(5);
+    play_beside_in(World::new(5), longest, rate, events)
+}
+
+fn play_beside_in(
+    mut world: World,
+    longest: Millis,
+    rate: u64,
+    events: &[Beside],
+) -> Result<(), TestCaseError> {
     let workers = world.pool.workers.iter_mut();
     workers.for_each(|worker| worker.clock_permille = rate);
     world.allow_leases(longest);
--- a/crates/marigoldpick-job/tests/lead/world.rs
+++ b/crates/marigoldpick-job/tests/lead/world.rs
@@ -218,6 +218,8 @@
     /// The path of the former lead, whose orders in flight arrive and whose answers wait for it.
     former_path: Path,
     former: Option<Former>,
+    last_list: Vec<Node>,
+    older: Vec<Node>,
 }
 
 impl World {
@@ -283,6 +285,8 @@
                 ..Path::default()
             },
             former: None,
+            last_list: Vec::new(),
+            older: Vec::new(),
         };
         world.configure_lead();
         world
@@ -590,9 +594,24 @@
         self.lead.update_workers(&nodes, self.now);
     }
 
+    /// Ends a worker; another one comes up at its address after `down` milliseconds.
+    pub fn replace_worker(&mut self, at: usize, down: u64) {
+        if self.pool.workers[at].returns_at.is_none() {
+            self.break_holds(at);
+            self.pool.crash_time = Millis(down);
+            self.pool.crash(at);
+        }
+    }
+
+    /// Registers the workers of the list before the last one.
+    pub fn register_older(&mut self) {
+        self.lead.update_workers(&self.older.clone(), self.now);
+    }
+
     /// Registers all workers that are up.
     pub fn register(&mut self) {
         let nodes = self.listed();
+        self.older = std::mem::replace(&mut self.last_list, nodes.clone());
         self.lead.update_workers(&nodes, self.now);
     }
 
