--- a/crates/marigoldpick-job/src/lead.rs
+++ b/crates/marigoldpick-job/src/lead.rs
@@ -31,6 +31,7 @@
 mod schedule;
 mod send;
 mod start;
+mod term;
 mod unrecorded;
 mod waiting;
 pub mod withheld;
@@ -270,39 +271,6 @@
         }
     }
 
-    /// Sets when the claim to the term was made, which is the first confirmation.
-    #[must_use]
-    pub const fn claimed_at(mut self, at: Millis) -> Self {
-        self.confirmed = at;
-        self
-    }
-
-    /// Records that the term was confirmed at `at`.
-    ///
-    /// `at` is the send time of a call that the store answered, or the time at which most entries reported
-    /// that they do not reach the store, so that no other entry can take over.
-    pub fn confirm(&mut self, at: Millis) {
-        self.confirmed = self.confirmed.max(at);
-    }
-
-    /// Returns whether the last confirmation is so old that a successor relies on the end of this lead's orders.
-    #[must_use]
-    pub fn has_expired(&self, now: Millis) -> bool {
-        now > self.confirmed + self.settings.term_grace
-    }
-
-    /// Returns when the term was last confirmed.
-    #[must_use]
-    pub const fn confirmed(&self) -> Millis {
-        self.confirmed
-    }
-
-    /// Returns when an order last extended a lease.
-    #[must_use]
-    pub const fn last_extension(&self) -> Millis {
-        self.last_extension
-    }
-
     /// Returns the term of this lead.
     #[must_use]
     pub const fn term(&self) -> u64 {
@@ -520,15 +488,6 @@
         }
     }
 
-    /// Extends the lease of a worker from `now` and returns its end by the worker's clock.
-    ///
-    /// Returns `None` while no reading of the clock is known.
-    fn extend_lease(&mut self, at: usize, now: Millis) -> Option<Millis> {
-        let until = self.workers[at].extend_lease(&self.settings, now)?;
-        self.last_extension = now;
-        Some(until)
-    }
-
     /// Increments the revision of a job and queues its record for a commit.
     fn mark_changed(&mut self, at: usize) {
         self.mark_changed_for(at, backlog::Reason::Other);
--- a/crates/marigoldpick-node/tests/node/handover.rs
+++ b/crates/marigoldpick-node/tests/node/handover.rs
@@ -22,6 +22,8 @@
 const TAKE_OVER_GAP: Millis = Millis(2_000);
 /// Several intervals in which a lead sends orders to a worker with runs.
 const ORDER_INTERVALS: Millis = Millis(1_000);
+/// The time in which all entries know of each other.
+const MEMBERS_INTERVAL: Millis = Millis(3_000);
 /// The duration of the lead's lease.
 const LEAD_LEASE: Millis = Millis(1_500);
 /// The duration of the lead's lease where another entry leads long before the grace of the one before it is over.
@@ -70,6 +72,16 @@
     lock(&cluster.fake_workers).start_workers[0]
 }
 
+/// Submits a job of one task that runs longer than any test, and returns the worker that runs it once its lease was renewed.
+fn start_long_task(cluster: &Cluster) -> usize {
+    cluster.submit_long(0, 1);
+    wait_until("the task starts", || {
+        !lock(&cluster.fake_workers).starts.is_empty()
+    });
+    sleep(ORDER_INTERVALS);
+    lock(&cluster.fake_workers).start_workers[0]
+}
+
 /// Waits for the second start, and returns the time since `departed`.
 fn wait_for_second_start(cluster: &Cluster, departed: Instant) -> Duration {
     wait_until("the lasting task starts again", || {
@@ -259,12 +271,7 @@
 #[googletest::test]
 fn lead_that_was_paused_extends_no_lease_beyond_what_its_successor_expects() {
     let cluster = Cluster::start_with_standby(2, LEAD_LEASE, true);
-    cluster.submit_long(0, 1);
-    wait_until("the task starts", || {
-        !lock(&cluster.fake_workers).starts.is_empty()
-    });
-    sleep(ORDER_INTERVALS);
-    let (lead, worker) = (cluster.lead(), lock(&cluster.fake_workers).start_workers[0]);
+    let (lead, worker) = (cluster.lead(), start_long_task(&cluster));
     lock(&cluster.fake_workers).separate(lead, worker);
     cluster.hangs[lead].store(true, Ordering::SeqCst);
     sleep(PAUSE);
@@ -279,14 +286,9 @@
 #[googletest::test]
 fn lead_that_most_entries_confirm_extends_no_lease_beside_its_successor() {
     let cluster = Cluster::start_with_cut(LEAD_LEASE);
-    cluster.submit_long(0, 1);
-    wait_until("the task starts", || {
-        !lock(&cluster.fake_workers).starts.is_empty()
-    });
+    let worker = start_long_task(&cluster);
     expect_that!(cluster.lead(), eq(0));
-    let worker = lock(&cluster.fake_workers).start_workers[0];
-    // All entries know of each other.
-    sleep(Millis(3_000));
+    sleep(MEMBERS_INTERVAL);
     lock(&cluster.fake_workers).separate(0, worker);
     cluster.down[0].store(true, Ordering::SeqCst);
     cluster.down[2].store(true, Ordering::SeqCst);
@@ -299,12 +301,7 @@
 #[googletest::test]
 fn late_request_to_take_over_does_not_replace_another_lead() {
     let cluster = Cluster::start_with_standby(2, LEAD_LEASE, true);
-    cluster.submit_long(0, 1);
-    wait_until("the task starts", || {
-        !lock(&cluster.fake_workers).starts.is_empty()
-    });
-    sleep(ORDER_INTERVALS);
-    let (lead, worker) = (cluster.lead(), lock(&cluster.fake_workers).start_workers[0]);
+    let (lead, worker) = (cluster.lead(), start_long_task(&cluster));
     lock(&cluster.fake_workers).separate(lead, worker);
     // The lead before this one has sent it.
     call(&cluster, 1 - lead, peer::Call::Succeed);
@@ -317,14 +314,9 @@
 #[googletest::test]
 fn lead_that_was_replaced_is_not_confirmed_by_an_entry_that_knows_its_successor() {
     let cluster = Cluster::start_with_cut(SHORT_LEAD_LEASE);
-    cluster.submit_long(0, 1);
-    wait_until("the task starts", || {
-        !lock(&cluster.fake_workers).starts.is_empty()
-    });
+    let worker = start_long_task(&cluster);
     expect_that!(cluster.lead(), eq(0));
-    let worker = lock(&cluster.fake_workers).start_workers[0];
-    // All entries know of each other.
-    sleep(Millis(3_000));
+    sleep(MEMBERS_INTERVAL);
     lock(&cluster.fake_workers).separate(0, worker);
     cluster.hangs[0].store(true, Ordering::SeqCst);
     wait_until("the second entry leads", || term(&cluster, 1) > 0);
