Take no term from the lead's key

The key of a lead that has claimed it again has a later revision than its term, so that entries which took the revision for the term would refuse to relay that lead's orders as fenced, and end its term.

--- a/crates/marigoldpick-node/src/vacancy.rs
+++ b/crates/marigoldpick-node/src/vacancy.rs
@@ -114,8 +114,6 @@
             let revision = item.map_or(0, |item| item.revision);
             log::info!(target: "node", "event=lead-seen lead={name} term={revision}");
             *lead = known;
-            // From here on this entry relays no order of an earlier term.
-            self.record_term(revision);
         }
     }
 }
